--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/mangovane/core/error_kind.cpp
@@ -0,0 +1,98 @@
+// Table of error kinds and its binding to absl::Status.
+#include "mangovane/core/error_kind.hpp"
+
+#include <algorithm>
+#include <string>
+
+#include <absl/strings/cord.h>
+#include <absl/strings/string_view.h>
+
+namespace mangovane
+{
+
+namespace
+{
+
+constexpr std::array<error_answer, error_kind_count> table{{
+    {error_kind::malformed_request, "malformed_request", 400, true, false, 0},
+    {error_kind::unauthenticated, "unauthenticated", 401, true, false, 0},
+    {error_kind::forbidden, "forbidden", 403, true, false, 0},
+    {error_kind::unknown_service, "unknown_service", 404, true, false, 0},
+    {error_kind::deadline_invalid, "deadline_invalid", 400, true, false, 0},
+    {error_kind::body_too_large, "body_too_large", 413, true, false, 0},
+    {error_kind::header_too_large, "header_too_large", 431, true, false, 0},
+    {error_kind::key_required, "key_required", 428, true, false, 0},
+    {error_kind::key_reused, "key_reused", 422, true, false, 0},
+    {error_kind::in_progress, "in_progress", 409, false, false, 1},
+    {error_kind::outcome_unknown, "outcome_unknown", 502, false, false, 0},
+    {error_kind::rate_limited, "rate_limited", 429, true, true, 1},
+    {error_kind::queue_full, "queue_full", 429, true, true, 1},
+    {error_kind::overloaded, "overloaded", 503, true, true, 1},
+    {error_kind::no_endpoint, "no_endpoint", 503, true, true, 1},
+    {error_kind::store_unavailable, "store_unavailable", 503, true, true, 2},
+    {error_kind::not_ready, "not_ready", 503, true, true, 1},
+    {error_kind::deadline_exceeded, "deadline_exceeded", 504, true, true, 0},
+    {error_kind::deadline_exceeded_running, "deadline_exceeded_running", 504, false, false, 0},
+    {error_kind::endpoint_failed, "endpoint_failed", 502, false, false, 0},
+    {error_kind::internal, "internal", 500, false, false, 0},
+}};
+
+constexpr bool in_order()
+{
+    for (std::size_t n = 0; n != table.size(); ++n)
+    {
+        if (static_cast<std::size_t>(table[n].kind) != n)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+static_assert(in_order(), "rows stand in the order of the enumeration");
+
+constexpr absl::string_view payload_url = "mangovane/error_kind";
+
+absl::StatusCode code_for(const error_answer& answer)
+{
+    return answer.http_status < 500 ? absl::StatusCode::kFailedPrecondition
+                                    : absl::StatusCode::kUnavailable;
+}
+
+} // namespace
+
+const error_answer& answer_for(error_kind kind) noexcept
+{
+    return table[static_cast<std::size_t>(kind)];
+}
+
+const std::array<error_answer, error_kind_count>& error_answers() noexcept
+{
+    return table;
+}
+
+absl::Status make_error(error_kind kind, std::string_view message)
+{
+    const auto& answer = answer_for(kind);
+    absl::Status status{code_for(answer), absl::string_view{message.data(), message.size()}};
+    status.SetPayload(payload_url, absl::Cord{std::string{answer.name}});
+    return status;
+}
+
+std::optional<error_kind> kind_of(const absl::Status& status)
+{
+    if (status.ok())
+    {
+        return std::nullopt;
+    }
+    const auto payload = status.GetPayload(payload_url);
+    if (!payload)
+    {
+        return error_kind::internal;
+    }
+    const std::string name{*payload};
+    const auto it = std::find_if(table.begin(), table.end(),
+                                 [&](const error_answer& row) { return row.name == name; });
+    return it == table.end() ? error_kind::internal : it->kind;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/core/sharded_map.hpp
@@ -0,0 +1,100 @@
+// A map whose entries are spread over shards, each under its own lock.
+#ifndef MANGOVANE_CORE_SHARDED_MAP_HPP
+#define MANGOVANE_CORE_SHARDED_MAP_HPP
+
+#include <array>
+#include <cstddef>
+#include <mutex>
+#include <utility>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "mangovane/core/hash.hpp"
+
+namespace mangovane
+{
+
+/// State keyed by `Key`. A visitor runs under the lock of one shard: it must not block, send, or
+/// visit another sharded map. Results leave by value.
+template <class Key, class Value, std::size_t Shards = 16>
+class sharded_map
+{
+public:
+    using map_type = absl::flat_hash_map<Key, Value>;
+
+    /// Calls `visitor(map)` with the map of the shard that holds the key.
+    template <class Visitor>
+    decltype(auto) with_shard(const Key& key, Visitor&& visitor)
+    {
+        auto& shard = shards_[index_of(key)];
+        const std::lock_guard lock{shard.mutex};
+        return std::forward<Visitor>(visitor)(shard.entries);
+    }
+
+    /// Calls `visitor(value)` with the entry of the key, made from `args` when absent.
+    template <class Visitor, class... Args>
+    decltype(auto) with(const Key& key, Visitor&& visitor, Args&&... args)
+    {
+        return with_shard(key,
+                          [&](map_type& entries) -> decltype(auto)
+                          {
+                              auto it = entries.try_emplace(key, std::forward<Args>(args)...).first;
+                              return std::forward<Visitor>(visitor)(it->second);
+                          });
+    }
+
+    /// Calls `visitor(value)` when the key is present; returns whether it was.
+    template <class Visitor>
+    bool find(const Key& key, Visitor&& visitor)
+    {
+        return with_shard(key,
+                          [&](map_type& entries)
+                          {
+                              const auto it = entries.find(key);
+                              if (it == entries.end())
+                              {
+                                  return false;
+                              }
+                              std::forward<Visitor>(visitor)(it->second);
+                              return true;
+                          });
+    }
+
+    /// Calls `visitor(map)` for each shard in turn, under one lock at a time.
+    template <class Visitor>
+    void for_each_shard(Visitor&& visitor)
+    {
+        for (auto& shard : shards_)
+        {
+            const std::lock_guard lock{shard.mutex};
+            visitor(shard.entries);
+        }
+    }
+
+    /// Sum of the entries; entries may come and go while it is counted.
+    [[nodiscard]] std::size_t size()
+    {
+        std::size_t n = 0;
+        for_each_shard([&](const map_type& entries) { n += entries.size(); });
+        return n;
+    }
+
+private:
+    struct shard
+    {
+        std::mutex mutex;
+        map_type entries; ///< Guarded by `mutex`.
+    };
+
+    [[nodiscard]] static std::size_t index_of(const Key& key)
+    {
+        // A second mix: the map inside the shard uses the low bits of the same hash.
+        return hash_combine(absl::Hash<Key>{}(key), 0) % Shards;
+    }
+
+    std::array<shard, Shards> shards_;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/core/time.hpp
@@ -0,0 +1,38 @@
+// Time types of the decision library. Time points are arguments; no decision reads a clock.
+#ifndef MANGOVANE_CORE_TIME_HPP
+#define MANGOVANE_CORE_TIME_HPP
+
+#include <chrono>
+#include <cstdint>
+
+namespace mangovane
+{
+
+using clock = std::chrono::steady_clock;
+using time_point = clock::time_point;
+using duration = clock::duration;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Remaining time until a deadline in milliseconds, rounded down and never negative.
+/// This is the form in which deadlines travel between processes, whose clocks differ.
+[[nodiscard]] constexpr std::uint32_t remaining_ms(time_point deadline, time_point now) noexcept
+{
+    if (deadline <= now)
+    {
+        return 0;
+    }
+    const auto n = std::chrono::duration_cast<milliseconds>(deadline - now).count();
+    return n > UINT32_MAX ? UINT32_MAX : static_cast<std::uint32_t>(n);
+}
+
+/// Deadline from a remaining time received from another process.
+[[nodiscard]] constexpr time_point deadline_from(std::uint32_t remaining, time_point now) noexcept
+{
+    return now + milliseconds{remaining};
+}
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/daemon/router_options.hpp
@@ -0,0 +1,56 @@
+// Settings of a router process, from flags and environment variables, checked before anything
+// starts.
+#ifndef MANGOVANE_DAEMON_ROUTER_OPTIONS_HPP
+#define MANGOVANE_DAEMON_ROUTER_OPTIONS_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "mangovane/core/time.hpp"
+#include "mangovane/membership/endpoint.hpp"
+
+namespace mangovane
+{
+
+/// What the command line asks for.
+enum class router_command : std::uint8_t
+{
+    run,
+    check, ///< Check the settings and exit.
+    help,
+    version,
+};
+
+struct router_options
+{
+    router_command command{router_command::run};
+    std::string name;            ///< Unique name of the instance.
+    std::string domain;          ///< Failure domain.
+    std::string listen;          ///< `ip:port` for callers.
+    std::string peer_listen;     ///< `ip:port` for other instances; empty: none.
+    std::string operator_listen; ///< `ip:port` for operators; empty: none.
+    std::string platform;        ///< `ip:port` of the platform's service; empty: static mode.
+    std::string cluster_key; ///< Shared key of instances and operators; from the environment only.
+    std::string settings_file;            ///< Static mode: text of the settings.
+    std::vector<endpoint_info> endpoints; ///< Static mode.
+    std::uint32_t threads{4};
+    std::uint32_t chat_capacity{1U << 20U};
+    milliseconds drain_delay{3000}; ///< From SIGTERM until no more connections are accepted.
+    bool verbose{false};
+
+    bool operator==(const router_options&) const = default;
+};
+
+/// Reads flags, then environment variables (`MANGOVANE_` and the flag's name in capitals). A flag
+/// wins. The error names each setting at fault, its value and what is allowed.
+[[nodiscard]] absl::StatusOr<router_options> read_router_options(int argc, const char* const* argv);
+
+/// Text of `--help`.
+[[nodiscard]] std::string router_help();
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/idempotency/claim_batch.hpp
@@ -0,0 +1,61 @@
+// Groups claims into few transactions, and resolves answers of the table service that were lost.
+#ifndef MANGOVANE_IDEMPOTENCY_CLAIM_BATCH_HPP
+#define MANGOVANE_IDEMPOTENCY_CLAIM_BATCH_HPP
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include <absl/status/statusor.h>
+
+#include "mangovane/core/time.hpp"
+#include "mangovane/idempotency/claim.hpp"
+
+namespace mangovane
+{
+
+class table_service;
+
+/// Result of a claim.
+struct claim_result
+{
+    bool won{false};        ///< This attempt holds the claim and may dispatch.
+    repeat_answer repeated; ///< Set when another attempt holds it.
+
+    auto operator<=>(const claim_result&) const = default;
+};
+
+/// Writes of claims and outcomes of one instance. `tick` has to be called at least each `window`.
+class claim_batch
+{
+public:
+    using claim_handler = std::function<void(absl::StatusOr<claim_result>)>;
+    using settle_handler = std::function<void(absl::Status)>;
+
+    static constexpr std::size_t max_writes = 64;
+    static constexpr milliseconds window{5};
+
+    /// The table outlives the batch.
+    explicit claim_batch(table_service& table);
+    ~claim_batch();
+    claim_batch(const claim_batch&) = delete;
+    claim_batch& operator=(const claim_batch&) = delete;
+
+    /// Claims a key. An error means that this attempt certainly does not hold the claim, or that
+    /// this could not be learnt before the deadline; in both cases the attempt must not dispatch.
+    void claim_key(claim wanted, time_point now, time_point deadline, claim_handler handler);
+
+    /// Stores the end of a claim that this attempt holds; retried until the deadline.
+    void settle(claim settled, time_point now, time_point deadline, settle_handler handler);
+
+    /// Sends what has waited for a whole window.
+    void tick(time_point now);
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/message/fwd.hpp
@@ -0,0 +1,31 @@
+// Forward declarations of the message module.
+#ifndef MANGOVANE_MESSAGE_FWD_HPP
+#define MANGOVANE_MESSAGE_FWD_HPP
+
+namespace mangovane
+{
+
+struct slot_request;
+struct slot_grant;
+struct slot_refusal;
+struct slot_release;
+struct slot_renewal;
+struct load_query;
+struct load_answer;
+struct load_report;
+struct load_mean;
+struct chat_query;
+struct chat_answer;
+struct chat_update;
+struct limit_request;
+struct limit_grant;
+struct member_update;
+struct probe;
+struct probe_ack;
+struct probe_request;
+struct settings_query;
+struct settings_content;
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/message/membership.hpp
@@ -0,0 +1,79 @@
+// Messages of the failure detector (SWIM with suspicion) and the facts they carry.
+#ifndef MANGOVANE_MESSAGE_MEMBERSHIP_HPP
+#define MANGOVANE_MESSAGE_MEMBERSHIP_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "mangovane/core/id.hpp"
+
+namespace mangovane
+{
+
+enum class member_state : std::uint8_t
+{
+    alive,
+    suspect,
+    dead,
+    left, ///< Final for an incarnation.
+};
+
+/// Version of the settings that an instance has in force.
+struct settings_stamp
+{
+    std::uint64_t version{0}; ///< 0: none yet.
+    std::uint64_t digest{0};
+
+    auto operator<=>(const settings_stamp&) const = default;
+};
+
+/// One fact about one instance, spread on probes.
+struct member_update
+{
+    instance_id instance;
+    incarnation epoch{0};
+    std::uint32_t refutations{0}; ///< Raised by the instance itself to refute a suspicion.
+    member_state state{member_state::alive};
+    std::string name;
+    std::string address; ///< `ip:port` of the interface between instances.
+    domain_id domain;
+    settings_stamp settings;
+
+    auto operator<=>(const member_update&) const = default;
+};
+
+struct probe
+{
+    std::uint64_t sequence{0};
+    settings_stamp settings;
+    std::vector<member_update> updates; ///< At most `max_updates_per_probe`.
+
+    bool operator==(const probe&) const = default;
+};
+
+struct probe_ack
+{
+    std::uint64_t sequence{0};
+    instance_id
+        subject; ///< The instance that is alive; differs from the sender for an indirect probe.
+    settings_stamp settings;
+    std::vector<member_update> updates;
+
+    bool operator==(const probe_ack&) const = default;
+};
+
+/// Asks the receiver to probe `subject` and to pass on its acknowledgement.
+struct probe_request
+{
+    std::uint64_t sequence{0};
+    instance_id subject;
+
+    auto operator<=>(const probe_request&) const = default;
+};
+
+inline constexpr std::size_t max_updates_per_probe = 8;
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/message/message.hpp
@@ -0,0 +1,48 @@
+// Any message between two instances. Encoding is in the wire module.
+#ifndef MANGOVANE_MESSAGE_MESSAGE_HPP
+#define MANGOVANE_MESSAGE_MESSAGE_HPP
+
+#include <variant>
+
+#include "mangovane/message/chat.hpp"
+#include "mangovane/message/limit.hpp"
+#include "mangovane/message/load.hpp"
+#include "mangovane/message/membership.hpp"
+#include "mangovane/message/settings.hpp"
+#include "mangovane/message/slot.hpp"
+
+namespace mangovane
+{
+
+using message = std::variant<slot_request,
+                             slot_grant,
+                             slot_refusal,
+                             slot_release,
+                             slot_renewal,
+                             load_query,
+                             load_answer,
+                             load_report,
+                             load_mean,
+                             chat_query,
+                             chat_answer,
+                             chat_update,
+                             limit_request,
+                             limit_grant,
+                             probe,
+                             probe_ack,
+                             probe_request,
+                             settings_query,
+                             settings_content>;
+
+/// A message with its receiver.
+struct outgoing_message
+{
+    instance_id to;
+    message body;
+
+    bool operator==(const outgoing_message&) const = default;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/message/settings.hpp
@@ -0,0 +1,32 @@
+// Messages that spread accepted settings between instances.
+#ifndef MANGOVANE_MESSAGE_SETTINGS_HPP
+#define MANGOVANE_MESSAGE_SETTINGS_HPP
+
+#include <cstdint>
+#include <string>
+
+#include "mangovane/message/membership.hpp"
+
+namespace mangovane
+{
+
+/// Asks a peer for settings newer than `have`.
+struct settings_query
+{
+    settings_stamp have;
+
+    auto operator<=>(const settings_query&) const = default;
+};
+
+/// The text of one accepted version.
+struct settings_content
+{
+    settings_stamp stamp;
+    std::string text; ///< JSON, as stored by the platform.
+
+    auto operator<=>(const settings_content&) const = default;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/net/caller_request.hpp
@@ -0,0 +1,60 @@
+// Maps an HTTP request of a caller to a routed request, or to the error that it is answered with.
+#ifndef MANGOVANE_NET_CALLER_REQUEST_HPP
+#define MANGOVANE_NET_CALLER_REQUEST_HPP
+
+#include <string>
+#include <string_view>
+
+#include <absl/status/statusor.h>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "mangovane/core/error_kind.hpp"
+#include "mangovane/routing/routed_request.hpp"
+#include "mangovane/settings/snapshot.hpp"
+
+namespace mangovane
+{
+
+using http_request = boost::beast::http::request<boost::beast::http::string_body>;
+
+/// Names of the headers between callers, instances and endpoints.
+namespace header
+{
+inline constexpr const char* request = "Mangovane-Request";
+inline constexpr const char* chat = "Mangovane-Chat";
+inline constexpr const char* priority = "Mangovane-Class";
+inline constexpr const char* deadline_ms = "Mangovane-Deadline-Ms";
+inline constexpr const char* affinity = "Mangovane-Affinity";
+inline constexpr const char* attempt = "Mangovane-Attempt";
+inline constexpr const char* endpoint = "Mangovane-Endpoint";
+inline constexpr const char* idempotency_key = "Idempotency-Key";
+} // namespace header
+
+/// A request accepted for routing, and what its endpoint is sent.
+struct caller_request
+{
+    routed_request routed;
+    std::string account_name;
+    std::string service_name;
+    http_request forwarded; ///< Without the caller's credentials.
+};
+
+/// Reads a request. The account follows from the caller's key alone.
+/// Errors: unauthenticated, unknown_service, malformed_request, deadline_invalid.
+[[nodiscard]] absl::StatusOr<caller_request>
+read_caller_request(const http_request& req, const settings_snapshot& settings, time_point now);
+
+/// Affinity token: the endpoints that hold a chat's prefix, most recent first.
+[[nodiscard]] std::string to_affinity(const chat_locations& locations);
+[[nodiscard]] chat_locations from_affinity(std::string_view token);
+
+/// Text form of an attempt id.
+[[nodiscard]] std::string to_string(const attempt_id& id);
+
+/// JSON body of an error answer: kind, message, not_run, retry_safe, retry_after_s.
+[[nodiscard]] std::string error_body(error_kind kind, std::string_view message);
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/net/caller_session.cpp
@@ -0,0 +1,328 @@
+// Implementation of a caller's session.
+#include "mangovane/net/caller_session.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace
+{
+
+milliseconds since(time_point start)
+{
+    return std::chrono::duration_cast<milliseconds>(clock::now() - start);
+}
+
+error_kind kind_of_read_error(const beast::error_code& ec)
+{
+    if (ec == http::error::body_limit)
+    {
+        return error_kind::body_too_large;
+    }
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+    {
+        return error_kind::header_too_large;
+    }
+    return error_kind::malformed_request;
+}
+
+/// Errors that stem from what the caller sent, not from the connection.
+bool is_bad_input(const beast::error_code& ec)
+{
+    return ec.category() == http::make_error_code(http::error::bad_method).category() &&
+           ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
+} // namespace
+
+caller_session::caller_session(asio::ip::tcp::socket socket, front_services& services)
+    : stream_{std::move(socket)}, services_{services}
+{}
+
+asio::awaitable<void> caller_session::run()
+{
+    beast::error_code ec;
+    stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ec);
+    while (keep_alive_ && !draining_)
+    {
+        auto req = co_await read_request();
+        if (!req)
+        {
+            break;
+        }
+        idle_ = false;
+        keep_alive_ = req->keep_alive();
+        head_ = req->method() == http::verb::head;
+        co_await serve(*req);
+        idle_ = true;
+    }
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    stream_.close();
+}
+
+void caller_session::drain_soon()
+{
+    boost::asio::post(stream_.get_executor(), [self = shared_from_this()] { self->drain(); });
+}
+
+void caller_session::drain()
+{
+    draining_ = true;
+    if (idle_)
+    {
+        stream_.cancel();
+    }
+}
+
+asio::awaitable<std::optional<http_request>> caller_session::read_request()
+{
+    parser p;
+    p.header_limit(services_.limits.header_bytes);
+    p.body_limit(services_.limits.body_bytes);
+    beast::error_code ec;
+    stream_.expires_after(services_.limits.idle_timeout);
+    co_await http::async_read_header(stream_, buffer_, p,
+                                     asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec)
+    {
+        idle_ = false;
+        stream_.expires_after(services_.limits.header_timeout);
+        co_await http::async_read(stream_, buffer_, p,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (!ec)
+    {
+        co_return p.release();
+    }
+    if (is_bad_input(ec))
+    {
+        keep_alive_ = false;
+        co_await write_error(kind_of_read_error(ec), ec.message());
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> caller_session::serve(const http_request& req)
+{
+    if (req.target() == "/healthz")
+    {
+        co_await serve_local(req, 200, "ok\n");
+        co_return;
+    }
+    if (req.target() == "/readyz")
+    {
+        const bool ready = services_.ready.load();
+        co_await serve_local(req, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+        co_return;
+    }
+    if (req.target() == "/metrics")
+    {
+        co_await serve_local(req, 200, services_.metrics_text());
+        co_return;
+    }
+    const auto settings = services_.core.settings().current();
+    if (!settings)
+    {
+        co_await write_error(error_kind::not_ready, "the instance has no settings yet");
+        co_return;
+    }
+    auto routed = read_caller_request(req, *settings, clock::now());
+    if (!routed.ok())
+    {
+        co_await write_error(*kind_of(routed.status()), std::string{routed.status().message()});
+        co_return;
+    }
+    co_await route(std::move(*routed));
+}
+
+asio::awaitable<void>
+caller_session::serve_local(const http_request& req, unsigned status, std::string text)
+{
+    if (req.method() != http::verb::get && req.method() != http::verb::head)
+    {
+        co_await write_error(error_kind::malformed_request, "this path is read by GET");
+        co_return;
+    }
+    co_await write_answer(status, "text/plain; version=0.0.4", std::move(text), 0);
+}
+
+asio::awaitable<void> caller_session::route(caller_request req)
+{
+    accepted_at_ = clock::now();
+    record_ = request_record{};
+    record_.account = req.routed.account;
+    record_.account_name = req.account_name;
+    record_.service_name = req.service_name;
+    record_.priority = req.routed.priority;
+    caller_lost_ = false;
+    request_ = std::move(req);
+    exchange_ = std::make_shared<exchange>(stream_.get_executor(), services_);
+    auto ex = exchange_;
+    ex->begin(request_->routed);
+    asio::co_spawn(stream_.get_executor(), watch_caller(ex), asio::detached);
+    for (bool open = true; open;)
+    {
+        const auto action = co_await ex->next();
+        if (const auto* it = std::get_if<send_attempt>(&action))
+        {
+            start_attempt(*it);
+        }
+        else if (std::holds_alternative<abort_attempt>(action))
+        {
+            if (attempt_)
+            {
+                std::exchange(attempt_, nullptr)->abort();
+            }
+        }
+        else if (const auto* it = std::get_if<answer_error>(&action))
+        {
+            observe(std::string{answer_for(it->kind).name});
+            co_await write_error(it->kind, it->message);
+            open = false;
+        }
+        else if (const auto* it = std::get_if<answer_stored>(&action))
+        {
+            observe("stored");
+            co_await write_answer(it->outcome.http_status, it->outcome.content_type,
+                                  it->outcome.body, 0);
+            open = false;
+        }
+        else if (const auto* it = std::get_if<end_request>(&action))
+        {
+            observe(it->complete ? "ok" : "cut");
+            keep_alive_ = keep_alive_ && it->complete && !caller_lost_;
+            open = false;
+        }
+    }
+    ex->close();
+    exchange_.reset();
+    attempt_.reset();
+    // Ends the watch of the caller's connection; nothing else is pending on it.
+    beast::error_code ec;
+    stream_.socket().cancel(ec);
+}
+
+asio::awaitable<void> caller_session::watch_caller(std::shared_ptr<exchange> ex)
+{
+    auto self = shared_from_this();
+    beast::error_code ec;
+    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                         asio::redirect_error(asio::use_awaitable, ec));
+    if (ec || exchange_ != ex || stream_.socket().available(ec) != 0)
+    {
+        co_return;
+    }
+    on_caller_lost();
+}
+
+void caller_session::start_attempt(const send_attempt& action)
+{
+    attempt_order order;
+    order.action = action;
+    order.request = request_->forwarded;
+    order.idempotent = request_->routed.idempotent;
+    order.keep_answer = !request_->routed.key.empty();
+    order.keep_alive = keep_alive_ && !draining_;
+    order.deadline = request_->routed.deadline;
+    if (!request_->routed.chat.empty())
+    {
+        order.affinity = to_affinity(chat_locations{{action.endpoint, endpoint_id{}}});
+    }
+    record_.queue_wait = since(accepted_at_);
+    ++record_.attempts;
+    auto attempt = std::make_shared<endpoint_attempt>(stream_.get_executor(), std::move(order),
+                                                      *this, services_.limits);
+    attempt_ = attempt;
+    asio::co_spawn(
+        stream_.get_executor(),
+        [](std::shared_ptr<caller_session> self, std::shared_ptr<exchange> ex,
+           std::shared_ptr<endpoint_attempt> attempt) -> asio::awaitable<void>
+        {
+            const auto ended = co_await attempt->run();
+            if (attempt->crossed() || self->attempt_ != attempt)
+            {
+                self->services_.observer.on_dropped_answer();
+            }
+            ex->report(ended);
+        }(shared_from_this(), exchange_, attempt),
+        asio::detached);
+}
+
+bool caller_session::is_current(const attempt_id& attempt) const
+{
+    return attempt_ && attempt_->id() == attempt;
+}
+
+void caller_session::on_answer_started(const attempt_id& attempt)
+{
+    record_.first_token = since(accepted_at_);
+    exchange_->report(attempt_answered{attempt});
+}
+
+beast::tcp_stream* caller_session::caller()
+{
+    return caller_lost_ ? nullptr : &stream_;
+}
+
+void caller_session::on_caller_lost()
+{
+    if (!std::exchange(caller_lost_, true) && exchange_)
+    {
+        exchange_->report(caller_left{});
+    }
+}
+
+void caller_session::observe(std::string outcome)
+{
+    record_.outcome = std::move(outcome);
+    record_.total = since(accepted_at_);
+    services_.observer.on_request_end(record_);
+}
+
+asio::awaitable<void> caller_session::write_error(error_kind kind, std::string message)
+{
+    const auto& answer = answer_for(kind);
+    co_await write_answer(answer.http_status, "application/json", error_body(kind, message),
+                          answer.retry_after_s);
+}
+
+asio::awaitable<void> caller_session::write_answer(unsigned status,
+                                                   std::string type,
+                                                   std::string body,
+                                                   std::uint32_t retry_after_s)
+{
+    http::response<http::string_body> res{http::int_to_status(status), 11};
+    res.set(http::field::content_type, type);
+    if (retry_after_s != 0)
+    {
+        res.set(http::field::retry_after, std::to_string(retry_after_s));
+    }
+    keep_alive_ = keep_alive_ && !draining_ && !caller_lost_;
+    res.keep_alive(keep_alive_);
+    res.body() = std::move(body);
+    res.prepare_payload();
+    if (head_)
+    {
+        res.body().clear();
+    }
+    beast::error_code ec;
+    stream_.expires_after(services_.limits.write_timeout);
+    co_await http::async_write(stream_, res, asio::redirect_error(asio::use_awaitable, ec));
+    keep_alive_ = keep_alive_ && !ec;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/net/endpoint_attempt.cpp
@@ -0,0 +1,268 @@
+// Implementation of an attempt.
+#include "mangovane/net/endpoint_attempt.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "mangovane/net/address.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace
+{
+
+constexpr std::size_t relay_buffer = std::size_t{16} * 1024; ///< Bytes.
+
+bool is_overload(unsigned status)
+{
+    return status == 503 || status == 429;
+}
+
+} // namespace
+
+endpoint_attempt::endpoint_attempt(asio::any_io_executor executor,
+                                   attempt_order order,
+                                   answer_sink& sink,
+                                   const front_limits& limits)
+    : order_{std::move(order)}, sink_{sink}, limits_{limits}, stream_{std::move(executor)}
+{
+    result_.attempt = order_.action.attempt;
+    result_.bytes_sent = false;
+    parser_.header_limit(limits_.header_bytes);
+    parser_.body_limit(boost::none);
+}
+
+void endpoint_attempt::abort()
+{
+    aborted_ = true;
+    beast::error_code ec;
+    stream_.socket().close(ec);
+    stream_.cancel();
+}
+
+asio::awaitable<attempt_ended> endpoint_attempt::run()
+{
+    const bool header_read = co_await connect() && co_await send() && co_await read_header();
+    if (header_read && is_usable())
+    {
+        co_await relay();
+    }
+    if (order_.keep_answer && result_.answer_complete)
+    {
+        stored_.http_status = static_cast<std::uint16_t>(parser_.get().result_int());
+        result_.stored = stored_;
+    }
+    beast::error_code ec;
+    stream_.socket().close(ec);
+    co_return result_;
+}
+
+asio::awaitable<bool> endpoint_attempt::connect()
+{
+    const auto address = parse_address(order_.action.address);
+    if (!address)
+    {
+        co_return false;
+    }
+    beast::error_code ec;
+    stream_.expires_at(std::min(order_.deadline, clock::now() + limits_.connect_timeout));
+    co_await stream_.async_connect(*address, asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec)
+    {
+        stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ec);
+    }
+    co_return !ec && !aborted_;
+}
+
+asio::awaitable<bool> endpoint_attempt::send()
+{
+    auto& req = order_.request;
+    req.set(header::attempt, to_string(order_.action.attempt));
+    req.set(header::deadline_ms, std::to_string(remaining_ms(order_.deadline, clock::now())));
+    req.set(http::field::host, order_.action.address);
+    req.keep_alive(false);
+    req.prepare_payload();
+    sent_at_ = clock::now();
+    // From here on a byte may have reached the endpoint, whatever the write reports.
+    result_.bytes_sent = true;
+    beast::error_code ec;
+    stream_.expires_at(order_.deadline);
+    co_await http::async_write(stream_, req, asio::redirect_error(asio::use_awaitable, ec));
+    co_return !ec && !aborted_;
+}
+
+asio::awaitable<bool> endpoint_attempt::read_header()
+{
+    beast::error_code ec;
+    if (order_.request.method() == http::verb::head)
+    {
+        parser_.skip(true);
+    }
+    co_await http::async_read_header(stream_, buffer_, parser_,
+                                     asio::redirect_error(asio::use_awaitable, ec));
+    co_return !ec && !aborted_;
+}
+
+bool endpoint_attempt::is_usable()
+{
+    const auto& res = parser_.get();
+    const auto it = res.find(header::attempt);
+    if (it != res.end() && it->value() != to_string(order_.action.attempt))
+    {
+        crossed_ = true;
+        return false;
+    }
+    if (!sink_.is_current(order_.action.attempt))
+    {
+        return false;
+    }
+    const auto status = res.result_int();
+    if (is_overload(status))
+    {
+        result_.outcome = attempt_outcome::overloaded;
+    }
+    // The answer to a call that may not be repeated is passed on, whatever it is.
+    return !order_.idempotent || (status < 500 && !is_overload(status));
+}
+
+std::string endpoint_attempt::answer_header() const
+{
+    const auto& res = parser_.get();
+    std::string text =
+        absl::StrCat("HTTP/1.1 ", res.result_int(), " ", std::string{res.reason()}, "\r\n");
+    for (const auto& it : res)
+    {
+        const bool hop = it.name() == http::field::connection ||
+                         it.name() == http::field::keep_alive ||
+                         it.name() == http::field::transfer_encoding;
+        if (!hop)
+        {
+            absl::StrAppend(&text, std::string{it.name_string()}, ": ", std::string{it.value()},
+                            "\r\n");
+        }
+    }
+    absl::StrAppend(&text, chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
+    if (!order_.affinity.empty())
+    {
+        absl::StrAppend(&text, header::affinity, ": ", order_.affinity, "\r\n");
+    }
+    absl::StrAppend(&text, "Connection: ", order_.keep_alive ? "keep-alive" : "close", "\r\n\r\n");
+    return text;
+}
+
+asio::awaitable<void> endpoint_attempt::relay()
+{
+    const auto& res = parser_.get();
+    chunked_ = !parser_.content_length() && order_.request.method() != http::verb::head &&
+               res.result() != http::status::no_content;
+    const auto it = res.find(http::field::content_type);
+    if (it != res.end())
+    {
+        stored_.content_type = std::string{it->value()};
+    }
+    result_.answer_started = true;
+    sink_.on_answer_started(order_.action.attempt);
+    const auto head = answer_header();
+    const bool written = co_await write_caller(asio::buffer(head));
+    co_await relay_body(written);
+}
+
+asio::awaitable<bool> endpoint_attempt::write_caller(asio::const_buffer buf)
+{
+    auto* caller = sink_.caller();
+    if (caller == nullptr || !sink_.is_current(order_.action.attempt))
+    {
+        co_return false;
+    }
+    beast::error_code ec;
+    caller->expires_after(limits_.write_timeout);
+    co_await asio::async_write(*caller, buf, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+    {
+        sink_.on_caller_lost();
+    }
+    co_return !ec;
+}
+
+void endpoint_attempt::keep(const char* data, std::size_t n)
+{
+    if (!order_.keep_answer)
+    {
+        return;
+    }
+    stored_.body_digest = hash_combine(stored_.body_digest, hash_bytes({data, n}));
+    if (stored_.body.size() + n > max_stored_body)
+    {
+        stored_.body_stored = false;
+        stored_.body.clear();
+    }
+    if (stored_.body_stored)
+    {
+        stored_.body.append(data, n);
+    }
+}
+
+asio::awaitable<void> endpoint_attempt::relay_body(bool to_caller)
+{
+    std::array<char, relay_buffer> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    bool whole = parser_.is_done();
+    while (!whole)
+    {
+        parser_.get().body().data = buf.data();
+        parser_.get().body().size = buf.size();
+        beast::error_code ec;
+        co_await http::async_read_some(stream_, buffer_, parser_,
+                                       asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == http::error::need_buffer)
+        {
+            ec = {};
+        }
+        const auto n = buf.size() - parser_.get().body().size;
+        if (n != 0 && result_.first_token_ms == 0)
+        {
+            const auto wait = std::chrono::duration_cast<milliseconds>(clock::now() - sent_at_);
+            result_.first_token_ms =
+                static_cast<std::uint32_t>(std::max<std::int64_t>(wait.count(), 1));
+        }
+        keep(buf.data(), n);
+        if (to_caller && n != 0)
+        {
+            const auto size = chunked_ ? absl::StrCat(absl::Hex(n), "\r\n") : std::string{};
+            std::string out;
+            out.reserve(size.size() + n + 2);
+            out.append(size).append(buf.data(), n).append(chunked_ ? "\r\n" : "");
+            to_caller = co_await write_caller(asio::buffer(out));
+        }
+        if (ec || aborted_ || (!to_caller && order_.idempotent))
+        {
+            co_return;
+        }
+        whole = parser_.is_done();
+    }
+    if (to_caller && chunked_)
+    {
+        static constexpr std::string_view last_chunk = "0\r\n\r\n";
+        to_caller = co_await write_caller(asio::buffer(last_chunk));
+    }
+    result_.answer_complete = true;
+    if (result_.outcome == attempt_outcome::failed)
+    {
+        result_.outcome = attempt_outcome::succeeded;
+    }
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/net/fwd.hpp
@@ -0,0 +1,18 @@
+// Forward declarations of the net module.
+#ifndef MANGOVANE_NET_FWD_HPP
+#define MANGOVANE_NET_FWD_HPP
+
+namespace mangovane
+{
+
+class http_server;
+class caller_session;
+class exchange;
+class endpoint_attempt;
+class claim_port;
+struct front_services;
+struct front_counters;
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/retry/retry_budget.hpp
@@ -0,0 +1,49 @@
+// Retry budget of one service: a token bucket that requests fill and retries empty.
+#ifndef MANGOVANE_RETRY_RETRY_BUDGET_HPP
+#define MANGOVANE_RETRY_RETRY_BUDGET_HPP
+
+#include "mangovane/core/time.hpp"
+
+namespace mangovane
+{
+
+class retry_budget
+{
+public:
+    /// A request was accepted; earns `ratio` of a retry.
+    void on_request(double ratio) noexcept;
+
+    /// Takes one retry; false when the budget is empty.
+    [[nodiscard]] bool try_retry() noexcept;
+
+    [[nodiscard]] double balance() const noexcept { return balance_; }
+
+    auto operator<=>(const retry_budget&) const = default;
+
+private:
+    static constexpr double max_balance = 10.0; ///< Retries.
+
+    double balance_{max_balance}; ///< Between 0 and `max_balance`.
+};
+
+/// What is known of a failed attempt.
+struct failed_attempt
+{
+    bool idempotent{false};
+    bool bytes_sent{true};      ///< A byte of the request may have reached the endpoint.
+    bool answer_started{false}; ///< A byte of the answer has gone to the caller.
+    time_point deadline;
+
+    auto operator<=>(const failed_attempt&) const = default;
+};
+
+/// Whether a failed attempt may be repeated, budget aside.
+[[nodiscard]] constexpr bool may_retry(const failed_attempt& attempt, time_point now) noexcept
+{
+    return !attempt.answer_started && (attempt.idempotent || !attempt.bytes_sent) &&
+           now < attempt.deadline;
+}
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/routing/message_sink.hpp
@@ -0,0 +1,21 @@
+// Where messages to other instances go.
+#ifndef MANGOVANE_ROUTING_MESSAGE_SINK_HPP
+#define MANGOVANE_ROUTING_MESSAGE_SINK_HPP
+
+#include "mangovane/message/message.hpp"
+
+namespace mangovane
+{
+
+/// Implemented by the network, or by a test. `send` returns at once and may be called from any
+/// thread.
+class message_sink
+{
+public:
+    virtual ~message_sink() = default;
+    virtual void send(const outgoing_message& msg) = 0;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/routing/request_flow.cpp
@@ -0,0 +1,655 @@
+// Implementation of the request flow.
+#include "mangovane/routing/request_flow.hpp"
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <utility>
+
+#include "mangovane/ledger/endpoint_ledger.hpp"
+
+namespace mangovane
+{
+
+namespace
+{
+
+/// Longest wait for the answer of an instance that owns something.
+constexpr milliseconds owner_timeout{250};
+/// Longest stay in one queue before the endpoints are compared again.
+constexpr milliseconds queue_stay{1000};
+/// Pause before a new plan when no endpoint could be asked.
+constexpr milliseconds plan_pause{100};
+/// Pauses in a row before the request is refused; views agree again within this time (3 s).
+constexpr std::uint32_t max_pauses = 30;
+
+bool contains(const std::vector<endpoint_id>& list, endpoint_id id)
+{
+    return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+/// An owner that is one in the sender's view only does not count as heard.
+bool is_owner_answer(slot_refusal_reason reason)
+{
+    return reason != slot_refusal_reason::unreachable && reason != slot_refusal_reason::not_owner;
+}
+
+} // namespace
+
+request_flow::request_flow(routed_request request, attempt_id first, std::uint64_t number)
+    : request_{std::move(request)}, attempt_{first}, number_{number}
+{}
+
+flow_actions request_flow::start(const flow_context& ctx)
+{
+    actions_.clear();
+    const auto& settings = ctx.routes.settings();
+    const auto* service = settings.find_service(request_.service);
+    const auto* policy = account(ctx);
+    if (service == nullptr)
+    {
+        fail(error_kind::unknown_service, "the service is not in the settings");
+    }
+    else if (policy == nullptr)
+    {
+        fail(error_kind::unauthenticated, "the client account is not in the settings");
+    }
+    else if (!policy->services.empty() &&
+             std::find(policy->services.begin(), policy->services.end(), request_.service) ==
+                 policy->services.end())
+    {
+        fail(error_kind::forbidden, "the client account may not use this service");
+    }
+    else if (!request_.model.empty() && !policy->models.empty() &&
+             std::find(policy->models.begin(), policy->models.end(), request_.model) ==
+                 policy->models.end())
+    {
+        fail(error_kind::forbidden, "the client account may not use this model");
+    }
+    else if (request_.deadline <= ctx.now)
+    {
+        fail(error_kind::deadline_exceeded, "the deadline has passed");
+    }
+    else if (service->key_required && !request_.idempotent && request_.key.empty())
+    {
+        fail(error_kind::key_required, "the service requires an Idempotency-Key for this call");
+    }
+    else
+    {
+        is_model_ = service->kind == service_kind::model;
+        weight_ = policy->weight;
+        warm_wait_ = service->warm_wait;
+        sample_size_ = service->sample_size;
+        request_.priority = std::max(request_.priority, policy->highest_class);
+        act(check_limits{});
+        wake(request_.deadline);
+    }
+    return std::exchange(actions_, {});
+}
+
+flow_actions request_flow::on_event(const flow_event& event, const flow_context& ctx)
+{
+    actions_.clear();
+    if (stage_ != stage::finished)
+    {
+        std::visit([&](const auto& it) { on(it, ctx); }, event);
+    }
+    return std::exchange(actions_, {});
+}
+
+void request_flow::on_renewed(time_point sent_at)
+{
+    lease_until_ = std::max(lease_until_, sent_at + slot_lease);
+}
+
+void request_flow::on(const limits_decided& event, const flow_context& ctx)
+{
+    if (stage_ != stage::admitting)
+    {
+        return;
+    }
+    if (!event.granted)
+    {
+        fail(error_kind::rate_limited, "a limit of the client account is reached");
+        return;
+    }
+    locate(ctx);
+}
+
+void request_flow::locate(const flow_context& ctx)
+{
+    if (!is_model_ || request_.chat.empty())
+    {
+        make_plan(ctx);
+        return;
+    }
+    stage_ = stage::locating;
+    ticket_ = next_sequence();
+    act(query_chat{ticket_, request_.chat});
+    wake(ctx.now + owner_timeout);
+}
+
+void request_flow::on(const chat_answer& event, const flow_context& ctx)
+{
+    if (stage_ != stage::locating || event.ticket != ticket_)
+    {
+        return;
+    }
+    locations_ = event.locations.empty() ? request_.hint : event.locations;
+    make_plan(ctx);
+}
+
+void request_flow::make_plan(const flow_context& ctx)
+{
+    heard_owner_ = false;
+    saw_full_queue_ = false;
+    waited_ = false;
+    const auto* policy = account(ctx);
+    if (policy == nullptr)
+    {
+        fail(error_kind::forbidden, "the client account was removed from the settings");
+        return;
+    }
+    auto candidates = ctx.routes.candidates(request_.service, *policy, request_.model);
+    std::erase_if(candidates,
+                  [&](const candidate& it) { return contains(excluded_, it.endpoint); });
+    if (candidates.empty())
+    {
+        pause_or_fail(ctx);
+        return;
+    }
+    const auto key = request_.chat.empty() ? ctx.seed : request_.chat.value();
+    plan_ = ctx.strategy.plan(placement_query{key, ctx.seed, locations_, candidates, sample_size_});
+    begin_step(plan_step::warm_first, ctx);
+}
+
+void request_flow::begin_step(plan_step step, const flow_context& ctx)
+{
+    using begin_function = void (request_flow::*)(const flow_context&);
+    static constexpr std::array<begin_function, 7> table{
+        &request_flow::begin_warm_first, &request_flow::begin_warm_second,
+        &request_flow::begin_sampled,    &request_flow::begin_overflow,
+        &request_flow::begin_queued,     &request_flow::begin_local_share,
+        &request_flow::begin_exhausted};
+    step_ = step;
+    tries_.clear();
+    (this->*table[static_cast<std::size_t>(step)])(ctx);
+}
+
+void request_flow::begin_warm_first(const flow_context& ctx)
+{
+    if (!plan_.warm.empty())
+    {
+        tries_.push_back(plan_.warm.front());
+    }
+    next_try(ctx);
+}
+
+void request_flow::begin_warm_second(const flow_context& ctx)
+{
+    if (plan_.warm.size() > 1)
+    {
+        tries_.push_back(plan_.warm[1]);
+    }
+    next_try(ctx);
+}
+
+void request_flow::begin_sampled(const flow_context& ctx)
+{
+    stage_ = stage::sampling;
+    loads_.clear();
+    loads_wanted_ = plan_.sample.size();
+    if (plan_.sample.empty())
+    {
+        finish_sampling(ctx);
+        return;
+    }
+    ticket_ = next_sequence();
+    for (const auto endpoint : plan_.sample)
+    {
+        act(query_load{ticket_, endpoint});
+    }
+    wake(ctx.now + owner_timeout);
+}
+
+void request_flow::on(const load_answer& event, const flow_context& ctx)
+{
+    if (stage_ != stage::sampling || event.ticket != ticket_)
+    {
+        return;
+    }
+    loads_.push_back(event);
+    if (loads_.size() >= loads_wanted_)
+    {
+        finish_sampling(ctx);
+    }
+}
+
+void request_flow::finish_sampling(const flow_context& ctx)
+{
+    std::erase_if(loads_, [](const load_answer& it) { return it.allowed == 0; });
+    // Descending, since the tries are taken from the back.
+    std::stable_sort(loads_.begin(), loads_.end(),
+                     [](const load_answer& lhs, const load_answer& rhs)
+                     { return lhs.in_flight + lhs.queued > rhs.in_flight + rhs.queued; });
+    for (const auto& it : loads_)
+    {
+        tries_.push_back(it.endpoint);
+    }
+    next_try(ctx);
+}
+
+void request_flow::begin_overflow(const flow_context& ctx)
+{
+    tries_ = plan_.rest;
+    std::reverse(tries_.begin(), tries_.end());
+    for (const auto& it : loads_)
+    {
+        tries_.push_back(it.endpoint);
+    }
+    next_try(ctx);
+}
+
+void request_flow::begin_queued(const flow_context& ctx)
+{
+    // The chat's own endpoint first: the wait is then worth a prefix as well.
+    if (!plan_.warm.empty())
+    {
+        tries_.push_back(plan_.warm.front());
+    }
+    else if (!loads_.empty())
+    {
+        tries_.push_back(loads_.back().endpoint);
+    }
+    next_try(ctx);
+}
+
+void request_flow::begin_local_share(const flow_context& ctx)
+{
+    if (!heard_owner_)
+    {
+        tries_ = plan_.rest;
+        tries_.insert(tries_.end(), plan_.sample.rbegin(), plan_.sample.rend());
+        tries_.insert(tries_.end(), plan_.warm.rbegin(), plan_.warm.rend());
+    }
+    next_try(ctx);
+}
+
+void request_flow::begin_exhausted(const flow_context& ctx)
+{
+    if (saw_full_queue_)
+    {
+        fail(error_kind::queue_full, "the wait queue is full");
+    }
+    else if (waited_)
+    {
+        make_plan(ctx);
+    }
+    else
+    {
+        pause_or_fail(ctx);
+    }
+}
+
+void request_flow::pause_or_fail(const flow_context& ctx)
+{
+    if (++pauses_ > max_pauses)
+    {
+        fail(heard_owner_ ? error_kind::overloaded : error_kind::no_endpoint,
+             "no endpoint of the service takes the request");
+        return;
+    }
+    stage_ = stage::pausing;
+    wake(ctx.now + plan_pause);
+}
+
+void request_flow::next_try(const flow_context& ctx)
+{
+    if (tries_.empty())
+    {
+        begin_step(static_cast<plan_step>(static_cast<std::uint8_t>(step_) + 1), ctx);
+        return;
+    }
+    const auto endpoint = tries_.back();
+    tries_.pop_back();
+    switch (step_)
+    {
+    case plan_step::warm_first:
+        ask(endpoint, slot_purpose::returning_chat, ctx.now + warm_wait_, ctx);
+        break;
+    case plan_step::warm_second:
+        ask(endpoint, slot_purpose::returning_chat, ctx.now, ctx);
+        break;
+    case plan_step::sampled:
+        ask(endpoint, slot_purpose::new_chat, ctx.now, ctx);
+        break;
+    case plan_step::queued:
+        ask(endpoint, slot_purpose::overflow, ctx.now + queue_stay, ctx);
+        break;
+    default:
+        ask(endpoint, slot_purpose::overflow, ctx.now, ctx);
+        break;
+    }
+}
+
+void request_flow::ask(endpoint_id endpoint,
+                       slot_purpose purpose,
+                       time_point wait_until,
+                       const flow_context& ctx)
+{
+    next_attempt();
+    stage_ = stage::asking;
+    endpoint_ = endpoint;
+    asked_at_ = ctx.now;
+    slot_local_ = step_ == plan_step::local_share;
+    const auto until = std::min(wait_until, request_.deadline);
+    act(ask_slot{slot_request{attempt_, endpoint, request_.service, request_.account,
+                              request_.priority, weight_, purpose, until, request_.deadline},
+                 slot_local_});
+    wake(until + owner_timeout);
+}
+
+void request_flow::on(const slot_refusal& event, const flow_context& ctx)
+{
+    if (stage_ != stage::asking || event.attempt != attempt_)
+    {
+        return;
+    }
+    heard_owner_ = heard_owner_ || is_owner_answer(event.reason);
+    saw_full_queue_ = saw_full_queue_ || event.reason == slot_refusal_reason::queue_full;
+    waited_ = waited_ ||
+              (event.reason == slot_refusal_reason::wait_expired && step_ == plan_step::queued);
+    if (event.reason == slot_refusal_reason::deadline && step_ == plan_step::queued)
+    {
+        fail(error_kind::overloaded, "the expected wait passes the deadline");
+        return;
+    }
+    next_try(ctx);
+}
+
+void request_flow::on(const slot_grant& event, const flow_context& ctx)
+{
+    if (stage_ != stage::asking || event.attempt != attempt_)
+    {
+        act(give_back{slot_release{event.attempt, event.endpoint, attempt_outcome::cancelled, 0}});
+        return;
+    }
+    slot_held_ = true;
+    lease_until_ = asked_at_ + slot_lease;
+    pauses_ = 0;
+    dispatch_or_claim(ctx);
+}
+
+bool request_flow::may_dispatch(const flow_context& ctx) const
+{
+    return ctx.now < request_.deadline && ctx.now < lease_until_ &&
+           ctx.now < ctx.view.valid_until() && !ctx.routes.closed(endpoint_);
+}
+
+void request_flow::dispatch_or_claim(const flow_context& ctx)
+{
+    if (!may_dispatch(ctx))
+    {
+        give_slot_back(attempt_outcome::cancelled, 0);
+        pause_or_fail(ctx);
+        return;
+    }
+    if (request_.key.empty() || request_.idempotent || claim_held_)
+    {
+        dispatch(ctx);
+        return;
+    }
+    stage_ = stage::claiming;
+    claim_attempt_ = attempt_;
+    act(claim_key{make_claim(claim_state::claimed)});
+    wake(request_.deadline);
+}
+
+void request_flow::on(const claim_decided& event, const flow_context& ctx)
+{
+    if (stage_ != stage::claiming || event.attempt != attempt_)
+    {
+        return;
+    }
+    if (event.won)
+    {
+        claim_held_ = true;
+        dispatch_or_claim(ctx);
+        return;
+    }
+    give_slot_back(attempt_outcome::cancelled, 0);
+    if (event.store_failed)
+    {
+        fail(error_kind::store_unavailable, "the idempotency key could not be claimed");
+    }
+    else if (event.repeated.outcome)
+    {
+        act(answer_stored{*event.repeated.outcome});
+        stage_ = stage::finished;
+    }
+    else
+    {
+        fail(event.repeated.refusal.value_or(error_kind::in_progress),
+             "the idempotency key is in use");
+    }
+}
+
+void request_flow::dispatch(const flow_context& ctx)
+{
+    const auto* info = ctx.routes.find(endpoint_);
+    stage_ = stage::running;
+    act(send_attempt{attempt_, endpoint_, info->address});
+    wake(request_.deadline);
+}
+
+void request_flow::on(const attempt_answered& event, const flow_context&)
+{
+    if (stage_ == stage::running && event.attempt == attempt_)
+    {
+        answered_ = true;
+        ever_sent_ = true;
+    }
+}
+
+void request_flow::on(const attempt_ended& event, const flow_context& ctx)
+{
+    if (stage_ != stage::running || event.attempt != attempt_)
+    {
+        return;
+    }
+    ever_sent_ = ever_sent_ || event.bytes_sent;
+    give_slot_back(event.outcome, event.first_token_ms);
+    if (!event.answer_complete)
+    {
+        on_failed_attempt(event, ctx);
+        return;
+    }
+    if (is_model_ && !request_.chat.empty() && event.outcome == attempt_outcome::succeeded)
+    {
+        act(record_chat{chat_update{request_.chat, endpoint_}});
+    }
+    if (claim_held_)
+    {
+        auto settled = make_claim(claim_state::completed);
+        settled.outcome = event.stored;
+        act(settle_claim{std::move(settled), std::nullopt});
+    }
+    act(end_request{true});
+    stage_ = stage::finished;
+}
+
+void request_flow::on_failed_attempt(const attempt_ended& event, const flow_context& ctx)
+{
+    if (event.answer_started || answered_)
+    {
+        if (claim_held_)
+        {
+            act(settle_claim{make_claim(claim_state::unknown), std::nullopt});
+        }
+        act(end_request{false});
+        stage_ = stage::finished;
+        return;
+    }
+    excluded_.push_back(endpoint_);
+    const failed_attempt failed{request_.idempotent, event.bytes_sent, event.answer_started,
+                                request_.deadline};
+    if (may_retry(failed, ctx.now) && ctx.retries.try_retry(request_.service))
+    {
+        make_plan(ctx);
+        return;
+    }
+    fail(event.outcome == attempt_outcome::overloaded ? error_kind::overloaded
+                                                      : error_kind::no_endpoint,
+         "the endpoint failed");
+}
+
+void request_flow::on(const timer_expired&, const flow_context& ctx)
+{
+    if (ctx.now >= request_.deadline)
+    {
+        on_deadline();
+        return;
+    }
+    switch (stage_)
+    {
+    case stage::locating:
+        locations_ = request_.hint;
+        make_plan(ctx);
+        break;
+    case stage::sampling:
+        finish_sampling(ctx);
+        break;
+    case stage::asking:
+        abandon_ask();
+        next_try(ctx);
+        break;
+    case stage::pausing:
+        make_plan(ctx);
+        break;
+    default:
+        wake(request_.deadline);
+        break;
+    }
+}
+
+void request_flow::on_deadline()
+{
+    if (stage_ == stage::running)
+    {
+        act(abort_attempt{attempt_});
+        ever_sent_ = true;
+    }
+    if (stage_ == stage::asking)
+    {
+        abandon_ask();
+    }
+    give_slot_back(attempt_outcome::cancelled, 0);
+    if (answered_)
+    {
+        if (claim_held_)
+        {
+            act(settle_claim{make_claim(claim_state::unknown), std::nullopt});
+        }
+        act(end_request{false});
+        stage_ = stage::finished;
+        return;
+    }
+    fail(error_kind::deadline_exceeded, "the deadline has passed");
+}
+
+void request_flow::on(const caller_left&, const flow_context&)
+{
+    // A call that may not be repeated goes on, so that its outcome can be stored.
+    if (stage_ == stage::running && !request_.idempotent)
+    {
+        return;
+    }
+    if (stage_ == stage::running)
+    {
+        act(abort_attempt{attempt_});
+    }
+    if (stage_ == stage::asking)
+    {
+        abandon_ask();
+    }
+    give_slot_back(attempt_outcome::cancelled, 0);
+    if (claim_held_)
+    {
+        act(settle_claim{make_claim(claim_state::abandoned), std::nullopt});
+    }
+    act(end_request{false});
+    stage_ = stage::finished;
+}
+
+void request_flow::abandon_ask()
+{
+    act(give_back{slot_release{attempt_, endpoint_, attempt_outcome::cancelled, 0}});
+}
+
+void request_flow::give_slot_back(attempt_outcome outcome, std::uint32_t first_token_ms)
+{
+    if (std::exchange(slot_held_, false))
+    {
+        act(give_back{slot_release{attempt_, endpoint_, outcome, first_token_ms}});
+    }
+}
+
+error_kind request_flow::truthful(error_kind kind) const
+{
+    if (!ever_sent_ || !answer_for(kind).not_run)
+    {
+        return kind;
+    }
+    if (kind == error_kind::deadline_exceeded)
+    {
+        return error_kind::deadline_exceeded_running;
+    }
+    return request_.idempotent ? error_kind::endpoint_failed : error_kind::outcome_unknown;
+}
+
+void request_flow::fail(error_kind kind, std::string_view message)
+{
+    const auto told = truthful(kind);
+    stage_ = stage::finished;
+    if (claim_held_)
+    {
+        const auto state = ever_sent_ ? claim_state::unknown : claim_state::abandoned;
+        act(settle_claim{make_claim(state), told});
+        return;
+    }
+    act(answer_error{told, std::string{message}});
+}
+
+claim request_flow::make_claim(claim_state state) const
+{
+    claim result;
+    result.account = request_.account;
+    result.service = request_.service;
+    result.key = request_.key;
+    result.fingerprint = request_.fingerprint;
+    result.attempt = claim_attempt_;
+    result.state = state;
+    return result;
+}
+
+std::uint64_t request_flow::next_sequence()
+{
+    return (number_ << number_shift) | (++count_ & ((1U << number_shift) - 1U));
+}
+
+void request_flow::next_attempt()
+{
+    attempt_.sequence = next_sequence();
+}
+
+void request_flow::wake(time_point at)
+{
+    act(wake_at{std::min(at, request_.deadline)});
+}
+
+const account_policy* request_flow::account(const flow_context& ctx) const
+{
+    return ctx.routes.settings().find_account(request_.account);
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/routing/routing_table.cpp
@@ -0,0 +1,78 @@
+// Implementation of the routing table.
+#include "mangovane/routing/routing_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangovane
+{
+
+namespace
+{
+
+template <class Id>
+bool allows(const std::vector<Id>& allowed, Id id)
+{
+    return allowed.empty() || std::find(allowed.begin(), allowed.end(), id) != allowed.end();
+}
+
+bool serves(const endpoint_info& endpoint, model_id model)
+{
+    return model.empty() || allows(endpoint.models, model);
+}
+
+} // namespace
+
+routing_table::routing_table(endpoints_ptr endpoints, settings_ptr settings)
+    : endpoints_{std::move(endpoints)}, settings_{std::move(settings)}
+{
+    for (const auto& it : endpoints_->all())
+    {
+        if (!closed(it.id))
+        {
+            open_[it.service].push_back(&it);
+        }
+    }
+}
+
+std::vector<candidate>
+routing_table::candidates(service_id service, const account_policy& account, model_id model) const
+{
+    std::vector<candidate> result;
+    const auto it = open_.find(service);
+    if (it == open_.end() || !allows(account.services, service) ||
+        (!model.empty() && !allows(account.models, model)))
+    {
+        return result;
+    }
+    result.reserve(it->second.size());
+    for (const auto* endpoint : it->second)
+    {
+        if (allows(account.domains, endpoint->domain) && serves(*endpoint, model))
+        {
+            result.push_back(candidate{endpoint->id, 0});
+        }
+    }
+    return result;
+}
+
+std::optional<slot_refusal_reason> routing_table::closed(endpoint_id endpoint) const
+{
+    const auto* info = endpoints_->find(endpoint);
+    if (info == nullptr)
+    {
+        return slot_refusal_reason::unknown_endpoint;
+    }
+    if (info->leaving)
+    {
+        return slot_refusal_reason::leaving;
+    }
+    if (settings_->domains_out.contains(info->domain) ||
+        settings_->endpoints_drained.contains(endpoint))
+    {
+        return slot_refusal_reason::drained;
+    }
+    return std::nullopt;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/routing/routing_table.hpp
@@ -0,0 +1,52 @@
+// Endpoints that may take new work now, by service: the platform's list under the settings in
+// force.
+#ifndef MANGOVANE_ROUTING_ROUTING_TABLE_HPP
+#define MANGOVANE_ROUTING_ROUTING_TABLE_HPP
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "mangovane/membership/endpoint.hpp"
+#include "mangovane/message/slot.hpp"
+#include "mangovane/placement/strategy.hpp"
+#include "mangovane/settings/snapshot.hpp"
+
+namespace mangovane
+{
+
+/// Immutable; built anew when the list or the settings change.
+class routing_table
+{
+public:
+    routing_table(endpoints_ptr endpoints, settings_ptr settings);
+
+    /// Endpoints of a service that an account may use for a model, in order of id.
+    [[nodiscard]] std::vector<candidate>
+    candidates(service_id service, const account_policy& account, model_id model) const;
+
+    /// Why an endpoint takes no new work, nothing when it does.
+    [[nodiscard]] std::optional<slot_refusal_reason> closed(endpoint_id endpoint) const;
+
+    [[nodiscard]] const endpoint_info* find(endpoint_id endpoint) const noexcept
+    {
+        return endpoints_->find(endpoint);
+    }
+
+    [[nodiscard]] const endpoint_directory& endpoints() const noexcept { return *endpoints_; }
+    [[nodiscard]] const settings_snapshot& settings() const noexcept { return *settings_; }
+    [[nodiscard]] const settings_ptr& settings_pointer() const noexcept { return settings_; }
+
+private:
+    endpoints_ptr endpoints_; ///< Never null.
+    settings_ptr settings_;   ///< Never null.
+    absl::flat_hash_map<service_id, std::vector<const endpoint_info*>> open_;
+};
+
+using routing_table_ptr = std::shared_ptr<const routing_table>;
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/settings/registry.cpp
@@ -0,0 +1,56 @@
+// Implementation of the settings registry.
+#include "mangovane/settings/registry.hpp"
+
+#include <utility>
+
+namespace mangovane
+{
+
+adopt_result settings_registry::adopt(settings_ptr snapshot)
+{
+    const std::lock_guard lock{mutex_};
+    if (current_ && snapshot->stamp.version == current_->stamp.version &&
+        snapshot->stamp.digest != current_->stamp.digest)
+    {
+        return adopt_result::digest_conflict;
+    }
+    if (current_ && snapshot->stamp.version <= current_->stamp.version)
+    {
+        return adopt_result::already_newer;
+    }
+    if (snapshot->stamp.version > newest_heard_.version)
+    {
+        newest_heard_ = snapshot->stamp;
+    }
+    current_ = std::move(snapshot);
+    return adopt_result::adopted;
+}
+
+settings_ptr settings_registry::current() const
+{
+    const std::lock_guard lock{mutex_};
+    return current_;
+}
+
+void settings_registry::note_heard(settings_stamp stamp)
+{
+    const std::lock_guard lock{mutex_};
+    if (stamp.version > newest_heard_.version)
+    {
+        newest_heard_ = stamp;
+    }
+}
+
+settings_stamp settings_registry::newest_heard() const
+{
+    const std::lock_guard lock{mutex_};
+    return newest_heard_;
+}
+
+bool settings_registry::is_current() const
+{
+    const std::lock_guard lock{mutex_};
+    return current_ && current_->stamp.version >= newest_heard_.version;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/standin/commands.hpp
@@ -0,0 +1,15 @@
+// Sub-commands of the stand-in program. Each runs until SIGTERM and returns the exit code.
+#ifndef MANGOVANE_STANDIN_COMMANDS_HPP
+#define MANGOVANE_STANDIN_COMMANDS_HPP
+
+#include <string>
+#include <vector>
+
+namespace mangovane::standin
+{
+
+int run_engine(const std::vector<std::string>& args);
+
+} // namespace mangovane::standin
+
+#endif
--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,3 @@
+// Entry point of all test programs.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- /dev/null
+++ b/test/mangovane/net/caller_request.cpp
@@ -0,0 +1,138 @@
+// Tests of the mapping of callers' HTTP requests.
+#include "mangovane/net/caller_request.hpp"
+
+#include <doctest/doctest.h>
+
+#include "mangovane/core/error_kind.hpp"
+#include "mangovane/settings/digest.hpp"
+
+using namespace mangovane;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+settings_snapshot make_settings()
+{
+    settings_snapshot result;
+    service_policy model;
+    model.id = service_id::of("oro-model");
+    model.name = "oro-model";
+    model.models = {model_id::of("oro-small")};
+    result.services.emplace(model.id, model);
+    service_policy plain;
+    plain.id = service_id::of("ebi-ledger");
+    plain.name = "ebi-ledger";
+    plain.kind = service_kind::plain;
+    result.services.emplace(plain.id, plain);
+    account_policy account;
+    account.id = account_id::of("parish");
+    account.name = "parish";
+    result.accounts.emplace(account.id, account);
+    result.accounts_by_key.emplace(sha256_hex("secret"), account.id);
+    return result;
+}
+
+http_request make_request(http::verb method, const char* target, const char* body)
+{
+    http_request req{method, target, 11};
+    req.set("Authorization", "Bearer secret");
+    req.set(header::deadline_ms, "5000");
+    req.body() = body;
+    return req;
+}
+
+error_kind kind_of_result(const http_request& req)
+{
+    const auto result = read_caller_request(req, make_settings(), time_point{seconds{1}});
+    REQUIRE_FALSE(result.ok());
+    return *kind_of(result.status());
+}
+
+} // namespace
+
+TEST_CASE("a caller's request")
+{
+    auto req = make_request(http::verb::post, "/v1/chat/completions",
+                            R"({"model":"oro-small","messages":[]})");
+
+    SUBCASE("without a known key is refused, whatever account its headers name")
+    {
+        req.set("Authorization", "Bearer guess");
+        req.set("Mangovane-Account", "parish");
+        CHECK(kind_of_result(req) == error_kind::unauthenticated);
+    }
+
+    SUBCASE("without a deadline, or with one that has passed, is refused")
+    {
+        req.erase(header::deadline_ms);
+        CHECK(kind_of_result(req) == error_kind::deadline_invalid);
+        for (const auto* text : {"0", "-5", "soon", "99999999999"})
+        {
+            req.set(header::deadline_ms, text);
+            CHECK(kind_of_result(req) == error_kind::deadline_invalid);
+        }
+    }
+
+    SUBCASE("with a body that is no chat completion is refused")
+    {
+        for (const auto* body :
+             {"", "[]", "{", R"({"model":1,"messages":[]})", R"({"model":"oro-small"})"})
+        {
+            req.body() = body;
+            CHECK(kind_of_result(req) == error_kind::malformed_request);
+        }
+    }
+
+    SUBCASE("for a model or service that nobody offers is refused")
+    {
+        req.body() = R"({"model":"other","messages":[]})";
+        CHECK(kind_of_result(req) == error_kind::unknown_service);
+        CHECK(kind_of_result(make_request(http::verb::post, "/services/other/x", "")) ==
+              error_kind::unknown_service);
+    }
+
+    SUBCASE("loses its credentials before it is sent on")
+    {
+        const auto result = read_caller_request(req, make_settings(), time_point{});
+        REQUIRE(result.ok());
+        CHECK(result->forwarded.count("Authorization") == 0);
+        CHECK(result->routed.idempotent);
+
+        SUBCASE("and may not be repeated once it carries a key")
+        {
+            req.set(header::idempotency_key, "k");
+            CHECK_FALSE(read_caller_request(req, make_settings(), time_point{})->routed.idempotent);
+        }
+    }
+
+    SUBCASE("to a plain service may be repeated only if it reads")
+    {
+        const auto settings = make_settings();
+        const auto get = make_request(http::verb::get, "/services/ebi-ledger/pledges?id=1", "");
+        const auto read = read_caller_request(get, settings, time_point{});
+        REQUIRE(read.ok());
+        CHECK(read->routed.idempotent);
+        CHECK(read->forwarded.target() == "/pledges?id=1");
+        const auto post = make_request(http::verb::post, "/services/ebi-ledger/pledges", "{}");
+        CHECK_FALSE(read_caller_request(post, settings, time_point{})->routed.idempotent);
+    }
+}
+
+TEST_CASE("an affinity token")
+{
+    const chat_locations locations{{endpoint_id{0xabc}, endpoint_id{0x1}}};
+
+    SUBCASE("returns as it was given")
+    {
+        CHECK(from_affinity(to_affinity(locations)) == locations);
+    }
+
+    SUBCASE("that was tampered with is ignored")
+    {
+        for (const auto* token : {"", "x", "abc.zz", "..", "ffffffffffffffffffff"})
+        {
+            CHECK(from_affinity(token).empty());
+        }
+    }
+}
--- /dev/null
+++ b/test/mangovane/routing/request_flow.cpp
@@ -0,0 +1,263 @@
+// Tests of the request flow: one request, step by step.
+#include "mangovane/routing/request_flow.hpp"
+
+#include <algorithm>
+#include <optional>
+
+#include <doctest/doctest.h>
+
+#include "mangovane/ledger/endpoint_ledger.hpp"
+
+using namespace mangovane;
+
+namespace
+{
+
+class open_gate final : public retry_gate
+{
+public:
+    bool try_retry(service_id) override { return allowed; }
+    bool allowed{true};
+};
+
+/// A flow with a settings version, two endpoints and a clock of its own.
+struct flow_fixture
+{
+    flow_fixture()
+    {
+        auto settings = std::make_shared<settings_snapshot>();
+        service_policy service;
+        service.id = service_id::of("ebi-ledger");
+        service.kind = service_kind::plain;
+        settings->services.emplace(service.id, service);
+        account_policy account;
+        account.id = account_id::of("parish");
+        settings->accounts.emplace(account.id, account);
+        std::vector<endpoint_info> endpoints(2);
+        endpoints[0].id = endpoint_id::of("one");
+        endpoints[1].id = endpoint_id::of("two");
+        for (auto& it : endpoints)
+        {
+            it.service = service.id;
+            it.domain = domain_id::of("ikeja-a");
+            it.address = "127.0.0.1:1";
+        }
+        routes.emplace(std::make_shared<endpoint_directory>(endpoints), settings);
+        member self;
+        self.id = instance_id::of("r1");
+        self.domain = domain_id::of("ikeja-a");
+        view.emplace(1, now + seconds{600}, std::vector{self});
+        request.account = account.id;
+        request.service = service.id;
+        request.deadline = now + seconds{10};
+    }
+
+    [[nodiscard]] flow_context ctx() { return {*routes, *view, *strategy, gate, 42, now}; }
+
+    /// Runs the flow until it holds a slot; returns its actions from there on.
+    flow_actions run_to_slot(request_flow& flow)
+    {
+        last = flow.start(ctx());
+        last = flow.on_event(limits_decided{true}, ctx());
+        return grant_next(flow);
+    }
+
+    flow_actions grant_next(request_flow& flow)
+    {
+        while (const auto query = find<query_load>())
+        {
+            last.erase(std::remove_if(last.begin(), last.end(),
+                                      [](const flow_action& it)
+                                      { return std::holds_alternative<query_load>(it); }),
+                       last.end());
+            flow_actions next;
+            for (const auto& it : plan_endpoints)
+            {
+                const auto more = flow.on_event(load_answer{query->ticket, it, 0, 0, 4}, ctx());
+                next.insert(next.end(), more.begin(), more.end());
+            }
+            last = next;
+        }
+        const auto ask = find<ask_slot>();
+        REQUIRE(ask);
+        last = flow.on_event(slot_grant{ask->request.attempt, ask->request.endpoint, 1, 4}, ctx());
+        return last;
+    }
+
+    template <class Action>
+    [[nodiscard]] std::optional<Action> find() const
+    {
+        for (const auto& it : last)
+        {
+            if (const auto* found = std::get_if<Action>(&it))
+            {
+                return *found;
+            }
+        }
+        return std::nullopt;
+    }
+
+    [[nodiscard]] request_flow make_flow() const
+    {
+        return request_flow{request, attempt_id{instance_id::of("r1"), 7, 0}, 1};
+    }
+
+    time_point now{seconds{1000}};
+    std::optional<routing_table> routes;
+    std::optional<membership_view> view;
+    std::unique_ptr<placement_strategy> strategy{make_last_two_strategy()};
+    open_gate gate;
+    routed_request request;
+    flow_actions last;
+    std::vector<endpoint_id> plan_endpoints{endpoint_id::of("one"), endpoint_id::of("two")};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(flow_fixture, "a call that may not be repeated")
+{
+    request.idempotent = false;
+    auto flow = make_flow();
+    run_to_slot(flow);
+    const auto sent = find<send_attempt>();
+    REQUIRE(sent);
+
+    SUBCASE("is sent again when its connection could not be opened")
+    {
+        last = flow.on_event(attempt_ended{sent->attempt, attempt_outcome::failed, false}, ctx());
+        CHECK(find<query_load>());
+        CHECK_FALSE(flow.finished());
+    }
+
+    SUBCASE("is not sent again once a byte may have reached the endpoint")
+    {
+        last = flow.on_event(attempt_ended{sent->attempt, attempt_outcome::failed, true}, ctx());
+        const auto error = find<answer_error>();
+        REQUIRE(error);
+        CHECK(error->kind == error_kind::outcome_unknown);
+
+        SUBCASE("and the answer does not claim that it was not run")
+        {
+            CHECK_FALSE(answer_for(error->kind).not_run);
+        }
+    }
+
+    SUBCASE("goes on when the caller leaves, so that its outcome is learnt")
+    {
+        last = flow.on_event(caller_left{}, ctx());
+        CHECK_FALSE(find<abort_attempt>());
+        CHECK_FALSE(flow.finished());
+    }
+
+    SUBCASE("at its deadline tells that it may still run")
+    {
+        now = request.deadline;
+        last = flow.on_event(timer_expired{}, ctx());
+        const auto error = find<answer_error>();
+        REQUIRE(error);
+        CHECK(error->kind == error_kind::deadline_exceeded_running);
+    }
+}
+
+TEST_CASE_FIXTURE(flow_fixture, "a process that was paused with a slot in hand")
+{
+    request.idempotent = false;
+    request.key = "pledge-1";
+    auto flow = make_flow();
+    run_to_slot(flow);
+    const auto asked = find<claim_key>();
+    REQUIRE(asked);
+
+    SUBCASE("does not dispatch after its lease ran out, though its claim was won")
+    {
+        now += slot_lease;
+        last = flow.on_event(claim_decided{asked->wanted.attempt, true, false, {}}, ctx());
+        CHECK_FALSE(find<send_attempt>());
+        CHECK(find<give_back>());
+
+        SUBCASE("and tries again with the same claim")
+        {
+            now += milliseconds{100};
+            last = flow.on_event(timer_expired{}, ctx());
+            grant_next(flow);
+            CHECK(find<send_attempt>());
+            CHECK_FALSE(find<claim_key>());
+        }
+    }
+
+    SUBCASE("does not dispatch under a view that is no longer valid")
+    {
+        view.emplace(2, now, std::vector<member>{});
+        last = flow.on_event(claim_decided{asked->wanted.attempt, true, false, {}}, ctx());
+        CHECK_FALSE(find<send_attempt>());
+    }
+
+    SUBCASE("does not dispatch to a failure domain that was taken out meanwhile")
+    {
+        auto settings = std::make_shared<settings_snapshot>(routes->settings());
+        settings->domains_out.insert(domain_id::of("ikeja-a"));
+        routing_table changed{std::make_shared<endpoint_directory>(routes->endpoints().all()),
+                              settings};
+        const flow_context later{changed, *view, *strategy, gate, 42, now};
+        last = flow.on_event(claim_decided{asked->wanted.attempt, true, false, {}}, later);
+        CHECK_FALSE(find<send_attempt>());
+    }
+}
+
+TEST_CASE_FIXTURE(flow_fixture, "an answer that belongs to another attempt")
+{
+    request.idempotent = true;
+    auto flow = make_flow();
+    run_to_slot(flow);
+    const auto first = find<send_attempt>();
+    REQUIRE(first);
+    last = flow.on_event(attempt_ended{first->attempt, attempt_outcome::failed, true}, ctx());
+    grant_next(flow);
+    const auto second = find<send_attempt>();
+    REQUIRE(second);
+    CHECK(second->endpoint != first->endpoint);
+
+    SUBCASE("is dropped and does not end the request")
+    {
+        attempt_ended late{first->attempt, attempt_outcome::succeeded};
+        late.answer_complete = true;
+        last = flow.on_event(late, ctx());
+        CHECK(last.empty());
+        CHECK_FALSE(flow.finished());
+
+        SUBCASE("while the answer of the current attempt ends it")
+        {
+            attempt_ended good{second->attempt, attempt_outcome::succeeded};
+            good.answer_complete = true;
+            last = flow.on_event(good, ctx());
+            CHECK(find<end_request>());
+            CHECK(flow.finished());
+        }
+    }
+
+    SUBCASE("a slot granted late is given back")
+    {
+        last = flow.on_event(slot_grant{first->attempt, first->endpoint, 1, 4}, ctx());
+        const auto back = find<give_back>();
+        REQUIRE(back);
+        CHECK(back->release.attempt == first->attempt);
+    }
+}
+
+TEST_CASE_FIXTURE(flow_fixture, "an idempotent request whose endpoints fail")
+{
+    request.idempotent = true;
+    auto flow = make_flow();
+    run_to_slot(flow);
+    gate.allowed = false;
+    const auto sent = find<send_attempt>();
+    REQUIRE(sent);
+    last = flow.on_event(attempt_ended{sent->attempt, attempt_outcome::failed, true}, ctx());
+
+    SUBCASE("is not retried beyond the retry budget, and is not told that it did not run")
+    {
+        const auto error = find<answer_error>();
+        REQUIRE(error);
+        CHECK(error->kind == error_kind::endpoint_failed);
+    }
+}
