--- a/src/mangovane/routing/request_flow.cpp
+++ b/src/mangovane/routing/request_flow.cpp
@@ -524,6 +524,8 @@
         next_try(ctx);
         break;
     case stage::pausing:
+        // An endpoint that failed before the pause may have recovered.
+        excluded_.clear();
         make_plan(ctx);
         break;
     default:
