--- /dev/null
+++ b/src/mangovane/ledger/endpoint_health.hpp
@@ -0,0 +1,48 @@
+// Whether an endpoint is fit for new work, judged by its owner from polls and from the ends of
+// requests.
+#ifndef MANGOVANE_LEDGER_ENDPOINT_HEALTH_HPP
+#define MANGOVANE_LEDGER_ENDPOINT_HEALTH_HPP
+
+#include <cstdint>
+
+#include "mangovane/core/time.hpp"
+#include "mangovane/message/slot.hpp"
+
+namespace mangovane
+{
+
+/// Outlier ejection. Without it an endpoint that fails at once looks idle and attracts new work.
+class endpoint_health
+{
+public:
+    /// Result of a poll of the endpoint's load. Returns true when the endpoint has become reachable
+    /// again.
+    bool on_poll(bool answered) noexcept;
+
+    /// End of a request at the endpoint.
+    void on_outcome(attempt_outcome outcome, time_point now) noexcept;
+
+    /// Whether the endpoint takes no new work now.
+    [[nodiscard]] bool ejected(time_point now) const noexcept
+    {
+        return failed_polls_ >= poll_limit || now < ejected_until_;
+    }
+
+    auto operator<=>(const endpoint_health&) const = default;
+
+private:
+    static constexpr std::uint32_t poll_limit = 2;    ///< Failed polls in a row.
+    static constexpr std::uint32_t failure_limit = 3; ///< Failed requests in a row.
+    static constexpr milliseconds first_ejection{1000};
+    static constexpr milliseconds longest_ejection{30000};
+
+    std::uint32_t failed_polls_{0};
+    std::uint32_t failures_{0}; ///< In a row.
+    milliseconds ejection_{
+        first_ejection}; ///< Next ejection; doubles with each, back to the first on success.
+    time_point ejected_until_{};
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/message/slot.hpp
+++ b/src/mangovane/message/slot.hpp
@@ -61,9 +61,10 @@
     deadline,     ///< The expected wait passes the deadline.
     unreachable,  ///< Local: no answer from the owner.
     unknown_endpoint,
+    failing, ///< The endpoint fails polls or requests.
 };
 
-inline constexpr std::size_t slot_refusal_reason_count = 11;
+inline constexpr std::size_t slot_refusal_reason_count = 12;
 
 /// Owner to holder: no slot.
 struct slot_refusal
--- /dev/null
+++ b/src/mangovane/net/endpoint_poller.cpp
@@ -0,0 +1,143 @@
+// Implementation of the endpoint poller.
+#include "mangovane/net/endpoint_poller.hpp"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json.hpp>
+
+#include "mangovane/net/address.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace
+{
+
+/// Longest wait for the answer to a poll; below the period, so that polls never pile up.
+constexpr milliseconds poll_timeout{400};
+constexpr std::size_t max_report = std::size_t{16} * 1024; ///< Bytes.
+
+} // namespace
+
+std::optional<endpoint_report>
+read_load_report(const std::string& text, endpoint_id endpoint, time_point sampled_at)
+{
+    boost::system::error_code ec;
+    const auto value = boost::json::parse(text, ec);
+    const auto* obj = ec ? nullptr : value.if_object();
+    if (obj == nullptr)
+    {
+        return std::nullopt;
+    }
+    endpoint_report result;
+    result.endpoint = endpoint;
+    result.sampled_at = sampled_at;
+    const auto* epoch = obj->if_contains("epoch");
+    const auto* in_flight = obj->if_contains("in_flight");
+    if (epoch == nullptr || in_flight == nullptr || !epoch->is_number() || !in_flight->is_number())
+    {
+        return std::nullopt;
+    }
+    result.epoch = epoch->to_number<std::uint64_t>(ec);
+    result.in_flight = in_flight->to_number<std::uint32_t>(ec);
+    if (ec)
+    {
+        return std::nullopt;
+    }
+    const auto* warm = obj->if_contains("warm");
+    const auto* leaving = obj->if_contains("leaving");
+    result.warm = warm == nullptr || !warm->is_bool() || warm->as_bool();
+    result.leaving = leaving != nullptr && leaving->is_bool() && leaving->as_bool();
+    return result;
+}
+
+endpoint_poller::endpoint_poller(asio::io_context& io, coordinator& core)
+    : io_{io}, core_{core}, timer_{asio::make_strand(io)}
+{}
+
+void endpoint_poller::start()
+{
+    asio::co_spawn(timer_.get_executor(), run(), asio::detached);
+}
+
+void endpoint_poller::stop()
+{
+    stopped_ = true;
+    asio::post(timer_.get_executor(), [this] { timer_.cancel(); });
+}
+
+asio::awaitable<void> endpoint_poller::run()
+{
+    while (!stopped_)
+    {
+        const auto routes = core_.routes();
+        for (const auto endpoint : core_.slots().owned())
+        {
+            const auto* info = routes->find(endpoint);
+            if (info != nullptr)
+            {
+                asio::co_spawn(asio::make_strand(io_), poll(*info), asio::detached);
+            }
+        }
+        boost::system::error_code ec;
+        timer_.expires_after(poll_period);
+        co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+asio::awaitable<void> endpoint_poller::poll(endpoint_info endpoint)
+{
+    const auto sampled_at = clock::now();
+    const auto address = parse_address(endpoint.address);
+    beast::tcp_stream stream{co_await asio::this_coro::executor};
+    beast::error_code ec;
+    stream.expires_after(poll_timeout);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_report);
+    if (address)
+    {
+        co_await stream.async_connect(*address, asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (address && !ec)
+    {
+        http::request<http::empty_body> req{http::verb::get, "/mangovane/load", 11};
+        req.set(http::field::host, endpoint.address);
+        req.keep_alive(false);
+        bytes_ +=
+            co_await http::async_write(stream, req, asio::redirect_error(asio::use_awaitable, ec));
+        beast::flat_buffer buf;
+        if (!ec)
+        {
+            bytes_ += co_await http::async_read(stream, buf, parser,
+                                                asio::redirect_error(asio::use_awaitable, ec));
+        }
+    }
+    const bool answered = address && !ec && parser.is_done() && parser.get().result_int() == 200;
+    const auto report = answered ? read_load_report(parser.get().body(), endpoint.id, sampled_at)
+                                 : std::optional<endpoint_report>{};
+    if (report)
+    {
+        core_.on_endpoint_report(*report, clock::now());
+    }
+    else
+    {
+        core_.on_endpoint_unreachable(endpoint.id);
+    }
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/net/endpoint_poller.hpp
@@ -0,0 +1,49 @@
+// Asks endpoints for their load, periodically and one short request each.
+#ifndef MANGOVANE_NET_ENDPOINT_POLLER_HPP
+#define MANGOVANE_NET_ENDPOINT_POLLER_HPP
+
+#include <atomic>
+#include <cstdint>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "mangovane/routing/coordinator.hpp"
+
+namespace mangovane
+{
+
+/// Period of the polls of an endpoint.
+inline constexpr milliseconds poll_period{500};
+
+class endpoint_poller
+{
+public:
+    /// Both outlive the poller.
+    endpoint_poller(boost::asio::io_context& io, coordinator& core);
+
+    void start();
+    void stop();
+
+    /// Bytes sent and received so far, without headers of TCP and IP.
+    [[nodiscard]] std::uint64_t bytes() const noexcept { return bytes_; }
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> poll(endpoint_info endpoint);
+
+    boost::asio::io_context& io_;
+    coordinator& core_;
+    boost::asio::steady_timer timer_;
+    std::atomic<bool> stopped_{false};
+    std::atomic<std::uint64_t> bytes_{0};
+};
+
+/// Reads the text of a load report; nothing when it is malformed.
+[[nodiscard]] std::optional<endpoint_report>
+read_load_report(const std::string& text, endpoint_id endpoint, time_point sampled_at);
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/net/exchange.cpp
+++ b/src/mangovane/net/exchange.cpp
@@ -31,9 +31,9 @@
     number_ = services_.core.start(std::move(request), shared_from_this(), clock::now());
 }
 
-void exchange::report(const flow_event& event)
+bool exchange::report(const flow_event& event)
 {
-    services_.core.on_event(number_, event, clock::now());
+    return services_.core.on_event(number_, event, clock::now());
 }
 
 asio::awaitable<session_action> exchange::next()
@@ -67,21 +67,35 @@
 
 void exchange::claim(const claim_key& action)
 {
-    const auto attempt = action.wanted.attempt;
     services_.claims.claim_key(
         action.wanted, deadline_,
-        [self = shared_from_this(), attempt](const absl::StatusOr<claim_result>& result)
+        [self = shared_from_this(), wanted = action.wanted](absl::StatusOr<claim_result> result)
         {
-            claim_decided event{attempt, false, !result.ok(), {}};
-            if (result.ok())
-            {
-                event.won = result->won;
-                event.repeated = result->repeated;
-            }
-            asio::post(self->executor_, [self, event = std::move(event)] { self->report(event); });
+            asio::post(self->executor_, [self, wanted, result = std::move(result)]
+                       { self->on_claimed(wanted, result); });
         });
 }
 
+void exchange::on_claimed(const mangovane::claim& wanted,
+                          const absl::StatusOr<claim_result>& result)
+{
+    claim_decided event{wanted.attempt, false, !result.ok(), {}};
+    if (result.ok())
+    {
+        event.won = result->won;
+        event.repeated = result->repeated;
+    }
+    if (!report(event) && event.won)
+    {
+        // The request was refused meanwhile: the call did not run, and the key must not stay
+        // claimed.
+        auto given_up = wanted;
+        given_up.state = claim_state::abandoned;
+        services_.claims.settle(std::move(given_up), clock::now() + settle_time,
+                                [](const absl::Status&) {});
+    }
+}
+
 void exchange::settle(const settle_claim& action)
 {
     services_.claims.settle(action.settled, deadline_ + settle_time,
--- a/src/mangovane/net/exchange.hpp
+++ b/src/mangovane/net/exchange.hpp
@@ -30,8 +30,8 @@
     /// Hands the request to the coordinator. Called on the strand.
     void begin(routed_request request);
 
-    /// Reports an event to the flow. Called on the strand.
-    void report(const flow_event& event);
+    /// Reports an event to the flow; false when the flow has ended. Called on the strand.
+    bool report(const flow_event& event);
 
     /// The next action for the session.
     boost::asio::awaitable<session_action> next();
@@ -50,6 +50,7 @@
 
 private:
     void push(session_action action);
+    void on_claimed(const mangovane::claim& wanted, const absl::StatusOr<claim_result>& result);
     void on_settled(const settle_claim& action, const absl::Status& status);
 
     boost::asio::any_io_executor executor_;
--- a/src/mangovane/net/front_services.hpp
+++ b/src/mangovane/net/front_services.hpp
@@ -11,6 +11,7 @@
 #include <absl/status/statusor.h>
 
 #include "mangovane/idempotency/claim_batch.hpp"
+#include "mangovane/observe/request_record.hpp"
 #include "mangovane/routing/coordinator.hpp"
 
 namespace mangovane
@@ -27,31 +28,6 @@
     settle(claim settled, time_point deadline, claim_batch::settle_handler handler) = 0;
 };
 
-/// What is observed of a request that has ended.
-struct request_record
-{
-    account_id account;
-    std::string account_name;
-    std::string service_name;
-    request_class priority{request_class::standard};
-    std::string outcome; ///< Name of an error kind, or "ok", "stored" or "cut".
-    milliseconds total{0};
-    milliseconds queue_wait{0};  ///< From acceptance to the dispatch of the last attempt.
-    milliseconds first_token{0}; ///< From acceptance to the first byte of the answer; 0: none.
-    std::uint32_t attempts{0};
-
-    auto operator<=>(const request_record&) const = default;
-};
-
-/// Strategy for observing requests.
-class request_observer
-{
-public:
-    virtual ~request_observer() = default;
-    virtual void on_request_end(const request_record& record) = 0;
-    virtual void on_dropped_answer() = 0; ///< A late or crossed answer.
-};
-
 /// Limits of what a caller may send.
 struct front_limits
 {
--- a/src/mangovane/observe/fwd.hpp
+++ b/src/mangovane/observe/fwd.hpp
@@ -5,7 +5,9 @@
 namespace mangovane
 {
 
-class metrics;
+class latency_series;
+class account_labels;
+class request_metrics;
 
 } // namespace mangovane
 
--- /dev/null
+++ b/src/mangovane/observe/latency_series.cpp
@@ -0,0 +1,68 @@
+// Implementation of a latency series.
+#include "mangovane/observe/latency_series.hpp"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+namespace mangovane
+{
+
+namespace acc = boost::accumulators;
+
+void latency_series::add(milliseconds value)
+{
+    const auto it =
+        std::lower_bound(latency_buckets_ms.begin(), latency_buckets_ms.end(), value.count());
+    ++buckets_[static_cast<std::size_t>(it - latency_buckets_ms.begin())];
+    totals_(static_cast<double>(value.count()));
+}
+
+void latency_series::merge(const latency_series& other)
+{
+    for (std::size_t n = 0; n != buckets_.size(); ++n)
+    {
+        buckets_[n] += other.buckets_[n];
+    }
+    merged_count_ += other.count();
+    merged_sum_ms_ += acc::sum(other.totals_) + other.merged_sum_ms_;
+}
+
+std::uint64_t latency_series::count() const
+{
+    return acc::count(totals_) + merged_count_;
+}
+
+std::uint32_t latency_series::quantile_ms(double q) const
+{
+    const auto wanted = q * static_cast<double>(count());
+    std::uint64_t seen = 0;
+    for (std::size_t n = 0; n != buckets_.size(); ++n)
+    {
+        seen += buckets_[n];
+        if (seen != 0 && static_cast<double>(seen) >= wanted)
+        {
+            return latency_buckets_ms[std::min(n, latency_buckets_ms.size() - 1)];
+        }
+    }
+    return 0;
+}
+
+void latency_series::append_text(const std::string& name,
+                                 const std::string& labels,
+                                 std::string& out) const
+{
+    std::uint64_t seen = 0;
+    for (std::size_t n = 0; n != latency_buckets_ms.size(); ++n)
+    {
+        seen += buckets_[n];
+        absl::StrAppend(&out, name, "_bucket{", labels, ",le=\"", latency_buckets_ms[n] / 1000.0,
+                        "\"} ", seen, "\n");
+    }
+    absl::StrAppend(&out, name, "_bucket{", labels, ",le=\"+Inf\"} ", count(), "\n");
+    absl::StrAppend(&out, name, "_sum{", labels, "} ",
+                    (acc::sum(totals_) + merged_sum_ms_) / 1000.0, "\n");
+    absl::StrAppend(&out, name, "_count{", labels, "} ", count(), "\n");
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/observe/request_metrics.cpp
@@ -0,0 +1,108 @@
+// Implementation of the request metrics.
+#include "mangovane/observe/request_metrics.hpp"
+
+#include <absl/strings/str_cat.h>
+
+namespace mangovane
+{
+
+namespace
+{
+
+std::string to_std(std::string_view text)
+{
+    return std::string{text};
+}
+
+} // namespace
+
+const std::array<request_metrics::named_series, 3> request_metrics::series_table{
+    {{"mangovane_request_seconds", &request_series::total},
+     {"mangovane_queue_wait_seconds", &request_series::queue_wait},
+     {"mangovane_first_token_seconds", &request_series::first_token}}};
+
+request_metrics::request_metrics(std::size_t labels) : labels_{labels} {}
+
+void request_metrics::on_request_end(const request_record& record)
+{
+    const auto add = [&](class_series& to)
+    {
+        auto& series = to[static_cast<std::size_t>(record.priority)];
+        series.total.add(record.total);
+        series.queue_wait.add(record.queue_wait);
+        if (record.first_token != milliseconds{0})
+        {
+            series.first_token.add(record.first_token);
+        }
+    };
+    const std::lock_guard lock{mutex_};
+    ++outcomes_[record.outcome];
+    add(all_);
+    add(labels_.count(record.account, record.account_name) ? accounts_[record.account] : other_);
+}
+
+void request_metrics::rotate_labels()
+{
+    const std::lock_guard lock{mutex_};
+    for (const auto account : labels_.rotate())
+    {
+        const auto it = accounts_.find(account);
+        if (it == accounts_.end())
+        {
+            continue;
+        }
+        for (std::size_t n = 0; n != request_class_count; ++n)
+        {
+            for (const auto& row : series_table)
+            {
+                (other_[n].*row.member).merge(it->second[n].*row.member);
+            }
+        }
+        accounts_.erase(it);
+    }
+}
+
+void request_metrics::append_histograms(std::string& out,
+                                        const std::string& account,
+                                        const class_series& series) const
+{
+    for (std::size_t n = 0; n != request_class_count; ++n)
+    {
+        const auto priority = to_std(to_string(static_cast<request_class>(n)));
+        const auto labels =
+            account.empty() ? absl::StrCat("class=\"", priority, "\"")
+                            : absl::StrCat("account=\"", account, "\",class=\"", priority, "\"");
+        for (const auto& row : series_table)
+        {
+            const auto& it = series[n].*row.member;
+            if (it.count() != 0)
+            {
+                it.append_text(row.name, labels, out);
+            }
+        }
+    }
+}
+
+std::string request_metrics::text(bool with_accounts) const
+{
+    std::string out;
+    const std::lock_guard lock{mutex_};
+    for (const auto& [outcome, n] : outcomes_)
+    {
+        absl::StrAppend(&out, "mangovane_requests_total{outcome=\"", outcome, "\"} ", n, "\n");
+    }
+    absl::StrAppend(&out, "mangovane_dropped_answers_total ", dropped_answers_.load(), "\n");
+    if (!with_accounts)
+    {
+        append_histograms(out, {}, all_);
+        return out;
+    }
+    for (const auto& [account, series] : accounts_)
+    {
+        append_histograms(out, labels_.name_of(account), series);
+    }
+    append_histograms(out, "other", other_);
+    return out;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/observe/request_metrics.hpp
@@ -0,0 +1,73 @@
+// Metrics of requests: histograms for each client account and class, and counters of outcomes.
+#ifndef MANGOVANE_OBSERVE_REQUEST_METRICS_HPP
+#define MANGOVANE_OBSERVE_REQUEST_METRICS_HPP
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "mangovane/observe/account_labels.hpp"
+#include "mangovane/observe/latency_series.hpp"
+#include "mangovane/observe/request_record.hpp"
+
+namespace mangovane
+{
+
+/// Accounts with a label of their own. With 7,300 accounts and three classes, histograms of all
+/// would not fit the memory that a node may spend.
+inline constexpr std::size_t labelled_accounts = 200;
+
+class request_metrics final : public request_observer
+{
+public:
+    explicit request_metrics(std::size_t labels = labelled_accounts);
+
+    void on_request_end(const request_record& record) override;
+    void on_dropped_answer() override { ++dropped_answers_; }
+
+    /// Gives labels to the accounts that were busiest since the last call. Called once a minute.
+    void rotate_labels();
+
+    /// Prometheus text; without accounts when `with_accounts` is false.
+    [[nodiscard]] std::string text(bool with_accounts) const;
+
+private:
+    /// Times of the requests of one account in one class.
+    struct request_series
+    {
+        latency_series total;
+        latency_series queue_wait;
+        latency_series first_token;
+    };
+
+    using class_series = std::array<request_series, request_class_count>;
+
+    /// One named time and the member that holds it.
+    struct named_series
+    {
+        const char* name;
+        latency_series request_series::*member;
+    };
+    static const std::array<named_series, 3> series_table;
+
+    void append_histograms(std::string& out,
+                           const std::string& account,
+                           const class_series& series) const;
+
+    mutable std::mutex mutex_;
+    account_labels labels_; ///< Guarded by `mutex_`.
+    absl::flat_hash_map<account_id, class_series>
+        accounts_;       ///< Labelled accounts only. Guarded by `mutex_`.
+    class_series other_; ///< All other accounts. Guarded by `mutex_`.
+    class_series all_;   ///< Every account. Guarded by `mutex_`.
+    std::map<std::string, std::uint64_t> outcomes_; ///< By outcome. Guarded by `mutex_`.
+    std::atomic<std::uint64_t> dropped_answers_{0};
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/observe/request_record.hpp
@@ -0,0 +1,41 @@
+// What is observed of a request that has ended.
+#ifndef MANGOVANE_OBSERVE_REQUEST_RECORD_HPP
+#define MANGOVANE_OBSERVE_REQUEST_RECORD_HPP
+
+#include <cstdint>
+#include <string>
+
+#include "mangovane/core/id.hpp"
+#include "mangovane/core/request_class.hpp"
+#include "mangovane/core/time.hpp"
+
+namespace mangovane
+{
+
+struct request_record
+{
+    account_id account;
+    std::string account_name;
+    std::string service_name;
+    request_class priority{request_class::standard};
+    std::string outcome; ///< Name of an error kind, or "ok", "stored" or "cut".
+    milliseconds total{0};
+    milliseconds queue_wait{0};  ///< From acceptance to the dispatch of the last attempt.
+    milliseconds first_token{0}; ///< From acceptance to the first byte of the answer; 0: none.
+    std::uint32_t attempts{0};
+
+    auto operator<=>(const request_record&) const = default;
+};
+
+/// Strategy for observing requests. Called from any thread.
+class request_observer
+{
+public:
+    virtual ~request_observer() = default;
+    virtual void on_request_end(const request_record& record) = 0;
+    virtual void on_dropped_answer() = 0; ///< A late or crossed answer.
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/routing/coordinator.cpp
+++ b/src/mangovane/routing/coordinator.cpp
@@ -1,172 +1,257 @@
-// Implementation of the coordinator.
+// The life of the coordinator: messages, timers and views.
 #include "mangovane/routing/coordinator.hpp"
 
-#include <optional>
+#include <algorithm>
+#include <array>
 #include <utility>
 
+#include "mangovane/routing/coordinator_parts.hpp"
+
 namespace mangovane
 {
 
-namespace
+coordinator::coordinator(coordinator_options options, message_sink& sink, time_point now)
+    : options_{std::move(options)}, sink_{sink}, state_{options_.self, options_.timing,
+                                                        options_.seed},
+      slots_{state_}, chats_{state_, options_.chat_capacity}, limits_{state_}, shares_{state_},
+      spread_{state_}, strategy_{make_last_two_strategy()}, retries_{
+                                                                std::make_unique<budget_gate>()}
 {
+    follow_view(now);
+}
 
-/// One retry budget for each service.
-class budget_gate final : public retry_gate
-{
-public:
-    [[nodiscard]] bool try_retry(service_id service) override
-    {
-        return budgets_.with(service, [](retry_budget& it) { return it.try_retry(); });
-    }
+coordinator::~coordinator() = default;
 
-private:
-    sharded_map<service_id, retry_budget> budgets_;
-};
+adopt_result coordinator::adopt_settings(settings_ptr settings, time_point now)
+{
+    const auto result = state_.adopt(std::move(settings));
+    follow_view(now);
+    return result;
+}
 
-} // namespace
+void coordinator::on_platform_list(const std::vector<listed_instance>& instances,
+                                   endpoints_ptr endpoints,
+                                   time_point now)
+{
+    state_.members().on_platform_list(instances, now);
+    state_.set_endpoints(std::move(endpoints));
+    follow_view(now);
+}
 
-coordinator::coordinator(coordinator_options options, message_sink& sink, time_point now)
-    : options_{std::move(options)}, sink_{sink}, strategy_{make_last_two_strategy()},
-      retries_{std::make_unique<budget_gate>()}, endpoints_{std::make_shared<endpoint_directory>()}
+void coordinator::on_platform_read(time_point now)
 {
-    view_ = std::make_shared<membership_view>(1, now + std::chrono::hours{24 * 365},
-                                              std::vector{options_.self});
-    rebuild_routes();
+    open_fence();
+    follow_view(now);
 }
 
-coordinator::~coordinator() = default;
+void coordinator::on_endpoint_report(const endpoint_report& report, time_point now)
+{
+    send(slots_.on_report(report, now), now);
+}
 
-adopt_result coordinator::adopt_settings(settings_ptr settings, time_point)
+template <class Message>
+void coordinator::handle(instance_id from, const Message& msg, time_point now)
 {
-    const auto result = settings_.adopt(std::move(settings));
-    if (result == adopt_result::adopted)
+    using type = Message;
+    if constexpr (internal::is_any_of<type, slot_request, slot_release, slot_renewal, load_query,
+                                      load_report, load_mean>)
     {
-        rebuild_routes();
+        send(slots_.on(from, msg, now), now);
+    }
+    else if constexpr (internal::is_any_of<type, chat_query, chat_update>)
+    {
+        send(chats_.on(from, msg, now), now);
+    }
+    else if constexpr (internal::is_any_of<type, limit_request>)
+    {
+        send(limits_.on(from, msg, now), now);
+    }
+    else if constexpr (internal::is_any_of<type, limit_grant>)
+    {
+        send(limits_.on(from, msg, now), now);
+        recheck_limits(now);
+    }
+    else if constexpr (internal::is_any_of<type, probe>)
+    {
+        send(state_.members().on_probe(from, msg, now), now);
+    }
+    else if constexpr (internal::is_any_of<type, probe_ack>)
+    {
+        send(state_.members().on_probe_ack(from, msg, now), now);
+        state_.settings().note_heard(msg.settings);
+        open_fence();
+    }
+    else if constexpr (internal::is_any_of<type, probe_request>)
+    {
+        send(state_.members().on_probe_request(from, msg, now), now);
+    }
+    else if constexpr (internal::is_any_of<type, settings_query>)
+    {
+        send(spread_.on(from, msg), now);
+    }
+    else if constexpr (internal::is_any_of<type, settings_content>)
+    {
+        spread_.on(from, msg);
+        open_fence();
+        follow_view(now);
+    }
+    else if constexpr (internal::is_any_of<type, chat_answer, load_answer>)
+    {
+        on_event(msg.ticket >> request_flow::number_shift, msg, now);
+    }
+    else
+    {
+        to_flow(from, msg, now);
     }
-    return result;
 }
 
-void coordinator::on_platform_list(const std::vector<listed_instance>&,
-                                   endpoints_ptr endpoints,
-                                   time_point)
+template <class Message>
+void coordinator::dispatch(instance_id from, const message& msg, time_point now)
+{
+    handle(from, std::get<Message>(msg), now);
+}
+
+template <class... Messages>
+constexpr auto coordinator::make_table(const std::variant<Messages...>*)
+{
+    return std::array<handler, sizeof...(Messages)>{&coordinator::dispatch<Messages>...};
+}
+
+void coordinator::on_message(instance_id from, const message& msg, time_point now)
+{
+    static constexpr auto table = make_table(static_cast<const message*>(nullptr));
+    (this->*table[msg.index()])(from, msg, now);
+}
+
+void coordinator::open_fence()
 {
+    // Only an answer to a question shows that the other side is up to date now: other messages may
+    // have waited in a buffer while this process was paused.
+    if (state_.settings().is_current())
     {
-        const std::lock_guard lock{mutex_};
-        endpoints_ = std::move(endpoints);
+        state_.fence().on_contact();
     }
-    rebuild_routes();
 }
 
-void coordinator::rebuild_routes()
+void coordinator::to_flow(instance_id from, const slot_grant& msg, time_point now)
 {
-    static const auto no_settings = std::make_shared<const settings_snapshot>();
-    auto settings = settings_.current();
-    const std::lock_guard lock{mutex_};
-    routes_ = std::make_shared<routing_table>(endpoints_, settings ? settings : no_settings);
+    const bool own =
+        msg.attempt.origin == options_.self.id && msg.attempt.epoch == options_.self.epoch;
+    const auto number = msg.attempt.sequence >> request_flow::number_shift;
+    if (!own || !on_event(number, msg, now))
+    {
+        // The request has ended, or belonged to an earlier process of this name.
+        ++counters_.stale_grants;
+        send({from, slot_release{msg.attempt, msg.endpoint, attempt_outcome::cancelled, 0}}, now);
+    }
 }
 
-routing_table_ptr coordinator::routes() const
+void coordinator::to_flow(instance_id, const slot_refusal& msg, time_point now)
 {
-    const std::lock_guard lock{mutex_};
-    return routes_;
+    if (msg.attempt.origin == options_.self.id && msg.attempt.epoch == options_.self.epoch)
+    {
+        on_event(msg.attempt.sequence >> request_flow::number_shift, msg, now);
+    }
 }
 
-view_ptr coordinator::view() const
+void coordinator::send(const outgoing_messages& list, time_point now)
 {
-    const std::lock_guard lock{mutex_};
-    return view_;
+    for (const auto& it : list)
+    {
+        send(it, now);
+    }
 }
 
-std::uint64_t
-coordinator::start(routed_request request, std::shared_ptr<request_port> port, time_point now)
+void coordinator::send(const outgoing_message& msg, time_point now)
 {
-    const auto number = next_number_.fetch_add(1);
-    const attempt_id first{options_.self.id, options_.self.epoch, 0};
-    const auto routes = this->routes();
-    const auto view = this->view();
-    const flow_context ctx{
-        *routes, *view, *strategy_, *retries_, hash_combine(options_.seed, number), now};
-    request_flow flow{std::move(request), first, number};
-    const auto actions = flow.start(ctx);
-    if (!flow.finished())
+    if (msg.to == options_.self.id)
     {
-        flows_.with_shard(number,
-                          [&](auto& map) {
-                              map.emplace(number, running_flow{std::move(flow), port});
-                          });
+        on_message(options_.self.id, msg.body, now);
+        return;
     }
-    perform(number, port, actions, now);
-    return number;
+    sink_.send(msg);
 }
 
-void coordinator::on_event(std::uint64_t number, const flow_event& event, time_point now)
+void coordinator::tick(time_point now)
 {
-    const auto routes = this->routes();
-    const auto view = this->view();
-    const auto seed = hash_combine(hash_combine(options_.seed, number), event.index());
-    const flow_context ctx{*routes, *view, *strategy_, *retries_, seed, now};
-    flow_actions actions;
-    std::shared_ptr<request_port> port;
-    flows_.with_shard(number,
-                      [&](auto& map)
-                      {
-                          const auto it = map.find(number);
-                          if (it == map.end())
-                          {
-                              return;
-                          }
-                          actions = it->second.flow.on_event(event, ctx);
-                          port = it->second.port;
-                          if (it->second.flow.finished())
-                          {
-                              map.erase(it);
-                          }
-                      });
-    perform(number, port, actions, now);
+    state_.fence().on_tick(now);
+    send(state_.members().tick(now), now);
+    follow_view(now);
+    send(slots_.tick(now), now);
+    send(limits_.tick(now), now);
+    send(spread_.tick(now), now);
+    renew_slots(now);
+    recheck_limits(now);
 }
 
-void coordinator::perform(std::uint64_t number,
-                          const std::shared_ptr<request_port>& port,
-                          const flow_actions& actions,
-                          time_point now)
+void coordinator::leave(time_point now)
 {
-    struct performer
-    {
-        coordinator& self;
-        std::uint64_t number;
-        request_port& port;
-        time_point now;
+    send(state_.members().leave(now), now);
+    send(slots_.resign(), now);
+}
 
-        void operator()(const check_limits&) const
+void coordinator::follow_view(time_point now)
+{
+    view_ptr before;
+    const auto view = state_.view();
+    const auto routes = state_.routes();
+    {
+        const std::lock_guard lock{mutex_};
+        if (followed_view_ && followed_view_->version() == view->version() &&
+            followed_routes_ == routes)
         {
-            self.on_event(number, limits_decided{true}, now);
+            return;
         }
-        void operator()(const query_chat& it) const
+        before = std::exchange(followed_view_, view);
+        followed_routes_ = routes;
+    }
+    send(slots_.update_ownership(now), now);
+    if (before)
+    {
+        on_view_change(*before, *view, now);
+    }
+}
+
+void coordinator::on_view_change(const membership_view& before,
+                                 const membership_view& after,
+                                 time_point now)
+{
+    // A new owner waits for the list of every holder before it grants the whole bound.
+    const auto held = flows_.held_slots();
+    const auto routes = state_.routes();
+    for (const auto& info : routes->endpoints().all())
+    {
+        const auto owner = after.endpoint_owner(info.id, info.domain);
+        if (!owner || owner == before.endpoint_owner(info.id, info.domain))
         {
-            self.on_event(number, chat_answer{it.ticket, it.chat, {}}, now);
+            continue;
         }
-        void operator()(const query_load& it) const
+        const auto it = held.find(info.id);
+        send({*owner,
+              slot_renewal{info.id, it == held.end() ? std::vector<held_slot>{} : it->second}},
+             now);
+    }
+}
+
+void coordinator::renew_slots(time_point now)
+{
+    {
+        const std::lock_guard lock{mutex_};
+        if (now < renewed_at_ + renewal_period)
         {
-            self.on_event(number, load_answer{it.ticket, it.endpoint, 0, 0, 1}, now);
+            return;
         }
-        void operator()(const ask_slot& it) const
+        renewed_at_ = now;
+    }
+    const auto routes = state_.routes();
+    for (auto& [endpoint, slots] : flows_.held_slots())
+    {
+        const auto* info = routes->find(endpoint);
+        const auto owner = info == nullptr ? std::nullopt : state_.owner_of(*info);
+        if (owner)
         {
-            self.on_event(number, slot_grant{it.request.attempt, it.request.endpoint, 1, 1}, now);
+            send({*owner, slot_renewal{endpoint, std::move(slots)}}, now);
         }
-        void operator()(const claim_key& it) const { port.claim(it); }
-        void operator()(const send_attempt& it) const { port.send(it); }
-        void operator()(const abort_attempt& it) const { port.abort(it); }
-        void operator()(const give_back&) const {}
-        void operator()(const settle_claim& it) const { port.settle(it); }
-        void operator()(const record_chat&) const {}
-        void operator()(const answer_error& it) const { port.answer(it); }
-        void operator()(const answer_stored& it) const { port.answer(it); }
-        void operator()(const end_request& it) const { port.end(it); }
-        void operator()(const wake_at& it) const { port.wake(it); }
-    };
-    for (const auto& action : actions)
-    {
-        std::visit(performer{*this, number, *port, now}, action);
     }
 }
 
--- a/src/mangovane/routing/coordinator.hpp
+++ b/src/mangovane/routing/coordinator.hpp
@@ -1,5 +1,5 @@
-// The decisions of one instance: composes its aggregates, routes events to request flows and
-// messages to aggregates. It knows no sockets, clock or randomness.
+// The decisions of one instance: routes messages and events to its parts and carries out the
+// actions of request flows. It knows no sockets, clock or randomness.
 #ifndef MANGOVANE_ROUTING_COORDINATOR_HPP
 #define MANGOVANE_ROUTING_COORDINATOR_HPP
 
@@ -9,12 +9,14 @@
 #include <mutex>
 #include <vector>
 
-#include "mangovane/core/sharded_map.hpp"
-#include "mangovane/membership/member_table.hpp"
+#include "mangovane/routing/chat_service.hpp"
+#include "mangovane/routing/flow_table.hpp"
+#include "mangovane/routing/instance_state.hpp"
+#include "mangovane/routing/limit_service.hpp"
+#include "mangovane/routing/local_shares.hpp"
 #include "mangovane/routing/message_sink.hpp"
-#include "mangovane/routing/request_flow.hpp"
-#include "mangovane/routing/request_port.hpp"
-#include "mangovane/settings/registry.hpp"
+#include "mangovane/routing/settings_spread.hpp"
+#include "mangovane/routing/slot_service.hpp"
 
 namespace mangovane
 {
@@ -29,6 +31,19 @@
     bool operator==(const coordinator_options&) const = default;
 };
 
+/// Counts since the start of the process.
+struct coordinator_counters
+{
+    std::uint64_t accepted{0};
+    std::uint64_t attempts{0};
+    std::uint64_t retries{0};
+    std::uint64_t retries_refused{0}; ///< The retry budget was empty.
+    std::uint64_t stale_grants{0};    ///< Slots that were granted too late and given back.
+    std::uint64_t local_slots{0};     ///< Slots used without the owner.
+
+    auto operator<=>(const coordinator_counters&) const = default;
+};
+
 class coordinator
 {
 public:
@@ -46,43 +61,113 @@
                           endpoints_ptr endpoints,
                           time_point now);
 
+    /// The platform answered a read of the settings' head; newer settings were adopted before.
+    void on_platform_read(time_point now);
+
+    /// What an owned endpoint says about itself.
+    void on_endpoint_report(const endpoint_report& report, time_point now);
+
+    /// An owned endpoint did not answer a poll.
+    void on_endpoint_unreachable(endpoint_id endpoint) { slots_.on_unreachable(endpoint); }
+
+    /// A message of another instance.
+    void on_message(instance_id from, const message& msg, time_point now);
+
+    /// Runs timers of all parts. Called at least each 50 ms.
+    void tick(time_point now);
+
+    /// Leaves the fleet: announces it and gives up all ownership. Running requests go on.
+    void leave(time_point now);
+
     /// Accepts a request; its port is called until `answer` or `end`. Returns the number for
     /// `on_event`.
     std::uint64_t start(routed_request request, std::shared_ptr<request_port> port, time_point now);
 
-    void on_event(std::uint64_t number, const flow_event& event, time_point now);
+    /// An event of a running request; false when the request has ended.
+    bool on_event(std::uint64_t number, const flow_event& event, time_point now);
 
-    [[nodiscard]] settings_registry& settings() noexcept { return settings_; }
-    [[nodiscard]] routing_table_ptr routes() const;
-    [[nodiscard]] view_ptr view() const;
+    [[nodiscard]] instance_state& state() noexcept { return state_; }
+    [[nodiscard]] settings_registry& settings() noexcept { return state_.settings(); }
+    [[nodiscard]] slot_service& slots() noexcept { return slots_; }
+    [[nodiscard]] chat_service& chats() noexcept { return chats_; }
+    [[nodiscard]] routing_table_ptr routes() const { return state_.routes(); }
+    [[nodiscard]] view_ptr view() const { return state_.view(); }
+    [[nodiscard]] coordinator_counters counters() const;
 
     /// Requests accepted and not ended.
     [[nodiscard]] std::size_t running() { return flows_.size(); }
 
 private:
-    struct running_flow
-    {
-        request_flow flow;
-        std::shared_ptr<request_port> port;
-    };
-
-    void perform(std::uint64_t number,
-                 const std::shared_ptr<request_port>& port,
-                 const flow_actions& actions,
-                 time_point now);
-    void rebuild_routes();
+    class budget_gate;
+    struct action_performer;
+
+    using handler = void (coordinator::*)(instance_id, const message&, time_point);
+
+    /// Table of handlers in the order of the message variant.
+    template <class... Messages>
+    static constexpr auto make_table(const std::variant<Messages...>*);
+    template <class Message>
+    void dispatch(instance_id from, const message& msg, time_point now);
+    template <class Message>
+    void handle(instance_id from, const Message& msg, time_point now);
+    void to_flow(instance_id from, const slot_grant& msg, time_point now);
+    void to_flow(instance_id from, const slot_refusal& msg, time_point now);
+
+    void send(const outgoing_messages& list, time_point now);
+    void send(const outgoing_message& msg, time_point now);
+    void perform(std::uint64_t number, const flow_step& step, time_point now);
+    void ask_limits(std::uint64_t number, time_point now);
+    void grant_limits(std::uint64_t number, std::vector<limit_rule> rules, time_point now);
+    void ask_local(std::uint64_t number, const slot_request& request, time_point now);
+    [[nodiscard]] std::vector<limit_rule> limits_of(std::uint64_t number);
+    [[nodiscard]] std::optional<instance_id> owner_of(endpoint_id endpoint) const;
+    void recheck_limits(time_point now);
+    void renew_slots(time_point now);
+    void
+    on_view_change(const membership_view& before, const membership_view& after, time_point now);
+    void follow_view(time_point now);
+    void open_fence();
+    [[nodiscard]] flow_context context(std::uint64_t number,
+                                       std::uint64_t salt,
+                                       const routing_table& routes,
+                                       const membership_view& view,
+                                       time_point now);
 
     coordinator_options options_;
-    [[maybe_unused]] message_sink& sink_;
-    settings_registry settings_;
+    message_sink& sink_;
+    instance_state state_;
+    slot_service slots_;
+    chat_service chats_;
+    limit_service limits_;
+    local_shares shares_;
+    settings_spread spread_;
+    flow_table flows_;
     std::unique_ptr<placement_strategy> strategy_;
-    std::unique_ptr<retry_gate> retries_;
-    mutable std::mutex mutex_;
-    endpoints_ptr endpoints_;  ///< Never null. Guarded by `mutex_`.
-    routing_table_ptr routes_; ///< Never null. Guarded by `mutex_`.
-    view_ptr view_;            ///< Never null. Guarded by `mutex_`.
+    std::unique_ptr<budget_gate> retries_;
     std::atomic<std::uint64_t> next_number_{1};
-    sharded_map<std::uint64_t, running_flow, 64> flows_;
+    std::atomic<std::uint64_t> next_salt_{1}; ///< Makes the chance of each event its own.
+
+    /// A request that waits for limits.
+    struct waiting_limit
+    {
+        std::uint64_t number;
+        time_point give_up_at;
+    };
+
+    struct counter_set
+    {
+        std::atomic<std::uint64_t> accepted{0};
+        std::atomic<std::uint64_t> attempts{0};
+        std::atomic<std::uint64_t> stale_grants{0};
+        std::atomic<std::uint64_t> local_slots{0};
+    };
+
+    counter_set counters_;
+    std::mutex mutex_;
+    view_ptr followed_view_;             ///< View whose ownership is in force. Guarded by `mutex_`.
+    routing_table_ptr followed_routes_;  ///< Guarded by `mutex_`.
+    time_point renewed_at_{};            ///< Guarded by `mutex_`.
+    std::vector<waiting_limit> waiting_; ///< Guarded by `mutex_`.
 };
 
 } // namespace mangovane
--- a/src/mangovane/routing/flow_event.hpp
+++ b/src/mangovane/routing/flow_event.hpp
@@ -130,6 +130,7 @@
 struct give_back
 {
     slot_release release;
+    bool local{false}; ///< The slot is of the instance's own share.
     auto operator<=>(const give_back&) const = default;
 };
 
--- /dev/null
+++ b/src/mangovane/routing/flow_table.hpp
@@ -0,0 +1,60 @@
+// The requests that are running at an instance, and the slots they hold.
+#ifndef MANGOVANE_ROUTING_FLOW_TABLE_HPP
+#define MANGOVANE_ROUTING_FLOW_TABLE_HPP
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "mangovane/core/sharded_map.hpp"
+#include "mangovane/routing/request_flow.hpp"
+#include "mangovane/routing/request_port.hpp"
+
+namespace mangovane
+{
+
+/// Result of one step of a flow.
+struct flow_step
+{
+    flow_actions actions;
+    std::shared_ptr<request_port> port; ///< Null when the request is not running.
+    bool ended{false};                  ///< This step was the flow's last.
+    std::vector<limit_rule> limits;     ///< Acquired by the request; set when it has ended.
+};
+
+class flow_table
+{
+public:
+    void insert(std::uint64_t number, request_flow flow, std::shared_ptr<request_port> port);
+
+    /// Handles an event under the lock of the request's shard.
+    [[nodiscard]] flow_step
+    step(std::uint64_t number, const flow_event& event, const flow_context& ctx);
+
+    /// Remembers the limits that a request has acquired; false when it is not running.
+    bool set_limits(std::uint64_t number, std::vector<limit_rule> limits);
+
+    /// Account of a running request.
+    [[nodiscard]] std::optional<account_id> account_of(std::uint64_t number);
+
+    /// Slots held by all requests, by endpoint; slots of the instance's own share are left out.
+    [[nodiscard]] absl::flat_hash_map<endpoint_id, std::vector<held_slot>> held_slots();
+
+    [[nodiscard]] std::size_t size() { return flows_.size(); }
+
+private:
+    struct entry
+    {
+        request_flow flow;
+        std::shared_ptr<request_port> port;
+        std::vector<limit_rule> limits;
+    };
+
+    sharded_map<std::uint64_t, entry, 64> flows_;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/routing/instance_state.hpp
@@ -0,0 +1,54 @@
+// What every part of an instance looks at: its identity, its view, its settings and its endpoints.
+#ifndef MANGOVANE_ROUTING_INSTANCE_STATE_HPP
+#define MANGOVANE_ROUTING_INSTANCE_STATE_HPP
+
+#include <mutex>
+
+#include "mangovane/membership/member_table.hpp"
+#include "mangovane/routing/resume_fence.hpp"
+#include "mangovane/routing/routing_table.hpp"
+#include "mangovane/settings/registry.hpp"
+
+namespace mangovane
+{
+
+class instance_state
+{
+public:
+    instance_state(member self, detector_timing timing, std::uint64_t seed);
+
+    [[nodiscard]] const member& self() const noexcept { return self_; }
+    [[nodiscard]] member_table& members() noexcept { return members_; }
+    [[nodiscard]] settings_registry& settings() noexcept { return settings_; }
+    [[nodiscard]] resume_fence& fence() noexcept { return fence_; }
+
+    [[nodiscard]] view_ptr view() const { return members_.view(); }
+    [[nodiscard]] routing_table_ptr routes() const;
+
+    /// Puts newer settings in force and announces their version.
+    adopt_result adopt(settings_ptr settings);
+
+    /// Replaces the list of endpoints; false when it is the same as before.
+    bool set_endpoints(endpoints_ptr endpoints);
+
+    /// Owner of an endpoint in the current view.
+    [[nodiscard]] std::optional<instance_id> owner_of(const endpoint_info& endpoint) const
+    {
+        return view()->endpoint_owner(endpoint.id, endpoint.domain);
+    }
+
+private:
+    void rebuild();
+
+    member self_;
+    member_table members_;
+    settings_registry settings_;
+    resume_fence fence_;
+    mutable std::mutex mutex_;
+    endpoints_ptr endpoints_;  ///< Never null. Guarded by `mutex_`.
+    routing_table_ptr routes_; ///< Never null. Guarded by `mutex_`.
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/routing/load_summary.hpp
@@ -0,0 +1,65 @@
+// The load of one service, summed at its summary owner from the reports of the owners of its
+// endpoints.
+#ifndef MANGOVANE_ROUTING_LOAD_SUMMARY_HPP
+#define MANGOVANE_ROUTING_LOAD_SUMMARY_HPP
+
+#include <absl/container/flat_hash_map.h>
+
+#include "mangovane/core/time.hpp"
+#include "mangovane/ledger/bound.hpp"
+#include "mangovane/message/load.hpp"
+
+namespace mangovane
+{
+
+/// Period of load reports.
+inline constexpr milliseconds load_period{500};
+/// Shortest time between two reports when the load changes.
+inline constexpr milliseconds load_period_on_change{100};
+/// A report older than this is not used.
+inline constexpr milliseconds load_validity{2000};
+/// A mean is used for longer than a report: while a summary owner is replaced, an owner's own
+/// endpoints would be a poor sample of the service.
+inline constexpr milliseconds mean_validity{6000};
+
+class load_summary
+{
+public:
+    /// Takes a report and returns the load over all reports that are still valid.
+    [[nodiscard]] load_mean on_report(instance_id from, const load_report& msg, time_point now);
+
+private:
+    struct entry
+    {
+        load_report report;
+        time_point valid_until;
+    };
+
+    absl::flat_hash_map<instance_id, entry> reports_; ///< Expired ones go with the next report.
+};
+
+/// What an owner of endpoints knows of the load of their service.
+class known_load
+{
+public:
+    void on_mean(const load_mean& msg, time_point now);
+
+    /// Load of the service; the owner's own sum when no valid mean is known.
+    [[nodiscard]] service_load value(const service_load& own, time_point now) const;
+
+    /// Whether a report is due; remembers it as sent.
+    [[nodiscard]] bool take_due(const service_load& own, time_point now);
+
+    /// What this instance reported last; part of the mean that came in answer to it.
+    [[nodiscard]] const service_load& reported() const noexcept { return reported_; }
+
+private:
+    service_load mean_;
+    time_point mean_valid_until_{};
+    service_load reported_;
+    time_point reported_at_{};
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/routing/request_flow.cpp
+++ b/src/mangovane/routing/request_flow.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "mangovane/ledger/endpoint_ledger.hpp"
+#include "mangovane/placement/chat_directory.hpp"
 
 namespace mangovane
 {
@@ -97,11 +98,6 @@
     return std::exchange(actions_, {});
 }
 
-void request_flow::on_renewed(time_point sent_at)
-{
-    lease_until_ = std::max(lease_until_, sent_at + slot_lease);
-}
-
 void request_flow::on(const limits_decided& event, const flow_context& ctx)
 {
     if (stage_ != stage::admitting)
@@ -135,6 +131,12 @@
     {
         return;
     }
+    ++chat_answers_;
+    if (event.locations.empty() && chat_answers_ < chat_copies)
+    {
+        // The other copy may know the chat: this one may have been replaced.
+        return;
+    }
     locations_ = event.locations.empty() ? request_.hint : event.locations;
     make_plan(ctx);
 }
@@ -382,8 +384,9 @@
 
 bool request_flow::may_dispatch(const flow_context& ctx) const
 {
-    return ctx.now < request_.deadline && ctx.now < lease_until_ &&
-           ctx.now < ctx.view.valid_until() && !ctx.routes.closed(endpoint_);
+    return ctx.now < request_.deadline && ctx.now < lease_until_ && !ctx.fenced &&
+           asked_at_ >= ctx.resumed_at && ctx.now < ctx.view.valid_until() &&
+           !ctx.routes.closed(endpoint_);
 }
 
 void request_flow::dispatch_or_claim(const flow_context& ctx)
@@ -585,14 +588,14 @@
 
 void request_flow::abandon_ask()
 {
-    act(give_back{slot_release{attempt_, endpoint_, attempt_outcome::cancelled, 0}});
+    act(give_back{slot_release{attempt_, endpoint_, attempt_outcome::cancelled, 0}, slot_local_});
 }
 
 void request_flow::give_slot_back(attempt_outcome outcome, std::uint32_t first_token_ms)
 {
     if (std::exchange(slot_held_, false))
     {
-        act(give_back{slot_release{attempt_, endpoint_, outcome, first_token_ms}});
+        act(give_back{slot_release{attempt_, endpoint_, outcome, first_token_ms}, slot_local_});
     }
 }
 
--- a/src/mangovane/routing/request_flow.hpp
+++ b/src/mangovane/routing/request_flow.hpp
@@ -34,6 +34,8 @@
     retry_gate& retries;
     std::uint64_t seed{0}; ///< Source of chance for this event.
     time_point now;
+    bool fenced{false}; ///< The process was paused and has not heard from others since.
+    time_point resumed_at{time_point::min()}; ///< End of the last pause.
 };
 
 class request_flow
@@ -59,9 +61,6 @@
     [[nodiscard]] time_point lease_until() const noexcept { return lease_until_; }
     [[nodiscard]] const routed_request& request() const noexcept { return request_; }
 
-    /// The owner has heard of the slot in a renewal sent at `sent_at`.
-    void on_renewed(time_point sent_at);
-
     /// Low bits of attempt sequences and tickets that count inside a request.
     static constexpr unsigned number_shift = 12;
 
@@ -151,10 +150,11 @@
     std::vector<load_answer> loads_;    ///< Answers to the load queries of the current sample.
     std::vector<endpoint_id> excluded_; ///< Endpoints that failed an attempt of this request.
     std::size_t loads_wanted_{0};
-    std::uint64_t ticket_{0}; ///< Of the outstanding queries.
-    endpoint_id endpoint_;    ///< Of the slot asked for or held.
-    time_point asked_at_;     ///< When the slot was asked for: its lease runs from here.
-    time_point lease_until_;  ///< No dispatch after this.
+    std::size_t chat_answers_{0}; ///< Answers of directory copies so far.
+    std::uint64_t ticket_{0};     ///< Of the outstanding queries.
+    endpoint_id endpoint_;        ///< Of the slot asked for or held.
+    time_point asked_at_;         ///< When the slot was asked for: its lease runs from here.
+    time_point lease_until_;      ///< No dispatch after this.
     bool slot_held_{false};
     bool slot_local_{false};
     bool claim_held_{false};
--- /dev/null
+++ b/src/mangovane/routing/settings_spread.cpp
@@ -0,0 +1,53 @@
+// Implementation of the spread of settings.
+#include "mangovane/routing/settings_spread.hpp"
+
+#include "mangovane/settings/parse.hpp"
+
+namespace mangovane
+{
+
+outgoing_messages settings_spread::on(instance_id from, const settings_query& msg) const
+{
+    const auto current = state_.settings().current();
+    if (!current || current->stamp.version <= msg.have.version)
+    {
+        return {};
+    }
+    return {{from, settings_content{current->stamp, current->text}}};
+}
+
+void settings_spread::on(instance_id, const settings_content& msg)
+{
+    const auto current = state_.settings().current();
+    if (current && current->stamp.version >= msg.stamp.version)
+    {
+        return;
+    }
+    auto parsed = parse_settings(msg.text, msg.stamp.version);
+    if (parsed.ok() && (*parsed)->stamp == msg.stamp)
+    {
+        state_.adopt(*parsed);
+    }
+}
+
+outgoing_messages settings_spread::tick(time_point now)
+{
+    instance_id holder;
+    const auto newest = state_.members().newest_settings(holder);
+    state_.settings().note_heard(newest);
+    const auto current = state_.settings().current();
+    const auto have = current ? current->stamp : settings_stamp{};
+    if (newest.version <= have.version || holder == state_.self().id)
+    {
+        return {};
+    }
+    const std::lock_guard lock{mutex_};
+    if (now < asked_at_ + query_period)
+    {
+        return {};
+    }
+    asked_at_ = now;
+    return {{holder, settings_query{have}}};
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/routing/slot_service.hpp
@@ -0,0 +1,100 @@
+// The part of an instance that owns endpoints: their ledgers, and the load of their services.
+#ifndef MANGOVANE_ROUTING_SLOT_SERVICE_HPP
+#define MANGOVANE_ROUTING_SLOT_SERVICE_HPP
+
+#include <cstdint>
+#include <vector>
+
+#include "mangovane/core/sharded_map.hpp"
+#include "mangovane/ledger/endpoint_health.hpp"
+#include "mangovane/ledger/endpoint_ledger.hpp"
+#include "mangovane/routing/instance_state.hpp"
+#include "mangovane/routing/load_summary.hpp"
+
+namespace mangovane
+{
+
+using outgoing_messages = std::vector<outgoing_message>;
+
+/// Status of one owned endpoint.
+struct owned_endpoint_status
+{
+    endpoint_id endpoint;
+    service_id service;
+    ledger_status ledger;
+    std::optional<slot_refusal_reason> closed;
+
+    auto operator<=>(const owned_endpoint_status&) const = default;
+};
+
+class slot_service
+{
+public:
+    /// The state outlives the service.
+    explicit slot_service(instance_state& state);
+
+    [[nodiscard]] outgoing_messages on(instance_id from, const slot_request& msg, time_point now);
+    [[nodiscard]] outgoing_messages on(instance_id from, const slot_release& msg, time_point now);
+    [[nodiscard]] outgoing_messages on(instance_id from, const slot_renewal& msg, time_point now);
+    [[nodiscard]] outgoing_messages on(instance_id from, const load_query& msg, time_point now);
+    [[nodiscard]] outgoing_messages on(instance_id from, const load_report& msg, time_point now);
+    [[nodiscard]] outgoing_messages on(instance_id from, const load_mean& msg, time_point now);
+
+    /// What an owned endpoint says about itself.
+    [[nodiscard]] outgoing_messages on_report(const endpoint_report& report, time_point now);
+
+    /// An owned endpoint did not answer a poll.
+    void on_unreachable(endpoint_id endpoint);
+
+    /// Takes over and gives up endpoints after a change of view or of the list.
+    [[nodiscard]] outgoing_messages update_ownership(time_point now);
+
+    /// Runs the ledgers and sends load reports that are due.
+    [[nodiscard]] outgoing_messages tick(time_point now);
+
+    /// Gives up all endpoints; this instance leaves.
+    [[nodiscard]] outgoing_messages resign();
+
+    [[nodiscard]] std::vector<endpoint_id> owned();
+    [[nodiscard]] std::vector<owned_endpoint_status> status(time_point now);
+
+    /// Load of a service as this instance knows it.
+    [[nodiscard]] service_load load_of(service_id service, time_point now);
+
+private:
+    struct owned_endpoint
+    {
+        endpoint_ledger ledger;
+        service_id service;
+        std::uint32_t counted{0}; ///< In flight as contained in `own_loads_` of the last tick.
+        bool reports_leaving{false};
+        endpoint_health health;
+    };
+
+    struct service_state
+    {
+        known_load known;
+        service_load own; ///< Sum over owned endpoints at the last tick.
+    };
+
+    /// Runs `action(entry, ctx)` on an owned endpoint; false when it is not owned or has no
+    /// settings.
+    template <class Action>
+    bool with_owned(endpoint_id endpoint, time_point now, Action&& action);
+
+    void sum_own_loads(time_point now);
+    [[nodiscard]] outgoing_messages report_loads(time_point now);
+    [[nodiscard]] std::optional<slot_refusal_reason> closed(const owned_endpoint& entry,
+                                                            const routing_table& routes,
+                                                            endpoint_id endpoint,
+                                                            time_point now) const;
+
+    instance_state& state_;
+    sharded_map<endpoint_id, owned_endpoint, 64> ledgers_;
+    sharded_map<service_id, service_state> services_;
+    sharded_map<service_id, load_summary> summaries_;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/test/mangovane/observe/request_metrics.cpp
@@ -0,0 +1,93 @@
+// Tests of the request metrics.
+#include "mangovane/observe/request_metrics.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangovane;
+
+namespace
+{
+
+request_record make_record(const std::string& account, milliseconds total)
+{
+    request_record result;
+    result.account = account_id::of(account);
+    result.account_name = account;
+    result.outcome = "ok";
+    result.total = total;
+    return result;
+}
+
+bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("metrics of requests")
+{
+    request_metrics metrics{2};
+    metrics.on_request_end(make_record("a", milliseconds{3}));
+    metrics.on_request_end(make_record("b", milliseconds{30}));
+    metrics.on_request_end(make_record("c", milliseconds{300}));
+
+    SUBCASE("keep the number of account labels bounded")
+    {
+        const auto text = metrics.text(true);
+        CHECK(has(text, "account=\"a\""));
+        CHECK(has(text, "account=\"b\""));
+        CHECK_FALSE(has(text, "account=\"c\""));
+        CHECK(has(text, "account=\"other\""));
+
+        SUBCASE("and give labels to the accounts that are busy now, without losing counts")
+        {
+            for (int n = 0; n != 5; ++n)
+            {
+                metrics.on_request_end(make_record("c", milliseconds{300}));
+                metrics.on_request_end(make_record("a", milliseconds{3}));
+            }
+            metrics.rotate_labels();
+            metrics.on_request_end(make_record("c", milliseconds{300}));
+            const auto later = metrics.text(true);
+            CHECK(
+                has(later, "mangovane_request_seconds_count{account=\"c\",class=\"standard\"} 1"));
+            CHECK(has(later,
+                      "mangovane_request_seconds_count{account=\"other\",class=\"standard\"} 7"));
+            CHECK_FALSE(has(later, "account=\"b\""));
+        }
+    }
+
+    SUBCASE("do not name accounts to callers")
+    {
+        const auto text = metrics.text(false);
+        CHECK_FALSE(has(text, "account="));
+        CHECK(has(text, "mangovane_request_seconds_bucket{class=\"standard\",le=\"0.005\"} 1"));
+        CHECK(has(text, "mangovane_requests_total{outcome=\"ok\"} 3"));
+    }
+}
+
+TEST_CASE("a latency series")
+{
+    latency_series series;
+    for (int n = 1; n <= 100; ++n)
+    {
+        series.add(milliseconds{n});
+    }
+
+    SUBCASE("places a quantile in its bucket")
+    {
+        CHECK(series.quantile_ms(0.5) == 50);
+        CHECK(series.quantile_ms(0.99) == 100);
+        CHECK(latency_series{}.quantile_ms(0.5) == 0);
+    }
+
+    SUBCASE("adds up when merged")
+    {
+        latency_series sum;
+        sum.merge(series);
+        sum.merge(series);
+        CHECK(sum.count() == 200);
+        CHECK(sum.quantile_ms(0.5) == 50);
+    }
+}
--- /dev/null
+++ b/test/stateful/fleet.hpp
@@ -0,0 +1,230 @@
+// Several instances' decision objects on a fake clock, with fake engines, table and network, and
+// the oracle that checks the promises after every step. Not a cluster simulator: no threads, no
+// sockets, no disks.
+#ifndef MANGOVANE_TEST_STATEFUL_FLEET_HPP
+#define MANGOVANE_TEST_STATEFUL_FLEET_HPP
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fake_engine.hpp"
+#include "fake_table.hpp"
+#include "mangovane/idempotency/claim_batch.hpp"
+#include "mangovane/routing/coordinator.hpp"
+
+namespace mangovane::test
+{
+
+/// Deliberate faults, one for each promise, to show that the oracle finds them.
+enum class planted_fault : std::uint8_t
+{
+    none,
+    ignore_bound,      ///< Owners see a service load ten times as high.
+    ignore_ramp,       ///< Cold endpoints are treated as warm.
+    ignore_domain_out, ///< Instances keep their first settings' list of domains.
+    swap_answers,      ///< A caller gets another call's answer.
+    lie_not_run,       ///< Lost answers are told as "not run".
+    claim_twice,       ///< Every claim is won.
+    ignore_leaving,    ///< The list never says that an endpoint leaves.
+    cut_on_shutdown,   ///< Running requests are dropped at shutdown.
+    settings_fall,     ///< An older version is put in force.
+};
+
+/// What a caller was told.
+enum class call_end : std::uint8_t
+{
+    open,
+    answered,
+    stored,
+    refused,
+    cut,
+};
+
+/// One call of a caller.
+struct fleet_call
+{
+    std::uint64_t id{0};
+    bool idempotent{false};
+    std::string key;
+    std::size_t node{0};
+    call_end end{call_end::open};
+    error_kind kind{error_kind::internal};
+    std::uint64_t answer{0}; ///< Id of the call whose answer was delivered.
+    time_point deadline;
+    std::uint32_t runs{0}; ///< Runs at engines.
+    bool node_died{false};
+};
+
+class fleet_port;
+
+/// One instance.
+struct fleet_node
+{
+    std::string name;
+    std::string domain;
+    std::size_t index{0};
+    instance_id id;
+    incarnation epoch{1};
+    bool alive{true};
+    bool paused{false};
+    bool leaving{false};
+    time_point resumed_at{};
+    std::unique_ptr<message_sink> sink;
+    std::unique_ptr<coordinator> core;
+    std::unique_ptr<fake_table> table;
+    std::unique_ptr<claim_batch> claims;
+    std::deque<std::function<void()>> inbox;                    ///< Waits while paused.
+    std::map<std::uint64_t, std::shared_ptr<fleet_port>> ports; ///< Running requests by number.
+    std::uint64_t settings_version{0};                          ///< Highest seen by the oracle.
+    std::uint64_t control_bytes{0};
+};
+
+struct fleet_options
+{
+    std::vector<std::string> domains{"a", "b", "c"};
+    std::size_t nodes{4};
+    std::size_t engines{6};
+    std::size_t services{2};
+    planted_fault fault{planted_fault::none};
+    std::uint64_t seed{1};
+};
+
+class fleet
+{
+public:
+    explicit fleet(fleet_options options);
+    ~fleet();
+
+    // Commands.
+    void advance(milliseconds time);
+    void call(std::size_t node, bool idempotent, const std::string& key);
+    void kill(std::size_t node);
+    void replace(std::size_t node);
+    void pause(std::size_t node);
+    void resume(std::size_t node);
+    void shut_down(std::size_t node);
+    void engine_down(std::size_t engine);
+    void engine_up(std::size_t engine);
+    void engine_cold(std::size_t engine);
+    void engine_leave(std::size_t engine);
+    void engine_return(std::size_t engine);
+    void engine_break_next(std::size_t engine);
+    void engine_cross_next(std::size_t engine);
+    void cut_domains(std::size_t lhs, std::size_t rhs);
+    void cut_platform(std::size_t domain);
+    void heal();
+    void store(bool down, bool lose_answers, milliseconds delay);
+    void change_settings(std::size_t domain, bool out);
+    void stale_list(bool stale) { stale_list_ = stale; }
+
+    /// Ends all faults and lets everything settle.
+    void settle();
+
+    /// Promises that were broken, in plain words; empty when all hold.
+    [[nodiscard]] const std::vector<std::string>& violations() const noexcept
+    {
+        return violations_;
+    }
+
+    [[nodiscard]] std::size_t node_count() const noexcept { return nodes_.size(); }
+    [[nodiscard]] std::size_t engine_count() const noexcept { return engines_.size(); }
+    [[nodiscard]] std::size_t domain_count() const noexcept { return options_.domains.size(); }
+    [[nodiscard]] const std::vector<fleet_call>& calls() const noexcept { return calls_; }
+    [[nodiscard]] time_point now() const noexcept { return now_; }
+    [[nodiscard]] fleet_node& node(std::size_t n) { return *nodes_[n]; }
+    [[nodiscard]] const fake_engine& engine(std::size_t n) const { return engines_[n]; }
+
+private:
+    friend class fleet_port;
+    friend class fleet_sink;
+
+    struct packet
+    {
+        time_point at;
+        std::size_t from;
+        incarnation epoch;
+        instance_id to;
+        message body;
+    };
+
+    void start_node(fleet_node& node);
+    void step();
+    void deliver();
+    void run_node(fleet_node& node);
+    void run_engines();
+    void poll_engines(fleet_node& node);
+    void refresh_node(fleet_node& node);
+    void send(std::size_t from, const outgoing_message& msg);
+    void send_attempt_to(fleet_node& node,
+                         std::uint64_t number,
+                         std::uint64_t call,
+                         const send_attempt& action);
+    void report_end(fleet_node& node, std::uint64_t number, time_point at, attempt_ended event);
+    void end_run(const fake_engine& engine, const engine_run& run);
+    [[nodiscard]] std::uint64_t chance();
+    [[nodiscard]] bool linked(const std::string& lhs, const std::string& rhs) const;
+    [[nodiscard]] std::string settings_text() const;
+    void publish_settings();
+    void fail(std::string text);
+
+    // The oracle.
+    void note_disturbance() { disturbed_at_ = now_; }
+    void check_run_started(const fake_engine& engine, const fleet_node& node, std::uint64_t id);
+    void check_loads();
+    void check_ramp(const fake_engine& engine);
+    void check_calls();
+    void check_call_end(const fleet_call& call);
+    [[nodiscard]] bool is_isolated(const std::string& domain) const;
+    void check_settings();
+    [[nodiscard]] std::uint32_t bound_of(const fake_engine& engine) const;
+
+    /// True load of a service at one time.
+    struct load_sample
+    {
+        time_point at;
+        /// By service and by the domain from which the endpoints are reachable.
+        std::map<std::pair<std::uint64_t, std::string>, service_load> loads;
+    };
+
+    /// The end of an attempt on its way to the instance.
+    struct ending
+    {
+        time_point at;
+        std::size_t node;
+        incarnation epoch;
+        std::uint64_t number;
+        attempt_ended event;
+    };
+
+    fleet_options options_;
+    time_point now_{seconds{1000}};
+    std::vector<std::unique_ptr<fleet_node>> nodes_;
+    std::vector<fake_engine> engines_;
+    std::vector<packet> packets_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::set<std::string> platform_cuts_;
+    table_rows rows_;
+    platform_list list_;
+    bool stale_list_{false};
+    settings_ptr head_;
+    std::map<std::string, time_point> domains_out_; ///< With the time of acceptance.
+    std::vector<fleet_call> calls_;
+    std::map<std::string, std::uint32_t> runs_of_key_;
+    std::vector<ending> endings_;
+    std::size_t first_open_call_{0};
+    std::deque<load_sample> samples_;
+    time_point disturbed_at_{};
+    time_point healed_at_{};
+    std::uint64_t steps_{0};
+    std::uint64_t chance_{0};
+    std::vector<std::string> violations_;
+};
+
+} // namespace mangovane::test
+
+#endif
--- /dev/null
+++ b/test/stateful/fleet_oracle.cpp
@@ -0,0 +1,201 @@
+// The oracle: what must hold after every step of the fake fleet.
+#include <algorithm>
+#include <cmath>
+
+#include <absl/strings/str_cat.h>
+
+#include "fleet.hpp"
+
+namespace mangovane::test
+{
+
+namespace
+{
+
+/// The load of a service may be known this late: two load periods and the way to the summary and
+/// back.
+constexpr milliseconds load_knowledge{3000};
+/// Views agree again after this time: probe, suspicion, spread, and one slot lease for the
+/// rebuilding.
+constexpr milliseconds agreement{9000};
+/// New work ends this long after a domain was taken out or an endpoint began to leave.
+constexpr milliseconds drain_time{3000};
+/// An owner learns of a cold endpoint by its next poll, or by the end of requests.
+constexpr milliseconds cold_notice{1200};
+/// A call is answered this long after its deadline at the latest.
+constexpr milliseconds answer_slack{2000};
+
+} // namespace
+
+void fleet::check_run_started(const fake_engine& engine, const fleet_node& node, std::uint64_t id)
+{
+    auto& call = calls_[id];
+    ++call.runs;
+    if (!call.idempotent)
+    {
+        const auto n = call.key.empty() ? call.runs : ++runs_of_key_[call.key];
+        if (n > 1)
+        {
+            fail(absl::StrCat("call ", id, " with key '", call.key, "' ran ", n, " times"));
+        }
+    }
+    if (call.end == call_end::refused && answer_for(call.kind).not_run)
+    {
+        fail(absl::StrCat("call ", id, " ran after it was told 'not run'"));
+    }
+    if (now_ > engine.left_at + drain_time && !stale_list_)
+    {
+        fail(absl::StrCat("new work at leaving ", engine.info.name));
+    }
+    const auto out = domains_out_.find(engine.domain);
+    const bool isolated = is_isolated(node.domain) || is_isolated(engine.domain);
+    if (out != domains_out_.end() && now_ > out->second + drain_time && !isolated)
+    {
+        fail(absl::StrCat("new work in domain ", engine.domain, " that was taken out, from ",
+                          node.name));
+    }
+}
+
+bool fleet::is_isolated(const std::string& domain) const
+{
+    // A domain that hears neither the platform nor the others keeps its last settings.
+    const bool cut =
+        std::any_of(cuts_.begin(), cuts_.end(),
+                    [&](const auto& it) { return it.first == domain || it.second == domain; });
+    return (cut && platform_cuts_.contains(domain)) || now_ < healed_at_ + drain_time;
+}
+
+std::uint32_t fleet::bound_of(const fake_engine& engine) const
+{
+    const service_policy policy;
+    std::uint32_t result = 0;
+    for (const auto& sample : samples_)
+    {
+        const auto it = sample.loads.find({engine.info.service.value(), engine.domain});
+        if (it != sample.loads.end())
+        {
+            result = std::max(result, load_bound_slots(policy, it->second));
+        }
+    }
+    if (now_ < disturbed_at_ + agreement || !cuts_.empty())
+    {
+        // A former and a new owner together.
+        result = static_cast<std::uint32_t>(std::ceil(1.25 * result)) + 1;
+    }
+    return result;
+}
+
+void fleet::check_loads()
+{
+    if (steps_ % 5 != 0)
+    {
+        return;
+    }
+    load_sample sample{now_, {}};
+    for (const auto& domain : options_.domains)
+    {
+        for (const auto& it : engines_)
+        {
+            if (linked(domain, it.domain))
+            {
+                auto& load = sample.loads[{it.info.service.value(), domain}];
+                load.total_in_flight += it.in_flight();
+                const bool ready = it.up && !it.leaving && !domains_out_.contains(it.domain);
+                load.ready_endpoints += ready ? 1U : 0U;
+            }
+        }
+    }
+    samples_.push_back(std::move(sample));
+    while (samples_.front().at + load_knowledge < now_)
+    {
+        samples_.pop_front();
+    }
+    for (const auto& it : engines_)
+    {
+        const auto bound = bound_of(it);
+        if (it.in_flight() > bound)
+        {
+            fail(absl::StrCat(it.info.name, " carries ", it.in_flight(), ", bound ", bound));
+        }
+        check_ramp(it);
+    }
+}
+
+void fleet::check_ramp(const fake_engine& engine)
+{
+    const service_policy policy;
+    const auto known_since = engine.cold_since + cold_notice;
+    // Requests that were admitted before the notice end within a second.
+    if (now_ < known_since + seconds{1} || now_ > engine.cold_since + seconds{10} || !cuts_.empty())
+    {
+        return;
+    }
+    const auto steps = (now_ - engine.cold_since) / policy.ramp_step + 1;
+    const auto allowed = policy.ramp_start << static_cast<unsigned>(steps);
+    if (engine.in_flight() > allowed)
+    {
+        fail(absl::StrCat("cold ", engine.info.name, " carries ", engine.in_flight(), ", ramp ",
+                          allowed));
+    }
+}
+
+void fleet::check_calls()
+{
+    for (std::size_t n = first_open_call_; n != calls_.size(); ++n)
+    {
+        const auto& call = calls_[n];
+        const auto& node = *nodes_[call.node];
+        if (call.end != call_end::open)
+        {
+            first_open_call_ += n == first_open_call_ ? 1U : 0U;
+            continue;
+        }
+        const auto late = std::max(call.deadline, node.resumed_at) + answer_slack;
+        if (node.alive && !node.paused && now_ > late)
+        {
+            fail(absl::StrCat("call ", n, " got no answer"));
+            calls_[n].end = call_end::cut;
+        }
+    }
+}
+
+void fleet::check_call_end(const fleet_call& call)
+{
+    if (call.end == call_end::refused && answer_for(call.kind).not_run && call.runs != 0)
+    {
+        fail(absl::StrCat("call ", call.id, " was told 'not run' (",
+                          answer_for(call.kind).name.data(), ") but had run"));
+    }
+    if (call.end == call_end::answered && call.answer != call.id)
+    {
+        fail(absl::StrCat("call ", call.id, " got the answer of call ", call.answer));
+    }
+    if (call.end == call_end::stored && calls_[call.answer].key != call.key)
+    {
+        fail(absl::StrCat("call ", call.id, " got the stored answer of another key"));
+    }
+    if (call.end == call_end::cut && nodes_[call.node]->leaving)
+    {
+        fail(absl::StrCat("call ", call.id, " was cut by a graceful shutdown"));
+    }
+}
+
+void fleet::check_settings()
+{
+    for (auto& it : nodes_)
+    {
+        if (!it->alive)
+        {
+            continue;
+        }
+        const auto current = it->core->settings().current();
+        const auto version = current ? current->stamp.version : 0;
+        if (version < it->settings_version)
+        {
+            fail(absl::StrCat(it->name, " fell back to settings version ", version));
+        }
+        it->settings_version = std::max(it->settings_version, version);
+    }
+}
+
+} // namespace mangovane::test
