Add the client of the platform's services and its protocol

Cause: claims, settings and membership need the platform, and other parts wait for its client.

Change: http_platform serves the table, the objects and the instance list over four kept-alive connections on one strand. It does not retry. An idle connection is checked for a close by the peer before reuse, because a write lost on it would have to be read back.

Conclusion: the interface can be built on; the network path is not yet proven.

--- a/src/mangovane/platform/fwd.hpp
+++ b/src/mangovane/platform/fwd.hpp
@@ -8,6 +8,8 @@
 class table_service;
 class object_store;
 class instance_list;
+class http_platform;
+class http_pool;
 
 } // namespace mangovane
 
--- /dev/null
+++ b/src/mangovane/platform/http_platform.cpp
@@ -0,0 +1,144 @@
+// Implementation of the platform's services over HTTP.
+#include "mangovane/platform/http_platform.hpp"
+
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovane/platform/http_pool.hpp"
+#include "mangovane/platform/platform_codec.hpp"
+
+namespace mangovane
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+http_pool::request make_request(http::verb verb, const std::string& target, std::string body = {})
+{
+    http_pool::request req{verb, target, 11};
+    if (!body.empty())
+    {
+        req.set(http::field::content_type, "application/json");
+    }
+    req.body() = std::move(body);
+    return req;
+}
+
+/// Error of an answer whose status is not 2xx.
+absl::Status error_of(unsigned status)
+{
+    const auto text = absl::StrCat("the platform answered ", status);
+    if (status == 404)
+    {
+        return absl::NotFoundError(text);
+    }
+    if (status == 429)
+    {
+        return absl::ResourceExhaustedError(text);
+    }
+    if (status >= 400 && status < 500)
+    {
+        return absl::InvalidArgumentError(text);
+    }
+    return absl::UnavailableError(text);
+}
+
+/// The body of a successful answer.
+absl::StatusOr<std::string> body_of(absl::StatusOr<http_answer> answer)
+{
+    if (!answer.ok())
+    {
+        return answer.status();
+    }
+    if (answer->status < 200 || answer->status > 299)
+    {
+        return error_of(answer->status);
+    }
+    return std::move(answer->body);
+}
+
+/// The row in the answer to a read; a row that does not exist is no error.
+absl::StatusOr<std::optional<table_row>> row_of(absl::StatusOr<http_answer> answer)
+{
+    const auto body = body_of(std::move(answer));
+    if (absl::IsNotFound(body.status()))
+    {
+        return std::optional<table_row>{};
+    }
+    if (!body.ok())
+    {
+        return body.status();
+    }
+    auto row = decode_row(*body);
+    if (!row.ok())
+    {
+        return row.status();
+    }
+    return std::optional<table_row>{*std::move(row)};
+}
+
+} // namespace
+
+http_platform::http_platform(std::shared_ptr<http_pool> pool) : pool_{std::move(pool)} {}
+
+http_platform::~http_platform() = default;
+
+void http_platform::read(std::string key, time_point deadline, read_handler handler)
+{
+    pool_->send(make_request(http::verb::get, "/v1/table/" + encode_path_segment(key)), deadline,
+                [handler = std::move(handler)](absl::StatusOr<http_answer> answer)
+                { handler(row_of(std::move(answer))); });
+}
+
+void http_platform::write(std::vector<table_write> writes,
+                          time_point deadline,
+                          write_handler handler)
+{
+    pool_->send(
+        make_request(http::verb::post, "/v1/table/write", encode_writes(writes)), deadline,
+        [handler = std::move(handler), n = writes.size()](absl::StatusOr<http_answer> answer)
+        {
+            const auto body = body_of(std::move(answer));
+            handler(body.ok() ? decode_results(*body, n) : body.status());
+        });
+}
+
+void http_platform::get(std::string name, time_point deadline, get_handler handler)
+{
+    pool_->send(make_request(http::verb::get, "/v1/objects/" + encode_path_segment(name)), deadline,
+                [handler = std::move(handler)](absl::StatusOr<http_answer> answer)
+                { handler(body_of(std::move(answer))); });
+}
+
+void http_platform::put(std::string name,
+                        std::string content,
+                        time_point deadline,
+                        put_handler handler)
+{
+    auto req = make_request(http::verb::put, "/v1/objects/" + encode_path_segment(name),
+                            std::move(content));
+    req.set(http::field::content_type, "application/octet-stream");
+    pool_->send(std::move(req), deadline,
+                [handler = std::move(handler)](absl::StatusOr<http_answer> answer)
+                { handler(body_of(std::move(answer)).status()); });
+}
+
+void http_platform::fetch(time_point deadline, handler handler)
+{
+    pool_->send(make_request(http::verb::get, "/v1/instances"), deadline,
+                [handler = std::move(handler)](absl::StatusOr<http_answer> answer)
+                {
+                    const auto body = body_of(std::move(answer));
+                    handler(body.ok() ? decode_list(*body) : body.status());
+                });
+}
+
+std::unique_ptr<http_platform> make_http_platform(boost::asio::io_context& io, std::string address)
+{
+    return std::make_unique<http_platform>(std::make_shared<http_pool>(io, std::move(address)));
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/platform/http_platform.hpp
@@ -0,0 +1,50 @@
+// The platform's services over HTTP/1.1 (docs/platform-protocol.md), on a small pool of kept-alive
+// connections. A failed call is reported and never repeated here: only the caller knows whether a
+// repeat is safe.
+#ifndef MANGOVANE_PLATFORM_HTTP_PLATFORM_HPP
+#define MANGOVANE_PLATFORM_HTTP_PLATFORM_HPP
+
+#include <memory>
+#include <string>
+
+#include "mangovane/platform/table_service.hpp"
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace mangovane
+{
+
+class http_pool;
+
+/// Errors: `kDeadlineExceeded`; `kUnavailable` for failures of the network and 5xx;
+/// `kResourceExhausted` for 429 and when too many calls wait; `kNotFound`; `kInvalidArgument` for
+/// other 4xx; `kDataLoss` for a malformed answer. Handlers run on the context, several at once when
+/// several threads run it.
+class http_platform final : public table_service, public object_store, public instance_list
+{
+public:
+    explicit http_platform(std::shared_ptr<http_pool> pool);
+    ~http_platform() override;
+
+    void read(std::string key, time_point deadline, read_handler handler) override;
+    void
+    write(std::vector<table_write> writes, time_point deadline, write_handler handler) override;
+    void get(std::string name, time_point deadline, get_handler handler) override;
+    void
+    put(std::string name, std::string content, time_point deadline, put_handler handler) override;
+    void fetch(time_point deadline, handler handler) override;
+
+private:
+    std::shared_ptr<http_pool> pool_; ///< Calls in flight keep it alive.
+};
+
+/// `address` is `ip:port`; with a malformed one every call ends with `kInvalidArgument`.
+[[nodiscard]] std::unique_ptr<http_platform> make_http_platform(boost::asio::io_context& io,
+                                                                std::string address);
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/platform/http_pool.cpp
@@ -0,0 +1,196 @@
+// Implementation of the pool of connections.
+#include "mangovane/platform/http_pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "mangovane/net/address.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace
+{
+
+absl::Status status_of(const beast::error_code& ec)
+{
+    if (ec == beast::error::timeout)
+    {
+        return absl::DeadlineExceededError("no answer of the platform before the deadline");
+    }
+    return absl::UnavailableError(absl::StrCat("connection to the platform: ", ec.message()));
+}
+
+/// Whether the peer neither closed the connection nor sent anything since the last answer.
+/// Reusing a closed connection would lose a write whose fate then has to be read back.
+bool is_quiet(asio::ip::tcp::socket& socket)
+{
+    beast::error_code ec;
+    char byte = 0;
+    socket.non_blocking(true, ec);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
+} // namespace
+
+http_pool::http_pool(asio::io_context& io, std::string address)
+    : strand_{asio::make_strand(io)}, address_{std::move(address)}, endpoint_{
+                                                                        parse_address(address_)}
+{}
+
+void http_pool::send(request req, time_point deadline, handler done)
+{
+    asio::co_spawn(strand_, run(std::move(req), deadline),
+                   [self = shared_from_this(), done = std::move(done)](
+                       std::exception_ptr error, absl::StatusOr<http_answer> answer) mutable
+                   {
+                       if (error)
+                       {
+                           answer = absl::InternalError("the call to the platform failed");
+                       }
+                       asio::post(self->strand_.get_inner_executor(),
+                                  [done = std::move(done), answer = std::move(answer)]() mutable
+                                  { done(std::move(answer)); });
+                   });
+}
+
+asio::awaitable<absl::StatusOr<http_answer>> http_pool::run(request req, time_point deadline)
+{
+    if (!endpoint_)
+    {
+        co_return absl::InvalidArgumentError("the platform's address is not an ip:port");
+    }
+    const auto acquired = co_await acquire(deadline);
+    if (!acquired.ok())
+    {
+        co_return acquired;
+    }
+    auto answer = co_await exchange(req, deadline);
+    release();
+    co_return answer;
+}
+
+asio::awaitable<absl::Status> http_pool::acquire(time_point deadline)
+{
+    if (clock::now() >= deadline)
+    {
+        co_return absl::DeadlineExceededError("the deadline of a call to the platform has passed");
+    }
+    if (busy_ < max_connections)
+    {
+        ++busy_;
+        co_return absl::OkStatus();
+    }
+    if (waiting_.size() >= max_waiting)
+    {
+        co_return absl::ResourceExhaustedError("too many calls to the platform wait");
+    }
+    asio::steady_timer timer{strand_, deadline};
+    waiting_.push_back(&timer);
+    beast::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    // `release` removes the timer from the list when it passes its connection on.
+    const auto it = std::find(waiting_.begin(), waiting_.end(), &timer);
+    if (it == waiting_.end())
+    {
+        co_return absl::OkStatus();
+    }
+    waiting_.erase(it);
+    co_return absl::DeadlineExceededError("no connection to the platform before the deadline");
+}
+
+void http_pool::release()
+{
+    if (waiting_.empty())
+    {
+        --busy_;
+        return;
+    }
+    auto* timer = waiting_.front();
+    waiting_.pop_front();
+    timer->cancel();
+}
+
+http_pool::connection http_pool::take_idle()
+{
+    const auto oldest = clock::now() - max_idle;
+    while (!idle_.empty())
+    {
+        auto last = std::move(idle_.back());
+        idle_.pop_back();
+        if (last.since >= oldest && is_quiet(last.stream.socket()))
+        {
+            return std::move(last.stream);
+        }
+    }
+    return std::nullopt;
+}
+
+asio::awaitable<absl::Status> http_pool::connect(connection& conn, time_point deadline)
+{
+    conn.emplace(strand_);
+    conn->expires_at(deadline);
+    beast::error_code ec;
+    co_await conn->async_connect(*endpoint_, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+    {
+        co_return status_of(ec);
+    }
+    conn->socket().set_option(asio::ip::tcp::no_delay{true}, ec);
+    co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::StatusOr<http_answer>> http_pool::exchange(request& req, time_point deadline)
+{
+    auto conn = take_idle();
+    if (!conn)
+    {
+        const auto connected = co_await connect(conn, deadline);
+        if (!connected.ok())
+        {
+            co_return connected;
+        }
+    }
+    conn->expires_at(deadline);
+    req.set(http::field::host, address_);
+    req.keep_alive(true);
+    req.prepare_payload();
+    beast::error_code ec;
+    co_await http::async_write(*conn, req, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+    {
+        co_return status_of(ec);
+    }
+    beast::flat_buffer buf;
+    http::response_parser<http::string_body> p;
+    p.body_limit(max_body);
+    co_await http::async_read(*conn, buf, p, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+    {
+        co_return status_of(ec);
+    }
+    conn->expires_never();
+    auto res = p.release();
+    if (res.keep_alive() && buf.size() == 0)
+    {
+        idle_.push_back(idle_connection{std::move(*conn), clock::now()});
+    }
+    co_return http_answer{res.result_int(), std::move(res.body())};
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/platform/http_pool.hpp
@@ -0,0 +1,79 @@
+// Kept-alive HTTP/1.1 connections to one address. All state is touched on one strand.
+#ifndef MANGOVANE_PLATFORM_HTTP_POOL_HPP
+#define MANGOVANE_PLATFORM_HTTP_POOL_HPP
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "mangovane/core/time.hpp"
+
+namespace mangovane
+{
+
+/// A whole answer.
+struct http_answer
+{
+    unsigned status{0};
+    std::string body;
+
+    auto operator<=>(const http_answer&) const = default;
+};
+
+class http_pool : public std::enable_shared_from_this<http_pool>
+{
+public:
+    using request = boost::beast::http::request<boost::beast::http::string_body>;
+    using handler = std::function<void(absl::StatusOr<http_answer>)>;
+
+    static constexpr std::size_t max_connections = 4;
+    static constexpr std::size_t max_waiting = 1024;
+    /// Servers commonly close a connection after 15 s or more without a request.
+    static constexpr seconds max_idle{10};
+    static constexpr std::uint64_t max_body = 8ULL * 1024 * 1024; ///< Bytes of an answer.
+
+    http_pool(boost::asio::io_context& io, std::string address);
+
+    /// Sends the request on a free connection. The handler is posted to the context.
+    void send(request req, time_point deadline, handler done);
+
+private:
+    struct idle_connection
+    {
+        boost::beast::tcp_stream stream;
+        time_point since;
+    };
+    using connection = std::optional<boost::beast::tcp_stream>;
+
+    boost::asio::awaitable<absl::StatusOr<http_answer>> run(request req, time_point deadline);
+    boost::asio::awaitable<absl::Status> acquire(time_point deadline);
+    boost::asio::awaitable<absl::StatusOr<http_answer>> exchange(request& req, time_point deadline);
+    boost::asio::awaitable<absl::Status> connect(connection& conn, time_point deadline);
+    connection take_idle();
+    void release();
+
+    boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+    std::string address_;
+    std::optional<boost::asio::ip::tcp::endpoint> endpoint_; ///< Empty: malformed address.
+    std::vector<idle_connection> idle_;
+    std::size_t busy_{0};                            ///< At most `max_connections`.
+    std::deque<boost::asio::steady_timer*> waiting_; ///< Cancelled when a connection is free.
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/platform/platform_codec.cpp
@@ -0,0 +1,148 @@
+// Implementation of the platform's JSON texts.
+#include "mangovane/platform/platform_codec.hpp"
+
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <boost/json.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+
+namespace mangovane
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+template <class T>
+T number(const json::object& obj, std::string_view name)
+{
+    return obj.at({name.data(), name.size()}).to_number<T>();
+}
+
+std::string text_of(const json::object& obj, std::string_view name)
+{
+    return std::string{std::string_view{obj.at({name.data(), name.size()}).as_string()}};
+}
+
+bool flag(const json::object& obj, std::string_view name)
+{
+    const auto* found = obj.if_contains({name.data(), name.size()});
+    return found != nullptr && found->as_bool();
+}
+
+table_row row_of(const json::object& obj)
+{
+    return {text_of(obj, "key"), text_of(obj, "value"), number<std::uint64_t>(obj, "revision")};
+}
+
+/// A row that does not exist is written as null.
+write_result result_of(const json::object& obj)
+{
+    const auto& current = obj.at("current");
+    return {flag(obj, "applied"), current.is_null() ? table_row{} : row_of(current.as_object())};
+}
+
+listed_instance instance_of(const json::object& obj)
+{
+    return {text_of(obj, "name"), text_of(obj, "address"), domain_id::of(text_of(obj, "domain")),
+            flag(obj, "leaving")};
+}
+
+endpoint_info endpoint_of(const json::object& obj)
+{
+    endpoint_info info;
+    info.name = text_of(obj, "name");
+    info.id = endpoint_id::of(info.name);
+    info.service = service_id::of(text_of(obj, "service"));
+    info.domain = domain_id::of(text_of(obj, "domain"));
+    info.address = text_of(obj, "address");
+    info.leaving = flag(obj, "leaving");
+    if (const auto* models = obj.if_contains("models"))
+    {
+        for (const auto& it : models->as_array())
+        {
+            info.models.push_back(model_id::of(std::string_view{it.as_string()}));
+        }
+    }
+    return info;
+}
+
+/// Reads the text with `read`; what Boost.JSON throws for a wrong shape becomes a status.
+template <class Read>
+auto decode(std::string_view text, Read read)
+    -> absl::StatusOr<decltype(read(std::declval<const json::object&>()))>
+{
+    try
+    {
+        return read(json::parse({text.data(), text.size()}).as_object());
+    }
+    catch (const std::exception& ex)
+    {
+        return absl::DataLossError(absl::StrCat("malformed answer of the platform: ", ex.what()));
+    }
+}
+
+} // namespace
+
+std::string encode_path_segment(std::string_view text)
+{
+    return boost::urls::encode({text.data(), text.size()}, boost::urls::unreserved_chars);
+}
+
+std::string encode_writes(const std::vector<table_write>& writes)
+{
+    json::array list;
+    for (const auto& it : writes)
+    {
+        list.push_back(json::object{
+            {"key", it.key}, {"value", it.value}, {"expected_revision", it.expected_revision}});
+    }
+    return json::serialize(json::object{{"writes", std::move(list)}});
+}
+
+absl::StatusOr<table_row> decode_row(std::string_view text)
+{
+    return decode(text, &row_of);
+}
+
+absl::StatusOr<std::vector<write_result>> decode_results(std::string_view text, std::size_t count)
+{
+    auto results = decode(text,
+                          [](const json::object& obj)
+                          {
+                              std::vector<write_result> list;
+                              for (const auto& it : obj.at("results").as_array())
+                              {
+                                  list.push_back(result_of(it.as_object()));
+                              }
+                              return list;
+                          });
+    if (results.ok() && results->size() != count)
+    {
+        return absl::DataLossError("the platform answered another number of writes");
+    }
+    return results;
+}
+
+absl::StatusOr<platform_list> decode_list(std::string_view text)
+{
+    return decode(text,
+                  [](const json::object& obj)
+                  {
+                      platform_list list;
+                      for (const auto& it : obj.at("instances").as_array())
+                      {
+                          list.instances.push_back(instance_of(it.as_object()));
+                      }
+                      for (const auto& it : obj.at("endpoints").as_array())
+                      {
+                          list.endpoints.push_back(endpoint_of(it.as_object()));
+                      }
+                      return list;
+                  });
+}
+
+} // namespace mangovane
