Add the stand-ins for the platform and a plain service

Cause: the client of the platform was not yet run against a server, and tests of at-most-once calls need a table with faults and a service that counts runs.

Change: mangovane-standin has the sub-commands platform and service.

--- a/src/standin/commands.hpp
+++ b/src/standin/commands.hpp
@@ -9,6 +9,8 @@
 {
 
 int run_engine(const std::vector<std::string>& args);
+int run_platform(const std::vector<std::string>& args);
+int run_service(const std::vector<std::string>& args);
 
 } // namespace mangovane::standin
 
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -16,7 +16,9 @@
     int (*run)(const std::vector<std::string>& args);
 };
 
-constexpr std::array commands{command{"engine", &mangovane::standin::run_engine}};
+constexpr std::array commands{command{"engine", &mangovane::standin::run_engine},
+                              command{"platform", &mangovane::standin::run_platform},
+                              command{"service", &mangovane::standin::run_service}};
 
 int usage()
 {
--- /dev/null
+++ b/test/mangovane/standin/service.cpp
@@ -0,0 +1,63 @@
+// Tests of the plain service's stand-in: its counts are the evidence of other tests.
+#include "standin/service.hpp"
+
+#include <doctest/doctest.h>
+
+#include "mangovane/platform/hosted.hpp"
+#include "mangovane/platform/http_pool.hpp"
+
+using namespace mangovane;
+namespace http = boost::beast::http;
+
+TEST_CASE("stand-in of a plain service")
+{
+    standin::service ledger;
+    test::hosted server{[&](const standin::request& req, standin::reply& rep)
+                        { return ledger.handle(req, rep); }};
+    boost::asio::io_context io;
+    const auto pool = std::make_shared<http_pool>(io, server.address());
+    const auto send = [&](http::verb verb, const char* target, const char* body)
+    {
+        http_pool::request req{verb, target, 11};
+        req.body() = body;
+        return test::run_call<absl::StatusOr<http_answer>>(
+            io, [&](auto done) { pool->send(req, clock::now() + seconds{5}, done); });
+    };
+    const auto pledge = [&] { return send(http::verb::post, "/pledges", R"({"id":"p"})"); };
+    const auto runs = [&] { return send(http::verb::get, "/runs", "")->body; };
+
+    SUBCASE("a call that ran is counted, a read is not")
+    {
+        CHECK(pledge()->status == 200);
+        CHECK(send(http::verb::get, "/schedule", "")->status == 200);
+        CHECK(runs() == R"({"runs":{"p":1}})");
+
+        SUBCASE("also when the connection is reset before the answer")
+        {
+            CHECK(send(http::verb::post, "/fault", R"({"cut":true})")->status == 200);
+            CHECK(absl::IsUnavailable(pledge().status()));
+            CHECK(runs() == R"({"runs":{"p":2}})");
+        }
+        SUBCASE("but not when it was refused or the service is down")
+        {
+            CHECK(send(http::verb::post, "/fault", R"({"refuse":true})")->status == 200);
+            CHECK(pledge()->status == 503);
+            CHECK(send(http::verb::post, "/fault", R"({"down":true})")->status == 200);
+            CHECK(absl::IsUnavailable(pledge().status()));
+            CHECK(runs() == R"({"runs":{"p":1}})");
+        }
+    }
+
+    SUBCASE("a misspelt fault is refused, so that no test passes without its fault")
+    {
+        CHECK(send(http::verb::post, "/fault", R"({"cutt":true})")->status == 400);
+        CHECK(send(http::verb::post, "/fault", R"({"slow_ms":-1})")->status == 400);
+    }
+
+    SUBCASE("the load report has the fields of an engine's")
+    {
+        const auto text = send(http::verb::get, "/mangovane/load", "")->body;
+        CHECK(text.find("\"in_flight\":0") != std::string::npos);
+        CHECK(text.find("\"leaving\":false") != std::string::npos);
+    }
+}
