Claim idempotency keys in grouped transactions

Cause: a call with an Idempotency-Key must run at most once although the table service loses answers, applies writes late, or is down.

Change: decisions on a row's content are pure functions in a table by purpose; a task is one claim or settlement; tasks are sharded, and one outbox forms transactions of at most 64 writes per 5 ms, one in flight. A lost answer is read back. A claim that cannot be resolved by its deadline is an error, and its row is made abandoned in the background; on a row that does not exist yet an abandoned one is written, so that a delayed insert cannot apply. A claim now says when it was made, which is what the end of an earlier retention is compared with.

--- /dev/null
+++ b/src/mangovane/idempotency/claim.cpp
@@ -0,0 +1,68 @@
+// Implementation of the rules for one claim.
+#include "mangovane/idempotency/claim.hpp"
+
+#include <array>
+
+#include <absl/strings/str_cat.h>
+
+namespace mangovane
+{
+
+namespace
+{
+
+repeat_answer refuse(error_kind kind)
+{
+    return {kind, std::nullopt, false};
+}
+
+repeat_answer answer_claimed(const claim&)
+{
+    return refuse(error_kind::in_progress);
+}
+
+repeat_answer answer_completed(const claim& stored)
+{
+    // A completed call whose outcome is missing ran, but nothing can be returned for it.
+    return stored.outcome ? repeat_answer{std::nullopt, stored.outcome, false}
+                          : refuse(error_kind::outcome_unknown);
+}
+
+repeat_answer answer_unknown(const claim&)
+{
+    return refuse(error_kind::outcome_unknown);
+}
+
+repeat_answer answer_abandoned(const claim&)
+{
+    return {std::nullopt, std::nullopt, true};
+}
+
+/// In order of `claim_state`.
+constexpr std::array answers{&answer_claimed, &answer_completed, &answer_unknown,
+                             &answer_abandoned};
+
+} // namespace
+
+std::string claim_row_key(account_id account, service_id service, const std::string& key)
+{
+    return absl::StrCat("claim/", absl::Hex(account.value(), absl::kZeroPad16), "/",
+                        absl::Hex(service.value(), absl::kZeroPad16), "/", key);
+}
+
+repeat_answer
+answer_repeat(const claim& stored, std::uint64_t fingerprint, std::uint64_t now_unix_ms)
+{
+    const bool ended = stored.expires_unix_ms != 0 && stored.expires_unix_ms <= now_unix_ms;
+    if (ended || stored.state == claim_state::abandoned)
+    {
+        return answer_abandoned(stored);
+    }
+    if (stored.fingerprint != fingerprint)
+    {
+        return refuse(error_kind::key_reused);
+    }
+    return answers.at(static_cast<std::size_t>(stored.state))(stored);
+}
+
+} // namespace mangovane
--- a/src/mangovane/idempotency/claim.hpp
+++ b/src/mangovane/idempotency/claim.hpp
@@ -3,6 +3,7 @@
 #ifndef MANGOVANE_IDEMPOTENCY_CLAIM_HPP
 #define MANGOVANE_IDEMPOTENCY_CLAIM_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -46,7 +47,9 @@
     attempt_id attempt;           ///< The attempt that inserted the claim.
     claim_state state{claim_state::claimed};
     std::optional<claim_outcome> outcome;
-    std::uint64_t expires_unix_ms{0}; ///< End of the retention time.
+    std::uint64_t expires_unix_ms{0}; ///< End of the retention time; 0: never.
+    std::uint64_t claimed_unix_ms{0}; ///< When the claim was made; compared with `expires_unix_ms`
+                                      ///< of an earlier claim of the key.
 
     auto operator<=>(const claim&) const = default;
 };
@@ -60,13 +63,15 @@
 {
     std::optional<error_kind> refusal; ///< Set unless the stored outcome is returned.
     std::optional<claim_outcome> outcome;
-    bool may_claim{false}; ///< The earlier holder abandoned before dispatch: claim again.
+    bool may_claim{
+        false}; ///< The earlier holder abandoned before dispatch, or the retention ended.
 
     auto operator<=>(const repeat_answer&) const = default;
 };
 
-/// Answer to a repeat of the key with this fingerprint.
-[[nodiscard]] repeat_answer answer_repeat(const claim& stored, std::uint64_t fingerprint);
+/// Answer to a repeat of the key with this fingerprint at this time.
+[[nodiscard]] repeat_answer
+answer_repeat(const claim& stored, std::uint64_t fingerprint, std::uint64_t now_unix_ms);
 
 } // namespace mangovane
 
--- /dev/null
+++ b/src/mangovane/idempotency/claim_batch.cpp
@@ -0,0 +1,372 @@
+// Implementation of the claim batch: tasks in shards, one outbox, and their calls of the table.
+#include "mangovane/idempotency/claim_batch.hpp"
+
+#include <atomic>
+#include <utility>
+#include <vector>
+
+#include "mangovane/core/error_kind.hpp"
+#include "mangovane/core/hash.hpp"
+#include "mangovane/core/sharded_map.hpp"
+#include "mangovane/idempotency/claim_outbox.hpp"
+#include "mangovane/idempotency/claim_task.hpp"
+
+namespace mangovane
+{
+
+namespace
+{
+
+/// Longest wait for one call of the table. A slower call counts as lost and is read back.
+constexpr seconds call_time{5};
+/// Reads in flight: after a lost transaction its 64 rows are not all read at once, because the
+/// table serves about two thousand reads a second to the whole fleet.
+constexpr std::size_t max_reads = 16;
+
+/// Claims remembered in one shard. Beyond it, or for a claim that is never settled, nothing is lost
+/// but the saved read.
+constexpr std::size_t max_held = 256;
+
+/// Replaces a body that is too large, or that does not fit in the memory for waiting bodies.
+void limit_body(claim& settled, std::size_t waiting_bytes)
+{
+    if (!settled.outcome || !settled.outcome->body_stored)
+    {
+        return;
+    }
+    auto& outcome = *settled.outcome;
+    outcome.body_digest = hash_bytes(outcome.body);
+    if (outcome.body.size() > max_stored_body ||
+        waiting_bytes + outcome.body.size() > claim_batch::max_waiting_bytes)
+    {
+        outcome.body.clear();
+        outcome.body_stored = false;
+    }
+}
+
+} // namespace
+
+/// Callbacks hold it weakly: after the batch is gone they do nothing.
+struct claim_batch::state : std::enable_shared_from_this<claim_batch::state>
+{
+    explicit state(table_service& service) : table{service} {}
+
+    void add(claim_task task, time_point now);
+    void add_settlement(claim settled, time_point now, time_point deadline, settle_handler handler);
+    void tick(time_point now);
+    void close();
+
+    void pump(time_point now);
+    std::vector<table_write> start_writes(const std::vector<outbox_item>& items,
+                                          std::vector<std::uint64_t>& tasks_written);
+    void on_written(const std::vector<std::uint64_t>& written,
+                    const absl::StatusOr<std::vector<write_result>>& results);
+    void on_read(std::uint64_t id, const absl::StatusOr<std::optional<table_row>>& row);
+    void on_row(std::uint64_t id, const std::optional<table_row>& row);
+    void on_lost(std::uint64_t id);
+    void read_row(std::uint64_t id, const std::string& row_key, time_point now);
+    void enqueue(std::uint64_t id, const std::string& row_key, time_point now);
+    void forget(const claim_task& task);
+
+    [[nodiscard]] time_point last_time() const { return time_point{duration{last_now.load()}}; }
+
+    table_service& table;
+    sharded_map<std::uint64_t, claim_task> tasks; ///< By number.
+    sharded_map<attempt_id, stored_claim> held;   ///< Claims won here; saves a read at the end.
+    claim_outbox outbox{max_writes, window};
+    std::atomic<std::uint64_t> last_id{0};
+    std::atomic<duration::rep> last_now{0};    ///< Time of the latest call; answers carry none.
+    std::atomic<std::size_t> waiting{0};       ///< Tasks that are no settlements.
+    std::atomic<std::size_t> waiting_bytes{0}; ///< Bodies of settlements.
+    std::atomic<std::size_t> reads_in_flight{0};
+};
+
+void claim_batch::state::forget(const claim_task& task)
+{
+    if (!task.is_settlement())
+    {
+        --waiting;
+    }
+    waiting_bytes -= task.body_bytes();
+}
+
+void claim_batch::state::enqueue(std::uint64_t id, const std::string& row_key, time_point now)
+{
+    if (outbox.push({id, hash_bytes(row_key), now}))
+    {
+        pump(now);
+    }
+}
+
+void claim_batch::state::add(claim_task task, time_point now)
+{
+    last_now = now.time_since_epoch().count();
+    const auto id = ++last_id;
+    const auto row_key = task.row_key();
+    const bool writes_first = task.waits_for_write();
+    tasks.with_shard(id, [&](auto& entries) { entries.emplace(id, std::move(task)); });
+    if (writes_first)
+    {
+        enqueue(id, row_key, now);
+    }
+}
+
+void claim_batch::state::add_settlement(claim settled,
+                                        time_point now,
+                                        time_point deadline,
+                                        settle_handler handler)
+{
+    limit_body(settled, waiting_bytes);
+    std::optional<stored_claim> known;
+    held.with_shard(settled.attempt,
+                    [&](auto& entries)
+                    {
+                        const auto it = entries.find(settled.attempt);
+                        if (it != entries.end())
+                        {
+                            known = std::move(it->second);
+                            entries.erase(it);
+                        }
+                    });
+    claim_task task{std::move(settled), deadline, std::move(handler)};
+    waiting_bytes += task.body_bytes();
+    if (known)
+    {
+        task.expect(*known);
+    }
+    else
+    {
+        task.read_first(now);
+    }
+    add(std::move(task), now);
+}
+
+void claim_batch::state::tick(time_point now)
+{
+    last_now = now.time_since_epoch().count();
+    std::vector<std::function<void()>> completions;
+    std::vector<std::pair<std::uint64_t, std::string>> reads;
+    const auto visit = [&](auto& entries)
+    {
+        for (auto it = entries.begin(); it != entries.end();)
+        {
+            auto& task = it->second;
+            auto result = task.expire(now, background_time);
+            if (result.completion)
+            {
+                completions.push_back(std::move(result.completion));
+            }
+            if (result.ended)
+            {
+                forget(task);
+                entries.erase(it++);
+                continue;
+            }
+            if (reads_in_flight + reads.size() < max_reads && task.start_read(now))
+            {
+                reads.emplace_back(it->first, task.row_key());
+            }
+            ++it;
+        }
+    };
+    tasks.for_each_shard(visit);
+    for (const auto& [id, row_key] : reads)
+    {
+        read_row(id, row_key, now);
+    }
+    pump(now);
+    for (const auto& it : completions)
+    {
+        it();
+    }
+}
+
+void claim_batch::state::close()
+{
+    std::vector<std::function<void()>> completions;
+    tasks.for_each_shard(
+        [&](auto& entries)
+        {
+            for (auto& [id, task] : entries)
+            {
+                auto result = task.fail(absl::CancelledError("the instance is shutting down"));
+                completions.push_back(std::move(result.completion));
+            }
+            entries.clear();
+        });
+    for (const auto& it : completions)
+    {
+        if (it)
+        {
+            it();
+        }
+    }
+}
+
+std::vector<table_write> claim_batch::state::start_writes(const std::vector<outbox_item>& items,
+                                                          std::vector<std::uint64_t>& tasks_written)
+{
+    std::vector<table_write> writes;
+    for (const auto& it : items)
+    {
+        tasks.find(it.task,
+                   [&](claim_task& task)
+                   {
+                       if (auto write = task.start_write())
+                       {
+                           writes.push_back(*std::move(write));
+                           tasks_written.push_back(it.task);
+                       }
+                   });
+    }
+    return writes;
+}
+
+void claim_batch::state::pump(time_point now)
+{
+    for (auto items = outbox.take(now); !items.empty(); items = outbox.take(now))
+    {
+        std::vector<std::uint64_t> written;
+        auto writes = start_writes(items, written);
+        if (!writes.empty())
+        {
+            table.write(std::move(writes), now + call_time,
+                        [weak = weak_from_this(), written = std::move(written)](const auto& results)
+                        {
+                            if (const auto self = weak.lock())
+                            {
+                                self->on_written(written, results);
+                            }
+                        });
+            return;
+        }
+        outbox.done();
+    }
+}
+
+void claim_batch::state::on_written(const std::vector<std::uint64_t>& written,
+                                    const absl::StatusOr<std::vector<write_result>>& results)
+{
+    outbox.done();
+    const bool usable = results.ok() && results->size() == written.size();
+    for (std::size_t n = 0; n != written.size(); ++n)
+    {
+        if (!usable)
+        {
+            on_lost(written[n]);
+            continue;
+        }
+        // The row decides, not `applied`: an earlier write of the same attempt may have applied.
+        const auto& row = results->at(n).current;
+        on_row(written[n], row.revision == 0 ? std::nullopt : std::optional{row});
+    }
+    pump(last_time());
+}
+
+void claim_batch::state::read_row(std::uint64_t id, const std::string& row_key, time_point now)
+{
+    ++reads_in_flight;
+    table.read(row_key, now + call_time,
+               [weak = weak_from_this(), id](const auto& row)
+               {
+                   if (const auto self = weak.lock())
+                   {
+                       self->on_read(id, row);
+                   }
+               });
+}
+
+void claim_batch::state::on_read(std::uint64_t id,
+                                 const absl::StatusOr<std::optional<table_row>>& row)
+{
+    --reads_in_flight;
+    if (row.ok())
+    {
+        on_row(id, *row);
+    }
+    else
+    {
+        on_lost(id);
+    }
+}
+
+void claim_batch::state::on_lost(std::uint64_t id)
+{
+    tasks.find(id, [this](claim_task& task) { task.on_lost(last_time()); });
+}
+
+void claim_batch::state::on_row(std::uint64_t id, const std::optional<table_row>& row)
+{
+    task_result result;
+    std::string row_key;
+    tasks.with_shard(id,
+                     [&](auto& entries)
+                     {
+                         const auto it = entries.find(id);
+                         if (it == entries.end())
+                         {
+                             return;
+                         }
+                         result = it->second.on_row(row);
+                         row_key = it->second.row_key();
+                         if (result.ended)
+                         {
+                             forget(it->second);
+                             entries.erase(it);
+                         }
+                     });
+    if (result.won)
+    {
+        held.with_shard(result.won->content.attempt,
+                        [&](auto& entries)
+                        {
+                            if (entries.size() < max_held)
+                            {
+                                entries.insert_or_assign(result.won->content.attempt, *result.won);
+                            }
+                        });
+    }
+    if (result.requeue)
+    {
+        enqueue(id, row_key, last_time());
+    }
+    if (result.completion)
+    {
+        result.completion();
+    }
+}
+
+claim_batch::claim_batch(table_service& table) : state_{std::make_shared<state>(table)} {}
+
+claim_batch::~claim_batch()
+{
+    state_->close();
+}
+
+void claim_batch::claim_key(claim wanted,
+                            time_point now,
+                            time_point deadline,
+                            claim_handler handler)
+{
+    if (++state_->waiting > max_waiting)
+    {
+        --state_->waiting;
+        handler(make_error(error_kind::store_unavailable, "too many claims wait for the store"));
+        return;
+    }
+    wanted.state = claim_state::claimed;
+    wanted.outcome.reset();
+    state_->add(claim_task{std::move(wanted), deadline, std::move(handler)}, now);
+}
+
+void claim_batch::settle(claim settled, time_point now, time_point deadline, settle_handler handler)
+{
+    state_->add_settlement(std::move(settled), now, deadline, std::move(handler));
+}
+
+void claim_batch::tick(time_point now)
+{
+    state_->tick(now);
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/idempotency/claim_decision.cpp
@@ -0,0 +1,86 @@
+// Implementation of the decisions on a claim's row.
+#include "mangovane/idempotency/claim_decision.hpp"
+
+#include <array>
+
+namespace mangovane
+{
+
+namespace
+{
+
+row_decision write_at(std::uint64_t revision)
+{
+    return {row_step::write, revision, {}};
+}
+
+row_decision end_with(row_step step)
+{
+    return {step, 0, {}};
+}
+
+bool holds(const claim& stored, const claim& wanted)
+{
+    return stored.attempt == wanted.attempt && stored.state == claim_state::claimed;
+}
+
+row_decision
+decide_claim(const claim& wanted, const std::optional<stored_claim>& stored, std::uint64_t)
+{
+    if (!stored)
+    {
+        return write_at(0);
+    }
+    if (holds(stored->content, wanted))
+    {
+        return end_with(row_step::won);
+    }
+    const auto repeated =
+        answer_repeat(stored->content, wanted.fingerprint, wanted.claimed_unix_ms);
+    return repeated.may_claim ? write_at(stored->revision)
+                              : row_decision{row_step::repeated, 0, repeated};
+}
+
+row_decision
+decide_settle(const claim& wanted, const std::optional<stored_claim>& stored, std::uint64_t)
+{
+    if (!stored || stored->content.attempt != wanted.attempt)
+    {
+        return end_with(row_step::displaced);
+    }
+    if (stored->content.state == claim_state::claimed)
+    {
+        return write_at(stored->revision);
+    }
+    return end_with(stored->content.state == wanted.state ? row_step::stored : row_step::displaced);
+}
+
+row_decision decide_abandon(const claim& wanted,
+                            const std::optional<stored_claim>& stored,
+                            std::uint64_t last_expected)
+{
+    if (!stored)
+    {
+        // The delayed insert may still arrive; an abandoned row makes its condition fail.
+        return write_at(0);
+    }
+    // At this revision a delayed write of this attempt would still apply. At a later one it cannot.
+    const bool may_apply = stored->revision == last_expected;
+    return holds(stored->content, wanted) || may_apply ? write_at(stored->revision)
+                                                       : end_with(row_step::stored);
+}
+
+/// In order of `claim_purpose`.
+constexpr std::array decisions{&decide_claim, &decide_settle, &decide_abandon};
+
+} // namespace
+
+row_decision decide_row(claim_purpose purpose,
+                        const claim& wanted,
+                        const std::optional<stored_claim>& stored,
+                        std::uint64_t last_expected)
+{
+    return decisions.at(static_cast<std::size_t>(purpose))(wanted, stored, last_expected);
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/idempotency/claim_outbox.cpp
@@ -0,0 +1,51 @@
+// Implementation of the outbox of a claim batch.
+#include "mangovane/idempotency/claim_outbox.hpp"
+
+#include <absl/container/flat_hash_set.h>
+
+namespace mangovane
+{
+
+bool claim_outbox::push(outbox_item item)
+{
+    const std::lock_guard lock{mutex_};
+    items_.push_back(item);
+    return !in_flight_ && items_.size() >= max_items_;
+}
+
+std::vector<outbox_item> claim_outbox::take(time_point now)
+{
+    const std::lock_guard lock{mutex_};
+    std::vector<outbox_item> taken;
+    const bool due = !items_.empty() &&
+                     (items_.size() >= max_items_ || now - items_.front().queued_at >= window_);
+    if (in_flight_ || !due)
+    {
+        return taken;
+    }
+    absl::flat_hash_set<std::uint64_t> rows;
+    std::deque<outbox_item> kept;
+    for (; !items_.empty() && taken.size() != max_items_; items_.pop_front())
+    {
+        const auto& it = items_.front();
+        if (rows.insert(it.row).second)
+        {
+            taken.push_back(it);
+        }
+        else
+        {
+            kept.push_back(it);
+        }
+    }
+    items_.insert(items_.begin(), kept.begin(), kept.end());
+    in_flight_ = true;
+    return taken;
+}
+
+void claim_outbox::done()
+{
+    const std::lock_guard lock{mutex_};
+    in_flight_ = false;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/idempotency/claim_task.cpp
@@ -0,0 +1,180 @@
+// Implementation of the steps of one claim or settlement.
+#include "mangovane/idempotency/claim_task.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "mangovane/core/error_kind.hpp"
+#include "mangovane/idempotency/claim_codec.hpp"
+
+namespace mangovane
+{
+
+namespace
+{
+
+constexpr milliseconds first_pause{10};
+constexpr milliseconds longest_pause{320};
+constexpr std::uint32_t doublings = 5; ///< From the first to the longest pause.
+
+milliseconds pause_after(std::uint32_t failures)
+{
+    return std::min(longest_pause, first_pause * (1 << std::min(failures, doublings)));
+}
+
+} // namespace
+
+claim_task::claim_task(claim wanted, time_point deadline, claim_batch::claim_handler handler)
+    : purpose_{claim_purpose::claim}, target_{std::move(wanted)},
+      row_key_{claim_row_key(target_.account, target_.service, target_.key)}, deadline_{deadline},
+      on_claim_{std::move(handler)}
+{}
+
+claim_task::claim_task(claim settled, time_point deadline, claim_batch::settle_handler handler)
+    : purpose_{claim_purpose::settle}, target_{std::move(settled)},
+      row_key_{claim_row_key(target_.account, target_.service, target_.key)}, deadline_{deadline},
+      on_settle_{std::move(handler)}
+{}
+
+std::size_t claim_task::body_bytes() const noexcept
+{
+    return target_.outcome ? target_.outcome->body.size() : 0;
+}
+
+void claim_task::expect(const stored_claim& held)
+{
+    expected_ = held.revision;
+    keep_times(held.content);
+}
+
+void claim_task::read_first(time_point now)
+{
+    stage_ = task_stage::resting;
+    read_at_ = now;
+}
+
+void claim_task::keep_times(const claim& stored)
+{
+    target_.expires_unix_ms = stored.expires_unix_ms;
+    target_.claimed_unix_ms = stored.claimed_unix_ms;
+}
+
+std::optional<table_write> claim_task::start_write()
+{
+    if (stage_ != task_stage::queued)
+    {
+        return std::nullopt;
+    }
+    stage_ = task_stage::writing;
+    written_ = true;
+    return table_write{row_key_, encode_claim(target_), expected_};
+}
+
+bool claim_task::start_read(time_point now)
+{
+    if (stage_ != task_stage::resting || now < read_at_)
+    {
+        return false;
+    }
+    stage_ = task_stage::reading;
+    return true;
+}
+
+void claim_task::on_lost(time_point now)
+{
+    stage_ = task_stage::resting;
+    read_at_ = now + pause_after(failures_);
+    ++failures_;
+}
+
+task_result claim_task::on_row(const std::optional<table_row>& row)
+{
+    failures_ = 0;
+    if (!row)
+    {
+        return on_stored(std::nullopt);
+    }
+    auto content = decode_claim(row->value);
+    return content.ok() ? on_stored(stored_claim{*std::move(content), row->revision})
+                        : fail(content.status());
+}
+
+task_result claim_task::on_stored(const std::optional<stored_claim>& stored)
+{
+    const auto decision = decide_row(purpose_, target_, stored, expected_);
+    if (decision.step == row_step::write)
+    {
+        expected_ = decision.expected_revision;
+        stage_ = task_stage::queued;
+        if (is_settlement())
+        {
+            keep_times(stored->content);
+        }
+        task_result result;
+        result.requeue = true;
+        return result;
+    }
+    if (purpose_ == claim_purpose::claim)
+    {
+        auto result = answer(claim_result{decision.step == row_step::won, decision.repeated});
+        result.won = decision.step == row_step::won ? stored : std::nullopt;
+        return result;
+    }
+    return answer(decision.step == row_step::stored
+                      ? absl::OkStatus()
+                      : absl::FailedPreconditionError("the row holds another claim or outcome"));
+}
+
+task_result claim_task::expire(time_point now, duration background)
+{
+    if (now < deadline_)
+    {
+        return {};
+    }
+    const auto status =
+        make_error(error_kind::store_unavailable, "no answer of the table service in time");
+    auto result = fail(status);
+    if (purpose_ == claim_purpose::claim && written_)
+    {
+        // The attempt was told not to dispatch, so its claim may be given up at any later time.
+        purpose_ = claim_purpose::abandon;
+        target_.state = claim_state::abandoned;
+        deadline_ = now + background;
+        result.ended = false;
+    }
+    return result;
+}
+
+task_result claim_task::fail(const absl::Status& status)
+{
+    task_result result = answer(status);
+    if (purpose_ == claim_purpose::claim)
+    {
+        result.completion = [handler = std::exchange(on_claim_, nullptr), status]
+        { handler(status); };
+    }
+    return result;
+}
+
+task_result claim_task::answer(claim_result result)
+{
+    task_result ended;
+    ended.ended = true;
+    ended.completion = [handler = std::exchange(on_claim_, nullptr), result = std::move(result)]
+    { handler(result); };
+    return ended;
+}
+
+task_result claim_task::answer(absl::Status status)
+{
+    task_result ended;
+    ended.ended = true;
+    if (on_settle_)
+    {
+        ended.completion = [handler = std::exchange(on_settle_, nullptr),
+                            status = std::move(status)] { handler(status); };
+    }
+    return ended;
+}
+
+} // namespace mangovane
--- a/src/mangovane/idempotency/fwd.hpp
+++ b/src/mangovane/idempotency/fwd.hpp
@@ -6,7 +6,8 @@
 {
 
 struct claim;
-struct claim_record;
+class claim_task;
+class claim_outbox;
 class claim_batch;
 
 } // namespace mangovane
--- /dev/null
+++ b/test/mangovane/idempotency/bench.hpp
@@ -0,0 +1,110 @@
+// Claim batches of several instances over one fake table.
+#ifndef MANGOVANE_TEST_IDEMPOTENCY_BENCH_HPP
+#define MANGOVANE_TEST_IDEMPOTENCY_BENCH_HPP
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "mangovane/idempotency/claim_batch.hpp"
+#include "mangovane/idempotency/claim_codec.hpp"
+#include "mangovane/idempotency/fake_table.hpp"
+
+namespace mangovane::test
+{
+
+using claim_answer = std::optional<absl::StatusOr<claim_result>>;
+
+struct bench
+{
+    fake_table table;
+    std::vector<std::unique_ptr<claim_batch>> batches;
+    std::uint64_t attempts{0};
+
+    explicit bench(std::size_t instances = 2)
+    {
+        for (std::size_t n = 0; n != instances; ++n)
+        {
+            batches.push_back(std::make_unique<claim_batch>(table));
+        }
+    }
+
+    /// Time of the callers in Unix milliseconds; runs with the simulated time.
+    [[nodiscard]] std::uint64_t unix_ms() const
+    {
+        return static_cast<std::uint64_t>(table.now().time_since_epoch() / milliseconds{1});
+    }
+
+    [[nodiscard]] claim make(const std::string& key, std::uint64_t fingerprint = 1)
+    {
+        claim value;
+        value.account = account_id::of("cordillera");
+        value.service = service_id::of("dictamen");
+        value.key = key;
+        value.fingerprint = fingerprint;
+        value.attempt = {instance_id::of("i"), 1, ++attempts};
+        value.claimed_unix_ms = unix_ms();
+        value.expires_unix_ms = unix_ms() + 86'400'000;
+        return value;
+    }
+
+    void run(milliseconds time)
+    {
+        for (const auto end = table.now() + time; table.now() < end;)
+        {
+            const auto next = table.now() + milliseconds{1};
+            while (table.step(next))
+            {}
+            for (const auto& it : batches)
+            {
+                it->tick(table.now());
+            }
+        }
+    }
+
+    /// Claims and waits for the answer.
+    claim_answer
+    claim_at(std::size_t instance, const claim& wanted, milliseconds time = milliseconds{500})
+    {
+        const auto answer = std::make_shared<claim_answer>();
+        batches.at(instance)->claim_key(wanted, table.now(), table.now() + time,
+                                        [answer](const auto& result) { *answer = result; });
+        run(time + milliseconds{5});
+        return *answer;
+    }
+
+    std::optional<absl::Status> settle_at(std::size_t instance,
+                                          claim held,
+                                          claim_state state,
+                                          milliseconds time = milliseconds{500})
+    {
+        held.state = state;
+        const auto answer = std::make_shared<std::optional<absl::Status>>();
+        batches.at(instance)->settle(held, table.now(), table.now() + time,
+                                     [answer](const absl::Status& status) { *answer = status; });
+        run(time + milliseconds{5});
+        return *answer;
+    }
+
+    /// The stored claim of a key; the row exists.
+    [[nodiscard]] claim stored(const std::string& key) const
+    {
+        const auto row =
+            claim_row_key(account_id::of("cordillera"), service_id::of("dictamen"), key);
+        return *decode_claim(table.rows.at(row).value);
+    }
+};
+
+[[nodiscard]] inline bool won(const claim_answer& answer)
+{
+    return answer && answer->ok() && (*answer)->won;
+}
+
+[[nodiscard]] inline std::optional<error_kind> refusal(const claim_answer& answer)
+{
+    return answer && answer->ok() ? (*answer)->repeated.refusal : std::nullopt;
+}
+
+} // namespace mangovane::test
+
+#endif
--- /dev/null
+++ b/test/mangovane/idempotency/claim_batch.cpp
@@ -0,0 +1,274 @@
+// Tests of claims under the failures of the table service.
+#include "mangovane/idempotency/claim_batch.hpp"
+
+#include <doctest/doctest.h>
+
+#include "mangovane/idempotency/bench.hpp"
+
+using namespace mangovane;
+using namespace mangovane::test;
+
+namespace
+{
+
+/// Meets the given fates in order, then works.
+fake_table::chooser in_order(std::vector<fate> fates)
+{
+    return [fates = std::move(fates), n = std::size_t{0}]() mutable
+    { return n < fates.size() ? fates[n++] : works; };
+}
+
+fake_table::chooser always(fate chosen)
+{
+    return [chosen] { return chosen; };
+}
+
+} // namespace
+
+TEST_CASE("a key that two instances claim at once")
+{
+    bench two;
+    int wins = 0;
+    int in_progress = 0;
+    for (const auto& it : two.batches)
+    {
+        it->claim_key(two.make("k"), two.table.now(), two.table.now() + seconds{1},
+                      [&](const absl::StatusOr<claim_result>& result)
+                      {
+                          REQUIRE(result.ok());
+                          wins += result->won ? 1 : 0;
+                          in_progress +=
+                              result->repeated.refusal == error_kind::in_progress ? 1 : 0;
+                      });
+    }
+    SUBCASE("is held by one of them, so the call cannot run twice")
+    {
+        two.run(milliseconds{50});
+        CHECK(wins == 1);
+        CHECK(in_progress == 1);
+    }
+    SUBCASE("also when the answers of both writes are lost")
+    {
+        two.table.write_fate = in_order({lost_after, lost_after});
+        two.run(milliseconds{50});
+        CHECK(wins == 1);
+        CHECK(in_progress == 1);
+    }
+}
+
+TEST_CASE("a key that one instance claims twice in one window is claimed once")
+{
+    bench one{1};
+    int wins = 0;
+    for (int n = 0; n != 2; ++n)
+    {
+        one.batches[0]->claim_key(one.make("k"), one.table.now(), one.table.now() + seconds{1},
+                                  [&](const auto& result) { wins += result->won ? 1 : 0; });
+    }
+    one.run(milliseconds{50});
+    CHECK(wins == 1);
+    CHECK(one.table.batches == std::vector<std::size_t>{1, 1});
+}
+
+TEST_CASE("the answer to a claim is lost")
+{
+    bench two;
+    const auto mine = two.make("k");
+
+    SUBCASE("after the write: reading back finds this attempt, which is not refused its own claim")
+    {
+        two.table.write_fate = in_order({lost_after});
+        CHECK(won(two.claim_at(0, mine)));
+        CHECK(two.table.reads == 1);
+    }
+    SUBCASE("before the write: the claim is written again")
+    {
+        two.table.write_fate = in_order({failed_before, failed_before});
+        CHECK(won(two.claim_at(0, mine)));
+    }
+    SUBCASE("and the first write arrives after the second: it must not displace a settled claim")
+    {
+        two.table.write_fate = in_order({applied_late});
+        CHECK(won(two.claim_at(0, mine, milliseconds{40})));
+        CHECK(two.settle_at(0, mine, claim_state::completed, milliseconds{15})->ok());
+        two.run(milliseconds{100});
+        CHECK(two.stored("k").state == claim_state::completed);
+    }
+    SUBCASE("and cannot be resolved in time: the caller gets an error")
+    {
+        two.table.write_fate = in_order({lost_after});
+        two.table.read_fate = always(failed_before);
+        const auto answer = two.claim_at(0, mine, milliseconds{50});
+        REQUIRE(answer);
+        CHECK(kind_of(answer->status()) == error_kind::store_unavailable);
+
+        SUBCASE("and the claim is abandoned later, so that a repeat is not stuck at in_progress")
+        {
+            CHECK(refusal(two.claim_at(1, two.make("k"))) == error_kind::in_progress);
+            two.table.read_fate = always(works);
+            two.run(milliseconds{500});
+            CHECK(two.stored("k").state == claim_state::abandoned);
+            CHECK(won(two.claim_at(1, two.make("k"))));
+        }
+        SUBCASE("and the store stays down: the attempts end after the background time")
+        {
+            two.run(claim_batch::background_time + seconds{1});
+            const auto reads = two.table.reads;
+            two.run(seconds{5});
+            CHECK(two.table.reads == reads);
+        }
+    }
+    SUBCASE("and its write is still under way: an abandoned row keeps it from applying")
+    {
+        two.table.write_fate = in_order({fate{milliseconds{300}, milliseconds{2}, true}});
+        two.table.read_fate = in_order({failed_before, failed_before});
+        const auto answer = two.claim_at(0, mine, milliseconds{20});
+        CHECK(!answer->ok());
+        two.run(milliseconds{100});
+        CHECK(won(two.claim_at(1, two.make("k"), milliseconds{50})));
+        two.run(milliseconds{400});
+        CHECK(two.stored("k").attempt != mine.attempt);
+    }
+}
+
+TEST_CASE("a repeat of a key")
+{
+    bench two;
+    auto first = two.make("k");
+    REQUIRE(won(two.claim_at(0, first)));
+
+    SUBCASE("is refused during a pause between claim and settlement, however long")
+    {
+        two.run(seconds{30});
+        CHECK(refusal(two.claim_at(1, two.make("k"))) == error_kind::in_progress);
+    }
+    SUBCASE("with another body is refused as reused")
+    {
+        CHECK(refusal(two.claim_at(1, two.make("k", 2))) == error_kind::key_reused);
+    }
+    SUBCASE("gets the stored outcome byte for byte")
+    {
+        first.outcome = claim_outcome{201, "text/plain", std::string{"\0\xff", 2}, 0, true};
+        CHECK(two.settle_at(0, first, claim_state::completed)->ok());
+        const auto answer = two.claim_at(1, two.make("k"));
+        REQUIRE(answer->ok());
+        CHECK(!(*answer)->won);
+        CHECK((*answer)->repeated.outcome->body == first.outcome->body);
+        CHECK((*answer)->repeated.outcome->http_status == 201);
+    }
+    SUBCASE("of a call whose answer was too large gets the digest, and the row stays small")
+    {
+        first.outcome = claim_outcome{200, "", std::string(max_stored_body + 1, 'x'), 0, true};
+        CHECK(two.settle_at(0, first, claim_state::completed)->ok());
+        const auto outcome = two.stored("k").outcome;
+        CHECK(!outcome->body_stored);
+        CHECK(outcome->body.empty());
+        CHECK(outcome->body_digest == hash_bytes(first.outcome->body));
+    }
+    SUBCASE("of an unknown outcome never runs")
+    {
+        CHECK(two.settle_at(0, first, claim_state::unknown)->ok());
+        CHECK(refusal(two.claim_at(1, two.make("k"))) == error_kind::outcome_unknown);
+    }
+    SUBCASE("runs once the first was given up before dispatch")
+    {
+        CHECK(two.settle_at(0, first, claim_state::abandoned)->ok());
+        CHECK(won(two.claim_at(1, two.make("k"))));
+
+        SUBCASE("after which the first can no longer store an outcome over it")
+        {
+            CHECK(absl::IsFailedPrecondition(*two.settle_at(0, first, claim_state::completed)));
+        }
+    }
+    SUBCASE("is refused until the retention ends, and runs after it")
+    {
+        auto late = two.make("k");
+        late.claimed_unix_ms = first.expires_unix_ms - 1;
+        CHECK(refusal(two.claim_at(1, late)) == error_kind::in_progress);
+        late.claimed_unix_ms = first.expires_unix_ms;
+        CHECK(won(two.claim_at(1, late)));
+    }
+}
+
+TEST_CASE("the settlement of a claim")
+{
+    bench two;
+    const auto mine = two.make("k");
+    REQUIRE(won(two.claim_at(0, mine)));
+    const auto reads = two.table.reads;
+
+    SUBCASE("needs no read at the instance that claimed, and keeps the retention")
+    {
+        auto settled = mine;
+        settled.expires_unix_ms = 0;
+        CHECK(two.settle_at(0, settled, claim_state::completed)->ok());
+        CHECK(two.table.reads == reads);
+        CHECK(two.stored("k").expires_unix_ms == mine.expires_unix_ms);
+    }
+    SUBCASE("is confirmed when its answer is lost, so that not run is only said when it is stored")
+    {
+        two.table.write_fate = in_order({lost_after});
+        CHECK(two.settle_at(0, mine, claim_state::abandoned)->ok());
+        CHECK(two.stored("k").state == claim_state::abandoned);
+    }
+    SUBCASE("is retried while the store fails, and an error is given at the deadline")
+    {
+        two.table.write_fate = in_order({failed_before, failed_before, failed_before});
+        CHECK(two.settle_at(0, mine, claim_state::completed)->ok());
+        two.table.write_fate = always(failed_before);
+        const auto other = two.make("other");
+        CHECK(!two.settle_at(0, other, claim_state::completed)->ok());
+    }
+}
+
+TEST_CASE("many claims")
+{
+    bench one{1};
+    std::size_t answered = 0;
+    std::size_t refused = 0;
+    const auto claim_new = [&](std::size_t n)
+    {
+        one.batches[0]->claim_key(one.make(std::to_string(n)), one.table.now(),
+                                  one.table.now() + seconds{1},
+                                  [&](const absl::StatusOr<claim_result>& result)
+                                  {
+                                      ++answered;
+                                      refused += result.ok() ? 0U : 1U;
+                                  });
+    };
+    SUBCASE("are grouped, at most 64 in a transaction")
+    {
+        for (std::size_t n = 0; n != 150; ++n)
+        {
+            claim_new(n);
+        }
+        one.run(milliseconds{50});
+        CHECK(answered == 150);
+        CHECK(one.table.batches == std::vector<std::size_t>{64, 64, 22});
+    }
+    SUBCASE("beyond the bound are refused at once while the store hangs, so memory is bounded")
+    {
+        one.table.write_fate = always(fate{milliseconds{-1}, milliseconds{4900}, true});
+        for (std::size_t n = 0; n != claim_batch::max_waiting + 10; ++n)
+        {
+            claim_new(n);
+        }
+        CHECK(refused == 10);
+        one.run(milliseconds{1100});
+        CHECK(answered == claim_batch::max_waiting + 10);
+        CHECK(refused == answered);
+
+        SUBCASE("and room is free again afterwards")
+        {
+            one.table.write_fate = always(works);
+            one.run(seconds{6});
+            CHECK(won(one.claim_at(0, one.make("later"))));
+        }
+    }
+    SUBCASE("get an error when the instance shuts down")
+    {
+        claim_new(0);
+        one.batches.clear();
+        CHECK(refused == 1);
+    }
+}
--- /dev/null
+++ b/test/mangovane/idempotency/fake_table.hpp
@@ -0,0 +1,130 @@
+// A table service in simulated time, whose calls meet a chosen fate.
+#ifndef MANGOVANE_TEST_IDEMPOTENCY_FAKE_TABLE_HPP
+#define MANGOVANE_TEST_IDEMPOTENCY_FAKE_TABLE_HPP
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "mangovane/platform/table_service.hpp"
+
+namespace mangovane::test
+{
+
+/// What happens to one call.
+struct fate
+{
+    milliseconds effect{1}; ///< When it takes effect; negative: never.
+    milliseconds answer{2}; ///< When the handler is called.
+    bool lost{false};       ///< The handler gets an error.
+
+    auto operator<=>(const fate&) const = default;
+};
+
+inline constexpr fate works{};
+inline constexpr fate lost_after{milliseconds{1}, milliseconds{2}, true};
+inline constexpr fate failed_before{milliseconds{-1}, milliseconds{2}, true};
+inline constexpr fate applied_late{milliseconds{60}, milliseconds{2}, true};
+
+class fake_table final : public table_service
+{
+public:
+    using chooser = std::function<fate()>;
+
+    chooser write_fate{[] { return works; }};
+    chooser read_fate{[] { return works; }};
+    std::map<std::string, table_row> rows;
+    std::vector<std::size_t> batches; ///< Writes in each transaction.
+    std::size_t reads{0};
+
+    void read(std::string key, time_point, read_handler handler) override
+    {
+        ++reads;
+        const auto chosen = read_fate();
+        at(chosen.answer,
+           [this, key = std::move(key), handler = std::move(handler), lost = chosen.lost]
+           {
+               if (lost)
+               {
+                   handler(absl::UnavailableError("reset"));
+                   return;
+               }
+               const auto it = rows.find(key);
+               handler(it == rows.end() ? std::optional<table_row>{} : it->second);
+           });
+    }
+
+    void write(std::vector<table_write> writes, time_point, write_handler handler) override
+    {
+        batches.push_back(writes.size());
+        const auto chosen = write_fate();
+        auto results = std::make_shared<std::vector<write_result>>();
+        if (chosen.effect >= milliseconds{0})
+        {
+            at(chosen.effect,
+               [this, results, writes = std::move(writes)]
+               {
+                   for (const auto& it : writes)
+                   {
+                       results->push_back(apply(it));
+                   }
+               });
+        }
+        at(chosen.answer,
+           [results, handler = std::move(handler), lost = chosen.lost]
+           {
+               if (lost)
+               {
+                   handler(absl::UnavailableError("reset"));
+                   return;
+               }
+               handler(*results);
+           });
+    }
+
+    [[nodiscard]] time_point now() const { return now_; }
+
+    /// Runs the next event up to the time; false when there is none.
+    bool step(time_point until)
+    {
+        if (events_.empty() || events_.begin()->first.first > until)
+        {
+            now_ = std::max(now_, until);
+            return false;
+        }
+        const auto it = events_.begin();
+        now_ = it->first.first;
+        const auto run = std::move(it->second);
+        events_.erase(it);
+        run();
+        return true;
+    }
+
+    /// Schedules what a test does itself.
+    void at(milliseconds delay, std::function<void()> run)
+    {
+        events_.emplace(std::pair{now_ + delay, ++sequence_}, std::move(run));
+    }
+
+private:
+    write_result apply(const table_write& write)
+    {
+        auto& row = rows[write.key];
+        if (row.revision != write.expected_revision)
+        {
+            return {false, row};
+        }
+        row = table_row{write.key, write.value, row.revision + 1};
+        return {true, row};
+    }
+
+    time_point now_{seconds{1000}};
+    std::uint64_t sequence_{0};
+    std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> events_;
+};
+
+} // namespace mangovane::test
+
+#endif
