--- a/test/mangovane/idempotency/claim_batch.cpp
+++ b/test/mangovane/idempotency/claim_batch.cpp
@@ -124,10 +124,9 @@
         two.table.read_fate = in_order({failed_before, failed_before});
         const auto answer = two.claim_at(0, mine, milliseconds{20});
         CHECK(!answer->ok());
-        two.run(milliseconds{100});
+        two.run(milliseconds{500});
+        CHECK(two.stored("k").state == claim_state::abandoned);
         CHECK(won(two.claim_at(1, two.make("k"), milliseconds{50})));
-        two.run(milliseconds{400});
-        CHECK(two.stored("k").attempt != mine.attempt);
     }
 }
 
--- /dev/null
+++ b/test/mangovane/platform/claims_over_http.cpp
@@ -0,0 +1,61 @@
+// Claims through the HTTP client against the stand-in, with its faults.
+#include <doctest/doctest.h>
+
+#include "mangovane/idempotency/claim_batch.hpp"
+#include "mangovane/platform/hosted.hpp"
+#include "mangovane/platform/http_platform.hpp"
+#include "mangovane/platform/http_pool.hpp"
+#include "standin/platform.hpp"
+
+using namespace mangovane;
+
+TEST_CASE("claims over HTTP")
+{
+    standin::platform store;
+    test::hosted server{[&](const standin::request& req, standin::reply& rep)
+                        { return store.handle(req, rep); }};
+    boost::asio::io_context io;
+    const auto pool = std::make_shared<http_pool>(io, server.address());
+    http_platform client{pool};
+    claim_batch batch{client};
+    const auto fault = [&](const char* text)
+    {
+        http_pool::request req{boost::beast::http::verb::post, "/fault", 11};
+        req.body() = text;
+        const auto answer = test::run_call<absl::StatusOr<http_answer>>(
+            io, [&](auto done) { pool->send(req, clock::now() + seconds{5}, done); });
+        CHECK(answer->status == 200);
+    };
+    std::uint64_t attempts = 0;
+    const auto claim_now = [&](milliseconds time)
+    {
+        claim wanted;
+        wanted.key = "k";
+        wanted.attempt = {instance_id{1}, 1, ++attempts};
+        std::optional<absl::StatusOr<claim_result>> answer;
+        const auto start = clock::now();
+        batch.claim_key(wanted, start, start + time, [&](const auto& result) { answer = result; });
+        while (!answer && clock::now() < start + seconds{20})
+        {
+            io.restart();
+            io.run_for(milliseconds{5});
+            batch.tick(clock::now());
+        }
+        REQUIRE(answer);
+        return *answer;
+    };
+
+    SUBCASE("are won once although the store loses the answers of all writes")
+    {
+        fault(R"({"lose_answers":true})");
+        CHECK(claim_now(seconds{10})->won);
+        CHECK(claim_now(seconds{10})->repeated.refusal == error_kind::in_progress);
+    }
+    SUBCASE("are refused as not run while the store is down, and won after it returned")
+    {
+        fault(R"({"down":true})");
+        CHECK(kind_of(claim_now(milliseconds{100}).status()) == error_kind::store_unavailable);
+        fault(R"({"down":false})");
+        CHECK(claim_now(seconds{10})->won);
+    }
+}
