Add the wait queue with class shares and fair queueing over accounts

Cause: the owner of an endpoint needs a queue in which a surging account does not hold up the others and overnight work always progresses.

Change: classes are chosen by smooth deficit, accounts by start-time fair queueing, requests inside an account by arrival. pop takes a filter, so that a waiting new chat does not block a returning one. position_of estimates how many requests are served before a new one. An account keeps a credit of 8 unused requests, because strict start tags missed the target: the burst of an account that stays inside its share then waits behind the surging one.

--- a/src/mangovane/queue/fair_queue.hpp
+++ b/src/mangovane/queue/fair_queue.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 
 #include "mangovane/core/id.hpp"
 #include "mangovane/core/request_class.hpp"
@@ -39,6 +40,9 @@
     auto operator<=>(const waiting_slot&) const = default;
 };
 
+/// Whether a waiting request may be served now.
+using slot_filter = absl::FunctionRef<bool(const slot_request&)>;
+
 class fair_queue
 {
 public:
@@ -48,37 +52,75 @@
     /// Takes the next request in fair order, nothing when empty.
     std::optional<waiting_slot> pop(const queue_limits& limits);
 
-    /// Takes out every request whose `wait_until` or deadline has passed.
+    /// Takes the next request in fair order among those that the filter admits. Others keep their
+    /// place, and their class earns no credit for the turn.
+    std::optional<waiting_slot> pop(const queue_limits& limits, slot_filter admits);
+
+    /// Requests that would be served before this one if it were pushed now: an estimate from the
+    /// weights and shares, at most the size of the queue.
+    [[nodiscard]] std::size_t position_of(const queue_limits& limits,
+                                          const slot_request& request) const;
+
+    /// Takes out every request whose `wait_until` or deadline has passed, in order of arrival.
     std::vector<waiting_slot> expire(time_point now);
 
     /// Takes out one request; false when it is not queued.
     bool remove(const attempt_id& attempt);
 
-    /// Takes out all requests, in no particular order.
+    [[nodiscard]] bool contains(const attempt_id& attempt) const;
+
+    /// Takes out all requests, in order of arrival.
     std::vector<waiting_slot> drain();
 
     [[nodiscard]] std::size_t size() const noexcept { return size_; }
     [[nodiscard]] bool empty() const noexcept { return size_ == 0; }
 
 private:
+    struct queued_entry
+    {
+        std::uint64_t arrival; ///< Order of arrival over the whole queue.
+        waiting_slot slot;
+    };
+
     struct account_queue
     {
-        std::deque<waiting_slot> entries;
+        std::deque<queued_entry> entries; ///< In order of arrival.
         double finish_tag{0}; ///< Virtual finish time of the account's last served request.
     };
 
     struct class_queue
     {
-        absl::flat_hash_map<account_id, account_queue> accounts; ///< No empty account stays.
-        double virtual_time{0}; ///< Start tag of the request served last; never falls.
+        /// An empty account stays until it has earned its whole credit; otherwise an account with
+        /// one request at a time would overtake the others after each answer.
+        absl::flat_hash_map<account_id, account_queue> accounts;
+        double virtual_time{0}; ///< Highest start tag served; never falls.
         double credit{0};       ///< Share earned and not yet used by this class.
         std::size_t size{0};
     };
 
-    std::optional<std::size_t> choose_class(const queue_limits& limits);
+    /// The request of a class that is served first.
+    struct candidate
+    {
+        account_id account;
+        std::size_t index;     ///< In the account's entries.
+        double start_tag;      ///< Lowest first.
+        std::uint64_t arrival; ///< Among equal tags, the earliest first.
+    };
+
+    using candidates = std::array<std::optional<candidate>, request_class_count>;
+
+    [[nodiscard]] static double start_tag(const class_queue& queue,
+                                          const account_queue& account) noexcept;
+    [[nodiscard]] static std::optional<candidate> find_next(const class_queue& queue,
+                                                            slot_filter admits);
+    std::optional<std::size_t> choose_class(const queue_limits& limits, const candidates& next);
+    waiting_slot take(class_queue& queue, const candidate& chosen);
+    void settle(class_queue& queue);
+    std::vector<waiting_slot> extract(slot_filter selects);
 
     std::array<class_queue, request_class_count> classes_;
     std::size_t size_{0}; ///< Sum of the sizes of the classes.
+    std::uint64_t next_arrival_{0};
 };
 
 } // namespace mangovane
--- /dev/null
+++ b/test/mangovane/queue/fair_queue.cpp
@@ -0,0 +1,325 @@
+// Tests of the wait queue: fairness between classes and between client accounts.
+#include "mangovane/queue/fair_queue.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+
+#include <doctest/doctest.h>
+
+using namespace mangovane;
+
+namespace
+{
+
+/// A queue with a clock; accounts are small numbers.
+struct queue_fixture
+{
+    waiting_slot make(std::uint64_t account, request_class priority = request_class::standard)
+    {
+        waiting_slot result;
+        result.holder = instance_id{1};
+        result.request.attempt = attempt_id{instance_id{1}, 1, ++sequence};
+        result.request.account = account_id{account};
+        result.request.priority = priority;
+        result.request.wait_until = now + seconds{60};
+        result.request.deadline = now + seconds{60};
+        return result;
+    }
+
+    bool push(std::uint64_t account, request_class priority = request_class::standard)
+    {
+        return queue.push(limits, make(account, priority));
+    }
+
+    time_point now{seconds{1000}};
+    std::uint64_t sequence{0};
+    queue_limits limits;
+    fair_queue queue;
+};
+
+/// Ten accounts before an engine with 8 slots, in simulated seconds. Account 0 may surge.
+class engine_simulation
+{
+public:
+    engine_simulation(double load, double surge) : surge_{surge}, gap_{accounts / (8.0 * load)} {}
+
+    /// The 99th percentile of the wait of accounts 1 to 9.
+    double wait_p99()
+    {
+        for (std::uint64_t n = 0; n != accounts; ++n)
+        {
+            events_.push({draw(gap_of(n)), n});
+        }
+        while (waits_.size() < 50000)
+        {
+            step();
+        }
+        const auto nth = waits_.begin() + static_cast<std::ptrdiff_t>(waits_.size() * 99 / 100);
+        std::nth_element(waits_.begin(), nth, waits_.end());
+        return *nth;
+    }
+
+private:
+    struct event
+    {
+        double at;
+        std::uint64_t account; ///< `accounts` stands for the end of a request.
+
+        auto operator<=>(const event&) const = default;
+    };
+
+    void step()
+    {
+        const auto next = events_.top();
+        events_.pop();
+        if (next.account == accounts)
+        {
+            --busy_;
+        }
+        else
+        {
+            arrive(next);
+        }
+        while (busy_ != 8)
+        {
+            const auto entry = fixture_.queue.pop(fixture_.limits);
+            if (!entry)
+            {
+                break;
+            }
+            start(*entry, next.at);
+        }
+    }
+
+    void arrive(const event& next)
+    {
+        events_.push({next.at + draw(gap_of(next.account)), next.account});
+        auto entry = fixture_.make(next.account);
+        if (fixture_.queue.push(fixture_.limits, entry))
+        {
+            arrived_[entry.request.attempt.sequence] = next.at;
+        }
+    }
+
+    void start(const waiting_slot& entry, double at)
+    {
+        ++busy_;
+        events_.push({at + draw(1.0), accounts});
+        const auto it = arrived_.find(entry.request.attempt.sequence);
+        if (entry.request.account.value() != 0)
+        {
+            waits_.push_back(at - it->second);
+        }
+        arrived_.erase(it);
+    }
+
+    [[nodiscard]] double gap_of(std::uint64_t account) const
+    {
+        return account == 0 ? gap_ / surge_ : gap_;
+    }
+
+    double draw(double mean)
+    {
+        return -mean * std::log((static_cast<double>(random_() >> 11U) + 1) * 0x1p-53);
+    }
+
+    static constexpr std::uint64_t accounts = 10;
+    double surge_;
+    double gap_;
+    std::mt19937_64 random_{20261204};
+    std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+    std::map<std::uint64_t, double> arrived_;
+    std::vector<double> waits_;
+    std::uint32_t busy_{0};
+    queue_fixture fixture_;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(queue_fixture, "accounts that share a class")
+{
+    SUBCASE("are served in turn, so that a flood of one does not hold up the other")
+    {
+        for (int n = 0; n != 50; ++n)
+        {
+            REQUIRE(push(1));
+        }
+        queue.pop(limits);
+        REQUIRE(push(2));
+        CHECK(queue.pop(limits)->request.account == account_id{2});
+    }
+
+    SUBCASE("keep the order of arrival inside an account")
+    {
+        for (int n = 0; n != 10; ++n)
+        {
+            REQUIRE(push(1));
+        }
+        for (std::uint64_t n = 1; n <= 10; ++n)
+        {
+            CHECK(queue.pop(limits)->request.attempt.sequence == n);
+        }
+    }
+
+    SUBCASE("are served in proportion to their weights")
+    {
+        for (int n = 0; n != 60; ++n)
+        {
+            auto heavy = make(1);
+            heavy.request.weight = 3;
+            REQUIRE(queue.push(limits, heavy));
+            REQUIRE(push(2));
+        }
+        int heavy = 0;
+        for (int n = 0; n != 40; ++n)
+        {
+            heavy += queue.pop(limits)->request.account == account_id{1} ? 1 : 0;
+        }
+        CHECK(heavy >= 29);
+        CHECK(heavy <= 31);
+    }
+
+    SUBCASE("gain nothing by sending one request at a time")
+    {
+        for (int n = 0; n != 50; ++n)
+        {
+            REQUIRE(push(1));
+        }
+        int alternate = 0;
+        bool waits = false;
+        for (int n = 0; n != 40; ++n)
+        {
+            waits = waits || push(2);
+            const bool taken = queue.pop(limits)->request.account == account_id{2};
+            alternate += taken ? 1 : 0;
+            waits = waits && !taken;
+        }
+        CHECK(alternate >= 19);
+        CHECK(alternate <= 21);
+    }
+
+    SUBCASE("fill only their own part of the queue")
+    {
+        for (std::uint32_t n = 0; n != limits.per_account; ++n)
+        {
+            REQUIRE(push(1));
+        }
+        CHECK_FALSE(push(1));
+        CHECK_FALSE(push(1, request_class::interactive));
+        CHECK(push(2));
+    }
+}
+
+TEST_CASE("an account that surges to 20 times its rate")
+{
+    SUBCASE("raises the p99 wait of the others by at most a quarter")
+    {
+        for (const auto load : {0.70, 0.80, 0.90, 0.95})
+        {
+            const auto steady = engine_simulation{load, 1}.wait_p99();
+            const auto surging = engine_simulation{load, 20}.wait_p99();
+            MESSAGE("load " << load << ": p99 wait " << steady << " s, in the surge " << surging
+                            << " s");
+            CHECK(surging <= 1.25 * steady);
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(queue_fixture, "overnight work under steady interactive load")
+{
+    for (int n = 0; n != 30; ++n)
+    {
+        REQUIRE(push(1, request_class::overnight));
+    }
+
+    SUBCASE("finishes, though interactive requests always wait")
+    {
+        int overnight = 0;
+        for (int n = 0; n != 300; ++n)
+        {
+            static_cast<void>(push(2, request_class::interactive));
+            overnight += queue.pop(limits)->request.priority == request_class::overnight ? 1 : 0;
+        }
+        CHECK(overnight == 30);
+    }
+
+    SUBCASE("takes only its share while interactive requests wait")
+    {
+        for (int n = 0; n != 60; ++n)
+        {
+            REQUIRE(push(2, request_class::interactive));
+        }
+        int overnight = 0;
+        for (int n = 0; n != 40; ++n)
+        {
+            overnight += queue.pop(limits)->request.priority == request_class::overnight ? 1 : 0;
+        }
+        CHECK(overnight == 5);
+    }
+
+    SUBCASE("makes progress even with a share of zero")
+    {
+        limits.class_shares = {100, 0, 0};
+        int overnight = 0;
+        for (int n = 0; n != 250; ++n)
+        {
+            static_cast<void>(push(2, request_class::interactive));
+            overnight += queue.pop(limits)->request.priority == request_class::overnight ? 1 : 0;
+        }
+        CHECK(overnight >= 2);
+    }
+}
+
+TEST_CASE_FIXTURE(queue_fixture, "requests that may not be granted now")
+{
+    REQUIRE(push(1));
+    auto returning = make(1);
+    returning.request.purpose = slot_purpose::returning_chat;
+    REQUIRE(queue.push(limits, returning));
+    const auto only_returning = [](const slot_request& it)
+    { return it.purpose == slot_purpose::returning_chat; };
+
+    SUBCASE("do not block those behind them, and keep their place")
+    {
+        CHECK(queue.pop(limits, only_returning)->request.attempt == returning.request.attempt);
+        CHECK_FALSE(queue.pop(limits, only_returning));
+        CHECK(queue.size() == 1);
+        CHECK(queue.pop(limits)->request.attempt.sequence == 1);
+    }
+
+    SUBCASE("leave the queue when their wait ends, when removed and when drained")
+    {
+        CHECK(queue.remove(returning.request.attempt));
+        CHECK_FALSE(queue.remove(returning.request.attempt));
+        CHECK(queue.expire(now).empty());
+        REQUIRE(push(2));
+        CHECK(queue.drain().size() == 2);
+        REQUIRE(push(3));
+        CHECK(queue.expire(now + seconds{60}).size() == 1);
+        CHECK(queue.empty());
+    }
+}
+
+TEST_CASE_FIXTURE(queue_fixture, "the expected position of a request")
+{
+    for (int n = 0; n != 40; ++n)
+    {
+        REQUIRE(push(1));
+    }
+
+    SUBCASE("is not that of the whole queue when another account floods it")
+    {
+        CHECK(queue.position_of(limits, make(2).request) == 1);
+        CHECK(queue.position_of(limits, make(1).request) == 40);
+    }
+
+    SUBCASE("counts the turns of other classes by their shares")
+    {
+        CHECK(queue.position_of(limits, make(2, request_class::interactive).request) == 0);
+        CHECK(queue.position_of(limits, make(2, request_class::overnight).request) == 2);
+    }
+}
