Add the ramp, the limit ledger and the leases of its users

Cause: rate and concurrency of a settings node hold over all instances, so one owner has to lease them; a cold endpoint needs a ramp.

Change: the owner has a token bucket and counts for each instance its largest lease that still runs. A smaller lease does not end an earlier larger one, because its answer can be lost. A new owner leases no concurrency for one lease time. The constructor takes the time since when the node is owned, so that a ledger made at the first request does not make that request wait. cold_ramp has raise() for slots that a former owner granted.

Five instances that together ask for twice the rate of 100/s acquire between 900 and 1000 requests in 10 s. Over 20000 steps with a quarter of the answers lost and delays up to 100 ms, the leases that run never sum to more than the rule of 10.

Conclusion: leases bound new requests. Requests that outlast the lease of an instance that is cut off go on, and can then exceed the rule.

--- a/src/mangovane/ledger/ramp.hpp
+++ b/src/mangovane/ledger/ramp.hpp
@@ -28,6 +28,9 @@
     /// The endpoint restarted or says that it is cold: back to `ramp_start`.
     void restart(const service_policy& policy, time_point now) noexcept;
 
+    /// The endpoint bears at least this many slots: a former owner granted them.
+    void raise(std::uint32_t slots) noexcept;
+
     auto operator<=>(const cold_ramp&) const = default;
 
 private:
--- /dev/null
+++ b/test/mangovane/limits/limit_ledger.cpp
@@ -0,0 +1,170 @@
+// Tests of rate and concurrency limits: one owner, and the leases of the instances that use them.
+#include "mangovane/limits/limit_ledger.hpp"
+
+#include <array>
+#include <random>
+
+#include <doctest/doctest.h>
+
+using namespace mangovane;
+
+namespace
+{
+
+struct limit_fixture
+{
+    limit_grant ask(std::uint64_t holder, std::uint32_t tokens, std::uint32_t running)
+    {
+        return ledger.request(instance_id{holder}, {rule.node, tokens, running}, rule, now);
+    }
+
+    /// One question and its answer, without delay.
+    void refresh(std::uint64_t holder, limit_lease& lease)
+    {
+        if (const auto question = lease.wanted(rule, now))
+        {
+            lease.on_grant(ledger.request(instance_id{holder}, *question, rule, now), now);
+        }
+    }
+
+    time_point now{seconds{1000}};
+    limit_rule rule{node_id::of("/ona"), "/ona", 100, 100, 0};
+    limit_ledger ledger{now};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(limit_fixture, "a rate limit")
+{
+    SUBCASE("grants nothing that a former owner may have granted already")
+    {
+        CHECK(ask(1, 100, 0).tokens == 0);
+        now += milliseconds{100};
+        CHECK(ask(1, 100, 0).tokens == 10);
+    }
+
+    SUBCASE("holds over several instances that ask for more")
+    {
+        std::uint32_t used = 0;
+        std::array<limit_lease, 5> leases;
+        for (int n = 0; n != 1000; ++n)
+        {
+            now += milliseconds{10};
+            auto& lease = leases[static_cast<std::size_t>(n) % leases.size()];
+            used += lease.try_acquire(rule, now) || lease.try_acquire(rule, now) ? 1 : 0;
+            refresh(static_cast<std::uint64_t>(n) % leases.size(), lease);
+        }
+        CHECK(used <= 1000);
+        CHECK(used >= 900);
+    }
+
+    SUBCASE("does not save unused tokens beyond their lease")
+    {
+        now += seconds{1};
+        limit_lease lease;
+        CHECK_FALSE(lease.try_acquire(rule, now));
+        refresh(1, lease);
+        CHECK(lease.try_acquire(rule, now));
+        refresh(1, lease);
+        now += limit_lease_time;
+        CHECK_FALSE(lease.try_acquire(rule, now));
+    }
+
+    SUBCASE("that is exhausted does not make an instance ask without pause")
+    {
+        limit_lease lease;
+        int questions = 0;
+        for (int n = 0; n != 100; ++n)
+        {
+            now += milliseconds{10};
+            static_cast<void>(lease.try_acquire(rule, now));
+            const auto question = lease.wanted(rule, now);
+            questions += question ? 1 : 0;
+            if (question)
+            {
+                lease.on_grant({rule.node, 0, 0, 1000}, now);
+            }
+        }
+        CHECK(questions <= 6);
+    }
+
+    SUBCASE("is divided between the instances while the owner is unreachable")
+    {
+        rule.rate_per_s = 7;
+        std::uint32_t used = 0;
+        for (std::size_t rank = 0; rank != 5; ++rank)
+        {
+            limit_lease lease;
+            lease.use_local_share(rule, rank, 5, now);
+            lease.use_local_share(rule, rank, 5, now + milliseconds{500});
+            while (lease.try_acquire(rule, now))
+            {
+                ++used;
+            }
+        }
+        CHECK(used == 7);
+    }
+}
+
+TEST_CASE_FIXTURE(limit_fixture, "a concurrency limit")
+{
+    rule = {node_id::of("/ona"), "/ona", 0, 0, 10};
+
+    SUBCASE("leases nothing until the leases of a former owner have run out")
+    {
+        CHECK(ask(1, 0, 4).concurrency == 0);
+        now += limit_lease_time;
+        CHECK(ask(1, 0, 4).concurrency == 4);
+    }
+
+    SUBCASE("counts a larger lease until its end, because the smaller answer can be lost")
+    {
+        now += limit_lease_time;
+        CHECK(ask(1, 0, 10).concurrency == 10);
+        now += milliseconds{500};
+        CHECK(ask(1, 0, 3).concurrency == 3);
+        CHECK(ask(2, 0, 9).concurrency == 0);
+        now += milliseconds{500};
+        CHECK(ask(2, 0, 9).concurrency == 7);
+    }
+
+    SUBCASE("holds over instances whose answers are lost, late or in order")
+    {
+        std::mt19937_64 random{20261204};
+        std::array<limit_lease, 4> leases;
+        now += limit_lease_time;
+        for (int n = 0; n != 20000; ++n)
+        {
+            now += milliseconds{random() % 40};
+            const auto holder = random() % leases.size();
+            auto& lease = leases[holder];
+            random() % 2 == 0 ? lease.release() : static_cast<void>(lease.try_acquire(rule, now));
+            const auto question = lease.wanted(rule, now);
+            if (question)
+            {
+                const auto asked_at = now;
+                now += milliseconds{random() % 100};
+                const auto answer = ledger.request(instance_id{holder}, *question, rule, now);
+                if (random() % 4 != 0)
+                {
+                    lease.on_grant(answer, asked_at);
+                }
+            }
+            std::uint32_t leased = 0;
+            for (auto& it : leases)
+            {
+                leased += it.concurrency(now);
+            }
+            REQUIRE(leased <= rule.concurrency);
+        }
+    }
+
+    SUBCASE("returns the share of an instance that stopped asking")
+    {
+        now += limit_lease_time;
+        CHECK(ask(1, 0, 10).concurrency == 10);
+        now += limit_lease_time;
+        ledger.expire(now);
+        CHECK(ask(2, 0, 10).concurrency == 10);
+    }
+}
