Add the endpoint ledger

Cause: the load bound, the ramp and fairness hold over all instances only when one owner counts the slots of an endpoint.

Change: slot_table holds the leases, orphaned slots and ended attempts; endpoint_ledger adds the bound, the ramp, the queue and the rebuilding phase. The expected wait comes from the mean time from grant to release over the slots allowed, which does not depend on how busy the endpoint was before.

--- a/src/mangovane/ledger/endpoint_ledger.hpp
+++ b/src/mangovane/ledger/endpoint_ledger.hpp
@@ -6,11 +6,11 @@
 #include <optional>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include "mangovane/ledger/bound.hpp"
 #include "mangovane/ledger/ramp.hpp"
+#include "mangovane/ledger/slot_table.hpp"
 #include "mangovane/membership/endpoint.hpp"
 #include "mangovane/membership/view.hpp"
 #include "mangovane/message/message.hpp"
@@ -19,11 +19,6 @@
 namespace mangovane
 {
 
-/// Time a slot is held without renewal.
-inline constexpr milliseconds slot_lease{4000};
-/// Period of the holders' renewals.
-inline constexpr milliseconds renewal_period{1000};
-
 /// What a ledger needs to know from outside for a decision.
 struct ledger_context
 {
@@ -48,6 +43,23 @@
     auto operator<=>(const ledger_status&) const = default;
 };
 
+/// Moving average of the time from grant to release.
+class holding_time
+{
+public:
+    void add(duration sample) noexcept;
+
+    /// Time until `turns` slots are released by an endpoint with `slots` slots in use; zero while
+    /// too few samples are known.
+    [[nodiscard]] duration wait_for(std::size_t turns, std::uint32_t slots) const noexcept;
+
+    auto operator<=>(const holding_time&) const = default;
+
+private:
+    duration mean_{0};
+    std::uint32_t samples_{0};
+};
+
 class endpoint_ledger
 {
 public:
@@ -63,7 +75,8 @@
     release(instance_id holder, const slot_release& msg, const ledger_context& ctx, time_point now);
 
     /// Complete list of a holder's slots. Replaces what is known of this holder, except for slots
-    /// granted after the holder built the list (`grant_grace`).
+    /// granted after the holder built the list (`grant_grace`). The owner renews its own slots in
+    /// the same way: rebuilding ends early only when it has been heard too.
     [[nodiscard]] std::vector<outgoing_message>
     renew(instance_id holder, const slot_renewal& msg, const ledger_context& ctx, time_point now);
 
@@ -79,37 +92,58 @@
 
     [[nodiscard]] ledger_status status(const ledger_context& ctx) const;
 
-    [[nodiscard]] std::uint32_t in_flight() const noexcept
-    {
-        return static_cast<std::uint32_t>(slots_.size());
-    }
+    /// Live and orphaned slots.
+    [[nodiscard]] std::uint32_t in_flight() const noexcept { return slots_.size(); }
 
 private:
-    struct slot
-    {
-        instance_id holder;
-        time_point granted_at;
-        time_point lease_until; ///< Extended by renewals.
-        time_point deadline;    ///< Of the caller.
-        bool orphaned{
-            false}; ///< Lease ran out; counts as load until a report or the deadline clears it.
-    };
+    using messages = std::vector<outgoing_message>;
 
+    /// What limits the slots of the endpoint apart from the load bound.
+    [[nodiscard]] std::optional<slot_refusal_reason> closed_by(const ledger_context& ctx) const;
+    [[nodiscard]] std::uint32_t ramped(const ledger_context& ctx, slot_purpose purpose) const;
     [[nodiscard]] std::uint32_t allowed(const ledger_context& ctx, slot_purpose purpose) const;
-    [[nodiscard]] std::vector<outgoing_message> grant_waiting(const ledger_context& ctx,
-                                                              time_point now);
-    outgoing_message grant(const waiting_slot& entry, const ledger_context& ctx, time_point now);
+    [[nodiscard]] std::uint32_t in_use() const noexcept;
+    [[nodiscard]] bool has_room(const ledger_context& ctx, slot_purpose purpose) const;
+    [[nodiscard]] slot_refusal_reason full_by(const ledger_context& ctx,
+                                              slot_purpose purpose) const;
+
+    [[nodiscard]] bool
+    waits_too_long(const slot_request& msg, const ledger_context& ctx, time_point now) const;
+    [[nodiscard]] outgoing_message
+    admit(instance_id holder, const slot_request& msg, const ledger_context& ctx, time_point now);
+    [[nodiscard]] std::optional<outgoing_message> admit_or_queue(instance_id holder,
+                                                                 const slot_request& msg,
+                                                                 const ledger_context& ctx,
+                                                                 time_point now);
+    [[nodiscard]] outgoing_message
+    grant_of(instance_id holder, const slot_request& msg, const ledger_context& ctx) const;
+    [[nodiscard]] outgoing_message refusal_of(const waiting_slot& entry,
+                                              slot_refusal_reason reason,
+                                              std::uint32_t allowed_slots) const;
+
+    messages settle_queue(const ledger_context& ctx, time_point now);
+    void refuse_closed(messages& out, const ledger_context& ctx);
+    void refuse_expired(messages& out, const ledger_context& ctx, time_point now);
+    void grant_waiting(messages& out, const ledger_context& ctx, time_point now);
+
+    void learn(const held_lease& slot,
+               const slot_release& msg,
+               const ledger_context& ctx,
+               time_point now);
+    void on_overload(const ledger_context& ctx, time_point now);
+    void end_ramp(const ledger_context& ctx);
+    void end_rebuilding(const ledger_context& ctx, time_point now);
 
     endpoint_id endpoint_;
-    absl::flat_hash_map<attempt_id, slot> slots_; ///< All slots in flight, orphaned ones included.
-    fair_queue queue_;
-    std::optional<cold_ramp> ramp_; ///< Empty once the endpoint is warm.
-    incarnation epoch_{0};          ///< Of the endpoint; 0 until the first report.
-    std::uint32_t reported_{0};     ///< In flight by the endpoint's last report.
+    slot_table slots_;                        ///< All slots in flight, orphaned ones included.
+    fair_queue queue_;                        ///< Holds no attempt that has a slot or has ended.
+    std::optional<cold_ramp> ramp_;           ///< Empty once the endpoint is warm.
+    std::optional<endpoint_report> reported_; ///< The newest report.
     bool rebuilding_{true};
     time_point rebuild_until_; ///< One lease after this instance became the owner.
     absl::flat_hash_set<instance_id>
         heard_; ///< Holders that have renewed since then; emptied at the end.
+    holding_time holding_;
 };
 
 } // namespace mangovane
