Read the settings tree from a schema, and store changes as versions

Cause: settings were read without checks, without inheritance, and could not be changed.

Change: a table of settings with types, ranges, caps and member pointers drives the check, the effective settings and the reference page. The check reports all mistakes with node and line. A store puts a checked text in force by a compare-and-set of the head row, which also writes one history row per version; a lost answer is resolved by reading that row.

The store compiles and has no test yet.

--- /dev/null
+++ b/src/mangovane/settings/apply_operation.hpp
@@ -0,0 +1,64 @@
+// One change on its way to the platform: a state machine over the answers of the platform.
+#ifndef MANGOVANE_SETTINGS_APPLY_OPERATION_HPP
+#define MANGOVANE_SETTINGS_APPLY_OPERATION_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "mangovane/settings/store.hpp"
+
+namespace mangovane::internal
+{
+
+/// Key of the history row of a version.
+[[nodiscard]] std::string version_key(std::uint64_t version);
+
+class apply_operation : public std::enable_shared_from_this<apply_operation>
+{
+public:
+    apply_operation(table_service& table,
+                    object_store& objects,
+                    settings_change change,
+                    time_point deadline,
+                    settings_store::apply_handler handler);
+
+    void start();
+
+private:
+    using row_answer = absl::StatusOr<std::optional<table_row>>;
+    using write_answer = absl::StatusOr<std::vector<write_result>>;
+
+    void on_head(const row_answer& row);
+    void search(std::uint64_t version);
+    void on_history(std::uint64_t version, const row_answer& row);
+    void prepare();
+    void put_object();
+    void write();
+    void on_written(const write_answer& answer);
+    void resolve();
+    void on_resolved(const row_answer& row);
+
+    /// Ends the operation if the row tells which change became the version that was tried.
+    bool decide(const std::string& row);
+
+    void finish(apply_result result, settings_head head = {}, std::string error = {});
+    void give_up(std::string error);
+    void conflict_with(const settings_head& other);
+
+    table_service& table_;
+    object_store& objects_;
+    settings_change change_;
+    time_point deadline_;
+    settings_store::apply_handler handler_;
+    settings_head head_; ///< The newest change when the operation began; version 0: none.
+    std::uint64_t head_revision_{0};
+    settings_head wanted_; ///< The own change as the rows will hold it.
+    std::uint32_t writes_{0};
+    bool written_{false}; ///< A write was sent whose effect is not known.
+};
+
+} // namespace mangovane::internal
+
+#endif
--- /dev/null
+++ b/src/mangovane/settings/check.cpp
@@ -0,0 +1,103 @@
+// Implementation of the check.
+#include "mangovane/settings/check.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <boost/json.hpp>
+
+#include "mangovane/core/hash.hpp"
+#include "mangovane/settings/tree_checks.hpp"
+
+namespace mangovane
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using namespace internal;
+
+template <class Value>
+std::vector<Value> values_of(std::vector<placed<Value>> entries)
+{
+    std::vector<Value> result;
+    result.reserve(entries.size());
+    for (auto& it : entries)
+    {
+        result.push_back(std::move(it.value));
+    }
+    return result;
+}
+
+settings_tree tree_of(raw_tree raw)
+{
+    settings_tree result;
+    result.services = values_of(std::move(raw.services));
+    result.nodes = values_of(std::move(raw.nodes));
+    result.domains_out = values_of(std::move(raw.domains_out));
+    result.endpoints_drained = values_of(std::move(raw.endpoints_drained));
+    return result;
+}
+
+void check_required(const json::value& root, mistake_list& mistakes)
+{
+    if (!root.is_object())
+    {
+        return;
+    }
+    for (const std::string_view key : {"services", "nodes"})
+    {
+        if (!root.get_object().contains(json::string_view{key.data(), key.size()}))
+        {
+            mistakes.add({{}, "settings"}, absl::StrCat(std::string{key}, ": missing"));
+        }
+    }
+}
+
+checked_settings syntax_mistake(std::string_view text, std::size_t at, const std::string& reason)
+{
+    const auto end = text.begin() + static_cast<std::ptrdiff_t>(std::min(at, text.size()));
+    const auto line = 1 + std::count(text.begin(), end, '\n');
+    checked_settings result;
+    result.mistakes.push_back(
+        {static_cast<std::uint32_t>(line), "settings", absl::StrCat("not valid JSON: ", reason)});
+    return result;
+}
+
+} // namespace
+
+checked_settings check_settings(std::string_view text)
+{
+    json::error_code ec;
+    json::stream_parser parser;
+    const auto n = parser.write_some(text.data(), text.size(), ec);
+    if (!ec && n != text.size())
+    {
+        ec = json::error::extra_data;
+    }
+    if (!ec)
+    {
+        parser.finish(ec);
+    }
+    if (ec)
+    {
+        return syntax_mistake(text, n, ec.message());
+    }
+    const auto root = parser.release();
+    const position_index index{text};
+    mistake_list mistakes;
+    for (const auto& it : index.duplicates())
+    {
+        mistakes.add({it, "settings"}, "duplicate key");
+    }
+    check_required(root, mistakes);
+    auto raw = read_tree(root, mistakes);
+    resolve_inheritance(raw, mistakes);
+    check_caps(raw, mistakes);
+    check_names(raw, &hash_bytes, mistakes);
+    return {tree_of(std::move(raw)), mistakes.with_lines(index)};
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/settings/mistake.hpp
@@ -0,0 +1,26 @@
+// A mistake in a settings text.
+#ifndef MANGOVANE_SETTINGS_MISTAKE_HPP
+#define MANGOVANE_SETTINGS_MISTAKE_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mangovane
+{
+
+struct settings_mistake
+{
+    std::uint32_t line{1};
+    std::string where; ///< Path of the node, or `services/NAME`, or a top-level key.
+    std::string text;
+
+    auto operator<=>(const settings_mistake&) const = default;
+};
+
+/// One line for each mistake: `line 7: /parish: burst: ...`.
+[[nodiscard]] std::string to_text(const std::vector<settings_mistake>& mistakes);
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/settings/parse.cpp
+++ b/src/mangovane/settings/parse.cpp
@@ -1,12 +1,14 @@
-// Reading of settings.
+// Implementation of reading: from the checked tree to the snapshot that decisions use.
 #include "mangovane/settings/parse.hpp"
 
-#include <exception>
+#include <algorithm>
+#include <array>
+#include <cmath>
 #include <utility>
 
-#include <boost/json.hpp>
-
 #include "mangovane/core/error_kind.hpp"
+#include "mangovane/settings/check.hpp"
+#include "mangovane/settings/schema.hpp"
 
 namespace mangovane
 {
@@ -14,67 +16,139 @@
 namespace
 {
 
-namespace json = boost::json;
+using node_map = absl::flat_hash_map<std::string_view, const settings_node*>;
+
+template <class Id>
+std::vector<Id> ids_of(const std::vector<std::string>& names)
+{
+    std::vector<Id> result;
+    result.reserve(names.size());
+    for (const auto& it : names)
+    {
+        result.push_back(Id::of(it));
+    }
+    return result;
+}
 
-service_policy read_service(const std::string& name, const json::object& obj)
+std::vector<std::size_t> find_limit_rows()
 {
-    service_policy result;
-    result.id = service_id::of(name);
-    result.name = name;
-    result.kind = obj.at("kind").as_string() == "plain" ? service_kind::plain : service_kind::model;
-    if (const auto* models = obj.if_contains("models"))
+    static constexpr std::array<std::string_view, 3> keys{"rate_per_s", "burst", "concurrency"};
+    std::vector<std::size_t> result;
+    const auto rows = node_schema();
+    for (std::size_t n = 0; n != rows.size(); ++n)
     {
-        for (const auto& it : models->as_array())
+        if (std::find(keys.begin(), keys.end(), rows[n].key) != keys.end())
         {
-            result.models.push_back(model_id::of(json::value_to<std::string>(it)));
+            result.push_back(n);
         }
     }
     return result;
 }
 
-void read_node(const json::object& obj, settings_snapshot& out)
+/// Whether the node sets a limit itself. An inherited limit is already enforced by the ancestor.
+bool sets_limit(const settings_node& node)
+{
+    static const auto rows = find_limit_rows();
+    return std::any_of(rows.begin(), rows.end(), [&](std::size_t row) { return node.sets(row); });
+}
+
+/// An empty burst would let no request pass: it stands for one second of the rate.
+std::uint32_t burst_of(const node_values& values)
 {
-    const auto* acc = obj.if_contains("account");
-    if (acc == nullptr)
+    return values.burst != 0 ? values.burst
+                             : static_cast<std::uint32_t>(std::ceil(values.rate_per_s));
+}
+
+limit_rule rule_of(const settings_node& node)
+{
+    const auto& values = node.effective;
+    return {node_id::of(node.path), node.path, values.rate_per_s, burst_of(values),
+            values.concurrency};
+}
+
+std::vector<limit_rule> limits_of(const settings_node& node, const node_map& nodes)
+{
+    std::vector<limit_rule> result;
+    for (const auto* it = &node; it != nullptr;)
     {
-        return;
+        if (sets_limit(*it))
+        {
+            result.push_back(rule_of(*it));
+        }
+        const auto parent = nodes.find(it->parent);
+        it = parent == nodes.end() ? nullptr : parent->second;
     }
-    account_policy policy;
-    policy.name = json::value_to<std::string>(acc->at("name"));
-    policy.id = account_id::of(policy.name);
-    policy.path = json::value_to<std::string>(obj.at("path"));
-    for (const auto& it : acc->at("key_sha256").as_array())
+    return result;
+}
+
+account_policy account_of(const settings_node& node, const node_map& nodes)
+{
+    const auto& values = node.effective;
+    account_policy result;
+    result.name = node.account->name;
+    result.id = account_id::of(result.name);
+    result.path = node.path;
+    result.default_class = values.default_class;
+    result.highest_class = values.highest_class;
+    result.weight = values.weight;
+    result.services = ids_of<service_id>(values.services);
+    result.models = ids_of<model_id>(values.models);
+    result.domains = ids_of<domain_id>(values.domains);
+    result.limits = limits_of(node, nodes);
+    result.default_deadline = values.default_deadline;
+    return result;
+}
+
+node_map map_of(const settings_tree& tree)
+{
+    node_map result;
+    for (const auto& it : tree.nodes)
     {
-        out.accounts_by_key.emplace(json::value_to<std::string>(it), policy.id);
+        result.emplace(it.path, &it);
     }
-    out.accounts.emplace(policy.id, std::move(policy));
+    return result;
 }
 
-} // namespace
-
-absl::StatusOr<settings_ptr> parse_settings(std::string text, std::uint64_t version)
+void add_accounts(const settings_tree& tree, settings_snapshot& out)
 {
-    try
+    const auto nodes = map_of(tree);
+    for (const auto& it : tree.nodes)
     {
-        auto result = std::make_shared<settings_snapshot>();
-        const auto root = json::parse(text);
-        for (const auto& it : root.at("services").as_object())
+        if (!it.account)
         {
-            auto policy = read_service(std::string{it.key()}, it.value().as_object());
-            result->services.emplace(policy.id, std::move(policy));
+            continue;
         }
-        for (const auto& it : root.at("nodes").as_array())
+        auto policy = account_of(it, nodes);
+        for (const auto& key : it.account->key_sha256)
         {
-            read_node(it.as_object(), *result);
+            out.accounts_by_key.emplace(key, policy.id);
         }
-        result->stamp = settings_stamp{version, hash_bytes(text)};
-        result->text = std::move(text);
-        return settings_ptr{std::move(result)};
+        out.accounts.emplace(policy.id, std::move(policy));
+    }
+}
+
+} // namespace
+
+absl::StatusOr<settings_ptr> parse_settings(std::string text, std::uint64_t version)
+{
+    const auto checked = check_settings(text);
+    if (!checked.valid())
+    {
+        return make_error(error_kind::malformed_request, to_text(checked.mistakes));
     }
-    catch (const std::exception& ex)
+    auto result = std::make_shared<settings_snapshot>();
+    for (const auto& it : checked.tree.services)
     {
-        return make_error(error_kind::malformed_request, ex.what());
+        result->services.emplace(it.id, it);
     }
+    add_accounts(checked.tree, *result);
+    const auto domains = ids_of<domain_id>(checked.tree.domains_out);
+    result->domains_out.insert(domains.begin(), domains.end());
+    const auto endpoints = ids_of<endpoint_id>(checked.tree.endpoints_drained);
+    result->endpoints_drained.insert(endpoints.begin(), endpoints.end());
+    result->stamp = settings_stamp{version, hash_bytes(text)};
+    result->text = std::move(text);
+    return settings_ptr{std::move(result)};
 }
 
 } // namespace mangovane
--- /dev/null
+++ b/src/mangovane/settings/position_index.hpp
@@ -0,0 +1,76 @@
+// Where the values of a JSON text stand. Boost.JSON reports no positions for values.
+#ifndef MANGOVANE_SETTINGS_POSITION_INDEX_HPP
+#define MANGOVANE_SETTINGS_POSITION_INDEX_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+namespace mangovane
+{
+
+/// Place of a value in a text.
+struct text_span
+{
+    std::size_t begin{0};
+    std::size_t end{0}; ///< One past the last byte.
+    std::uint32_t line{1};
+
+    auto operator<=>(const text_span&) const = default;
+};
+
+/// Path of a value inside a JSON text: object keys and array indexes.
+class text_path
+{
+public:
+    text_path() = default;
+
+    [[nodiscard]] text_path operator/(std::string_view key) const;
+    [[nodiscard]] text_path operator/(std::size_t index) const;
+    [[nodiscard]] text_path parent() const;
+    [[nodiscard]] const std::string& text() const noexcept { return text_; }
+
+    auto operator<=>(const text_path&) const = default;
+
+private:
+    std::string text_; ///< Elements, each after a separator that no JSON key holds unescaped.
+};
+
+class position_index
+{
+public:
+    /// The text must be valid JSON.
+    explicit position_index(std::string_view text);
+
+    /// Place of a value; null when there is none.
+    [[nodiscard]] const text_span* find(const text_path& path) const;
+
+    /// Line of a value, or of the nearest value around it.
+    [[nodiscard]] std::uint32_t line_of(text_path path) const;
+
+    /// Keys that stand twice in one object. Boost.JSON silently keeps the last.
+    [[nodiscard]] const std::vector<text_path>& duplicates() const noexcept { return duplicates_; }
+
+private:
+    void scan_value(const text_path& path);
+    void scan_object(const text_path& path);
+    void scan_array(const text_path& path);
+    void skip_space();
+    void skip_scalar();
+    [[nodiscard]] std::string_view scan_string();
+    [[nodiscard]] char peek() const noexcept { return at_ < text_.size() ? text_[at_] : '\0'; }
+
+    std::string_view text_; ///< Read during construction only.
+    std::size_t at_{0};
+    std::uint32_t line_{1};
+    absl::flat_hash_map<std::string, text_span> spans_;
+    std::vector<text_path> duplicates_;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/settings/tree_checks.hpp
@@ -0,0 +1,27 @@
+// Rules between the entries of a tree: parents, inheritance, caps and names.
+#ifndef MANGOVANE_SETTINGS_TREE_CHECKS_HPP
+#define MANGOVANE_SETTINGS_TREE_CHECKS_HPP
+
+#include <cstdint>
+#include <string_view>
+
+#include "mangovane/settings/mistake_list.hpp"
+#include "mangovane/settings/tree_reader.hpp"
+
+namespace mangovane::internal
+{
+
+using name_hash = std::uint64_t (*)(std::string_view) noexcept;
+
+/// Fills in the effective settings of all nodes; reports parents that are unknown or form a cycle.
+void resolve_inheritance(raw_tree& tree, mistake_list& mistakes);
+
+/// Reports children above their parent, and classes above the highest one.
+void check_caps(const raw_tree& tree, mistake_list& mistakes);
+
+/// Reports duplicates, unknown references and different names with the same hash.
+void check_names(const raw_tree& tree, name_hash hash, mistake_list& mistakes);
+
+} // namespace mangovane::internal
+
+#endif
--- /dev/null
+++ b/test/mangovane/settings/check.cpp
@@ -0,0 +1,223 @@
+// Tests of the settings tree: what operators write, what is refused, and what is in force.
+#include "mangovane/settings/check.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include <doctest/doctest.h>
+
+#include "mangovane/settings/parse.hpp"
+#include "mangovane/settings/schema.hpp"
+#include "mangovane/settings/tree_checks.hpp"
+
+using namespace mangovane;
+
+namespace
+{
+
+const std::string valid_text = R"({
+  "services": {
+    "oro-model": {"kind": "model", "models": ["oro-small"], "class_shares": [60, 30, 10]},
+    "ebi-ledger": {"kind": "plain", "key_required": true, "warm_wait_ms": 250}
+  },
+  "nodes": [
+    {"path": "/parish", "parent": "/west", "settings": {"rate_per_s": 20, "services": ["ebi-ledger"]},
+     "account": {"name": "parish", "key_sha256": ["2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"]}},
+    {"path": "/west", "parent": "/", "settings": {"weight": 3, "concurrency": 40}},
+    {"path": "/", "settings": {"rate_per_s": 100.5, "class": "overnight"}}
+  ],
+  "domains_out": ["lekki-b"],
+  "endpoints_drained": ["engine-3"]
+})";
+
+/// The mistakes of a tree with these nodes, as text.
+std::string mistakes_of_nodes(const std::string& nodes)
+{
+    return to_text(
+        check_settings(R"({"services": {"s": {"kind": "plain"}}, "nodes": [)" + nodes + "]}")
+            .mistakes);
+}
+
+bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::uint64_t first_letter(std::string_view name) noexcept
+{
+    return name.empty() ? 0 : static_cast<std::uint64_t>(name.front());
+}
+
+} // namespace
+
+TEST_CASE("a valid tree is resolved into what decisions use")
+{
+    const auto settings = parse_settings(valid_text, 7);
+    REQUIRE(settings.ok());
+    const auto& snapshot = **settings;
+
+    SUBCASE("values come from the nearest node that sets them; otherwise a parent's change is lost")
+    {
+        const auto* account = snapshot.find_account(account_id::of("parish"));
+        REQUIRE(account != nullptr);
+        CHECK(account->weight == 3);
+        CHECK(account->default_class == request_class::overnight);
+        CHECK(account->services == std::vector{service_id::of("ebi-ledger")});
+
+        SUBCASE("limits run from the node to the root; a missing one would let a branch exceed it")
+        {
+            REQUIRE(account->limits.size() == 3);
+            CHECK(account->limits[0].path == "/parish");
+            CHECK(account->limits[0].rate_per_s == 20);
+            CHECK(account->limits[1].concurrency == 40);
+            CHECK(account->limits[2].path == "/");
+        }
+        SUBCASE("a rate without a burst still lets requests pass")
+        {
+            CHECK(account->limits[0].burst == 20);
+            CHECK(account->limits[2].burst == 101);
+        }
+    }
+    SUBCASE("service settings override the defaults one by one")
+    {
+        const auto* service = snapshot.find_service(service_id::of("ebi-ledger"));
+        REQUIRE(service != nullptr);
+        CHECK(service->key_required);
+        CHECK(service->warm_wait == milliseconds{250});
+        CHECK(service->load_bound == 1.25);
+        CHECK(snapshot.find_service(service_id::of("oro-model"))->class_shares[1] == 30);
+    }
+    SUBCASE("what is out or drained is known by id; otherwise a domain keeps getting work")
+    {
+        CHECK(snapshot.domains_out.contains(domain_id::of("lekki-b")));
+        CHECK(snapshot.endpoints_drained.contains(endpoint_id::of("engine-3")));
+        CHECK(snapshot.stamp == settings_stamp{7, hash_bytes(valid_text)});
+    }
+    SUBCASE("the origin of each effective value is named; a wrong one sends operators astray")
+    {
+        const auto values = effective_settings(check_settings(valid_text).tree, "/parish");
+        const auto value_of = [&](const std::string& key)
+        {
+            return *std::find_if(values.begin(), values.end(),
+                                 [&](const effective_value& it) { return it.key == key; });
+        };
+        CHECK(value_of("weight") == effective_value{"weight", "3", "/west"});
+        CHECK(value_of("class") == effective_value{"class", "\"overnight\"", "/"});
+        CHECK(value_of("rate_per_s") == effective_value{"rate_per_s", "20", "/parish"});
+        CHECK(value_of("burst") == effective_value{"burst", "0", "default"});
+    }
+}
+
+TEST_CASE("every mistake is reported at once, with node and line")
+{
+    SUBCASE("several mistakes in one text; one at a time would cost one round per mistake")
+    {
+        const auto checked = check_settings(R"({
+  "services": {"s": {"kind": "odd", "min_slots": 0}},
+  "nodes": [
+    {"path": "/", "settings": {"wieght": 2,
+      "burst": "many"}},
+    {"path": "/a", "parent": "/", "settings": {"weight": 1001, "concurrency": 1.5}}
+  ],
+  "extra": 1
+})");
+        const auto text = to_text(checked.mistakes);
+        INFO(text);
+        CHECK(has(text, "line 2: services/s: kind: must be"));
+        CHECK(has(text, "line 2: services/s: min_slots: out of range"));
+        CHECK(has(text, "line 4: /: wieght: unknown key"));
+        CHECK(has(text, "line 5: /: burst: wrong type"));
+        CHECK(has(text, "line 6: /a: weight: out of range"));
+        CHECK(has(text, "line 6: /a: concurrency: wrong type: must be an integer"));
+        CHECK(has(text, "line 8: settings: extra: unknown key"));
+        CHECK(checked.mistakes.size() == 7);
+    }
+    SUBCASE("broken JSON names the line")
+    {
+        CHECK(has(to_text(check_settings("{\n\"nodes\": [\n}").mistakes), "line 3: settings"));
+        CHECK(has(to_text(check_settings("{} x").mistakes), "not valid JSON"));
+        CHECK_FALSE(check_settings("").valid());
+        CHECK_FALSE(check_settings("[]").valid());
+    }
+    SUBCASE("a key that stands twice is refused; JSON would silently keep the last")
+    {
+        const auto text =
+            mistakes_of_nodes(R"({"path": "/", "settings": {"weight": 1, "weight": 2}})");
+        CHECK(has(text, "duplicate key"));
+    }
+    SUBCASE("parents: unknown, missing, or in a cycle that inheritance would never leave")
+    {
+        CHECK(has(mistakes_of_nodes(R"({"path": "/a", "parent": "/b"})"), "unknown node /b"));
+        CHECK(has(mistakes_of_nodes(R"({"path": "/a"})"), "parent: missing"));
+        CHECK(has(
+            mistakes_of_nodes(R"({"path": "/a", "parent": "/b"}, {"path": "/b", "parent": "/a"})"),
+            "cycle"));
+        CHECK(has(mistakes_of_nodes(R"({"path": "/a", "parent": "/a"})"), "cycle"));
+    }
+    SUBCASE("duplicates: a second account or key would take over the first")
+    {
+        const std::string key(64, 'a');
+        const auto node = [&](const std::string& path, const std::string& name)
+        {
+            return R"({"path": ")" + path + R"(", "parent": "/", "account": {"name": ")" + name +
+                   R"(", "key_sha256": [")" + key + R"("]}})";
+        };
+        const auto text =
+            mistakes_of_nodes(R"({"path": "/"},)" + node("/a", "x") + "," + node("/a", "x"));
+        CHECK(has(text, "path: duplicate"));
+        CHECK(has(text, "duplicate account x"));
+        CHECK(has(text, "duplicate key hash"));
+        CHECK(has(
+            mistakes_of_nodes(R"({"path": "/", "account": {"name": "a", "key_sha256": ["ABC"]}})"),
+            "64 lower-case"));
+    }
+    SUBCASE("references to what does not exist")
+    {
+        const auto text =
+            mistakes_of_nodes(R"({"path": "/", "settings": {"services": ["t"], "models": ["m"]}})");
+        CHECK(has(text, "unknown service t"));
+        CHECK(has(text, "unknown model m"));
+    }
+    SUBCASE("two names with one hash would share their limits and rights")
+    {
+        internal::raw_tree tree;
+        for (const auto* name : {"alpha", "aleph"})
+        {
+            service_policy policy;
+            policy.name = name;
+            tree.services.push_back({policy, {}});
+        }
+        internal::mistake_list mistakes;
+        internal::check_names(tree, &first_letter, mistakes);
+        CHECK_FALSE(mistakes.empty());
+    }
+}
+
+TEST_CASE("a child never gets more than its parent where the setting is capped")
+{
+    const auto child = [](const std::string& parent, const std::string& own)
+    {
+        return mistakes_of_nodes(R"({"path": "/", "settings": {)" + parent +
+                                 R"(}}, {"path": "/a", "parent": "/", "settings": {)" + own + "}}");
+    };
+    CHECK(has(child(R"("rate_per_s": 5)", R"("rate_per_s": 6)"), "rate_per_s: 6 is above 5"));
+    CHECK(has(child(R"("burst": 5)", R"("burst": 6)"), "above"));
+    CHECK(has(child(R"("concurrency": 5)", R"("concurrency": 0)"), "above"));
+    CHECK(has(child(R"("class": "overnight", "highest_class": "standard")",
+                    R"("highest_class": "interactive")"),
+              "above"));
+    CHECK(has(child(R"("domains": ["x"])", R"("domains": ["y"])"), "above"));
+    CHECK(has(child(R"("services": ["s"])", R"("services": [])"), "above"));
+    CHECK(child(R"("weight": 1)", R"("weight": 9)").empty());
+    CHECK(child(R"("domains": ["x", "y"], "rate_per_s": 5)", R"("domains": ["y"], "rate_per_s": 5)")
+              .empty());
+}
+
+TEST_CASE("the reference page is the one that the schema generates")
+{
+    std::ifstream file{MANGOVANE_SOURCE_FOLDER "/docs/settings.md"};
+    std::ostringstream text;
+    text << file.rdbuf();
+    CHECK(text.str() == schema_markdown());
+}
