Follow the settings head and take new versions from peers

Cause: an accepted version has to reach every instance within seconds without loading the platform, also while the platform is unreachable.

Change: settings_watcher reads the head at a time of its own among the live instances, asks the peer that announced a newer version for the text, and falls back to the history row and the object when the peer does not deliver. It says whether the instance may become ready.

--- /dev/null
+++ b/src/mangovane/settings/watcher.cpp
@@ -0,0 +1,268 @@
+// Implementation of the watcher.
+#include "mangovane/settings/watcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovane/settings/parse.hpp"
+
+namespace mangovane
+{
+
+namespace
+{
+
+/// Time limit of one call to the platform.
+constexpr milliseconds call_time{2000};
+
+/// Pause between two fetches of a text from the platform.
+constexpr milliseconds fetch_pause{1000};
+
+} // namespace
+
+milliseconds head_period(std::size_t instances) noexcept
+{
+    const milliseconds shared{1000 * instances / fleet_head_reads_per_s};
+    return std::max(shortest_head_period, shared);
+}
+
+settings_watcher::settings_watcher(settings_store store,
+                                   settings_registry& registry,
+                                   adopt_function adopt)
+    : store_{store}, registry_{registry}, adopt_{std::move(adopt)}
+{}
+
+void settings_watcher::tick(time_point now, milliseconds since_epoch, watch_position position)
+{
+    if (head_due(now, since_epoch, position))
+    {
+        read_head(now);
+    }
+    if (text_due(now))
+    {
+        fetch_version(registry_.newest_heard().version, now);
+    }
+}
+
+bool settings_watcher::head_due(time_point now, milliseconds since_epoch, watch_position position)
+{
+    const auto period = head_period(position.count);
+    const auto count = static_cast<std::int64_t>(std::max<std::size_t>(position.count, 1));
+    const auto phase = period * static_cast<std::int64_t>(position.rank) / count;
+    const auto slot = (since_epoch - phase) / period;
+    const std::lock_guard lock{mutex_};
+    // The time of day may jump, so the steady clock bounds the rate.
+    const bool too_soon = last_read_ && now - *last_read_ < shortest_head_period;
+    if (reading_head_ || too_soon || (last_read_ && slot == last_slot_))
+    {
+        return false;
+    }
+    reading_head_ = true;
+    last_read_ = now;
+    last_slot_ = slot;
+    return true;
+}
+
+bool settings_watcher::text_due(time_point now)
+{
+    if (registry_.is_current() || registry_.newest_heard().version == 0)
+    {
+        return false;
+    }
+    const std::lock_guard lock{mutex_};
+    const bool peer_busy = asked_peer_at_ && now - *asked_peer_at_ < peer_answer_time;
+    const bool paused = fetched_at_ && now - *fetched_at_ < fetch_pause;
+    if (fetching_ || peer_busy || paused)
+    {
+        return false;
+    }
+    fetching_ = true;
+    fetched_at_ = now;
+    return true;
+}
+
+std::uint64_t settings_watcher::current_version() const
+{
+    const auto current = registry_.current();
+    return current ? current->stamp.version : 0;
+}
+
+void settings_watcher::read_head(time_point now)
+{
+    store_.read_head(now + call_time,
+                     [weak = weak_from_this(), now](const auto& head)
+                     {
+                         if (const auto self = weak.lock())
+                         {
+                             self->on_head(head, now);
+                         }
+                     });
+}
+
+void settings_watcher::on_head(const absl::StatusOr<std::optional<settings_head>>& head,
+                               time_point asked_at)
+{
+    const bool newer = head.ok() && *head && (*head)->version > current_version();
+    bool fetch = false;
+    {
+        const std::lock_guard lock{mutex_};
+        reading_head_ = false;
+        platform_ = head.ok() ? platform_state::reached : platform_state::unreachable;
+        if (head.ok())
+        {
+            last_contact_ = asked_at;
+        }
+        fetch = newer && !fetching_;
+        fetching_ = fetching_ || fetch;
+    }
+    if (head.ok() && *head)
+    {
+        registry_.note_heard((*head)->stamp());
+    }
+    if (fetch)
+    {
+        fetch_text(**head, asked_at + 2 * call_time);
+    }
+}
+
+void settings_watcher::fetch_version(std::uint64_t version, time_point now)
+{
+    const auto deadline = now + call_time;
+    store_.read_version(version, deadline,
+                        [weak = weak_from_this(), deadline](const auto& head)
+                        {
+                            const auto self = weak.lock();
+                            if (self && head.ok() && *head)
+                            {
+                                self->fetch_text(**head, deadline);
+                            }
+                            else if (self)
+                            {
+                                self->end_fetch();
+                            }
+                        });
+}
+
+void settings_watcher::fetch_text(const settings_head& head, time_point deadline)
+{
+    store_.read_text(head, deadline,
+                     [weak = weak_from_this(), head](const absl::StatusOr<std::string>& text)
+                     {
+                         const auto self = weak.lock();
+                         if (!self)
+                         {
+                             return;
+                         }
+                         self->end_fetch();
+                         if (text.ok())
+                         {
+                             self->adopt_text(head.stamp(), *text, &head);
+                         }
+                         else
+                         {
+                             self->note_error(std::string{text.status().message()});
+                         }
+                     });
+}
+
+void settings_watcher::end_fetch()
+{
+    const std::lock_guard lock{mutex_};
+    fetching_ = false;
+}
+
+std::optional<outgoing_message>
+settings_watcher::on_announced(instance_id member, settings_stamp stamp, time_point now)
+{
+    registry_.note_heard(stamp);
+    const auto current = registry_.current();
+    const auto have = current ? current->stamp : settings_stamp{};
+    if (stamp.version <= have.version)
+    {
+        return std::nullopt;
+    }
+    const std::lock_guard lock{mutex_};
+    if (fetching_ || (asked_peer_at_ && now - *asked_peer_at_ < peer_answer_time))
+    {
+        return std::nullopt;
+    }
+    asked_peer_at_ = now;
+    return outgoing_message{member, settings_query{have}};
+}
+
+std::optional<settings_content> settings_watcher::on_query(const settings_query& msg) const
+{
+    const auto current = registry_.current();
+    if (!current || current->stamp.version <= msg.have.version ||
+        current->text.size() > max_peer_text)
+    {
+        return std::nullopt;
+    }
+    return settings_content{current->stamp, current->text};
+}
+
+void settings_watcher::on_content(const settings_content& msg)
+{
+    if (msg.stamp.version <= current_version())
+    {
+        return;
+    }
+    if (hash_bytes(msg.text) != msg.stamp.digest)
+    {
+        note_error("a peer sent a text that does not match its digest");
+        return;
+    }
+    adopt_text(msg.stamp, msg.text, nullptr);
+}
+
+void settings_watcher::adopt_text(settings_stamp stamp, std::string text, const settings_head* head)
+{
+    auto parsed = parse_settings(std::move(text), stamp.version);
+    if (!parsed.ok())
+    {
+        note_error(absl::StrCat("version ", stamp.version,
+                                " was refused: ", std::string{parsed.status().message()}));
+        return;
+    }
+    auto snapshot = *std::move(parsed);
+    if (head != nullptr)
+    {
+        auto named = std::make_shared<settings_snapshot>(*snapshot);
+        named->change_id = head->change_id;
+        named->author = head->author;
+        snapshot = std::move(named);
+    }
+    const auto result = adopt_(std::move(snapshot));
+    note_error(result == adopt_result::digest_conflict
+                   ? absl::StrCat("version ", stamp.version, " has two different texts")
+                   : std::string{});
+}
+
+void settings_watcher::note_error(std::string error)
+{
+    const std::lock_guard lock{mutex_};
+    last_error_ = std::move(error);
+}
+
+bool settings_watcher::may_become_ready() const
+{
+    const bool current = registry_.is_current();
+    const std::lock_guard lock{mutex_};
+    return current && platform_ != platform_state::unknown;
+}
+
+std::optional<time_point> settings_watcher::last_contact() const
+{
+    const std::lock_guard lock{mutex_};
+    return last_contact_;
+}
+
+std::string settings_watcher::last_error() const
+{
+    const std::lock_guard lock{mutex_};
+    return last_error_;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/test/mangovane/settings/store.cpp
@@ -0,0 +1,145 @@
+// Tests of changes: each is applied once or refused with a reason, whatever answers get lost.
+#include "mangovane/settings/store.hpp"
+
+#include <doctest/doctest.h>
+
+#include "fake_platform.hpp"
+
+using namespace mangovane;
+
+namespace
+{
+
+std::string text_with(const std::string& weight)
+{
+    return R"({"services": {}, "nodes": [{"path": "/", "settings": {"weight": )" + weight + "}}]}";
+}
+
+settings_change change_of(const std::string& id, const std::string& weight = "1")
+{
+    return {id, "ada", text_with(weight), std::nullopt};
+}
+
+struct store_fixture
+{
+    apply_outcome apply(const settings_change& change)
+    {
+        apply_outcome result;
+        store.apply(change, time_point{}, [&](const apply_outcome& it) { result = it; });
+        platform.run();
+        return result;
+    }
+
+    std::vector<settings_head> history()
+    {
+        std::vector<settings_head> result;
+        store.history(10, time_point{}, [&](const auto& it) { result = *it; });
+        platform.run();
+        return result;
+    }
+
+    fake_platform platform;
+    settings_store store{platform, platform};
+};
+
+} // namespace
+
+TEST_CASE("changes become versions")
+{
+    store_fixture fix;
+    const auto first = fix.apply(change_of("c1"));
+    REQUIRE(first.result == apply_result::applied);
+    CHECK(first.head.version == 1);
+    CHECK(first.head.object == "settings/1-c1");
+    CHECK(fix.platform.objects.at("settings/1-c1") == text_with("1"));
+
+    SUBCASE("an invalid text never reaches the platform, where instances would refuse it")
+    {
+        const auto outcome = fix.apply(change_of("c2", "0"));
+        CHECK(outcome.result == apply_result::invalid);
+        CHECK(outcome.mistakes.size() == 1);
+        CHECK(fix.platform.objects.size() == 1);
+    }
+    SUBCASE("a retry is not applied twice, also after changes of others")
+    {
+        CHECK(fix.apply(change_of("c1")).result == apply_result::already_applied);
+        CHECK(fix.apply(change_of("c2", "2")).head.version == 2);
+        const auto again = fix.apply(change_of("c1"));
+        CHECK(again.result == apply_result::already_applied);
+        CHECK(again.head.version == 1);
+        CHECK(fix.history().size() == 2);
+    }
+    SUBCASE("a change id with another text is refused; it would report a change that never came")
+    {
+        CHECK(fix.apply(change_of("c1", "5")).result == apply_result::conflict);
+    }
+    SUBCASE("a race ends in a conflict that names the other author and change")
+    {
+        settings_change other{"c9", "femi", text_with("9"), std::nullopt};
+        fix.platform.before_write = [&]
+        {
+            store_fixture rival;
+            rival.platform.rows = fix.platform.rows;
+            rival.apply(other);
+            fix.platform.rows = rival.platform.rows;
+        };
+        const auto outcome = fix.apply(change_of("c2", "2"));
+        CHECK(outcome.result == apply_result::conflict);
+        CHECK(outcome.head.author == "femi");
+        CHECK(outcome.head.change_id == "c9");
+        CHECK(fix.history().front().change_id == "c9");
+    }
+    SUBCASE("an edit of an old version does not silently undo what came since")
+    {
+        fix.apply(change_of("c2", "2"));
+        auto late = change_of("c3", "3");
+        late.base = 1;
+        CHECK(fix.apply(late).result == apply_result::conflict);
+    }
+    SUBCASE("rollback is a new version with the old text; versions never fall")
+    {
+        fix.apply(change_of("c2", "2"));
+        apply_outcome outcome;
+        fix.store.rollback(1, change_of("c3"), time_point{},
+                           [&](const apply_outcome& it) { outcome = it; });
+        fix.platform.run();
+        CHECK(outcome.result == apply_result::applied);
+        CHECK(outcome.head.version == 3);
+        CHECK(fix.platform.objects.at("settings/3-c3") == text_with("1"));
+        CHECK(fix.history()[0].previous == "settings/2-c2");
+    }
+}
+
+TEST_CASE("answers of the platform get lost")
+{
+    store_fixture fix;
+    fix.apply(change_of("c1"));
+
+    SUBCASE("after the write took effect: the change is reported as applied, once")
+    {
+        fix.platform.lost_answers = 1;
+        const auto outcome = fix.apply(change_of("c2", "2"));
+        CHECK(outcome.result == apply_result::applied);
+        CHECK(outcome.head.version == 2);
+        CHECK(fix.history().size() == 2);
+    }
+    SUBCASE("before the write took effect: the change is written again")
+    {
+        fix.platform.lost_writes = 1;
+        CHECK(fix.apply(change_of("c2", "2")).result == apply_result::applied);
+        CHECK(fix.history().size() == 2);
+    }
+    SUBCASE("for good: the outcome is unknown, not failed, and a later retry settles it")
+    {
+        fix.platform.before_write = [&] { fix.platform.down = true; };
+        CHECK(fix.apply(change_of("c2", "2")).result == apply_result::unknown);
+        fix.platform.down = false;
+        CHECK(fix.apply(change_of("c2", "2")).result == apply_result::applied);
+        CHECK(fix.history().size() == 2);
+    }
+    SUBCASE("before anything was written: the change failed")
+    {
+        fix.platform.down = true;
+        CHECK(fix.apply(change_of("c2", "2")).result == apply_result::failed);
+    }
+}
--- /dev/null
+++ b/test/mangovane/settings/watcher.cpp
@@ -0,0 +1,194 @@
+// Tests of the watcher: an instance gets the newest version from the platform or from peers.
+#include "mangovane/settings/watcher.hpp"
+
+#include <doctest/doctest.h>
+
+#include "fake_platform.hpp"
+#include "mangovane/core/hash.hpp"
+
+using namespace mangovane;
+
+namespace
+{
+
+const std::string small_text = R"({"services": {}, "nodes": [{"path": "/", "settings": {}}]})";
+
+struct watch_fixture
+{
+    watch_fixture()
+        : watcher{std::make_shared<settings_watcher>(
+              store, registry, [this](settings_ptr it) { return registry.adopt(std::move(it)); })}
+    {}
+
+    void publish(const std::string& id, const std::string& text = small_text)
+    {
+        store.apply({id, "ada", text, std::nullopt}, time_point{}, [](const apply_outcome&) {});
+        platform.run();
+    }
+
+    /// Lets time pass in steps of 50 ms.
+    void pass(milliseconds time, watch_position position = {})
+    {
+        for (milliseconds n{0}; n < time; n += milliseconds{50})
+        {
+            since_epoch += milliseconds{50};
+            watcher->tick(time_point{since_epoch}, since_epoch, position);
+            platform.run();
+        }
+    }
+
+    [[nodiscard]] std::uint64_t version() const
+    {
+        return registry.current() ? registry.current()->stamp.version : 0;
+    }
+
+    [[nodiscard]] time_point now() const { return time_point{since_epoch}; }
+
+    milliseconds since_epoch{1'000'000};
+    fake_platform platform;
+    settings_store store{platform, platform};
+    settings_registry registry;
+    std::shared_ptr<settings_watcher> watcher;
+};
+
+settings_content content_of(std::uint64_t version, const std::string& text)
+{
+    return {{version, hash_bytes(text)}, text};
+}
+
+} // namespace
+
+TEST_CASE("an instance follows the head on the platform")
+{
+    watch_fixture fix;
+    SUBCASE("before the first version it is not ready")
+    {
+        fix.pass(milliseconds{1000});
+        CHECK_FALSE(fix.watcher->may_become_ready());
+    }
+    SUBCASE("a new version is in force after at most one period")
+    {
+        fix.publish("c1");
+        fix.pass(milliseconds{550});
+        CHECK(fix.version() == 1);
+        CHECK(fix.registry.current()->author == "ada");
+        CHECK(fix.watcher->may_become_ready());
+        fix.publish("c2");
+        fix.pass(milliseconds{550});
+        CHECK(fix.version() == 2);
+    }
+    SUBCASE(
+        "an object that does not match its digest is refused; it would differ between instances")
+    {
+        fix.publish("c1");
+        fix.platform.objects["settings/1-c1"] += " ";
+        fix.pass(milliseconds{2000});
+        CHECK(fix.version() == 0);
+        CHECK_FALSE(fix.watcher->last_error().empty());
+        CHECK_FALSE(fix.watcher->may_become_ready());
+    }
+}
+
+TEST_CASE("all instances together stay within the platform's reads")
+{
+    SUBCASE("one instance reads at most twice a second")
+    {
+        watch_fixture fix;
+        fix.pass(milliseconds{10000});
+        CHECK(fix.platform.reads <= 20);
+        CHECK(fix.platform.reads >= 18);
+    }
+    SUBCASE("360 instances read at most 20 times a second, spread over the second")
+    {
+        std::vector<int> per_second(36, 0);
+        for (std::size_t rank = 0; rank != 360; ++rank)
+        {
+            watch_fixture fix;
+            fix.pass(milliseconds{50}, {rank, 360}); // The first read is at once.
+            for (auto& it : per_second)
+            {
+                const auto before = fix.platform.reads;
+                fix.pass(milliseconds{1000}, {rank, 360});
+                it += fix.platform.reads - before;
+            }
+        }
+        for (const auto it : per_second)
+        {
+            CHECK(it <= 20);
+        }
+    }
+    SUBCASE("the time of day may jump without a burst of reads")
+    {
+        watch_fixture fix;
+        for (int n = 0; n != 20; ++n)
+        {
+            fix.watcher->tick(fix.now() + milliseconds{n}, milliseconds{n * 5'000'000}, {});
+            fix.platform.run();
+        }
+        CHECK(fix.platform.reads == 1);
+    }
+}
+
+TEST_CASE("versions spread between peers")
+{
+    watch_fixture fix;
+    const auto peer = instance_id::of("r2");
+    SUBCASE("an announced version is fetched from the peer while the platform is down")
+    {
+        fix.platform.down = true;
+        const auto content = content_of(4, small_text);
+        const auto question = fix.watcher->on_announced(peer, content.stamp, fix.now());
+        REQUIRE(question);
+        CHECK(question->to == peer);
+        CHECK_FALSE(fix.watcher->on_announced(peer, content.stamp, fix.now()));
+        fix.watcher->on_content(content);
+        CHECK(fix.version() == 4);
+
+        SUBCASE("with what peers have, the instance may become ready once the platform failed")
+        {
+            CHECK_FALSE(fix.watcher->may_become_ready());
+            fix.pass(milliseconds{500});
+            CHECK(fix.watcher->may_become_ready());
+        }
+        SUBCASE("a newer version that was only heard of keeps it from becoming ready")
+        {
+            (void)fix.watcher->on_announced(peer, {5, 1}, fix.now());
+            fix.pass(milliseconds{500});
+            CHECK_FALSE(fix.watcher->may_become_ready());
+        }
+        SUBCASE("an older text never reverts it")
+        {
+            fix.watcher->on_content(content_of(3, small_text));
+            CHECK(fix.version() == 4);
+        }
+    }
+    SUBCASE("a peer gets the text only if it lacks it and the text fits a frame")
+    {
+        fix.watcher->on_content(content_of(2, small_text));
+        CHECK(fix.watcher->on_query({{1, 0}}) == content_of(2, small_text));
+        CHECK_FALSE(fix.watcher->on_query({{2, 0}}));
+        fix.watcher->on_content(content_of(3, small_text + std::string(max_peer_text, ' ')));
+        CHECK(fix.version() == 3);
+        CHECK_FALSE(fix.watcher->on_query({{1, 0}}));
+    }
+    SUBCASE("a text with a wrong digest is refused")
+    {
+        auto content = content_of(2, small_text);
+        content.text += " ";
+        fix.watcher->on_content(content);
+        CHECK(fix.version() == 0);
+    }
+    SUBCASE("when the peer does not deliver, the text comes from the platform before the next slot")
+    {
+        for (int n = 1; n != 3; ++n)
+        {
+            fix.publish("c" + std::to_string(n));
+        }
+        fix.pass(milliseconds{50}, {7, 360});
+        CHECK(fix.version() == 2);
+        fix.publish("c3");
+        (void)fix.watcher->on_announced(peer, {3, hash_bytes(small_text)}, fix.now());
+        fix.pass(milliseconds{700}, {7, 360});
+        CHECK(fix.version() == 3);
+    }
+}
