--- /dev/null
+++ b/src/ctl/command_line.cpp
@@ -0,0 +1,113 @@
+// Implementation of reading the command line.
+#include "ctl/command_line.hpp"
+
+#include <cstdlib>
+#include <sstream>
+
+#include <absl/strings/str_cat.h>
+#include <boost/program_options.hpp>
+
+namespace mangovane::ctl
+{
+
+namespace po = boost::program_options;
+
+namespace
+{
+
+std::string from_environment(const char* name)
+{
+    const char* value = std::getenv(name);
+    return value == nullptr ? std::string{} : std::string{value};
+}
+
+po::options_description flags(command_line& out)
+{
+    po::options_description result{"flags"};
+    auto add = result.add_options();
+    add("help", po::bool_switch(&out.help), "print this text");
+    add("platform",
+        po::value(&out.platform)->default_value(from_environment("MANGOVANE_PLATFORM"), ""),
+        "ip:port of the platform (MANGOVANE_PLATFORM)");
+    add("operator",
+        po::value(&out.operator_address)->default_value(from_environment("MANGOVANE_OPERATOR"), ""),
+        "ip:port of an instance's operators' interface (MANGOVANE_OPERATOR); its key is read from "
+        "MANGOVANE_CLUSTER_KEY");
+    add("output", po::value<std::string>()->default_value("table"), "table or json");
+    add("author", po::value(&out.author)->default_value(from_environment("USER"), ""),
+        "who makes the change (USER)");
+    add("change-id", po::value(&out.change_id),
+        "id of the change; a retry with the same id is applied once");
+    add("base", po::value<std::uint64_t>(), "version that was edited; another one is a conflict");
+    add("wait", po::value<std::uint32_t>(),
+        "seconds to wait until the change is in force on every instance");
+    add("count", po::value(&out.count)->default_value(20), "changes that history shows");
+    add("markdown", po::bool_switch(&out.markdown), "print the schema as Markdown");
+    return result;
+}
+
+template <class Value>
+std::optional<Value> optional_of(const po::variables_map& values, const char* name)
+{
+    return values.count(name) == 0 ? std::nullopt : std::optional{values[name].as<Value>()};
+}
+
+absl::Status check_flags(const po::variables_map& values, const command_line& line)
+{
+    const auto& output = values["output"].as<std::string>();
+    if (output != "table" && output != "json")
+    {
+        return absl::InvalidArgumentError("--output must be table or json");
+    }
+    constexpr const char* allowed =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+    if (line.change_id.size() > 64 ||
+        line.change_id.find_first_not_of(allowed) != std::string::npos)
+    {
+        return absl::InvalidArgumentError(
+            "--change-id must be at most 64 letters, digits, '-', '_' or '.'");
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::StatusOr<command_line> read_command_line(int argc, char** argv)
+{
+    command_line result;
+    auto known = flags(result);
+    po::options_description all;
+    all.add(known);
+    all.add_options()("words", po::value(&result.words), "");
+    po::positional_options_description positions;
+    positions.add("words", -1);
+    po::variables_map values;
+    try
+    {
+        po::store(po::command_line_parser(argc, argv).options(all).positional(positions).run(),
+                  values);
+        po::notify(values);
+    }
+    catch (const po::error& ex)
+    {
+        return absl::InvalidArgumentError(ex.what());
+    }
+    if (auto status = check_flags(values, result); !status.ok())
+    {
+        return status;
+    }
+    result.json = values["output"].as<std::string>() == "json";
+    result.base = optional_of<std::uint64_t>(values, "base");
+    result.wait_s = optional_of<std::uint32_t>(values, "wait");
+    return result;
+}
+
+std::string flags_text()
+{
+    command_line unused;
+    std::ostringstream out;
+    out << flags(unused);
+    return out.str();
+}
+
+} // namespace mangovane::ctl
--- /dev/null
+++ b/src/ctl/session.cpp
@@ -0,0 +1,108 @@
+// Implementation of the session.
+#include "ctl/session.hpp"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovane/core/time.hpp"
+
+namespace mangovane::ctl
+{
+
+namespace
+{
+
+/// Time limit of one command's calls to the platform.
+constexpr seconds call_time{10};
+
+time_point call_deadline()
+{
+    return clock::now() + call_time;
+}
+
+} // namespace
+
+session::session(command_line line)
+    : line_{std::move(line)}, platform_{make_http_platform(io_, line_.platform)}, store_{*platform_,
+                                                                                         *platform_}
+{}
+
+absl::StatusOr<current_settings> session::current()
+{
+    using head_answer = absl::StatusOr<std::optional<settings_head>>;
+    const auto head = wait_for<head_answer>(
+        [&](auto handler) { store_.read_head(call_deadline(), std::move(handler)); });
+    if (!head.ok())
+    {
+        return head.status();
+    }
+    if (!head->has_value())
+    {
+        return current_settings{};
+    }
+    auto text = wait_for<absl::StatusOr<std::string>>(
+        [&](auto handler) { store_.read_text(**head, call_deadline(), std::move(handler)); });
+    if (!text.ok())
+    {
+        return text.status();
+    }
+    return current_settings{**head, *std::move(text)};
+}
+
+absl::StatusOr<std::vector<settings_head>> session::history()
+{
+    return wait_for<absl::StatusOr<std::vector<settings_head>>>(
+        [&](auto handler) { store_.history(line_.count, call_deadline(), std::move(handler)); });
+}
+
+apply_outcome session::apply(settings_change change)
+{
+    return wait_for<apply_outcome>(
+        [&](auto handler)
+        { store_.apply(std::move(change), call_deadline(), std::move(handler)); });
+}
+
+apply_outcome session::rollback(std::uint64_t version, settings_change change)
+{
+    return wait_for<apply_outcome>(
+        [&](auto handler)
+        { store_.rollback(version, std::move(change), call_deadline(), std::move(handler)); });
+}
+
+int report_error(const absl::Status& status)
+{
+    std::cerr << "mangovanectl: " << status.message() << '\n';
+    switch (status.code())
+    {
+    case absl::StatusCode::kUnavailable:
+    case absl::StatusCode::kDeadlineExceeded:
+    case absl::StatusCode::kResourceExhausted:
+        return exit_unreachable;
+    case absl::StatusCode::kInvalidArgument:
+        return exit_usage;
+    default:
+        return exit_failed;
+    }
+}
+
+absl::StatusOr<std::string> read_file(const std::string& name)
+{
+    std::ostringstream text;
+    if (name == "-")
+    {
+        text << std::cin.rdbuf();
+        return text.str();
+    }
+    const std::ifstream file{name};
+    if (!file)
+    {
+        return absl::NotFoundError(absl::StrCat(name, ": cannot be read"));
+    }
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace mangovane::ctl
--- /dev/null
+++ b/src/mangovane/net/operator_server.cpp
@@ -0,0 +1,215 @@
+// Implementation of the operators' interface.
+#include "mangovane/net/operator_server.hpp"
+
+#include <array>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "mangovane/core/time.hpp"
+#include "mangovane/net/address.hpp"
+#include "mangovane/net/status_json.hpp"
+#include "mangovane/settings/digest.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace
+{
+
+constexpr milliseconds accept_pause{50};
+constexpr seconds read_timeout{30};
+constexpr seconds write_timeout{10};
+constexpr std::uint32_t max_header_bytes = 8U * 1024;
+constexpr std::uint64_t max_body_bytes = 1024;
+
+using request_type = http::request<http::string_body>;
+using reply_type = http::response<http::string_body>;
+
+struct page
+{
+    std::string_view target;
+    const char* type;
+    std::string (*text)(const operator_services&);
+};
+
+constexpr std::array pages{
+    page{"/operator/status", "application/json",
+         [](const operator_services& it) { return to_json(it.status.status()); }},
+    page{"/operator/metrics", "text/plain; version=0.0.4",
+         [](const operator_services& it) { return it.metrics_text(); }},
+};
+
+void fill(const request_type& request, const operator_services& services, reply_type& reply)
+{
+    const auto header = request[http::field::authorization];
+    if (!is_authorized({header.data(), header.size()}, services.key))
+    {
+        reply.result(http::status::unauthorized);
+        return;
+    }
+    const std::string_view target{request.target().data(), request.target().size()};
+    for (const auto& it : pages)
+    {
+        if (it.target != target)
+        {
+            continue;
+        }
+        if (request.method() != http::verb::get)
+        {
+            reply.result(http::status::method_not_allowed);
+            reply.set(http::field::allow, "GET");
+            return;
+        }
+        reply.set(http::field::content_type, it.type);
+        reply.body() = it.text(services);
+        return;
+    }
+    reply.result(http::status::not_found);
+}
+
+reply_type answer(const request_type& request, const operator_services& services)
+{
+    reply_type reply{http::status::ok, request.version()};
+    fill(request, services, reply);
+    reply.keep_alive(request.keep_alive());
+    reply.prepare_payload();
+    return reply;
+}
+
+absl::Status open_acceptor(asio::ip::tcp::acceptor& acceptor, const std::string& address)
+{
+    const auto endpoint = parse_address(address);
+    if (!endpoint)
+    {
+        return absl::InvalidArgumentError(absl::StrCat("not an ip:port: ", address));
+    }
+    boost::system::error_code ec;
+    acceptor.open(endpoint->protocol(), ec);
+    if (!ec)
+    {
+        acceptor.set_option(asio::socket_base::reuse_address{true}, ec);
+    }
+    if (!ec)
+    {
+        acceptor.bind(*endpoint, ec);
+    }
+    if (!ec)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    return ec ? absl::UnavailableError(
+                    absl::StrCat("cannot listen on ", address, ": ", ec.message()))
+              : absl::OkStatus();
+}
+
+} // namespace
+
+bool is_authorized(std::string_view header, std::string_view key)
+{
+    constexpr std::string_view prefix = "Bearer ";
+    if (key.empty() || !header.starts_with(prefix))
+    {
+        return false;
+    }
+    // Digests have one length and do not tell how much of the key was right.
+    const auto given = sha256_hex(header.substr(prefix.size()));
+    const auto wanted = sha256_hex(key);
+    unsigned difference = 0;
+    for (std::size_t n = 0; n != wanted.size(); ++n)
+    {
+        difference |= static_cast<unsigned char>(given[n]) ^ static_cast<unsigned char>(wanted[n]);
+    }
+    return difference == 0;
+}
+
+operator_server::operator_server(asio::io_context& io, operator_services services)
+    : io_{io}, services_{std::move(services)}, acceptor_{asio::make_strand(io)}
+{}
+
+absl::Status operator_server::listen(const std::string& address)
+{
+    if (auto status = open_acceptor(acceptor_, address); !status.ok())
+    {
+        return status;
+    }
+    port_ = acceptor_.local_endpoint().port();
+    asio::co_spawn(acceptor_.get_executor(), accept(), asio::detached);
+    return absl::OkStatus();
+}
+
+void operator_server::stop()
+{
+    stopped_ = true;
+    asio::post(acceptor_.get_executor(),
+               [this]
+               {
+                   boost::system::error_code ec;
+                   acceptor_.close(ec);
+               });
+}
+
+asio::awaitable<void> operator_server::accept()
+{
+    while (acceptor_.is_open())
+    {
+        boost::system::error_code ec;
+        auto socket = co_await acceptor_.async_accept(
+            asio::make_strand(io_), asio::redirect_error(asio::use_awaitable, ec));
+        if (!ec && open_ < max_operator_connections)
+        {
+            ++open_;
+            const auto executor = socket.get_executor();
+            asio::co_spawn(executor, serve(std::move(socket)),
+                           [this](std::exception_ptr) { --open_; });
+        }
+        else if (ec && acceptor_.is_open())
+        {
+            asio::steady_timer timer{acceptor_.get_executor(), accept_pause};
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        }
+    }
+}
+
+asio::awaitable<void> operator_server::serve(asio::ip::tcp::socket socket)
+{
+    beast::tcp_stream stream{std::move(socket)};
+    beast::flat_buffer buf;
+    bool keep_alive = true;
+    while (keep_alive && !stopped_)
+    {
+        boost::system::error_code ec;
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(max_header_bytes);
+        parser.body_limit(max_body_bytes);
+        stream.expires_after(read_timeout);
+        co_await http::async_read(stream, buf, parser,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+        {
+            co_return;
+        }
+        const auto reply = answer(parser.get(), services_);
+        keep_alive = reply.keep_alive();
+        stream.expires_after(write_timeout);
+        co_await http::async_write(stream, reply, asio::redirect_error(asio::use_awaitable, ec));
+        keep_alive = keep_alive && !ec;
+    }
+    boost::system::error_code ec;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+}
+
+} // namespace mangovane
--- a/src/mangovane/settings/store.cpp
+++ b/src/mangovane/settings/store.cpp
@@ -175,30 +175,35 @@
                               time_point deadline,
                               apply_handler handler) const
 {
-    const auto fail = [handler](std::string error) {
-        handler({apply_result::failed, {}, {}, std::move(error)});
+    const auto fail = [handler](apply_result result, std::string error) {
+        handler({result, {}, {}, std::move(error)});
     };
-    read_version(version, deadline,
-                 [=, self = *this](const absl::StatusOr<std::optional<settings_head>>& head) mutable
-                 {
-                     if (!head.ok() || !head->has_value())
-                     {
-                         fail(head.ok() ? absl::StrCat("no version ", version)
-                                        : std::string{head.status().message()});
-                         return;
-                     }
-                     self.read_text(**head, deadline,
-                                    [=](const absl::StatusOr<std::string>& text) mutable
-                                    {
-                                        if (!text.ok())
-                                        {
-                                            fail(std::string{text.status().message()});
-                                            return;
-                                        }
-                                        change.text = *text;
-                                        self.apply(std::move(change), deadline, handler);
-                                    });
-                 });
+    read_version(
+        version, deadline,
+        [=, self = *this](const absl::StatusOr<std::optional<settings_head>>& head) mutable
+        {
+            if (!head.ok())
+            {
+                fail(apply_result::failed, std::string{head.status().message()});
+                return;
+            }
+            if (!head->has_value())
+            {
+                fail(apply_result::no_such_version, absl::StrCat("there is no version ", version));
+                return;
+            }
+            self.read_text(**head, deadline,
+                           [=](const absl::StatusOr<std::string>& text) mutable
+                           {
+                               if (!text.ok())
+                               {
+                                   fail(apply_result::failed, std::string{text.status().message()});
+                                   return;
+                               }
+                               change.text = *text;
+                               self.apply(std::move(change), deadline, handler);
+                           });
+        });
 }
 
 } // namespace mangovane
--- a/src/mangovane/settings/store.hpp
+++ b/src/mangovane/settings/store.hpp
@@ -59,9 +59,10 @@
     applied,
     already_applied, ///< By an earlier attempt with the same change id.
     invalid,
-    conflict, ///< Another change came first.
-    unknown,  ///< The platform did not answer; the change may have been applied.
-    failed,   ///< The platform did not answer; the change was not applied.
+    conflict,        ///< Another change came first.
+    unknown,         ///< The platform did not answer; the change may have been applied.
+    failed,          ///< The platform did not answer; the change was not applied.
+    no_such_version, ///< Nothing to roll back to.
 };
 
 struct apply_outcome
