--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -1,6 +1,7 @@
 // Implementation of the client of the operators' interface.
 #include "ctl/operator_client.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <thread>
@@ -90,14 +91,18 @@
     return error_;
 }
 
+bool is_live(const instance_status& instance)
+{
+    return instance.state == "alive" || instance.state == "suspect";
+}
+
 /// Live instances that do not have the version yet.
 std::vector<std::string> lagging(const fleet_status& status, std::uint64_t version)
 {
     std::vector<std::string> result;
     for (const auto& it : status.instances)
     {
-        const bool live = it.state == "alive" || it.state == "suspect";
-        if (live && it.settings_version < version)
+        if (is_live(it) && it.settings_version < version)
         {
             result.push_back(absl::StrCat(it.name, " (version ", it.settings_version, ")"));
         }
@@ -113,8 +118,9 @@
 
     void show(const fleet_status& status, const std::vector<std::string>& late)
     {
-        const auto text = absl::StrCat("version ", version_, ": ", late.size(), " of ",
-                                       status.instances.size(), " instances lag");
+        const auto live = std::count_if(status.instances.begin(), status.instances.end(), is_live);
+        const auto text = absl::StrCat("version ", version_, ": ", late.size(), " of ", live,
+                                       " live instances lag");
         if (text != last_)
         {
             std::cerr << text << '\n';
--- a/src/mangovane/net/fwd.hpp
+++ b/src/mangovane/net/fwd.hpp
@@ -10,6 +10,9 @@
 class exchange;
 class endpoint_attempt;
 class claim_port;
+class operator_server;
+class status_source;
+struct operator_services;
 struct front_services;
 struct front_counters;
 
--- a/src/mangovane/settings/fwd.hpp
+++ b/src/mangovane/settings/fwd.hpp
@@ -9,7 +9,13 @@
 struct account_policy;
 struct limit_rule;
 struct settings_snapshot;
+struct settings_tree;
+struct settings_mistake;
+struct settings_head;
+struct settings_change;
 class settings_registry;
+class settings_store;
+class settings_watcher;
 
 } // namespace mangovane
 
