Let instances turn to the platform one after the other

Cause: instances that heard of a version at once, and got no text from the peer, all read the platform at once; a text over 60 KB never comes from a peer.

Change: an instance waits for its turn by rank, 5 ms apart, counted from its first notice of the missing version, so that further announcements do not put it off.

Conclusion: the fall-back stays within a tenth of the platform's reads.

--- a/src/mangovane/settings/watcher.cpp
+++ b/src/mangovane/settings/watcher.cpp
@@ -40,7 +40,7 @@
     {
         read_head(now);
     }
-    if (text_due(now))
+    if (text_due(now, position))
     {
         fetch_version(registry_.newest_heard().version, now);
     }
@@ -65,16 +65,22 @@
     return true;
 }
 
-bool settings_watcher::text_due(time_point now)
+bool settings_watcher::text_due(time_point now, watch_position position)
 {
-    if (registry_.is_current() || registry_.newest_heard().version == 0)
+    const bool current = registry_.is_current() || registry_.newest_heard().version == 0;
+    const std::lock_guard lock{mutex_};
+    if (current)
     {
+        behind_since_.reset();
         return false;
     }
-    const std::lock_guard lock{mutex_};
-    const bool peer_busy = asked_peer_at_ && now - *asked_peer_at_ < peer_answer_time;
+    if (!behind_since_)
+    {
+        behind_since_ = now;
+    }
+    const auto turn = peer_answer_time + platform_turn * static_cast<std::int64_t>(position.rank);
     const bool paused = fetched_at_ && now - *fetched_at_ < fetch_pause;
-    if (fetching_ || peer_busy || paused)
+    if (fetching_ || paused || now - *behind_since_ < turn)
     {
         return false;
     }
--- a/src/mangovane/settings/watcher.hpp
+++ b/src/mangovane/settings/watcher.hpp
@@ -39,6 +39,10 @@
 /// Time after which a peer that was asked is taken not to have the text.
 inline constexpr milliseconds peer_answer_time{500};
 
+/// Instances that lack a version turn to the platform one after the other, by rank: together they
+/// read at most 200 rows a second, a tenth of what the platform gives.
+inline constexpr milliseconds platform_turn{5};
+
 /// Largest text that is sent to a peer: a frame has 64 KB and carries more than the text.
 inline constexpr std::size_t max_peer_text = 60U * 1024;
 
@@ -88,7 +92,7 @@
     };
 
     [[nodiscard]] bool head_due(time_point now, milliseconds since_epoch, watch_position position);
-    [[nodiscard]] bool text_due(time_point now);
+    [[nodiscard]] bool text_due(time_point now, watch_position position);
     [[nodiscard]] std::uint64_t current_version() const;
     void read_head(time_point now);
     void on_head(const absl::StatusOr<std::optional<settings_head>>& head, time_point asked_at);
@@ -111,6 +115,7 @@
     platform_state platform_{platform_state::unknown};
     std::optional<time_point> asked_peer_at_;
     std::optional<time_point> fetched_at_;
+    std::optional<time_point> behind_since_; ///< First notice of a version that is still missing.
     std::string last_error_;
 };
 
--- a/test/mangovane/settings/watcher.cpp
+++ b/test/mangovane/settings/watcher.cpp
@@ -1,6 +1,8 @@
 // Tests of the watcher: an instance gets the newest version from the platform or from peers.
 #include "mangovane/settings/watcher.hpp"
 
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "fake_platform.hpp"
@@ -178,6 +180,39 @@
         fix.watcher->on_content(content);
         CHECK(fix.version() == 0);
     }
+    SUBCASE("members that keep announcing what they do not deliver do not put off the platform")
+    {
+        fix.publish("c1");
+        fix.pass(milliseconds{50}, {0, 360});
+        fix.publish("c2");
+        for (int n = 0; n != 40; ++n)
+        {
+            (void)fix.watcher->on_announced(peer, {2, hash_bytes(small_text)}, fix.now());
+            fix.pass(milliseconds{50}, {0, 360});
+        }
+        CHECK(fix.version() == 2);
+    }
+    SUBCASE("instances that heard at once do not read the platform at once")
+    {
+        std::vector<int> reads(80, 0); // For each 50 ms.
+        for (std::size_t rank = 0; rank != 360; ++rank)
+        {
+            watch_fixture one;
+            one.publish("c1");
+            one.pass(milliseconds{50}, {rank, 360});
+            one.publish("c2");
+            (void)one.watcher->on_announced(peer, {2, hash_bytes(small_text)}, one.now());
+            for (auto& it : reads)
+            {
+                const auto before = one.platform.reads;
+                one.pass(milliseconds{50}, {rank, 360});
+                it += one.platform.reads - before;
+            }
+            CHECK(one.version() == 2);
+        }
+        // A tenth of the 2,000 reads a second that the platform gives, and the reads of the head.
+        CHECK(*std::max_element(reads.begin(), reads.end()) <= 10 + 1);
+    }
     SUBCASE("when the peer does not deliver, the text comes from the platform before the next slot")
     {
         for (int n = 1; n != 3; ++n)
