Add the chat directory and the baseline strategies

Cause: the headers declared the chat directory and make_strategy without an implementation.

Change: a shard of the directory keeps its entries in a dense array with an index of positions. A full shard replaces the oldest of eight entries taken by chance, so an insert does not depend on the size of the shard. The baselines fill the plan's rest list; strategies are made from one table by name.

--- a/src/mangovane/placement/chat_directory.hpp
+++ b/src/mangovane/placement/chat_directory.hpp
@@ -3,13 +3,14 @@
 #ifndef MANGOVANE_PLACEMENT_CHAT_DIRECTORY_HPP
 #define MANGOVANE_PLACEMENT_CHAT_DIRECTORY_HPP
 
+#include <array>
 #include <cstddef>
-#include <cstdint>
-#include <vector>
+#include <memory>
+#include <mutex>
 
-#include "mangovane/core/sharded_map.hpp"
 #include "mangovane/core/time.hpp"
 #include "mangovane/message/chat.hpp"
+#include "mangovane/placement/directory_shard.hpp"
 
 namespace mangovane
 {
@@ -20,8 +21,8 @@
 class chat_directory
 {
 public:
-    /// Keeps at most `capacity` chats; beyond it the ones used longest ago are dropped first,
-    /// approximately.
+    /// Keeps at most `capacity` chats, and at least one in each shard; beyond it the ones used
+    /// longest ago are dropped first, approximately.
     explicit chat_directory(std::size_t capacity);
 
     /// Records that an endpoint served the chat: it becomes the most recent location.
@@ -36,17 +37,17 @@
 private:
     static constexpr std::size_t shard_count = 64;
 
-    /// Locations are kept as 32-bit prefixes of the endpoint ids would be smaller, but two of 940
-    /// endpoints could then collide; an entry stays at 24 bytes with its key.
-    struct entry
+    struct guarded_shard
     {
-        chat_locations locations;
-        std::uint32_t used_s{0}; ///< Seconds since the directory was made.
+        explicit guarded_shard(std::size_t capacity) : entries{capacity} {}
+        std::mutex mutex;
+        internal::directory_shard entries; ///< Guarded by `mutex`.
     };
 
-    std::size_t capacity_;
-    time_point epoch_{};
-    sharded_map<chat_id, entry, shard_count> entries_;
+    [[nodiscard]] guarded_shard& shard_of(chat_id chat);
+
+    /// Not a `sharded_map`: eviction needs entries by position, which a hash map does not give.
+    std::array<std::unique_ptr<guarded_shard>, shard_count> shards_;
 };
 
 } // namespace mangovane
--- a/src/mangovane/placement/strategy.hpp
+++ b/src/mangovane/placement/strategy.hpp
@@ -55,7 +55,8 @@
 /// The policy in use: the chat's last two endpoints, then the least loaded of a random sample.
 [[nodiscard]] std::unique_ptr<placement_strategy> make_last_two_strategy();
 
-/// Baselines of the bench by name: random, round_robin, least_loaded_lagged, modulo, bounded_hash.
+/// The policy in use (last_two) and the baselines of the bench by name: random, round_robin,
+/// least_loaded_lagged, modulo, bounded_hash.
 /// Null for an unknown name.
 [[nodiscard]] std::unique_ptr<placement_strategy> make_strategy(std::string_view name);
 
