Measure cache reuse and decision cost in the bench

Cause: the reuse, skew and decision targets had figures from a calculation only.

Change: mangovane-bench has a table of sub-commands. `reuse` runs the real strategies, chat directories and load bound in simulated time with a fixed seed, in the order of steps of the request flow: three fleet sizes, each calm, with engines replaced, a failure domain out and back, and an entry instance replaced. Chats arrive and return by streams of their own, so every policy meets the same load. `decision` measures processor time and memory. The directory's table grows by a quarter instead of doubling.

The bound rounds up, so at 8 in flight the largest load passes the multiple of the mean.

--- /dev/null
+++ b/src/bench/decision_command.cpp
@@ -0,0 +1,139 @@
+// Sub-command `decision`: processor time of placement decisions, and time and memory of the chat
+// directory at the size of two years.
+#include <algorithm>
+#include <ctime>
+#include <iostream>
+
+#include <malloc.h>
+
+#include "bench/commands.hpp"
+#include "bench/figure.hpp"
+#include "bench/options.hpp"
+#include "mangovane/core/hash.hpp"
+#include "mangovane/placement/chat_directory.hpp"
+#include "mangovane/placement/strategy.hpp"
+
+namespace mangovane::bench
+{
+
+namespace
+{
+
+constexpr std::size_t engines = 940;
+constexpr std::size_t chats = 14'000'000;
+constexpr std::size_t instances = 360;
+constexpr std::size_t entries = chats * chat_copies / instances;
+constexpr std::uint64_t decisions = 20'000;
+
+double cpu_us()
+{
+    timespec at{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
+    return static_cast<double>(at.tv_sec) * 1e6 + static_cast<double>(at.tv_nsec) / 1e3;
+}
+
+/// Mean processor time of `work(n)` for n from 0 to count.
+template <class Work>
+double mean_us(std::uint64_t count, Work work)
+{
+    const auto start = cpu_us();
+    for (std::uint64_t n = 0; n != count; ++n)
+    {
+        work(n);
+    }
+    return (cpu_us() - start) / static_cast<double>(count);
+}
+
+double heap_bytes()
+{
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+std::vector<candidate> make_candidates()
+{
+    std::vector<candidate> result;
+    for (std::size_t n = 0; n != engines; ++n)
+    {
+        result.push_back({endpoint_id{hash_combine(n, 1)}, static_cast<std::uint32_t>(n % 8)});
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+/// Half of the decisions are for returning chats.
+chat_locations locations_of(const std::vector<candidate>& candidates, std::uint64_t n)
+{
+    if (n % 2 == 0)
+    {
+        return {};
+    }
+    return {{candidates[n % engines].endpoint, candidates[(n * 7 + 1) % engines].endpoint}};
+}
+
+void measure_strategies(std::vector<figure>& figures)
+{
+    const auto candidates = make_candidates();
+    for (const auto name : strategy_names())
+    {
+        const auto strategy = make_strategy(name);
+        std::size_t planned = 0;
+        const auto time =
+            mean_us(decisions,
+                    [&](std::uint64_t n)
+                    {
+                        const placement_query query{hash_combine(n, 2), hash_combine(n, 3),
+                                                    locations_of(candidates, n), candidates};
+                        const auto plan = strategy->plan(query);
+                        planned += plan.sample.size() + plan.rest.size();
+                    });
+        figures.push_back({"decision." + std::string{name} + ".cpu", time, "us"});
+        figures.push_back({"decision." + std::string{name} + ".planned",
+                           static_cast<double>(planned) / decisions, "endpoints"});
+    }
+}
+
+chat_id chat_number(std::uint64_t n)
+{
+    return chat_id{hash_combine(n, 4)};
+}
+
+void measure_directory(std::vector<figure>& figures)
+{
+    const auto before = heap_bytes();
+    chat_directory directory{entries};
+    const auto update = [&](std::uint64_t n)
+    {
+        const endpoint_id endpoint{hash_combine(n % engines, 1)};
+        directory.update({chat_number(n), endpoint}, time_point{milliseconds{n}});
+    };
+    const auto insert = mean_us(entries, update);
+    const auto bytes = heap_bytes() - before;
+    const auto held = static_cast<double>(directory.size());
+    const auto evicting = mean_us(entries, [&](std::uint64_t n) { update(entries + n); });
+    std::uint64_t found = 0;
+    const auto find =
+        mean_us(entries, [&](std::uint64_t n)
+                { found += directory.find(chat_number(entries + n)).empty() ? 0 : 1; });
+    figures.push_back({"directory.insert.cpu", insert, "us"});
+    figures.push_back({"directory.insert_when_full.cpu", evicting, "us"});
+    figures.push_back({"directory.find.cpu", find, "us"});
+    figures.push_back({"directory.newest_kept", static_cast<double>(found) / entries, "1"});
+    figures.push_back({"directory.entries", held, "chats"});
+    figures.push_back({"directory.entry", bytes / held, "B"});
+    figures.push_back({"directory.memory", bytes, "B"});
+}
+
+} // namespace
+
+int run_decision(const std::vector<std::string>& args)
+{
+    const auto options = parse_options(args);
+    std::vector<figure> figures;
+    measure_strategies(figures);
+    measure_directory(figures);
+    print_figures(std::cout, figures, options.json);
+    return 0;
+}
+
+} // namespace mangovane::bench
--- /dev/null
+++ b/src/bench/reuse_run.hpp
@@ -0,0 +1,134 @@
+// One run of the reuse measurement: returning chats, the placement steps of the request flow, and
+// engines, in simulated time. No messages are modelled: answers of owners arrive at once.
+#ifndef MANGOVANE_BENCH_REUSE_RUN_HPP
+#define MANGOVANE_BENCH_REUSE_RUN_HPP
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <queue>
+#include <tuple>
+#include <vector>
+
+#include "bench/directory_group.hpp"
+#include "bench/engine_fleet.hpp"
+#include "bench/reuse_meter.hpp"
+#include "bench/reuse_scenario.hpp"
+#include "mangovane/core/hash.hpp"
+#include "mangovane/placement/strategy.hpp"
+
+namespace mangovane::bench
+{
+
+class reuse_run
+{
+public:
+    reuse_run(const reuse_scenario& scenario, const reuse_policy& policy);
+
+    [[nodiscard]] reuse_result run();
+
+private:
+    /// Steps of the request flow, in their order; local shares are left out, since every owner
+    /// answers.
+    enum class step : std::uint8_t
+    {
+        warm_first,
+        warm_second,
+        sampled,
+        overflow,
+        queued,
+        exhausted,
+    };
+
+    /// How a step asks for a slot.
+    struct step_rule
+    {
+        void (reuse_run::*begin)(std::uint32_t number);
+        slot_purpose purpose;
+        duration longest_wait; ///< In the queue of the owner.
+    };
+
+    /// A chat with its current request; both have the same number.
+    struct chat
+    {
+        chat_id id;
+        std::uint32_t turn{0};
+        time_point arrived;
+        chat_locations locations;
+        placement_plan plan;
+        step at{step::warm_first};
+        std::vector<endpoint_id> tries;  ///< Of the current step; taken from the back.
+        std::vector<std::size_t> loaded; ///< Sampled engines, least loaded last.
+        std::uint64_t attempt{0};        ///< A queue entry or timer of another one is stale.
+        std::uint32_t pauses{0};
+        bool waited{false};
+        std::size_t engine{0};           ///< Serves the current request.
+        std::vector<std::size_t> served; ///< Engines that served a turn; may hold a prefix.
+    };
+
+    struct event
+    {
+        time_point at;
+        std::uint64_t sequence; ///< Keeps events of the same time in order.
+        void (reuse_run::*handle)(std::uint32_t number, std::uint64_t attempt);
+        std::uint32_t number;
+        std::uint64_t attempt;
+
+        bool operator>(const event& other) const
+        {
+            return std::tie(at, sequence) > std::tie(other.at, other.sequence);
+        }
+    };
+
+    using handler = decltype(event::handle);
+
+    void on_new_chat(std::uint32_t number, std::uint64_t attempt);
+    void on_turn(std::uint32_t number, std::uint64_t attempt);
+    void on_plan_again(std::uint32_t number, std::uint64_t attempt);
+    void on_wait_over(std::uint32_t number, std::uint64_t attempt);
+    void on_answered(std::uint32_t number, std::uint64_t attempt);
+    void on_strike(std::uint32_t number, std::uint64_t attempt);
+    void on_publish(std::uint32_t number, std::uint64_t attempt);
+
+    void begin_warm_first(std::uint32_t number);
+    void begin_warm_second(std::uint32_t number);
+    void begin_sampled(std::uint32_t number);
+    void begin_overflow(std::uint32_t number);
+    void begin_queued(std::uint32_t number);
+    void begin_exhausted(std::uint32_t number);
+    static const std::array<step_rule, 6> rules;
+
+    void make_plan(std::uint32_t number);
+    void begin(std::uint32_t number, step at);
+    void next_try(std::uint32_t number);
+    [[nodiscard]] bool ask(std::uint32_t number, endpoint_id endpoint);
+    void wait(std::uint32_t number, std::size_t index, const step_rule& rule);
+    void serve_queue(std::size_t index);
+    void dispatch(std::uint32_t number, std::size_t index);
+    void measure(const chat& it);
+    void refuse(std::uint32_t number);
+    void schedule(duration in, handler handle, std::uint32_t number, std::uint64_t attempt = 0);
+    [[nodiscard]] duration time_to_next_chat(std::uint32_t number) const;
+    [[nodiscard]] duration pause_after_turn(const chat& it) const;
+    [[nodiscard]] std::uint64_t decision_seed()
+    {
+        return hash_combine(scenario_.seed, ++decisions_);
+    }
+
+    reuse_scenario scenario_;
+    std::unique_ptr<placement_strategy> strategy_;
+    engine_fleet engines_;
+    directory_group directories_;
+    reuse_meter meter_;
+    time_point now_{};
+    time_point measure_from_;
+    std::uint64_t decisions_{0};
+    std::uint64_t sequence_{0};
+    std::uint64_t attempts_{0};
+    std::vector<chat> chats_;
+    std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+};
+
+} // namespace mangovane::bench
+
+#endif
--- /dev/null
+++ b/src/bench/reuse_scenario.hpp
@@ -0,0 +1,71 @@
+// Scenarios and policies of the reuse measurement, and what a run of one with the other gives.
+#ifndef MANGOVANE_BENCH_REUSE_SCENARIO_HPP
+#define MANGOVANE_BENCH_REUSE_SCENARIO_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bench/disturbance.hpp"
+#include "mangovane/core/time.hpp"
+#include "mangovane/settings/policy.hpp"
+
+namespace mangovane::bench
+{
+
+/// Size of a fleet and its load.
+struct fleet_size
+{
+    std::string_view name;
+    std::size_t engines{0};
+    std::uint32_t mean_in_flight{0}; ///< Per engine.
+    double load_bound{1};
+    seconds warm_up{0};  ///< Not measured; longer than the life of a chat.
+    seconds measured{0}; ///< A multiple of 600 s, so that it holds whole cycles of a disturbance.
+
+    auto operator<=>(const fleet_size&) const = default;
+};
+
+struct reuse_scenario
+{
+    fleet_size size;
+    const disturbance* what{nullptr};
+    std::uint64_t seed{1};
+
+    [[nodiscard]] std::string name() const;
+    bool operator==(const reuse_scenario&) const = default;
+};
+
+struct reuse_policy
+{
+    std::string_view name;
+    std::string_view strategy; ///< As `make_strategy` knows it.
+    bool bounded{true};        ///< Whether the load bound holds.
+
+    auto operator<=>(const reuse_policy&) const = default;
+};
+
+struct reuse_result
+{
+    double reuse{0};        ///< Units found on the chosen engine / most units on an open engine.
+    double largest_load{0}; ///< Largest load of an engine / mean load at that time.
+    double wait_p99_ms{0};  ///< From arrival to dispatch.
+    std::uint64_t requests{0};
+    std::uint64_t refused{0};
+
+    auto operator<=>(const reuse_result&) const = default;
+};
+
+/// Every fleet size with every disturbance.
+[[nodiscard]] std::vector<reuse_scenario> all_scenarios();
+/// The policy in use, the baselines, and the ceiling.
+[[nodiscard]] std::vector<reuse_policy> all_policies();
+/// Service settings for a run: the defaults with the bound of the scenario.
+[[nodiscard]] service_policy service_for(const reuse_scenario& scenario,
+                                         const reuse_policy& policy);
+
+} // namespace mangovane::bench
+
+#endif
--- a/src/mangovane/placement/directory_shard.cpp
+++ b/src/mangovane/placement/directory_shard.cpp
@@ -13,6 +13,8 @@
 
 /// Entries compared for an eviction. The victim is in the oldest 25% of the shard in 9 of 10 cases.
 constexpr std::size_t eviction_sample = 8;
+/// Smallest growth of the entries.
+constexpr std::size_t growth_step = 16;
 
 std::uint32_t clock_seconds(time_point now)
 {
@@ -58,6 +60,7 @@
 {
     if (entries_.size() < capacity_)
     {
+        grow();
         entries_.push_back(added);
         index_.insert(static_cast<std::uint32_t>(entries_.size() - 1));
         return;
@@ -68,6 +71,17 @@
     index_.insert(victim);
 }
 
+void directory_shard::grow()
+{
+    const auto n = entries_.size();
+    if (n == entries_.capacity())
+    {
+        // By a quarter, not by doubling, and never past the limit: unused space would otherwise
+        // cost as much as the entries.
+        entries_.reserve(std::min(capacity_, n + n / 4 + growth_step));
+    }
+}
+
 std::uint32_t directory_shard::choose_victim()
 {
     ++evictions_;
--- a/src/mangovane/placement/directory_shard.hpp
+++ b/src/mangovane/placement/directory_shard.hpp
@@ -56,6 +56,7 @@
     };
 
     void insert(const entry& added);
+    void grow();
     [[nodiscard]] std::uint32_t choose_victim();
 
     std::size_t capacity_;
