Wire the router to platform, peers and operators; round the load bound

Cause: the daemon knew static mode only.

Change: claim gateway, platform follower, operators' view, log of views. The bound rounds to the nearest slot and never stops a service from taking one more request.

--- /dev/null
+++ b/src/mangovane/daemon/claim_gateway.cpp
@@ -0,0 +1,80 @@
+// Implementation of the claim gateway.
+#include "mangovane/daemon/claim_gateway.hpp"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+std::uint64_t unix_ms()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(since_epoch).count());
+}
+
+} // namespace
+
+claim_gateway::claim_gateway(asio::io_context& io, table_service& table)
+    : strand_{asio::make_strand(io)}, timer_{strand_}, batch_{table}
+{}
+
+void claim_gateway::claim_key(claim wanted, time_point deadline, claim_batch::claim_handler handler)
+{
+    wanted.claimed_unix_ms = unix_ms();
+    wanted.expires_unix_ms += wanted.claimed_unix_ms;
+    ++waiting_;
+    batch_.claim_key(std::move(wanted), clock::now(), deadline,
+                     [this, handler = std::move(handler)](absl::StatusOr<claim_result> result)
+                     {
+                         --waiting_;
+                         handler(std::move(result));
+                     });
+    asio::post(strand_, [this] { arm(); });
+}
+
+void claim_gateway::settle(claim settled, time_point deadline, claim_batch::settle_handler handler)
+{
+    ++waiting_;
+    batch_.settle(std::move(settled), clock::now(), deadline,
+                  [this, handler = std::move(handler)](absl::Status status)
+                  {
+                      --waiting_;
+                      handler(std::move(status));
+                  });
+    asio::post(strand_, [this] { arm(); });
+}
+
+void claim_gateway::arm()
+{
+    if (armed_)
+    {
+        return;
+    }
+    armed_ = true;
+    timer_.expires_after(claim_batch::window);
+    timer_.async_wait(
+        [this](boost::system::error_code ec)
+        {
+            armed_ = false;
+            if (ec)
+            {
+                return;
+            }
+            batch_.tick(clock::now());
+            if (waiting_ != 0)
+            {
+                arm();
+            }
+        });
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/daemon/claim_gateway.hpp
@@ -0,0 +1,42 @@
+// Claims of the HTTP front end, batched on a timer that runs only while claims wait.
+#ifndef MANGOVANE_DAEMON_CLAIM_GATEWAY_HPP
+#define MANGOVANE_DAEMON_CLAIM_GATEWAY_HPP
+
+#include <atomic>
+#include <cstdint>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include "mangovane/net/front_services.hpp"
+#include "mangovane/platform/table_service.hpp"
+
+namespace mangovane
+{
+
+class claim_gateway final : public claim_port
+{
+public:
+    /// The table and the context outlive the gateway.
+    claim_gateway(boost::asio::io_context& io, table_service& table);
+
+    void claim_key(claim wanted, time_point deadline, claim_batch::claim_handler handler) override;
+    void settle(claim settled, time_point deadline, claim_batch::settle_handler handler) override;
+
+    /// Runs retries in the background. Called periodically.
+    void tick() { batch_.tick(clock::now()); }
+
+private:
+    void arm();
+
+    boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+    boost::asio::steady_timer timer_; ///< Used on the strand alone.
+    claim_batch batch_;
+    std::atomic<std::uint32_t> waiting_{0};
+    bool armed_{false}; ///< Used on the strand alone.
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -11,12 +11,21 @@
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 #include <glog/logging.h>
 
+#include "mangovane/daemon/claim_gateway.hpp"
+#include "mangovane/daemon/fleet_view.hpp"
+#include "mangovane/daemon/platform_follower.hpp"
+#include "mangovane/daemon/static_platform.hpp"
+#include "mangovane/daemon/view_log.hpp"
+#include "mangovane/net/endpoint_poller.hpp"
 #include "mangovane/net/http_server.hpp"
+#include "mangovane/net/operator_server.hpp"
+#include "mangovane/net/peer_network.hpp"
+#include "mangovane/observe/request_metrics.hpp"
 #include "mangovane/settings/parse.hpp"
 
 namespace mangovane
@@ -27,55 +36,13 @@
 namespace
 {
 
+/// Period of the coordinator's timers.
+constexpr milliseconds tick_period{50};
 /// Period in which the end of the last request is looked for during shutdown.
 constexpr milliseconds drain_poll{50};
-
-/// Without a platform there is no table for claims: calls with a key are refused.
-class refusing_claims final : public claim_port
-{
-public:
-    explicit refusing_claims(asio::io_context& io) : io_{io} {}
-
-    void claim_key(claim, time_point, claim_batch::claim_handler handler) override
-    {
-        asio::post(
-            io_, [handler = std::move(handler)]
-            { handler(make_error(error_kind::store_unavailable, "no platform is configured")); });
-    }
-
-    void settle(claim, time_point, claim_batch::settle_handler handler) override
-    {
-        asio::post(
-            io_, [handler = std::move(handler)]
-            { handler(make_error(error_kind::store_unavailable, "no platform is configured")); });
-    }
-
-private:
-    asio::io_context& io_;
-};
-
-class silent_sink final : public message_sink
-{
-public:
-    void send(const outgoing_message&) override {}
-};
-
-class counting_observer final : public request_observer
-{
-public:
-    void on_request_end(const request_record&) override { ++ended_; }
-    void on_dropped_answer() override { ++dropped_; }
-
-    [[nodiscard]] std::string text() const
-    {
-        return absl::StrCat("mangovane_requests_total ", ended_.load(),
-                            "\nmangovane_dropped_answers_total ", dropped_.load(), "\n");
-    }
-
-private:
-    std::atomic<std::uint64_t> ended_{0};
-    std::atomic<std::uint64_t> dropped_{0};
-};
+/// Time for the last messages to other instances.
+constexpr milliseconds flush_time{200};
+constexpr seconds label_period{60};
 
 member make_self(const router_options& options)
 {
@@ -99,32 +66,85 @@
     return result;
 }
 
+peer_network_options make_peer_options(const coordinator_options& core,
+                                       const router_options& options)
+{
+    peer_network_options result;
+    result.id = core.self.id;
+    result.epoch = core.self.epoch;
+    result.name = options.name;
+    result.address = options.peer_listen;
+    result.cluster_key = options.cluster_key;
+    return result;
+}
+
 } // namespace
 
 struct router::state
 {
     explicit state(router_options opts)
-        : options{std::move(opts)}, io{static_cast<int>(options.threads)}, claims{io},
-          core{make_coordinator_options(options), sink, clock::now()},
-          services{core, claims, observer, ready, [this] { return observer.text(); }, {}}, server{io, services},
-          signals{io, SIGTERM, SIGINT}, drain_timer{io}
-    {}
+        : options{std::move(opts)}, io{static_cast<int>(options.threads)},
+          core_options{make_coordinator_options(options)},
+          peers{io, make_peer_options(core_options, options),
+                [this](instance_id from, const message& msg)
+                { core.on_message(from, msg, clock::now()); }},
+          core{core_options, peers, clock::now()}, fleet{core}, poller{io, core},
+          platform{options.platform.empty() ? nullptr : make_http_platform(io, options.platform)},
+          claims{io, platform ? static_cast<table_service&>(*platform) : no_table},
+          services{core,
+                   claims,
+                   metrics,
+                   ready,
+                   [this] { return absl::StrCat(metrics.text(false), fleet.metrics_text()); },
+                   {}},
+          server{io, services}, operators{io,
+                                          {fleet,
+                                           [this] {
+                                               return absl::StrCat(metrics.text(true),
+                                                                   fleet.metrics_text(), traffic());
+                                           },
+                                           options.cluster_key}},
+          signals{io, SIGTERM, SIGINT}, ticker{asio::make_strand(io)}, drain_timer{io}
+    {
+        if (platform)
+        {
+            follower.emplace(*platform, core);
+        }
+    }
 
-    absl::Status load_static();
+    [[nodiscard]] absl::Status load_static();
+    [[nodiscard]] absl::Status listen();
+    [[nodiscard]] std::string traffic() const;
+    void tick();
+    void update_readiness();
     void start_shutdown();
     void await_last_request();
+    void after(milliseconds time, void (state::*next)());
+    void drain();
+    void stop();
 
     router_options options;
     asio::io_context io;
-    silent_sink sink;
-    refusing_claims claims;
-    counting_observer observer;
-    std::atomic<bool> ready{false};
+    coordinator_options core_options;
+    peer_network peers;
     coordinator core;
+    fleet_view fleet;
+    view_log log;
+    endpoint_poller poller;
+    unavailable_table no_table{io};
+    std::unique_ptr<http_platform> platform; ///< Null in static mode.
+    std::optional<platform_follower> follower;
+    claim_gateway claims;
+    request_metrics metrics;
+    std::atomic<bool> ready{false};
+    std::atomic<bool> stopping{false};
     front_services services;
     http_server server;
+    operator_server operators;
     asio::signal_set signals;
+    asio::steady_timer ticker;
     asio::steady_timer drain_timer;
+    time_point labels_rotated_at{};
 };
 
 absl::Status router::state::load_static()
@@ -148,41 +168,126 @@
     return absl::OkStatus();
 }
 
-void router::state::start_shutdown()
+absl::Status router::state::listen()
 {
-    LOG(INFO) << "event=shutdown_started running=" << core.running();
-    ready = false;
-    drain_timer.expires_after(options.drain_delay);
-    drain_timer.async_wait(
+    absl::Status status;
+    if (!options.peer_listen.empty())
+    {
+        status.Update(peers.listen(options.peer_listen));
+    }
+    if (!options.operator_listen.empty())
+    {
+        status.Update(operators.listen(options.operator_listen));
+    }
+    status.Update(server.listen(options.listen));
+    return status;
+}
+
+std::string router::state::traffic() const
+{
+    const auto n = peers.traffic();
+    std::string out;
+    absl::StrAppend(&out, "mangovane_control_bytes_total{direction=\"sent\"} ", n.bytes_sent, "\n");
+    absl::StrAppend(&out, "mangovane_control_bytes_total{direction=\"received\"} ",
+                    n.bytes_received, "\n");
+    absl::StrAppend(&out, "mangovane_poll_bytes_total ", poller.bytes(), "\n");
+    absl::StrAppend(&out, "mangovane_messages_dropped_total ", n.messages_dropped, "\n");
+    const auto age = follower ? follower->settings_age(clock::now()) : std::nullopt;
+    absl::StrAppend(&out, "mangovane_settings_age_seconds ",
+                    age ? static_cast<double>(age->count()) / 1000.0 : -1.0, "\n");
+    return out;
+}
+
+void router::state::tick()
+{
+    const auto now = clock::now();
+    if (follower)
+    {
+        follower->tick(now);
+    }
+    core.tick(now);
+    claims.tick();
+    const auto view = core.view();
+    if (log.on_view(*view))
+    {
+        peers.set_peers(*view);
+    }
+    log.on_settings(core.settings().current());
+    if (now > labels_rotated_at + label_period)
+    {
+        labels_rotated_at = now;
+        metrics.rotate_labels();
+    }
+    update_readiness();
+    ticker.expires_after(tick_period);
+    ticker.async_wait(
         [this](boost::system::error_code ec)
         {
             if (!ec)
             {
-                server.drain();
-                await_last_request();
+                tick();
             }
         });
 }
 
-void router::state::await_last_request()
+void router::state::update_readiness()
 {
-    if (core.running() == 0 && server.open_sessions() == 0)
+    const bool fit =
+        !stopping && core.settings().is_current() && (!follower || follower->may_become_ready());
+    // An instance that was ready stays so when the platform goes away: it serves what it can.
+    if (fit && !ready.exchange(true))
     {
-        LOG(INFO) << "event=shutdown_complete";
-        io.stop();
-        return;
+        LOG(INFO) << "event=ready settings_version=" << core.settings().current()->stamp.version;
     }
-    drain_timer.expires_after(drain_poll);
+}
+
+void router::state::after(milliseconds time, void (state::*next)())
+{
+    drain_timer.expires_after(time);
     drain_timer.async_wait(
-        [this](boost::system::error_code ec)
+        [this, next](boost::system::error_code ec)
         {
             if (!ec)
             {
-                await_last_request();
+                (this->*next)();
             }
         });
 }
 
+void router::state::start_shutdown()
+{
+    LOG(INFO) << "event=shutdown_started running=" << core.running();
+    stopping = true;
+    ready = false;
+    core.leave(clock::now());
+    after(options.drain_delay, &state::drain);
+}
+
+void router::state::drain()
+{
+    server.drain();
+    operators.stop();
+    await_last_request();
+}
+
+void router::state::await_last_request()
+{
+    if (core.running() == 0 && server.open_sessions() == 0)
+    {
+        after(flush_time, &state::stop);
+        return;
+    }
+    after(drain_poll, &state::await_last_request);
+}
+
+void router::state::stop()
+{
+    LOG(INFO) << "event=shutdown_complete";
+    poller.stop();
+    peers.close();
+    io.stop();
+}
+
 router::router(router_options options) : state_{std::make_unique<state>(std::move(options))} {}
 
 router::~router() = default;
@@ -190,11 +295,13 @@
 absl::Status router::run()
 {
     auto& it = *state_;
-    if (auto status = it.load_static(); !status.ok())
+    absl::Status status;
+    if (!it.follower)
     {
-        return status;
+        status = it.load_static();
     }
-    if (auto status = it.server.listen(it.options.listen); !status.ok())
+    status.Update(it.listen());
+    if (!status.ok())
     {
         return status;
     }
@@ -206,9 +313,10 @@
                 it.start_shutdown();
             }
         });
-    it.ready = true;
     LOG(INFO) << "event=started name=" << it.options.name << " domain=" << it.options.domain
               << " port=" << it.server.port();
+    it.tick();
+    it.poller.start();
     std::vector<std::thread> threads;
     for (std::uint32_t n = 1; n < it.options.threads; ++n)
     {
--- a/src/mangovane/daemon/router_options.cpp
+++ b/src/mangovane/daemon/router_options.cpp
@@ -90,6 +90,7 @@
     result.id = endpoint_id::of(parts[1]);
     result.name = parts[1];
     result.domain = domain_id::of(parts[2]);
+    result.domain_name = parts[2];
     result.address = parts[3];
     return result;
 }
--- /dev/null
+++ b/src/mangovane/daemon/static_platform.hpp
@@ -0,0 +1,41 @@
+// Stands for the platform's table in static mode, in which there is none.
+#ifndef MANGOVANE_DAEMON_STATIC_PLATFORM_HPP
+#define MANGOVANE_DAEMON_STATIC_PLATFORM_HPP
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "mangovane/platform/table_service.hpp"
+
+namespace mangovane
+{
+
+/// Every call ends with `kUnavailable`, so that calls with an idempotency key are refused.
+class unavailable_table final : public table_service
+{
+public:
+    explicit unavailable_table(boost::asio::io_context& io) : io_{io} {}
+
+    void read(std::string, time_point, read_handler handler) override { refuse(std::move(handler)); }
+
+    void write(std::vector<table_write>, time_point, write_handler handler) override
+    {
+        refuse(std::move(handler));
+    }
+
+private:
+    template <class Handler>
+    void refuse(Handler handler)
+    {
+        boost::asio::post(io_, [handler = std::move(handler)]
+                          { handler(absl::UnavailableError("no platform is configured")); });
+    }
+
+    boost::asio::io_context& io_;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/daemon/view_log.hpp
@@ -0,0 +1,32 @@
+// Logs changes of the view and of the settings, once each.
+#ifndef MANGOVANE_DAEMON_VIEW_LOG_HPP
+#define MANGOVANE_DAEMON_VIEW_LOG_HPP
+
+#include <cstdint>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "mangovane/membership/view.hpp"
+#include "mangovane/settings/snapshot.hpp"
+
+namespace mangovane
+{
+
+/// Used by one thread at a time.
+class view_log
+{
+public:
+    /// True when the view has changed since the last call.
+    bool on_view(const membership_view& view);
+
+    void on_settings(const settings_ptr& settings);
+
+private:
+    std::uint64_t view_version_{0};
+    std::uint64_t settings_version_{0};
+    absl::flat_hash_map<instance_id, member_state> states_;
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/ledger/bound.cpp
+++ b/src/mangovane/ledger/bound.cpp
@@ -10,18 +10,32 @@
 namespace
 {
 
-std::uint32_t multiple_of_mean(double multiple, const service_load& load) noexcept
+/// Load of the service with one more request.
+double next_total(const service_load& load) noexcept
 {
-    const auto endpoints = std::max(load.ready_endpoints, 1U);
-    const auto total = static_cast<double>(load.total_in_flight) + 1.0;
-    return static_cast<std::uint32_t>(std::ceil(multiple * total / endpoints));
+    return static_cast<double>(load.total_in_flight) + 1.0;
+}
+
+double endpoints_of(const service_load& load) noexcept
+{
+    return std::max(load.ready_endpoints, 1U);
+}
+
+/// Smallest number of slots under which all endpoints together can take one more request.
+std::uint32_t even_slots(const service_load& load) noexcept
+{
+    return static_cast<std::uint32_t>(std::ceil(next_total(load) / endpoints_of(load)));
 }
 
 } // namespace
 
 std::uint32_t load_bound_slots(const service_policy& policy, const service_load& load) noexcept
 {
-    const auto n = std::max(policy.min_slots, multiple_of_mean(policy.load_bound, load));
+    // Rounding up would allow 11 slots at a mean of 8 under a bound of 1.25; rounding down alone
+    // would stop a service whose mean is so low that the multiple rounds down to the mean itself.
+    const auto multiple = std::lround(policy.load_bound * next_total(load) / endpoints_of(load));
+    const auto n =
+        std::max({policy.min_slots, static_cast<std::uint32_t>(multiple), even_slots(load)});
     return std::min(n, policy.max_in_flight);
 }
 
@@ -33,7 +47,7 @@
     {
         return bound;
     }
-    return std::min(bound, std::max(policy.min_slots, multiple_of_mean(1.0, load)));
+    return std::min(bound, std::max(policy.min_slots, even_slots(load)));
 }
 
 } // namespace mangovane
--- a/src/mangovane/membership/endpoint.hpp
+++ b/src/mangovane/membership/endpoint.hpp
@@ -21,6 +21,7 @@
     endpoint_id id;
     service_id service;
     domain_id domain;
+    std::string domain_name;
     std::string name;
     std::string address;          ///< `ip:port`
     std::vector<model_id> models; ///< Models it has loaded; empty: all of its service.
--- a/src/mangovane/platform/platform_codec.cpp
+++ b/src/mangovane/platform/platform_codec.cpp
@@ -57,7 +57,8 @@
     info.name = text_of(obj, "name");
     info.id = endpoint_id::of(info.name);
     info.service = service_id::of(text_of(obj, "service"));
-    info.domain = domain_id::of(text_of(obj, "domain"));
+    info.domain_name = text_of(obj, "domain");
+    info.domain = domain_id::of(info.domain_name);
     info.address = text_of(obj, "address");
     info.leaving = flag(obj, "leaving");
     if (const auto* models = obj.if_contains("models"))
--- a/src/mangovane/settings/parse.cpp
+++ b/src/mangovane/settings/parse.cpp
@@ -119,6 +119,10 @@
             continue;
         }
         auto policy = account_of(it, nodes);
+        for (const auto& rule : policy.limits)
+        {
+            out.limits.emplace(rule.node, rule);
+        }
         for (const auto& key : it.account->key_sha256)
         {
             out.accounts_by_key.emplace(key, policy.id);
