Bound the accounts that a wait queue remembers, and shorten tests

Cause: empty accounts stay until they have earned their credit. With thousands of accounts that send a few requests each, the map and the time of pop would grow with the number of accounts.

Change: above 256 accounts in a class, empty ones are forgotten early.

Conclusion: memory of a class is bounded at 256 idle accounts besides the waiting requests.

--- a/src/mangovane/queue/fair_queue.cpp
+++ b/src/mangovane/queue/fair_queue.cpp
@@ -16,6 +16,10 @@
 /// while another account surges.
 constexpr double account_credit = 8;
 
+/// With more accounts in a class, empty ones are forgotten early. Bounds the memory and the time of
+/// `pop` when thousands of accounts send a few requests each.
+constexpr std::size_t max_known_accounts = 256;
+
 bool admit_all(const slot_request&)
 {
     return true;
@@ -157,9 +161,11 @@
         // already taken.
         queue.credit = std::min(queue.credit, 0.0);
     }
+    const bool crowded = queue.accounts.size() > max_known_accounts;
+    const auto earned = start_tag(queue, {});
     absl::erase_if(
         queue.accounts, [&](const auto& it)
-        { return it.second.entries.empty() && it.second.finish_tag <= start_tag(queue, {}); });
+        { return it.second.entries.empty() && (crowded || it.second.finish_tag <= earned); });
 }
 
 std::size_t fair_queue::position_of(const queue_limits& limits, const slot_request& request) const
--- a/test/mangovane/ledger/endpoint_ledger.cpp
+++ b/test/mangovane/ledger/endpoint_ledger.cpp
@@ -50,29 +50,26 @@
         CHECK(granted(waiting.attempt));
     }
 
-    SUBCASE("tells a request whose wait ended, and one whose service closes")
+    SUBCASE("tells a waiting request why it is refused, so that the holder can go elsewhere")
     {
-        SUBCASE("that its wait ended")
+        SUBCASE("when its wait ended")
         {
-            now += seconds{5};
-            last = ledger.tick(ctx(), now);
+            advance(seconds{5});
             CHECK(refused() == slot_refusal_reason::wait_expired);
         }
-        SUBCASE("that the endpoint is drained")
-        {
-            closed = slot_refusal_reason::drained;
-            last = ledger.tick(ctx(), now);
-            CHECK(refused() == slot_refusal_reason::drained);
-        }
-        SUBCASE("that the endpoint says it leaves")
+        SUBCASE("when the endpoint leaves by its own report")
         {
             last = ledger.report({endpoint, 1, 4, true, true, now}, ctx(), now);
             CHECK(refused() == slot_refusal_reason::leaving);
         }
-        SUBCASE("that this instance is no longer the owner")
+        SUBCASE("when the endpoint is drained, or this instance is no longer the owner")
         {
-            last = ledger.resign();
+            auto other = ledger;
+            last = other.resign();
             CHECK(refused() == slot_refusal_reason::not_owner);
+            closed = slot_refusal_reason::drained;
+            advance(milliseconds{0});
+            CHECK(refused() == slot_refusal_reason::drained);
         }
     }
 
@@ -127,7 +124,7 @@
         release(msg.attempt, attempt_outcome::cancelled);
         CHECK_FALSE(ask(msg));
         CHECK(ledger.in_flight() == 0);
-        last = ledger.renew(one, {endpoint, {{msg.attempt, msg.deadline}}}, ctx(), now);
+        renew(one, {{msg.attempt, msg.deadline}});
         CHECK(ledger.in_flight() == 0);
     }
 
@@ -142,13 +139,13 @@
     {
         REQUIRE(ask(msg));
         now += milliseconds{100};
-        last = ledger.renew(one, {endpoint, {}}, ctx(), now);
+        renew(one, {});
         CHECK(ledger.in_flight() == 1);
 
         SUBCASE("but the next one does when the release was lost")
         {
             now += renewal_period;
-            last = ledger.renew(one, {endpoint, {}}, ctx(), now);
+            renew(one, {});
             CHECK(ledger.in_flight() == 0);
         }
     }
@@ -166,24 +163,19 @@
     complete_rebuilding();
     const auto sleeping = make();
     REQUIRE(ask(sleeping));
-    now += slot_lease;
-    last = ledger.tick(ctx(), now);
+    advance(slot_lease);
     CHECK(status().orphaned == 1);
     CHECK(ledger.in_flight() == 1);
 
-    SUBCASE("keeps its load while the endpoint still shows the request")
+    SUBCASE("keeps its load when the report shows it, or was sampled before the lease ran out")
     {
+        last = ledger.report({endpoint, 1, 0, true, false, now - milliseconds{1}}, ctx(), now);
+        CHECK(ledger.in_flight() == 1);
         now += milliseconds{500};
         report(1);
         CHECK(ledger.in_flight() == 1);
     }
 
-    SUBCASE("keeps its load when the report was sampled before the lease ran out")
-    {
-        last = ledger.report({endpoint, 1, 0, true, false, now - milliseconds{1}}, ctx(), now);
-        CHECK(ledger.in_flight() == 1);
-    }
-
     SUBCASE("keeps its load while slots just granted are not yet at the endpoint")
     {
         REQUIRE(ask(make()));
@@ -192,24 +184,21 @@
         CHECK(ledger.in_flight() == 2);
     }
 
-    SUBCASE("loses its load when the endpoint shows fewer requests")
+    SUBCASE("loses its load when the endpoint shows fewer requests, or at the deadline")
     {
+        auto other = ledger;
         now += milliseconds{500};
         report(0);
         CHECK(ledger.in_flight() == 0);
-    }
-
-    SUBCASE("loses its load at the deadline")
-    {
         now = sleeping.deadline;
-        last = ledger.tick(ctx(), now);
-        CHECK(ledger.in_flight() == 0);
+        last = other.tick(ctx(), now);
+        CHECK(other.in_flight() == 0);
     }
 
     SUBCASE("holds the slot again when it resumes and renews")
     {
         const held_slot kept{sleeping.attempt, sleeping.deadline};
-        last = ledger.renew(one, {endpoint, {kept}}, ctx(), now);
+        renew(one, {kept});
         CHECK(status().orphaned == 0);
         CHECK(ledger.in_flight() == 1);
     }
--- a/test/mangovane/ledger/ledger_fixture.hpp
+++ b/test/mangovane/ledger/ledger_fixture.hpp
@@ -3,6 +3,7 @@
 #define MANGOVANE_TEST_LEDGER_LEDGER_FIXTURE_HPP
 
 #include <optional>
+#include <utility>
 #include <variant>
 
 #include "mangovane/ledger/endpoint_ledger.hpp"
@@ -28,8 +29,19 @@
     /// Both instances renew without slots: rebuilding ends.
     void complete_rebuilding()
     {
-        last = ledger.renew(one, {endpoint, {}}, ctx(), now);
-        last = ledger.renew(two, {endpoint, {}}, ctx(), now);
+        renew(one, {});
+        renew(two, {});
+    }
+
+    void renew(instance_id holder, std::vector<held_slot> slots)
+    {
+        last = ledger.renew(holder, {endpoint, std::move(slots)}, ctx(), now);
+    }
+
+    void advance(milliseconds step)
+    {
+        now += step;
+        last = ledger.tick(ctx(), now);
     }
 
     slot_request make(milliseconds wait = milliseconds{0}, std::uint64_t account = 1)
--- a/test/mangovane/ledger/owner_change.cpp
+++ b/test/mangovane/ledger/owner_change.cpp
@@ -123,10 +123,9 @@
 
         SUBCASE("and the whole bound after one lease, though one instance is silent")
         {
-            last = ledger.renew(one, {endpoint, {}}, ctx(), now);
+            renew(one, {});
             CHECK(status().rebuilding);
-            now += slot_lease;
-            last = ledger.tick(ctx(), now);
+            advance(slot_lease);
             CHECK_FALSE(status().rebuilding);
         }
     }
@@ -140,7 +139,7 @@
     SUBCASE("counts the slots that a former owner granted")
     {
         const held_slot old{attempt_id{two, 1, 1}, now + seconds{30}};
-        last = ledger.renew(two, {endpoint, {old}}, ctx(), now);
+        renew(two, {old});
         CHECK(ledger.in_flight() == 1);
         last = ledger.release(two, {old.attempt, endpoint}, ctx(), now);
         CHECK(ledger.in_flight() == 0);
--- a/test/mangovane/ledger/ramp.cpp
+++ b/test/mangovane/ledger/ramp.cpp
@@ -61,14 +61,12 @@
             CHECK(status().ramp == 4);
         }
 
-        SUBCASE("and starts again with a new incarnation")
+        SUBCASE("and starts again with a new incarnation, or when it reports that it is cold")
         {
+            auto other = ledger;
             report(0, true, 2);
             CHECK(status().ramp == 1);
-        }
-
-        SUBCASE("and starts again when it reports that it is cold")
-        {
+            ledger = other;
             report(0, false);
             CHECK(status().ramp == 1);
         }
@@ -76,9 +74,8 @@
         SUBCASE("and starts again when its first token is late")
         {
             policy.cold_first_token = milliseconds{800};
-            const auto attempt = ask(make());
-            last = ledger.release(one, {*attempt, endpoint, attempt_outcome::succeeded, 900}, ctx(),
-                                  now);
+            const slot_release late{*ask(make()), endpoint, attempt_outcome::succeeded, 900};
+            last = ledger.release(one, late, ctx(), now);
             CHECK(status().ramp == 1);
         }
     }
@@ -89,8 +86,7 @@
         now += policy.ramp_step / 2;
         release(*attempt);
         CHECK(status().ramp == 1);
-        now += policy.ramp_step * 10;
-        last = ledger.tick(ctx(), now);
+        advance(policy.ramp_step * 10);
         CHECK(status().ramp == 1);
     }
 }
@@ -104,7 +100,7 @@
         {
             slots.push_back({attempt_id{two, 1, n}, now + seconds{30}});
         }
-        last = ledger.renew(two, {endpoint, slots}, ctx(), now);
+        renew(two, slots);
         CHECK(status().ramp == 6);
     }
 
--- a/test/mangovane/queue/fair_queue.cpp
+++ b/test/mangovane/queue/fair_queue.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
-#include <map>
 #include <queue>
 #include <random>
 
@@ -100,45 +99,24 @@
     {
         const auto next = events_.top();
         events_.pop();
-        if (next.account == accounts)
+        busy_ -= next.account == accounts ? 1 : 0;
+        if (next.account != accounts)
         {
-            --busy_;
+            events_.push({next.at + draw(gap_of(next.account)), next.account});
+            auto entry = fixture_.make(next.account);
+            arrivals_.resize(entry.request.attempt.sequence + 1, next.at);
+            static_cast<void>(fixture_.queue.push(fixture_.limits, entry));
         }
-        else
+        while (busy_ != 8 && !fixture_.queue.empty())
         {
-            arrive(next);
-        }
-        while (busy_ != 8)
-        {
-            const auto entry = fixture_.queue.pop(fixture_.limits);
-            if (!entry)
+            const auto chosen = fixture_.queue.pop(fixture_.limits)->request;
+            ++busy_;
+            events_.push({next.at + draw(1.0), accounts});
+            if (chosen.account.value() != 0)
             {
-                break;
+                waits_.push_back(next.at - arrivals_[chosen.attempt.sequence]);
             }
-            start(*entry, next.at);
-        }
-    }
-
-    void arrive(const event& next)
-    {
-        events_.push({next.at + draw(gap_of(next.account)), next.account});
-        auto entry = fixture_.make(next.account);
-        if (fixture_.queue.push(fixture_.limits, entry))
-        {
-            arrived_[entry.request.attempt.sequence] = next.at;
-        }
-    }
-
-    void start(const waiting_slot& entry, double at)
-    {
-        ++busy_;
-        events_.push({at + draw(1.0), accounts});
-        const auto it = arrived_.find(entry.request.attempt.sequence);
-        if (entry.request.account.value() != 0)
-        {
-            waits_.push_back(at - it->second);
         }
-        arrived_.erase(it);
     }
 
     [[nodiscard]] double gap_of(std::uint64_t account) const
@@ -156,7 +134,7 @@
     double gap_;
     std::mt19937_64 random_{20261204};
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
-    std::map<std::uint64_t, double> arrived_;
+    std::vector<double> arrivals_; ///< By sequence of the attempt.
     std::vector<double> waits_;
     std::uint32_t busy_{0};
     queue_fixture fixture_;
