Read accepted settings without the index of positions

Cause: the index is needed for lines of mistakes and for keys that stand twice, but instances read texts that have passed the check.

Change: check_settings takes a scope; parse_settings uses the one for accepted texts, which builds the index only when there is a mistake. A test reads 20,000 damaged texts with a fixed seed.

--- a/src/mangovane/settings/check.cpp
+++ b/src/mangovane/settings/check.cpp
@@ -68,7 +68,7 @@
 
 } // namespace
 
-checked_settings check_settings(std::string_view text)
+checked_settings check_settings(std::string_view text, check_scope scope)
 {
     json::error_code ec;
     json::stream_parser parser;
@@ -86,17 +86,21 @@
         return syntax_mistake(text, n, ec.message());
     }
     const auto root = parser.release();
-    const position_index index{text};
     mistake_list mistakes;
-    for (const auto& it : index.duplicates())
-    {
-        mistakes.add({it, "settings"}, "duplicate key");
-    }
     check_required(root, mistakes);
     auto raw = read_tree(root, mistakes);
     resolve_inheritance(raw, mistakes);
     check_caps(raw, mistakes);
     check_names(raw, &hash_bytes, mistakes);
+    if (scope == check_scope::accepted && mistakes.empty())
+    {
+        return {tree_of(std::move(raw)), {}};
+    }
+    const position_index index{text};
+    for (const auto& it : index.duplicates())
+    {
+        mistakes.add({it, "settings"}, "duplicate key");
+    }
     return {tree_of(std::move(raw)), mistakes.with_lines(index)};
 }
 
--- a/src/mangovane/settings/check.hpp
+++ b/src/mangovane/settings/check.hpp
@@ -2,6 +2,7 @@
 #ifndef MANGOVANE_SETTINGS_CHECK_HPP
 #define MANGOVANE_SETTINGS_CHECK_HPP
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -21,8 +22,15 @@
     bool operator==(const checked_settings&) const = default;
 };
 
+enum class check_scope : std::uint8_t
+{
+    full,
+    accepted, ///< The text passed a full check: keys that stand twice are not looked for again.
+};
+
 /// Mistakes are in order of their lines.
-[[nodiscard]] checked_settings check_settings(std::string_view text);
+[[nodiscard]] checked_settings check_settings(std::string_view text,
+                                              check_scope scope = check_scope::full);
 
 } // namespace mangovane
 
--- a/src/mangovane/settings/parse.hpp
+++ b/src/mangovane/settings/parse.hpp
@@ -12,7 +12,8 @@
 namespace mangovane
 {
 
-/// Checks and resolves a tree. The status names every mistake, one a line, with node path and line.
+/// Checks and resolves an accepted tree; `check_settings` also finds keys that stand twice. The
+/// status names every mistake, one a line, with node path and line.
 [[nodiscard]] absl::StatusOr<settings_ptr> parse_settings(std::string text, std::uint64_t version);
 
 } // namespace mangovane
--- a/test/mangovane/settings/check.cpp
+++ b/test/mangovane/settings/check.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <random>
 #include <sstream>
 
 #include <doctest/doctest.h>
@@ -214,6 +215,27 @@
               .empty());
 }
 
+TEST_CASE("damaged texts are refused or read, but never crash an instance or an operator's tool")
+{
+    std::mt19937 random{20261204};
+    std::uint32_t readable = 0;
+    for (int n = 0; n != 20'000; ++n)
+    {
+        auto text = valid_text;
+        for (int m = 0; m != 3; ++m)
+        {
+            text[random() % text.size()] = "{}[]\",:0-a\\ "[random() % 13];
+        }
+        const bool valid = check_settings(text).valid();
+        readable += valid ? 1 : 0;
+        if (valid)
+        {
+            CHECK(parse_settings(text, 1).ok());
+        }
+    }
+    CHECK(readable > 0);
+}
+
 TEST_CASE("the reference page is the one that the schema generates")
 {
     std::ifstream file{MANGOVANE_SOURCE_FOLDER "/docs/settings.md"};
