Add frames between instances

Cause: instances need an encoding for the messages declared in the message module.

Change: a FlatBuffers schema with one table for each message type, its generated code, and a codec that checks every frame with the verifier and then checks ranges. Deadlines travel as remaining milliseconds. Settings of up to 1 MB stand alone in their frame. Slots that are shared between renewals are refused, because a small frame could otherwise decode to a large value.

Conclusion: a frame that is not right is refused with a status and has no other effect.

--- /dev/null
+++ b/src/mangovane/wire/body_decode.cpp
@@ -0,0 +1,295 @@
+// Implementation of the decoding of messages, and the checks of their ranges.
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <variant>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovane/wire/body_codec.hpp"
+#include "mangovane/wire/codec.hpp"
+
+namespace mangovane::internal
+{
+
+namespace
+{
+
+constexpr std::size_t member_state_count = 4;
+constexpr std::size_t slot_purpose_count = 3;
+constexpr std::size_t attempt_outcome_count = 4;
+
+attempt_id from_wire(const wire::AttemptId& it)
+{
+    return {instance_id{it.origin()}, it.epoch(), it.sequence()};
+}
+
+settings_stamp from_wire(const wire::SettingsStamp* it)
+{
+    return it == nullptr ? settings_stamp{} : settings_stamp{it->version(), it->digest()};
+}
+
+std::string from_wire(const flatbuffers::String* it)
+{
+    return it == nullptr ? std::string{} : it->str();
+}
+
+member_update unpack_update(const wire::MemberUpdate& it)
+{
+    return {instance_id{it.instance()}, it.epoch(),
+            it.refutations(),           static_cast<member_state>(it.state()),
+            from_wire(it.name()),       from_wire(it.address()),
+            domain_id{it.domain()},     from_wire(it.settings())};
+}
+
+template <class Table>
+std::vector<member_update> unpack_updates(const Table& it)
+{
+    std::vector<member_update> result;
+    if (it.updates() == nullptr)
+    {
+        return result;
+    }
+    // One more than is allowed is enough for the check to fail.
+    const auto n = std::min<std::size_t>(it.updates()->size(), max_updates_per_probe + 1);
+    for (std::size_t k = 0; k != n; ++k)
+    {
+        result.push_back(unpack_update(*it.updates()->Get(static_cast<std::uint32_t>(k))));
+    }
+    return result;
+}
+
+message unpack(const wire::SlotRequest& it, time_point now)
+{
+    return slot_request{from_wire(*it.attempt()),
+                        endpoint_id{it.endpoint()},
+                        service_id{it.service()},
+                        account_id{it.account()},
+                        static_cast<request_class>(it.priority()),
+                        it.weight(),
+                        static_cast<slot_purpose>(it.purpose()),
+                        deadline_from(it.wait_ms(), now),
+                        deadline_from(it.remaining_ms(), now)};
+}
+
+message unpack(const wire::SlotGrant& it, time_point)
+{
+    return slot_grant{from_wire(*it.attempt()), endpoint_id{it.endpoint()}, it.in_flight(),
+                      it.allowed()};
+}
+
+message unpack(const wire::SlotRefusal& it, time_point)
+{
+    return slot_refusal{from_wire(*it.attempt()), endpoint_id{it.endpoint()},
+                        static_cast<slot_refusal_reason>(it.reason()), it.in_flight(),
+                        it.allowed()};
+}
+
+message unpack(const wire::SlotRelease& it, time_point)
+{
+    return slot_release{from_wire(*it.attempt()), endpoint_id{it.endpoint()},
+                        static_cast<attempt_outcome>(it.outcome()), it.first_token_ms()};
+}
+
+message unpack(const wire::SlotRenewal& it, time_point now)
+{
+    slot_renewal result{endpoint_id{it.endpoint()}, {}};
+    if (it.slots() == nullptr)
+    {
+        return result;
+    }
+    for (const auto* slot : *it.slots())
+    {
+        result.slots.push_back(
+            {from_wire(slot->attempt()), deadline_from(slot->remaining_ms(), now)});
+    }
+    return result;
+}
+
+message unpack(const wire::LoadQuery& it, time_point)
+{
+    return load_query{it.ticket(), endpoint_id{it.endpoint()}};
+}
+
+message unpack(const wire::LoadAnswer& it, time_point)
+{
+    return load_answer{it.ticket(), endpoint_id{it.endpoint()}, it.in_flight(), it.queued(),
+                       it.allowed()};
+}
+
+message unpack(const wire::LoadReport& it, time_point)
+{
+    return load_report{service_id{it.service()}, it.in_flight(), it.ready_endpoints()};
+}
+
+message unpack(const wire::LoadMean& it, time_point)
+{
+    return load_mean{service_id{it.service()}, it.total_in_flight(), it.ready_endpoints()};
+}
+
+message unpack(const wire::ChatQuery& it, time_point)
+{
+    return chat_query{it.ticket(), chat_id{it.chat()}};
+}
+
+message unpack(const wire::ChatAnswer& it, time_point)
+{
+    const chat_locations at{{endpoint_id{it.first()}, endpoint_id{it.second()}}};
+    return chat_answer{it.ticket(), chat_id{it.chat()}, at};
+}
+
+message unpack(const wire::ChatUpdate& it, time_point)
+{
+    return chat_update{chat_id{it.chat()}, endpoint_id{it.endpoint()}};
+}
+
+message unpack(const wire::LimitRequest& it, time_point)
+{
+    return limit_request{node_id{it.node()}, it.tokens(), it.running()};
+}
+
+message unpack(const wire::LimitGrant& it, time_point)
+{
+    return limit_grant{node_id{it.node()}, it.tokens(), it.concurrency(), it.lease_ms()};
+}
+
+message unpack(const wire::Probe& it, time_point)
+{
+    return probe{it.sequence(), from_wire(it.settings()), unpack_updates(it)};
+}
+
+message unpack(const wire::ProbeAck& it, time_point)
+{
+    return probe_ack{it.sequence(), instance_id{it.subject()}, from_wire(it.settings()),
+                     unpack_updates(it)};
+}
+
+message unpack(const wire::ProbeRequest& it, time_point)
+{
+    return probe_request{it.sequence(), instance_id{it.subject()}};
+}
+
+message unpack(const wire::SettingsQuery& it, time_point)
+{
+    return settings_query{from_wire(it.have())};
+}
+
+message unpack(const wire::SettingsContent& it, time_point)
+{
+    return settings_content{from_wire(it.stamp()), from_wire(it.text())};
+}
+
+using decoder = message (*)(const void*, time_point);
+
+template <class Table>
+message decode_table(const void* table, time_point now)
+{
+    return unpack(*static_cast<const Table*>(table), now);
+}
+
+template <class... Tables>
+constexpr auto make_decoders()
+{
+    return std::array<decoder, sizeof...(Tables)>{&decode_table<Tables>...};
+}
+
+/// By body type, in the order of the schema's union.
+constexpr auto decoders = make_decoders<wire::SlotRequest,
+                                        wire::SlotGrant,
+                                        wire::SlotRefusal,
+                                        wire::SlotRelease,
+                                        wire::SlotRenewal,
+                                        wire::LoadQuery,
+                                        wire::LoadAnswer,
+                                        wire::LoadReport,
+                                        wire::LoadMean,
+                                        wire::ChatQuery,
+                                        wire::ChatAnswer,
+                                        wire::ChatUpdate,
+                                        wire::LimitRequest,
+                                        wire::LimitGrant,
+                                        wire::Probe,
+                                        wire::ProbeAck,
+                                        wire::ProbeRequest,
+                                        wire::SettingsQuery,
+                                        wire::SettingsContent>();
+
+static_assert(decoders.size() == std::variant_size_v<message>);
+static_assert(decoders.size() == static_cast<std::size_t>(wire::Body::MAX));
+
+/// Checks of the ranges of a message; the general one accepts all values.
+struct range_check
+{
+    template <class T>
+    [[nodiscard]] bool operator()(const T&) const
+    {
+        return true;
+    }
+
+    [[nodiscard]] bool operator()(const slot_request& it) const
+    {
+        return static_cast<std::size_t>(it.priority) < request_class_count && it.weight != 0 &&
+               static_cast<std::size_t>(it.purpose) < slot_purpose_count;
+    }
+
+    [[nodiscard]] bool operator()(const slot_refusal& it) const
+    {
+        return static_cast<std::size_t>(it.reason) < slot_refusal_reason_count;
+    }
+
+    [[nodiscard]] bool operator()(const slot_release& it) const
+    {
+        return static_cast<std::size_t>(it.outcome) < attempt_outcome_count;
+    }
+
+    [[nodiscard]] bool operator()(const member_update& it) const
+    {
+        return static_cast<std::size_t>(it.state) < member_state_count &&
+               it.name.size() <= max_member_name_bytes &&
+               it.address.size() <= max_member_address_bytes;
+    }
+
+    [[nodiscard]] bool operator()(const probe& it) const { return check_updates(it.updates); }
+    [[nodiscard]] bool operator()(const probe_ack& it) const { return check_updates(it.updates); }
+
+    [[nodiscard]] bool operator()(const settings_content& it) const
+    {
+        return it.text.size() <= max_settings_text_bytes;
+    }
+
+    [[nodiscard]] bool check_updates(const std::vector<member_update>& updates) const
+    {
+        return updates.size() <= max_updates_per_probe &&
+               std::all_of(updates.begin(), updates.end(), *this);
+    }
+};
+
+} // namespace
+
+absl::Status check_message(const message& msg)
+{
+    if (!std::visit(range_check{}, msg))
+    {
+        return absl::InvalidArgumentError(absl::StrCat(
+            "a field of a ", wire::EnumNameBody(body_type_of(msg)), " is out of range"));
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<message> decode_body(wire::Body type, const void* table, time_point now)
+{
+    // Type 0 is the union's NONE.
+    const auto n = static_cast<std::size_t>(type);
+    if (n == 0 || n > decoders.size() || table == nullptr)
+    {
+        return absl::InvalidArgumentError(absl::StrCat("message type ", n, " is unknown"));
+    }
+    auto result = decoders[n - 1](table, now);
+    if (auto status = check_message(result); !status.ok())
+    {
+        return status;
+    }
+    return result;
+}
+
+} // namespace mangovane::internal
--- /dev/null
+++ b/src/mangovane/wire/body_encode.cpp
@@ -0,0 +1,208 @@
+// Implementation of the encoding of messages.
+#include <array>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "mangovane/wire/body_codec.hpp"
+
+namespace mangovane::internal
+{
+
+namespace
+{
+
+using builder = flatbuffers::FlatBufferBuilder;
+
+wire::AttemptId to_wire(const attempt_id& it)
+{
+    return {it.origin.value(), it.epoch, it.sequence};
+}
+
+wire::SettingsStamp to_wire(const settings_stamp& it)
+{
+    return {it.version, it.digest};
+}
+
+template <class Enum>
+std::uint8_t number(Enum value)
+{
+    return static_cast<std::uint8_t>(value);
+}
+
+/// An empty string is left out of the table.
+flatbuffers::Offset<flatbuffers::String> text(builder& buf, const std::string& value)
+{
+    return value.empty() ? flatbuffers::Offset<flatbuffers::String>{} : buf.CreateString(value);
+}
+
+flatbuffers::Offset<wire::MemberUpdate> pack_update(builder& buf, const member_update& it)
+{
+    const auto name = text(buf, it.name);
+    const auto address = text(buf, it.address);
+    const auto stamp = to_wire(it.settings);
+    return wire::CreateMemberUpdate(buf, it.instance.value(), it.epoch, it.refutations,
+                                    number(it.state), name, address, it.domain.value(),
+                                    it.settings == settings_stamp{} ? nullptr : &stamp);
+}
+
+auto pack_updates(builder& buf, const std::vector<member_update>& updates)
+{
+    std::vector<flatbuffers::Offset<wire::MemberUpdate>> offsets;
+    for (const auto& it : updates)
+    {
+        offsets.push_back(pack_update(buf, it));
+    }
+    using result = decltype(buf.CreateVector(offsets));
+    return offsets.empty() ? result{} : buf.CreateVector(offsets);
+}
+
+auto pack(builder& buf, const slot_request& it, time_point now)
+{
+    const auto attempt = to_wire(it.attempt);
+    return wire::CreateSlotRequest(buf, &attempt, it.endpoint.value(), it.service.value(),
+                                   it.account.value(), number(it.priority), it.weight,
+                                   number(it.purpose), remaining_ms(it.wait_until, now),
+                                   remaining_ms(it.deadline, now));
+}
+
+auto pack(builder& buf, const slot_grant& it, time_point)
+{
+    const auto attempt = to_wire(it.attempt);
+    return wire::CreateSlotGrant(buf, &attempt, it.endpoint.value(), it.in_flight, it.allowed);
+}
+
+auto pack(builder& buf, const slot_refusal& it, time_point)
+{
+    const auto attempt = to_wire(it.attempt);
+    return wire::CreateSlotRefusal(buf, &attempt, it.endpoint.value(), number(it.reason),
+                                   it.in_flight, it.allowed);
+}
+
+auto pack(builder& buf, const slot_release& it, time_point)
+{
+    const auto attempt = to_wire(it.attempt);
+    return wire::CreateSlotRelease(buf, &attempt, it.endpoint.value(), number(it.outcome),
+                                   it.first_token_ms);
+}
+
+auto pack(builder& buf, const slot_renewal& it, time_point now)
+{
+    std::vector<wire::HeldSlot> slots;
+    for (const auto& slot : it.slots)
+    {
+        slots.emplace_back(to_wire(slot.attempt), remaining_ms(slot.deadline, now));
+    }
+    const auto vector = buf.CreateVectorOfStructs(slots);
+    return wire::CreateSlotRenewal(buf, it.endpoint.value(), vector);
+}
+
+auto pack(builder& buf, const load_query& it, time_point)
+{
+    return wire::CreateLoadQuery(buf, it.ticket, it.endpoint.value());
+}
+
+auto pack(builder& buf, const load_answer& it, time_point)
+{
+    return wire::CreateLoadAnswer(buf, it.ticket, it.endpoint.value(), it.in_flight, it.queued,
+                                  it.allowed);
+}
+
+auto pack(builder& buf, const load_report& it, time_point)
+{
+    return wire::CreateLoadReport(buf, it.service.value(), it.in_flight, it.ready_endpoints);
+}
+
+auto pack(builder& buf, const load_mean& it, time_point)
+{
+    return wire::CreateLoadMean(buf, it.service.value(), it.total_in_flight, it.ready_endpoints);
+}
+
+auto pack(builder& buf, const chat_query& it, time_point)
+{
+    return wire::CreateChatQuery(buf, it.ticket, it.chat.value());
+}
+
+auto pack(builder& buf, const chat_answer& it, time_point)
+{
+    static_assert(locations_per_chat == 2);
+    const auto& at = it.locations.endpoints;
+    return wire::CreateChatAnswer(buf, it.ticket, it.chat.value(), at[0].value(), at[1].value());
+}
+
+auto pack(builder& buf, const chat_update& it, time_point)
+{
+    return wire::CreateChatUpdate(buf, it.chat.value(), it.endpoint.value());
+}
+
+auto pack(builder& buf, const limit_request& it, time_point)
+{
+    return wire::CreateLimitRequest(buf, it.node.value(), it.tokens, it.running);
+}
+
+auto pack(builder& buf, const limit_grant& it, time_point)
+{
+    return wire::CreateLimitGrant(buf, it.node.value(), it.tokens, it.concurrency, it.lease_ms);
+}
+
+auto pack(builder& buf, const probe& it, time_point)
+{
+    const auto updates = pack_updates(buf, it.updates);
+    const auto stamp = to_wire(it.settings);
+    return wire::CreateProbe(buf, it.sequence, &stamp, updates);
+}
+
+auto pack(builder& buf, const probe_ack& it, time_point)
+{
+    const auto updates = pack_updates(buf, it.updates);
+    const auto stamp = to_wire(it.settings);
+    return wire::CreateProbeAck(buf, it.sequence, it.subject.value(), &stamp, updates);
+}
+
+auto pack(builder& buf, const probe_request& it, time_point)
+{
+    return wire::CreateProbeRequest(buf, it.sequence, it.subject.value());
+}
+
+auto pack(builder& buf, const settings_query& it, time_point)
+{
+    const auto stamp = to_wire(it.have);
+    return wire::CreateSettingsQuery(buf, &stamp);
+}
+
+auto pack(builder& buf, const settings_content& it, time_point)
+{
+    const auto content = buf.CreateString(it.text);
+    const auto stamp = to_wire(it.stamp);
+    return wire::CreateSettingsContent(buf, &stamp, content);
+}
+
+using encoder = body_offset (*)(builder&, const message&, time_point);
+
+template <std::size_t N>
+body_offset encode_alternative(builder& buf, const message& msg, time_point now)
+{
+    return pack(buf, std::get<N>(msg), now).Union();
+}
+
+template <std::size_t... N>
+constexpr auto make_encoders(std::index_sequence<N...>)
+{
+    return std::array<encoder, sizeof...(N)>{&encode_alternative<N>...};
+}
+
+constexpr auto encoders = make_encoders(std::make_index_sequence<std::variant_size_v<message>>{});
+
+} // namespace
+
+wire::Body body_type_of(const message& msg) noexcept
+{
+    return static_cast<wire::Body>(msg.index() + 1);
+}
+
+body_offset encode_body(builder& buf, const message& msg, time_point now)
+{
+    return encoders[msg.index()](buf, msg, now);
+}
+
+} // namespace mangovane::internal
--- a/src/mangovane/wire/fwd.hpp
+++ b/src/mangovane/wire/fwd.hpp
@@ -5,7 +5,8 @@
 namespace mangovane
 {
 
-class frame_reader;
+struct hello;
+struct frame;
 
 } // namespace mangovane
 
--- /dev/null
+++ b/test/mangovane/wire/codec.cpp
@@ -0,0 +1,264 @@
+// Tests of frames: what is sent arrives unchanged, and whatever else arrives is refused.
+#include "mangovane/wire/codec.hpp"
+
+#include <doctest/doctest.h>
+
+#include "mangovane/wire/frame_generated.h"
+
+using namespace mangovane;
+
+namespace
+{
+
+const time_point now{seconds{1000}};
+const attempt_id attempt{instance_id{1}, 2, 3};
+
+member_update update(std::uint64_t n)
+{
+    return {instance_id{n}, 7,      1, member_state::suspect, "router-1", "127.0.0.1:7000",
+            domain_id{5},   {9, 11}};
+}
+
+std::vector<message> all_messages()
+{
+    const time_point later = now + milliseconds{1500};
+    return {slot_request{attempt, endpoint_id{4}, service_id{5}, account_id{6},
+                         request_class::overnight, 3, slot_purpose::overflow, later,
+                         later + seconds{20}},
+            slot_grant{attempt, endpoint_id{4}, 5, 6},
+            slot_refusal{attempt, endpoint_id{4}, slot_refusal_reason::unknown_endpoint, 5, 6},
+            slot_release{attempt, endpoint_id{4}, attempt_outcome::cancelled, 120},
+            slot_renewal{endpoint_id{4}, {{attempt, later}, {attempt, now}}},
+            load_query{1, endpoint_id{2}},
+            load_answer{1, endpoint_id{2}, 3, 4, 5},
+            load_report{service_id{1}, 2, 3},
+            load_mean{service_id{1}, 2, 3},
+            chat_query{1, chat_id{2}},
+            chat_answer{1, chat_id{2}, {{endpoint_id{3}, endpoint_id{4}}}},
+            chat_update{chat_id{1}, endpoint_id{2}},
+            limit_request{node_id{1}, 2, 3},
+            limit_grant{node_id{1}, 2, 3, 200},
+            probe{1, {2, 3}, {update(1), member_update{instance_id{2}, 3}}},
+            probe_ack{1, instance_id{2}, {2, 3}, {update(4)}},
+            probe_request{1, instance_id{2}},
+            settings_query{{1, 2}},
+            settings_content{{1, 2}, "{}"}};
+}
+
+frame frame_of(std::vector<message> messages)
+{
+    return {instance_id{77}, 1234, std::nullopt, std::move(messages)};
+}
+
+/// The frame without its prefix.
+std::string body_of(const frame& value)
+{
+    const auto bytes = encode_frame(value, now);
+    REQUIRE(bytes.ok());
+    return bytes->substr(frame_prefix_bytes);
+}
+
+absl::StatusCode refusal(const std::string& bytes)
+{
+    return decode_frame(bytes, now).status().code();
+}
+
+std::string finished(flatbuffers::FlatBufferBuilder& buf, flatbuffers::Offset<wire::Frame> root)
+{
+    buf.Finish(root);
+    return {reinterpret_cast<const char*>(buf.GetBufferPointer()), buf.GetSize()};
+}
+
+/// A frame with one body that no encoder of this project would write.
+std::string forged(std::uint16_t version,
+                   std::uint8_t type,
+                   flatbuffers::Offset<void> (*body)(flatbuffers::FlatBufferBuilder&))
+{
+    flatbuffers::FlatBufferBuilder buf;
+    const std::vector<flatbuffers::Offset<void>> bodies{body(buf)};
+    const auto types = buf.CreateVector(std::vector<std::uint8_t>{type});
+    const auto vector = buf.CreateVector(bodies);
+    return finished(buf, wire::CreateFrame(buf, version, 1, 1, 0, types.o, vector));
+}
+
+} // namespace
+
+TEST_CASE("a frame")
+{
+    SUBCASE("brings each message type back unchanged (guards against swapped fields)")
+    {
+        const auto messages = all_messages();
+        REQUIRE(messages.size() == std::variant_size_v<message>);
+        for (std::size_t k = 0; k != messages.size(); ++k)
+        {
+            CAPTURE(k);
+            REQUIRE(messages[k].index() == k);
+            const auto sent = frame_of({messages[k]});
+            CHECK(decode_frame(body_of(sent), now).value() == sent);
+        }
+    }
+
+    SUBCASE("carries a batch and a greeting")
+    {
+        auto messages = all_messages();
+        messages.pop_back();
+        auto sent = frame_of(messages);
+        sent.greeting = hello{"router-1", "127.0.0.1:7000", instance_id{5}, {1, 2, 3}};
+        CHECK(decode_frame(body_of(sent), now).value() == sent);
+
+        SUBCASE("with its length in front")
+        {
+            const auto bytes = encode_frame(sent, now).value();
+            std::array<std::uint8_t, 4> prefix{};
+            std::copy_n(bytes.begin(), 4, prefix.begin());
+            CHECK(read_frame_length(prefix, max_frame_bytes).value() == bytes.size() - 4);
+            CHECK_FALSE(read_frame_length(prefix, bytes.size() - 5).ok());
+            CHECK_FALSE(read_frame_length({0, 0, 0, 0}, max_frame_bytes).ok());
+        }
+    }
+
+    SUBCASE("converts deadlines between clocks (guards against absolute times on the wire)")
+    {
+        const time_point there{seconds{5}};
+        const message sent = slot_renewal{endpoint_id{1}, {{attempt, now + milliseconds{700}}}};
+        const auto got = decode_frame(body_of(frame_of({sent})), there).value();
+        CHECK(std::get<slot_renewal>(got.messages.at(0)).slots.at(0).deadline ==
+              there + milliseconds{700});
+    }
+
+    SUBCASE("has a limit on its length")
+    {
+        const std::vector<held_slot> slots(2000, held_slot{attempt, now});
+        const message renewal = slot_renewal{endpoint_id{1}, slots};
+        CHECK(encode_frame(frame_of({renewal, renewal}), now).status().code() ==
+              absl::StatusCode::kResourceExhausted);
+
+        SUBCASE("that lets 1 MB of settings through, alone in their frame")
+        {
+            const message big = settings_content{{1, 2}, std::string(max_settings_text_bytes, 'x')};
+            const auto sent = frame_of({big});
+            CHECK(decode_frame(body_of(sent), now).value() == sent);
+            CHECK_FALSE(encode_frame(frame_of({big, big}), now).ok());
+            const message over =
+                settings_content{{1, 2}, std::string(max_settings_text_bytes + 1, 'x')};
+            CHECK_FALSE(encode_frame(frame_of({over}), now).ok());
+        }
+    }
+}
+
+TEST_CASE("a frame that is not right is refused")
+{
+    SUBCASE("truncated at any byte")
+    {
+        for (const auto& msg : all_messages())
+        {
+            const auto bytes = body_of(frame_of({msg}));
+            for (std::size_t n = 0; n < bytes.size() / 2; ++n)
+            {
+                CHECK_FALSE(decode_frame(bytes.substr(0, n), now).ok());
+            }
+        }
+    }
+
+    SUBCASE("or corrupted, without an effect outside its value")
+    {
+        for (const auto& msg : all_messages())
+        {
+            const auto bytes = body_of(frame_of({msg}));
+            for (std::size_t n = 0; n != bytes.size(); ++n)
+            {
+                auto broken = bytes;
+                broken[n] = static_cast<char>(broken[n] ^ 0xff);
+                const auto got = decode_frame(broken, now);
+                // A changed number is valid; a decoded frame must at least encode again.
+                CHECK((!got.ok() || encode_frame(*got, now).ok()));
+            }
+        }
+    }
+
+    SUBCASE("of an unknown version")
+    {
+        const auto bytes =
+            forged(2, 6, [](auto& buf) { return wire::CreateLoadQuery(buf, 1, 2).Union(); });
+        CHECK(refusal(bytes) == absl::StatusCode::kUnimplemented);
+    }
+
+    SUBCASE("with an unknown or empty message type")
+    {
+        const auto body = [](flatbuffers::FlatBufferBuilder& buf)
+        { return wire::CreateLoadQuery(buf, 1, 2).Union(); };
+        CHECK(refusal(forged(1, 20, body)) == absl::StatusCode::kInvalidArgument);
+        CHECK(refusal(forged(1, 0, body)) == absl::StatusCode::kInvalidArgument);
+    }
+
+    SUBCASE("with an enumeration out of range (guards against undefined values in switches)")
+    {
+        static const wire::AttemptId id{1, 2, 3};
+        CHECK_FALSE(
+            decode_frame(
+                forged(1, 1,
+                       [](auto& buf)
+                       { return wire::CreateSlotRequest(buf, &id, 1, 1, 1, 3, 1, 0).Union(); }),
+                now)
+                .ok());
+        CHECK_FALSE(
+            decode_frame(
+                forged(1, 1,
+                       [](auto& buf)
+                       { return wire::CreateSlotRequest(buf, &id, 1, 1, 1, 0, 1, 3).Union(); }),
+                now)
+                .ok());
+        CHECK_FALSE(
+            decode_frame(
+                forged(1, 1,
+                       [](auto& buf)
+                       { return wire::CreateSlotRequest(buf, &id, 1, 1, 1, 0, 0, 0).Union(); }),
+                now)
+                .ok());
+        CHECK_FALSE(decode_frame(forged(1, 3,
+                                        [](auto& buf) {
+                                            return wire::CreateSlotRefusal(buf, &id, 1, 11).Union();
+                                        }),
+                                 now)
+                        .ok());
+        CHECK_FALSE(decode_frame(forged(1, 4,
+                                        [](auto& buf) {
+                                            return wire::CreateSlotRelease(buf, &id, 1, 4).Union();
+                                        }),
+                                 now)
+                        .ok());
+    }
+
+    SUBCASE("with more member updates than a probe may carry, or one out of range")
+    {
+        const auto body = [](flatbuffers::FlatBufferBuilder& buf)
+        {
+            std::vector<flatbuffers::Offset<wire::MemberUpdate>> updates;
+            for (std::uint64_t k = 0; k != max_updates_per_probe + 1; ++k)
+            {
+                updates.push_back(wire::CreateMemberUpdate(buf, k));
+            }
+            return wire::CreateProbe(buf, 1, nullptr, buf.CreateVector(updates)).Union();
+        };
+        CHECK(refusal(forged(1, 15, body)) == absl::StatusCode::kInvalidArgument);
+        const auto state = [](flatbuffers::FlatBufferBuilder& buf)
+        {
+            const std::vector updates{wire::CreateMemberUpdate(buf, 1, 1, 0, 4)};
+            return wire::CreateProbe(buf, 1, nullptr, buf.CreateVector(updates)).Union();
+        };
+        CHECK(refusal(forged(1, 15, state)) == absl::StatusCode::kInvalidArgument);
+    }
+
+    SUBCASE("with slots shared between renewals (guards against a small frame that fills memory)")
+    {
+        flatbuffers::FlatBufferBuilder buf;
+        const std::vector<wire::HeldSlot> slots(1000, wire::HeldSlot{{1, 2, 3}, 4});
+        const auto renewal =
+            wire::CreateSlotRenewal(buf, 1, buf.CreateVectorOfStructs(slots)).Union();
+        const std::vector<flatbuffers::Offset<void>> bodies(1000, renewal);
+        const auto types = buf.CreateVector(std::vector<std::uint8_t>(1000, 5));
+        const auto vector = buf.CreateVector(bodies);
+        const auto bytes = finished(buf, wire::CreateFrame(buf, 1, 1, 1, 0, types.o, vector));
+        CHECK(refusal(bytes) == absl::StatusCode::kInvalidArgument);
+    }
+}
