Add the network between instances

Cause: messages between instances had no transport.

Each connection carries the messages of the side that opened it. Its first frame proves the shared key by an HMAC and names the receiver, so that an address given to another instance is noticed. co_await stands in no short-circuit condition: with g++ 12 such a link never connected.

Conclusion: two instances exchange messages over loopback; wrong keys, wrong receivers and foreign bytes close the connection.

--- a/src/mangovane/net/fwd.hpp
+++ b/src/mangovane/net/fwd.hpp
@@ -10,6 +10,7 @@
 class exchange;
 class endpoint_attempt;
 class claim_port;
+class peer_network;
 struct front_services;
 struct front_counters;
 
--- /dev/null
+++ b/src/mangovane/net/peer_context.hpp
@@ -0,0 +1,82 @@
+// What the connections of a peer network share.
+#ifndef MANGOVANE_NET_PEER_CONTEXT_HPP
+#define MANGOVANE_NET_PEER_CONTEXT_HPP
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+
+#include <absl/container/flat_hash_set.h>
+
+#include "mangovane/message/message.hpp"
+
+namespace mangovane
+{
+
+struct peer_network_options
+{
+    instance_id id;
+    incarnation epoch{0};
+    std::string name;
+    std::string address; ///< `ip:port` that other instances connect to; empty: the listening one.
+    std::string cluster_key;
+    bool test_hooks{false}; ///< Allows `block`.
+
+    bool operator==(const peer_network_options&) const = default;
+};
+
+/// Sums since the start, frames with their length prefix.
+struct peer_traffic
+{
+    std::uint64_t bytes_sent{0};
+    std::uint64_t bytes_received{0};
+    std::uint64_t frames_sent{0};
+    std::uint64_t frames_received{0};
+    std::uint64_t messages_dropped{0};    ///< Too old, too many, or without an address.
+    std::uint64_t connections_refused{0}; ///< Wrong key, wrong receiver, or a malformed frame.
+
+    auto operator<=>(const peer_traffic&) const = default;
+};
+
+using peer_handler = std::function<void(instance_id, const message&)>;
+
+namespace internal
+{
+
+struct peer_counters
+{
+    std::atomic<std::uint64_t> bytes_sent{0};
+    std::atomic<std::uint64_t> bytes_received{0};
+    std::atomic<std::uint64_t> frames_sent{0};
+    std::atomic<std::uint64_t> frames_received{0};
+    std::atomic<std::uint64_t> messages_dropped{0};
+    std::atomic<std::uint64_t> connections_refused{0};
+};
+
+struct peer_context
+{
+    peer_network_options options; ///< Does not change after `listen`.
+    peer_handler handler;
+    peer_counters counters;
+    std::function<void(instance_id, const std::string&)> learn_address;
+    std::mutex mutex;
+    absl::flat_hash_set<instance_id> blocked; ///< Guarded by `mutex`.
+
+    [[nodiscard]] bool is_blocked(instance_id id)
+    {
+        if (!options.test_hooks)
+        {
+            return false;
+        }
+        const std::lock_guard lock{mutex};
+        return blocked.contains(id);
+    }
+};
+
+} // namespace internal
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/net/peer_network.cpp
@@ -0,0 +1,193 @@
+// Implementation of the network between instances.
+#include "mangovane/net/peer_network.hpp"
+
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "mangovane/net/address.hpp"
+#include "mangovane/net/peer_link.hpp"
+#include "mangovane/net/peer_session.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+
+namespace
+{
+
+/// Pause after a failed accept, for instance when the process has no free descriptor.
+constexpr milliseconds accept_pause{50};
+
+} // namespace
+
+peer_network::peer_network(asio::io_context& io, peer_network_options options, peer_handler handler)
+    : io_{io}, context_{std::make_shared<internal::peer_context>()}, acceptor_{
+                                                                         asio::make_strand(io)}
+{
+    context_->options = std::move(options);
+    context_->handler = std::move(handler);
+    context_->learn_address = [this](instance_id peer, const std::string& address)
+    { set_address(peer, address); };
+}
+
+peer_network::~peer_network() = default;
+
+absl::Status peer_network::listen(const std::string& address)
+{
+    const auto endpoint = parse_address(address);
+    if (!endpoint)
+    {
+        return absl::InvalidArgumentError(absl::StrCat("not an ip:port: ", address));
+    }
+    error_code ec;
+    acceptor_.open(endpoint->protocol(), ec);
+    if (!ec)
+    {
+        acceptor_.set_option(asio::socket_base::reuse_address{true}, ec);
+    }
+    if (!ec)
+    {
+        acceptor_.bind(*endpoint, ec);
+    }
+    if (!ec)
+    {
+        acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec)
+    {
+        return absl::UnavailableError(
+            absl::StrCat("cannot listen on ", address, ": ", ec.message()));
+    }
+    port_ = acceptor_.local_endpoint().port();
+    if (context_->options.address.empty())
+    {
+        context_->options.address = absl::StrCat(endpoint->address().to_string(), ":", port_);
+    }
+    asio::co_spawn(acceptor_.get_executor(), accept(), asio::detached);
+    return absl::OkStatus();
+}
+
+asio::awaitable<void> peer_network::accept()
+{
+    while (acceptor_.is_open())
+    {
+        error_code ec;
+        auto socket = co_await acceptor_.async_accept(
+            asio::make_strand(io_), asio::redirect_error(asio::use_awaitable, ec));
+        if (!ec)
+        {
+            serve(std::move(socket));
+        }
+        else if (acceptor_.is_open())
+        {
+            asio::steady_timer timer{acceptor_.get_executor(), accept_pause};
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        }
+    }
+}
+
+void peer_network::serve(asio::ip::tcp::socket socket)
+{
+    const auto executor = socket.get_executor();
+    auto session = std::make_shared<internal::peer_session>(std::move(socket), context_);
+    {
+        const std::lock_guard lock{mutex_};
+        sessions_.insert(session);
+    }
+    asio::co_spawn(executor, internal::peer_session::run(session),
+                   [this, session](std::exception_ptr)
+                   {
+                       const std::lock_guard lock{mutex_};
+                       sessions_.erase(session);
+                   });
+}
+
+std::shared_ptr<internal::peer_link> peer_network::link_to(instance_id peer)
+{
+    return links_.with(peer,
+                       [&](std::shared_ptr<internal::peer_link>& it)
+                       {
+                           if (!it)
+                           {
+                               it = std::make_shared<internal::peer_link>(io_, context_, peer);
+                           }
+                           return it;
+                       });
+}
+
+void peer_network::send(const outgoing_message& msg)
+{
+    if (msg.to != context_->options.id)
+    {
+        link_to(msg.to)->push(msg.body);
+    }
+}
+
+void peer_network::set_peers(const membership_view& view)
+{
+    for (const auto& it : view.members())
+    {
+        set_address(it.id, it.address);
+    }
+}
+
+void peer_network::set_address(instance_id peer, const std::string& address)
+{
+    if (peer != context_->options.id && !address.empty())
+    {
+        link_to(peer)->set_address(address);
+    }
+}
+
+void peer_network::block(absl::flat_hash_set<instance_id> peers)
+{
+    const std::lock_guard lock{context_->mutex};
+    context_->blocked = std::move(peers);
+}
+
+peer_traffic peer_network::traffic() const
+{
+    const auto& it = context_->counters;
+    return {it.bytes_sent,      it.bytes_received,   it.frames_sent,
+            it.frames_received, it.messages_dropped, it.connections_refused};
+}
+
+void peer_network::close()
+{
+    asio::post(acceptor_.get_executor(),
+               [this]
+               {
+                   error_code ec;
+                   acceptor_.close(ec);
+               });
+    std::vector<std::shared_ptr<internal::peer_link>> links;
+    links_.for_each_shard(
+        [&](const auto& entries)
+        {
+            for (const auto& [id, it] : entries)
+            {
+                links.push_back(it);
+            }
+        });
+    for (const auto& it : links)
+    {
+        it->close();
+    }
+    const std::lock_guard lock{mutex_};
+    for (const auto& it : sessions_)
+    {
+        it->close();
+    }
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/net/peer_network.hpp
@@ -0,0 +1,76 @@
+// Messages between instances over TCP.
+#ifndef MANGOVANE_NET_PEER_NETWORK_HPP
+#define MANGOVANE_NET_PEER_NETWORK_HPP
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/status/status.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "mangovane/core/sharded_map.hpp"
+#include "mangovane/membership/view.hpp"
+#include "mangovane/net/peer_context.hpp"
+#include "mangovane/routing/message_sink.hpp"
+
+namespace mangovane
+{
+
+namespace internal
+{
+class peer_link;
+class peer_session;
+} // namespace internal
+
+/// Destroyed only after its `io_context` has stopped.
+class peer_network final : public message_sink
+{
+public:
+    /// The handler runs on threads of `io`, for messages of different peers at the same time.
+    peer_network(boost::asio::io_context& io, peer_network_options options, peer_handler handler);
+    ~peer_network() override;
+    peer_network(const peer_network&) = delete;
+    peer_network& operator=(const peer_network&) = delete;
+
+    /// Listens on `ip:port`; port 0 takes a free one. Call before the first `send`.
+    [[nodiscard]] absl::Status listen(const std::string& address);
+
+    [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
+
+    void send(const outgoing_message& msg) override;
+
+    /// Takes over the addresses of a view.
+    void set_peers(const membership_view& view);
+    void set_address(instance_id peer, const std::string& address);
+
+    /// Test hook: messages to and from these instances are lost. Without the option, nothing.
+    void block(absl::flat_hash_set<instance_id> peers);
+
+    [[nodiscard]] peer_traffic traffic() const;
+
+    /// Closes all connections and accepts no more.
+    void close();
+
+private:
+    boost::asio::awaitable<void> accept();
+    void serve(boost::asio::ip::tcp::socket socket);
+    [[nodiscard]] std::shared_ptr<internal::peer_link> link_to(instance_id peer);
+
+    boost::asio::io_context& io_;
+    std::shared_ptr<internal::peer_context> context_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::uint16_t port_{0};
+    sharded_map<instance_id, std::shared_ptr<internal::peer_link>> links_;
+    std::mutex mutex_;
+    absl::flat_hash_set<std::shared_ptr<internal::peer_session>> sessions_; ///< By `mutex_`.
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/net/peer_session.cpp
@@ -0,0 +1,136 @@
+// Implementation of the incoming connection of a peer.
+#include "mangovane/net/peer_session.hpp"
+
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+#include "mangovane/net/key_proof.hpp"
+
+namespace mangovane::internal
+{
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+
+namespace
+{
+
+constexpr int log_period_seconds = 60;
+
+} // namespace
+
+peer_session::peer_session(asio::ip::tcp::socket socket, std::shared_ptr<peer_context> context)
+    : socket_{std::move(socket)}, context_{std::move(context)}
+{}
+
+asio::awaitable<void> peer_session::run(std::shared_ptr<peer_session> self)
+{
+    bool open = co_await self->read_frame(max_hello_bytes);
+    auto status = open ? self->accept_greeting() : absl::OkStatus();
+    while (open && status.ok())
+    {
+        open = co_await self->read_frame(max_settings_frame_bytes);
+        status = open ? self->accept_messages() : absl::OkStatus();
+    }
+    if (!status.ok())
+    {
+        self->refuse(status);
+    }
+    error_code ec;
+    self->socket_.close(ec);
+}
+
+void peer_session::close()
+{
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()]
+               {
+                   error_code ec;
+                   self->socket_.close(ec);
+               });
+}
+
+asio::awaitable<bool> peer_session::read_frame(std::size_t max_bytes)
+{
+    error_code ec;
+    co_await asio::async_read(socket_, asio::buffer(prefix_),
+                              asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+    {
+        co_return false;
+    }
+    const auto n = read_frame_length(prefix_, max_bytes);
+    if (!n.ok())
+    {
+        refuse(n.status());
+        co_return false;
+    }
+    body_.resize(*n);
+    co_await asio::async_read(socket_, asio::buffer(body_),
+                              asio::redirect_error(asio::use_awaitable, ec));
+    context_->counters.bytes_received += ec ? 0 : *n + frame_prefix_bytes;
+    context_->counters.frames_received += ec ? 0 : 1;
+    co_return !ec;
+}
+
+absl::Status peer_session::accept_greeting()
+{
+    const auto first = decode_frame({body_.data(), body_.size()}, clock::now());
+    if (!first.ok())
+    {
+        return first.status();
+    }
+    if (!check_key_proof(context_->options.cluster_key, *first))
+    {
+        return absl::UnauthenticatedError("wrong cluster key");
+    }
+    if (first->greeting->receiver != context_->options.id)
+    {
+        return absl::FailedPreconditionError("meant for another instance");
+    }
+    from_ = first->sender;
+    epoch_ = first->epoch;
+    context_->learn_address(from_, first->greeting->address);
+    return absl::OkStatus();
+}
+
+absl::Status peer_session::accept_messages()
+{
+    const auto value = decode_frame({body_.data(), body_.size()}, clock::now());
+    if (!value.ok())
+    {
+        return value.status();
+    }
+    if (value->sender != from_ || value->epoch != epoch_)
+    {
+        return absl::InvalidArgumentError("the sender changed inside a connection");
+    }
+    if (context_->is_blocked(from_))
+    {
+        return absl::OkStatus();
+    }
+    for (const auto& it : value->messages)
+    {
+        context_->handler(from_, it);
+    }
+    return absl::OkStatus();
+}
+
+void peer_session::refuse(const absl::Status& status)
+{
+    ++context_->counters.connections_refused;
+    error_code ec;
+    const auto remote = socket_.remote_endpoint(ec);
+    LOG_EVERY_T(WARNING, log_period_seconds)
+        << "event=peer_refused remote=" << remote.address().to_string() << " reason=\""
+        << std::string{status.message()} << "\"";
+}
+
+} // namespace mangovane::internal
--- /dev/null
+++ b/test/mangovane/net/peer_network.cpp
@@ -0,0 +1,217 @@
+// Tests of two peer networks on loopback.
+#include "mangovane/net/peer_network.hpp"
+
+#include <condition_variable>
+#include <thread>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace mangovane;
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Far above the time that loopback needs, also on a busy machine.
+constexpr seconds patience{10};
+
+/// What one network received.
+class received
+{
+public:
+    void add(instance_id from, const message& msg)
+    {
+        const std::lock_guard lock{mutex_};
+        messages_.emplace_back(from, msg);
+        changed_.notify_all();
+    }
+
+    bool wait_for(std::size_t count)
+    {
+        std::unique_lock lock{mutex_};
+        return changed_.wait_for(lock, patience, [&] { return messages_.size() >= count; });
+    }
+
+    std::vector<std::pair<instance_id, message>> all()
+    {
+        const std::lock_guard lock{mutex_};
+        return messages_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<std::pair<instance_id, message>> messages_;
+};
+
+peer_network_options options(const std::string& name, const std::string& key)
+{
+    return {instance_id::of(name), 5, name, "", key, true};
+}
+
+struct peer
+{
+    peer(asio::io_context& io, const std::string& name, const std::string& key)
+        : id{instance_id::of(name)}, network{io, options(name, key),
+                                             [this](instance_id from, const message& msg)
+                                             { got.add(from, msg); }}
+    {
+        REQUIRE(network.listen("127.0.0.1:0").ok());
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(network.port()); }
+
+    received got;
+    instance_id id;
+    peer_network network;
+};
+
+class running_io
+{
+public:
+    explicit running_io(asio::io_context& io) : io_{io}, work_{io.get_executor()}
+    {
+        for (auto& it : threads_)
+        {
+            it = std::thread{[&io] { io.run(); }};
+        }
+    }
+
+    ~running_io()
+    {
+        io_.stop();
+        for (auto& it : threads_)
+        {
+            it.join();
+        }
+    }
+
+private:
+    asio::io_context& io_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::array<std::thread, 2> threads_;
+};
+
+template <class Condition>
+bool eventually(Condition holds)
+{
+    for (const auto end = clock::now() + patience; clock::now() < end;)
+    {
+        if (holds())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds{5});
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("two instances")
+{
+    // The threads end before the peers, and these before the context.
+    asio::io_context io;
+    std::unique_ptr<peer> a;
+    std::unique_ptr<peer> b;
+    const running_io run{io};
+    a = std::make_unique<peer>(io, "a", "key");
+
+    SUBCASE("exchange messages, although only one knew the other's address")
+    {
+        b = std::make_unique<peer>(io, "b", "key");
+        a->network.set_address(b->id, b->address());
+        const message query = load_query{7, endpoint_id{8}};
+        a->network.send({b->id, query});
+        REQUIRE(b->got.wait_for(1));
+        CHECK(b->got.all().front() == std::pair{a->id, query});
+        const message answer = load_answer{7, endpoint_id{8}, 1, 2, 3};
+        b->network.send({a->id, answer});
+        REQUIRE(a->got.wait_for(1));
+        CHECK(a->got.all().front() == std::pair{b->id, answer});
+
+        SUBCASE("in order, batched into few frames (guards against a frame for each message)")
+        {
+            const auto frames = a->network.traffic().frames_sent;
+            for (std::uint64_t n = 0; n != 5000; ++n)
+            {
+                a->network.send({b->id, load_query{n, endpoint_id{8}}});
+            }
+            REQUIRE(b->got.wait_for(5001));
+            const auto all = b->got.all();
+            for (std::uint64_t n = 0; n != 5000; ++n)
+            {
+                REQUIRE(std::get<load_query>(all[n + 1].second).ticket == n);
+            }
+            CHECK(a->network.traffic().frames_sent - frames < 500);
+            CHECK(eventually(
+                [&] {
+                    return b->network.traffic().bytes_received == a->network.traffic().bytes_sent;
+                }));
+        }
+
+        SUBCASE("and settings of 1 MB")
+        {
+            const message big = settings_content{{1, 2}, std::string(1024 * 1024, 'x')};
+            a->network.send({b->id, big});
+            REQUIRE(b->got.wait_for(2));
+            CHECK(b->got.all().back().second == big);
+        }
+
+        SUBCASE("lose messages while the link is blocked, and not after")
+        {
+            b->network.block({a->id});
+            a->network.send({b->id, load_query{1, endpoint_id{8}}});
+            const auto before = b->network.traffic().frames_received;
+            REQUIRE(eventually([&] { return b->network.traffic().frames_received > before; }));
+            std::this_thread::sleep_for(milliseconds{50});
+            CHECK(b->got.all().size() == 1);
+            b->network.block({});
+            a->network.send({b->id, load_query{2, endpoint_id{8}}});
+            REQUIRE(b->got.wait_for(2));
+            CHECK(std::get<load_query>(b->got.all().back().second).ticket == 2);
+        }
+    }
+
+    SUBCASE("with different keys do not talk")
+    {
+        b = std::make_unique<peer>(io, "b", "wrong");
+        b->network.set_address(a->id, a->address());
+        b->network.send({a->id, load_query{7, endpoint_id{8}}});
+        REQUIRE(eventually([&] { return a->network.traffic().connections_refused == 1; }));
+        CHECK(a->got.all().empty());
+        CHECK(b->got.all().empty());
+    }
+
+    SUBCASE("reject a connection for another instance (guards against a reused address)")
+    {
+        b = std::make_unique<peer>(io, "b", "key");
+        b->network.set_address(instance_id::of("c"), a->address());
+        b->network.send({instance_id::of("c"), load_query{7, endpoint_id{8}}});
+        REQUIRE(eventually([&] { return a->network.traffic().connections_refused == 1; }));
+        CHECK(a->got.all().empty());
+    }
+
+    SUBCASE("close a connection that sends something else")
+    {
+        asio::ip::tcp::socket socket{io};
+        socket.connect({asio::ip::make_address("127.0.0.1"), a->network.port()});
+        const std::string text = "GET / HTTP/1.1\r\n\r\n";
+        asio::write(socket, asio::buffer(text));
+        REQUIRE(eventually([&] { return a->network.traffic().connections_refused == 1; }));
+    }
+
+    SUBCASE("meet again after one was unreachable")
+    {
+        a->network.set_address(instance_id::of("b"), "127.0.0.1:1");
+        a->network.send({instance_id::of("b"), load_query{1, endpoint_id{8}}});
+        std::this_thread::sleep_for(milliseconds{100});
+        b = std::make_unique<peer>(io, "b", "key");
+        a->network.set_address(b->id, b->address());
+        a->network.send({b->id, load_query{2, endpoint_id{8}}});
+        CHECK(b->got.wait_for(1));
+    }
+}
