Add the member table

Cause: instances did not know of each other; every view had one member.

Facts are totally ordered by incarnation, left, refutations and state. A probe has a new field 'joining': its sender gets the whole table. A new settings version is told to three members at once. One dead member is probed by about 8 members a second, so that healed partitions meet.

--- /dev/null
+++ b/src/mangovane/membership/failure_detector.cpp
@@ -0,0 +1,377 @@
+// Implementation of the failure detector: messages, facts and views.
+#include "mangovane/membership/failure_detector.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangovane::internal
+{
+
+namespace
+{
+
+/// Members that are told directly that this instance leaves.
+constexpr std::size_t leave_fanout = 16;
+
+} // namespace
+
+failure_detector::failure_detector(member self, detector_timing timing, std::uint64_t seed)
+    : timing_{timing}, self_id_{self.id}, random_{seed}
+{
+    newest_version_ = self.settings.version;
+    records_.emplace(self_id_, peer_record{std::move(self), 0});
+    updates_.put(self_id_);
+    view_ = std::make_shared<membership_view>(1, time_point{}, view_members(time_point{}));
+}
+
+outgoing_messages failure_detector::on_probe(instance_id from, const probe& msg, time_point now)
+{
+    const bool behind = absorb(msg.updates, false, now);
+    note_direct(from, msg.settings, behind, now);
+    if (msg.joining)
+    {
+        start_table(from);
+    }
+    refresh_view(now, false);
+    outgoing_messages out;
+    out.push_back({from, make_ack(from, msg.sequence, self_id_)});
+    return out;
+}
+
+outgoing_messages
+failure_detector::on_probe_ack(instance_id from, const probe_ack& msg, time_point now)
+{
+    if (auto* peer = find(from); peer != nullptr && msg.sequence != 0 && from == msg.subject)
+    {
+        peer->knows_us = true;
+    }
+    const bool table = msg.sequence == 0 && !msg.updates.empty();
+    joining_ = joining_ && !table;
+    const bool behind = absorb(msg.updates, table, now);
+    note_direct(from, msg.settings, behind, now);
+    outgoing_messages out;
+    settle_probe(msg, out);
+    if (behind)
+    {
+        // The next regular message to this peer may be minutes away.
+        out.push_back({from, make_ack(from, 0, self_id_)});
+    }
+    refresh_view(now, false);
+    return out;
+}
+
+void failure_detector::settle_probe(const probe_ack& msg, outgoing_messages& out)
+{
+    const auto it = pending_.find(msg.sequence);
+    if (it == pending_.end() || it->second.subject != msg.subject)
+    {
+        return;
+    }
+    const auto done = it->second;
+    pending_.erase(it);
+    if (!done.relay_to.empty())
+    {
+        out.push_back({done.relay_to, make_ack(done.relay_to, done.relay_sequence, done.subject)});
+    }
+}
+
+void failure_detector::start_table(instance_id to)
+{
+    if (auto* peer = find(to); peer != nullptr && peer->table_left == 0)
+    {
+        // A random start: the tables that several members send complete each other.
+        peer->table_at = random_.below(records_.size());
+        peer->table_left = records_.size();
+    }
+}
+
+outgoing_messages
+failure_detector::on_probe_request(instance_id from, const probe_request& msg, time_point now)
+{
+    outgoing_messages out;
+    if (find(msg.subject) == nullptr || msg.subject == self_id_)
+    {
+        return out;
+    }
+    const auto sequence = ++sequence_;
+    pending_probe relayed{msg.subject};
+    relayed.suspect_at = now + timing_.probe_period;
+    relayed.others_asked = true;
+    relayed.relay_to = from;
+    relayed.relay_sequence = msg.sequence;
+    pending_.emplace(sequence, relayed);
+    out.push_back({msg.subject, make_probe(msg.subject, sequence)});
+    return out;
+}
+
+void failure_detector::on_platform_list(const std::vector<listed_instance>& list, time_point now)
+{
+    for (const auto& it : list)
+    {
+        const auto id = instance_id::of(it.name);
+        if (auto* known = find(id); known != nullptr)
+        {
+            known->set_listed_leaving(it.leaving);
+        }
+        else if (!it.leaving)
+        {
+            add_listed(id, it.name, it.address, it.domain);
+        }
+    }
+    refresh_view(now, false);
+}
+
+void failure_detector::add_listed(instance_id id,
+                                  const std::string& name,
+                                  const std::string& address,
+                                  domain_id domain)
+{
+    member subject{id};
+    subject.name = name;
+    subject.address = address;
+    subject.domain = domain;
+    records_.try_emplace(id, peer_record{std::move(subject), 0});
+}
+
+outgoing_messages failure_detector::leave(time_point now)
+{
+    find(self_id_)->set_left(now);
+    updates_.put(self_id_);
+    auto peers = live_peers();
+    random_.choose(peers, leave_fanout);
+    outgoing_messages out;
+    const auto fact = find(self_id_)->fact(false);
+    for (const auto to : peers)
+    {
+        auto msg = make_probe(to, ++sequence_);
+        std::erase_if(msg.updates, [&](const auto& it) { return it.instance == self_id_; });
+        msg.updates.resize(std::min(msg.updates.size(), max_updates_per_probe - 1));
+        msg.updates.push_back(fact);
+        out.push_back({to, std::move(msg)});
+    }
+    refresh_view(now, false);
+    return out;
+}
+
+void failure_detector::set_settings(settings_stamp stamp)
+{
+    if (find(self_id_)->merge_settings(stamp))
+    {
+        note_settings(self_id_, stamp);
+    }
+}
+
+settings_stamp failure_detector::newest_settings(instance_id& holder) const
+{
+    const auto* best = &records_.find(self_id_)->second;
+    for (const auto& [id, it] : records_)
+    {
+        const auto version = it.subject().settings.version;
+        const auto best_version = best->subject().settings.version;
+        const bool later = best->subject().id != self_id_ && it.heard_at > best->heard_at;
+        if (it.live() && (version > best_version || (version == best_version && later)))
+        {
+            best = &it;
+        }
+    }
+    holder = best->subject().id;
+    return best->subject().settings;
+}
+
+bool failure_detector::absorb(const std::vector<member_update>& updates, bool table, time_point now)
+{
+    bool behind = false;
+    for (const auto& it : updates)
+    {
+        if (it.epoch == 0)
+        {
+            // From a table: the sender knows it from the platform's list only.
+            if (!it.address.empty())
+            {
+                add_listed(it.instance, it.name, it.address, it.domain);
+            }
+            continue;
+        }
+        if (it.instance == self_id_)
+        {
+            behind = absorb_fact_about_self(it, now) || behind;
+        }
+        else
+        {
+            absorb_fact(it, table, now);
+        }
+    }
+    return behind;
+}
+
+void failure_detector::absorb_fact(const member_update& fact, bool table, time_point now)
+{
+    auto* known = find(fact.instance);
+    if (known == nullptr)
+    {
+        absorb_new_member(fact, table, now);
+        return;
+    }
+    // The platform's list has told the others of this member too: spread with the full count, its
+    // confirmation would occupy all frames for minutes after a start of the whole fleet.
+    const bool confirmed = known->unverified() && fact.state == member_state::alive;
+    const auto effect = known->merge(fact, timing_, now);
+    const bool news = effect == fact_effect::changed || effect == fact_effect::returned;
+    if (news && confirmed)
+    {
+        updates_.put_known(fact.instance);
+    }
+    else if (news)
+    {
+        updates_.put(fact.instance);
+    }
+    note_settings(fact.instance, fact.settings);
+}
+
+void failure_detector::absorb_new_member(const member_update& fact, bool table, time_point now)
+{
+    if (fact.address.empty() || fact.state == member_state::dead ||
+        fact.state == member_state::left)
+    {
+        return;
+    }
+    peer_record record{member{fact.instance}, 0};
+    record.merge(fact, timing_, now);
+    records_.emplace(fact.instance, std::move(record));
+    if (table)
+    {
+        updates_.put_known(fact.instance);
+    }
+    else
+    {
+        updates_.put(fact.instance);
+    }
+    note_settings(fact.instance, fact.settings);
+}
+
+bool failure_detector::absorb_fact_about_self(const member_update& fact, time_point now)
+{
+    auto& self = *find(self_id_);
+    const auto own = self.subject().epoch;
+    const bool newer = fact.epoch > own;
+    const bool wrong = fact.epoch == own && fact.state != member_state::alive &&
+                       (fact.refutations >= self.refutations() || fact.state == member_state::left);
+    if (self.live() && (newer || wrong))
+    {
+        self.refute(fact, timing_, now);
+        updates_.put(self_id_);
+    }
+    return self.live() && fact.state != member_state::alive;
+}
+
+void failure_detector::note_direct(instance_id from,
+                                   settings_stamp settings,
+                                   bool behind,
+                                   time_point now)
+{
+    if (auto* peer = find(from); peer != nullptr)
+    {
+        peer->heard_at = now;
+        peer->knows_us = peer->knows_us && !behind;
+        if (peer->merge_settings(settings))
+        {
+            note_settings(from, settings);
+        }
+    }
+}
+
+void failure_detector::note_settings(instance_id holder, settings_stamp stamp)
+{
+    // Only the first holder of a version is spread: a fact from each member about each version
+    // would exceed the budget for control traffic. The others' stamps travel on their probes.
+    if (stamp.version > newest_version_)
+    {
+        newest_version_ = stamp.version;
+        announce_ = true;
+        updates_.put(holder);
+    }
+}
+
+bool failure_detector::needs_fact_about_itself(const peer_record& peer) const
+{
+    return peer.state() != member_state::alive && peer.subject().epoch != 0;
+}
+
+std::vector<member_update> failure_detector::updates_for(instance_id to)
+{
+    std::vector<member_update> result;
+    auto* peer = find(to);
+    if (peer != nullptr && needs_fact_about_itself(*peer))
+    {
+        result.push_back(peer->fact(false));
+    }
+    if (peer == nullptr || !peer->knows_us)
+    {
+        result.push_back(find(self_id_)->fact(true));
+    }
+    const auto first = result.size();
+    const auto ids = updates_.take(max_updates_per_probe - first,
+                                   transmissions_for(records_.size()), random_.next());
+    for (const auto id : ids)
+    {
+        const bool present = std::any_of(result.begin(), result.end(),
+                                         [&](const auto& it) { return it.instance == id; });
+        const auto* record = find(id);
+        if (record != nullptr && !present && !record->unverified())
+        {
+            result.push_back(record->fact(false));
+        }
+    }
+    return result;
+}
+
+bool failure_detector::in_view(const peer_record& record) const
+{
+    return record.live() || record.subject().id == self_id_;
+}
+
+bool failure_detector::view_is_current(time_point now) const
+{
+    const auto& entries = view_->members();
+    std::size_t n = 0;
+    for (const auto& [id, it] : records_)
+    {
+        if (!in_view(it))
+        {
+            continue;
+        }
+        if (n == entries.size() || !it.matches(entries[n], now))
+        {
+            return false;
+        }
+        ++n;
+    }
+    return n == entries.size();
+}
+
+void failure_detector::refresh_view(time_point now, bool extend)
+{
+    const bool current = view_is_current(now);
+    if (current && !extend)
+    {
+        return;
+    }
+    const auto valid_until = extend ? now + timing_.view_validity : view_->valid_until();
+    view_ = std::make_shared<membership_view>(view_->version() + (current ? 0 : 1), valid_until,
+                                              view_members(now));
+}
+
+std::vector<member> failure_detector::view_members(time_point now) const
+{
+    std::vector<member> result;
+    for (const auto& [id, it] : records_)
+    {
+        if (in_view(it))
+        {
+            result.push_back(it.in_view(now));
+        }
+    }
+    return result;
+}
+
+} // namespace mangovane::internal
--- /dev/null
+++ b/src/mangovane/membership/failure_detector.hpp
@@ -0,0 +1,113 @@
+// The state of the failure detector: records, probes on the way and facts to spread. It has no
+// lock; `member_table` guards it.
+#ifndef MANGOVANE_MEMBERSHIP_FAILURE_DETECTOR_HPP
+#define MANGOVANE_MEMBERSHIP_FAILURE_DETECTOR_HPP
+
+#include <cstdint>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+
+#include "mangovane/membership/member_table.hpp"
+#include "mangovane/membership/peer_record.hpp"
+#include "mangovane/membership/probe_schedule.hpp"
+#include "mangovane/membership/update_queue.hpp"
+
+namespace mangovane::internal
+{
+
+using outgoing_messages = std::vector<outgoing_message>;
+
+class failure_detector
+{
+public:
+    failure_detector(member self, detector_timing timing, std::uint64_t seed);
+
+    outgoing_messages on_probe(instance_id from, const probe& msg, time_point now);
+    outgoing_messages on_probe_ack(instance_id from, const probe_ack& msg, time_point now);
+    outgoing_messages on_probe_request(instance_id from, const probe_request& msg, time_point now);
+    void on_platform_list(const std::vector<listed_instance>& list, time_point now);
+    outgoing_messages tick(time_point now);
+    outgoing_messages leave(time_point now);
+    void set_settings(settings_stamp stamp);
+    [[nodiscard]] const view_ptr& view() const noexcept { return view_; }
+    [[nodiscard]] settings_stamp newest_settings(instance_id& holder) const;
+
+private:
+    /// A probe that was sent and not acknowledged.
+    struct pending_probe
+    {
+        instance_id subject;
+        time_point ask_others_at;
+        time_point suspect_at;
+        bool others_asked{false};
+        instance_id relay_to; ///< Not empty: sent for this member, to which the answer goes.
+        std::uint64_t relay_sequence{0};
+    };
+
+    // Facts (failure_detector.cpp).
+    /// Returns whether the sender believes wrongly that this instance is not alive.
+    bool absorb(const std::vector<member_update>& updates, bool table, time_point now);
+    void absorb_fact(const member_update& fact, bool table, time_point now);
+    void absorb_new_member(const member_update& fact, bool table, time_point now);
+    bool absorb_fact_about_self(const member_update& fact, time_point now);
+    void note_direct(instance_id from, settings_stamp settings, bool behind, time_point now);
+    void add_listed(instance_id id,
+                    const std::string& name,
+                    const std::string& address,
+                    domain_id domain);
+    void start_table(instance_id to);
+    void settle_probe(const probe_ack& msg, outgoing_messages& out);
+    void note_settings(instance_id holder, settings_stamp stamp);
+    [[nodiscard]] std::vector<member_update> updates_for(instance_id to);
+    [[nodiscard]] bool needs_fact_about_itself(const peer_record& peer) const;
+
+    // Probes (failure_detector_tick.cpp).
+    [[nodiscard]] probe make_probe(instance_id to, std::uint64_t sequence);
+    [[nodiscard]] probe_ack make_ack(instance_id to, std::uint64_t sequence, instance_id subject);
+    void resume_after_pause(time_point now);
+    void start_probe(instance_id subject, time_point now, outgoing_messages& out);
+    void probe_next(time_point now, outgoing_messages& out);
+    void probe_gone(outgoing_messages& out);
+    [[nodiscard]] std::vector<instance_id> dead_peers() const;
+    [[nodiscard]] std::optional<instance_id> next_subject();
+    void check_pending(time_point now, outgoing_messages& out);
+    void ask_others(std::uint64_t sequence, instance_id subject, outgoing_messages& out);
+    void expire_records(time_point now);
+    void announce_settings(outgoing_messages& out);
+    void send_tables(outgoing_messages& out);
+    void send_table_part(peer_record& peer, outgoing_messages& out);
+    void
+    send_facts(instance_id to, const std::vector<member_update>& facts, outgoing_messages& out);
+    [[nodiscard]] std::vector<instance_id> live_peers() const;
+    [[nodiscard]] peer_record* find(instance_id id);
+
+    // Views.
+    void refresh_view(time_point now, bool extend);
+    [[nodiscard]] bool in_view(const peer_record& record) const;
+    [[nodiscard]] bool view_is_current(time_point now) const;
+    [[nodiscard]] std::vector<member> view_members(time_point now) const;
+
+    const detector_timing timing_;
+    const instance_id self_id_;
+    absl::btree_map<instance_id, peer_record> records_;     ///< Always contains `self_id_`.
+    absl::btree_map<std::uint64_t, pending_probe> pending_; ///< By sequence.
+    update_queue updates_;
+    probe_schedule schedule_;
+    probe_schedule gone_schedule_;
+    random_sequence random_;
+    std::uint64_t sequence_{0};
+    std::uint64_t newest_version_{0}; ///< Of all settings stamps heard of.
+    bool joining_{true};              ///< No member has sent its table yet.
+    bool announce_{false};            ///< A settings version was heard of for the first time.
+    time_point last_tick_{};
+    time_point next_probe_{};
+    time_point next_gone_probe_{};
+    time_point next_extension_{};
+    view_ptr view_;
+};
+
+} // namespace mangovane::internal
+
+#endif
--- /dev/null
+++ b/src/mangovane/membership/failure_detector_tick.cpp
@@ -0,0 +1,316 @@
+// Implementation of the failure detector: probes and expiries.
+#include "mangovane/membership/failure_detector.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace mangovane::internal
+{
+
+namespace
+{
+
+constexpr std::size_t indirect_probes = 3;
+
+/// Members that are told at once of a new settings version; regular probes alone would need more
+/// than the 2 s in which a change has to be in force.
+constexpr std::size_t announcement_fanout = 3;
+
+/// A longer time between two ticks means that the process did not run.
+constexpr milliseconds tick_limit{200};
+
+constexpr milliseconds extension_period{500};
+
+/// Period in which one dead member is probed, so that the sides of a healed partition meet again.
+constexpr milliseconds gone_probe_period{1000};
+
+/// Dead members are remembered longer than regions stay partitioned (an hour).
+constexpr std::chrono::hours dead_retention{2};
+
+/// Members that left are remembered longer than an old fact or the platform's list can name them.
+constexpr std::chrono::minutes left_retention{10};
+
+/// Members that probe the same dead member in one period, on average. Without this limit a member
+/// that comes back would receive a probe from all others at once.
+constexpr std::size_t probers_of_dead_member = 8;
+
+/// Records of the table sent in one tick, to one joining member at a time: two frames, which keeps
+/// the sender inside its budget for control traffic.
+constexpr std::size_t table_records_per_tick = 2 * max_updates_per_probe;
+
+} // namespace
+
+peer_record* failure_detector::find(instance_id id)
+{
+    const auto it = records_.find(id);
+    return it == records_.end() ? nullptr : &it->second;
+}
+
+std::vector<instance_id> failure_detector::live_peers() const
+{
+    std::vector<instance_id> result;
+    for (const auto& [id, it] : records_)
+    {
+        if (id != self_id_ && it.live())
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+probe failure_detector::make_probe(instance_id to, std::uint64_t sequence)
+{
+    return {sequence, find(self_id_)->subject().settings, updates_for(to), joining_};
+}
+
+probe_ack failure_detector::make_ack(instance_id to, std::uint64_t sequence, instance_id subject)
+{
+    return {sequence, subject, find(self_id_)->subject().settings, updates_for(to)};
+}
+
+outgoing_messages failure_detector::tick(time_point now)
+{
+    outgoing_messages out;
+    resume_after_pause(now);
+    expire_records(now);
+    check_pending(now, out);
+    if (now >= next_probe_)
+    {
+        next_probe_ = now + timing_.probe_period;
+        probe_next(now, out);
+    }
+    if (now >= next_gone_probe_)
+    {
+        next_gone_probe_ = now + gone_probe_period;
+        probe_gone(out);
+    }
+    announce_settings(out);
+    send_tables(out);
+    const bool extend = now >= next_extension_;
+    if (extend)
+    {
+        next_extension_ = now + extension_period;
+    }
+    refresh_view(now, extend);
+    return out;
+}
+
+void failure_detector::resume_after_pause(time_point now)
+{
+    const auto gap = last_tick_ == time_point{} ? duration{} : now - last_tick_;
+    last_tick_ = now;
+    if (gap <= tick_limit)
+    {
+        return;
+    }
+    // Acknowledgements and refutations may wait unread: time in which this process did not run
+    // must not make it declare the others dead.
+    for (auto& [id, it] : records_)
+    {
+        it.postpone(gap - tick_limit);
+    }
+    for (auto& [sequence, it] : pending_)
+    {
+        it.ask_others_at += gap - tick_limit;
+        it.suspect_at += gap - tick_limit;
+    }
+    if (gap > timing_.suspicion)
+    {
+        pending_.clear();
+        next_probe_ = now;
+    }
+}
+
+void failure_detector::start_probe(instance_id subject, time_point now, outgoing_messages& out)
+{
+    const auto sequence = ++sequence_;
+    pending_probe entry{subject};
+    entry.ask_others_at = now + timing_.probe_timeout;
+    entry.suspect_at = now + timing_.probe_period;
+    pending_.emplace(sequence, entry);
+    out.push_back({subject, make_probe(subject, sequence)});
+}
+
+void failure_detector::probe_next(time_point now, outgoing_messages& out)
+{
+    if (const auto subject = next_subject())
+    {
+        start_probe(*subject, now, out);
+    }
+}
+
+std::optional<instance_id> failure_detector::next_subject()
+{
+    const auto wanted = [this](instance_id id)
+    {
+        const auto* it = find(id);
+        return it != nullptr && it->live();
+    };
+    auto result = schedule_.next(wanted);
+    if (!result)
+    {
+        schedule_.refill(live_peers(), random_);
+        result = schedule_.next(wanted);
+    }
+    return result;
+}
+
+std::vector<instance_id> failure_detector::dead_peers() const
+{
+    std::vector<instance_id> result;
+    for (const auto& [id, it] : records_)
+    {
+        if (it.state() == member_state::dead)
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+void failure_detector::probe_gone(outgoing_messages& out)
+{
+    auto dead = dead_peers();
+    const auto members = records_.size();
+    if (dead.empty() || random_.below(members) >= dead.size() * probers_of_dead_member)
+    {
+        return;
+    }
+    const auto wanted = [this](instance_id id)
+    {
+        const auto* it = find(id);
+        return it != nullptr && it->state() == member_state::dead;
+    };
+    auto subject = gone_schedule_.next(wanted);
+    if (!subject)
+    {
+        gone_schedule_.refill(std::move(dead), random_);
+        subject = gone_schedule_.next(wanted);
+    }
+    if (subject)
+    {
+        out.push_back({*subject, make_probe(*subject, ++sequence_)});
+    }
+}
+
+void failure_detector::check_pending(time_point now, outgoing_messages& out)
+{
+    for (auto it = pending_.begin(); it != pending_.end();)
+    {
+        auto& [sequence, entry] = *it;
+        if (now >= entry.suspect_at)
+        {
+            auto* peer = find(entry.subject);
+            if (entry.relay_to.empty() && peer != nullptr && peer->suspect(timing_, now))
+            {
+                updates_.put(entry.subject);
+            }
+            it = pending_.erase(it);
+            continue;
+        }
+        if (!entry.others_asked && now >= entry.ask_others_at)
+        {
+            entry.others_asked = true;
+            ask_others(sequence, entry.subject, out);
+        }
+        ++it;
+    }
+}
+
+void failure_detector::ask_others(std::uint64_t sequence,
+                                  instance_id subject,
+                                  outgoing_messages& out)
+{
+    auto helpers = live_peers();
+    std::erase(helpers, subject);
+    random_.choose(helpers, indirect_probes);
+    for (const auto to : helpers)
+    {
+        out.push_back({to, probe_request{sequence, subject}});
+    }
+}
+
+void failure_detector::expire_records(time_point now)
+{
+    for (auto it = records_.begin(); it != records_.end();)
+    {
+        auto& [id, record] = *it;
+        if (id != self_id_ && record.expire_suspicion(now))
+        {
+            updates_.put(id);
+        }
+        const bool left = record.state() == member_state::left;
+        const duration retention = left ? duration{left_retention} : duration{dead_retention};
+        const bool forgotten =
+            id != self_id_ && !record.live() && now - record.gone_since() > retention;
+        if (forgotten)
+        {
+            updates_.erase(id);
+        }
+        it = forgotten ? records_.erase(it) : std::next(it);
+    }
+}
+
+void failure_detector::announce_settings(outgoing_messages& out)
+{
+    if (!std::exchange(announce_, false))
+    {
+        return;
+    }
+    auto peers = live_peers();
+    random_.choose(peers, announcement_fanout);
+    for (const auto to : peers)
+    {
+        out.push_back({to, make_probe(to, ++sequence_)});
+    }
+}
+
+void failure_detector::send_tables(outgoing_messages& out)
+{
+    for (auto& [id, it] : records_)
+    {
+        if (it.table_left != 0)
+        {
+            send_table_part(it, out);
+            return;
+        }
+    }
+}
+
+void failure_detector::send_table_part(peer_record& peer, outgoing_messages& out)
+{
+    const auto n = std::min({table_records_per_tick, peer.table_left, records_.size()});
+    auto it =
+        std::next(records_.begin(), static_cast<std::ptrdiff_t>(peer.table_at % records_.size()));
+    std::vector<member_update> part;
+    for (std::size_t k = 0; k != n; ++k)
+    {
+        const auto& record = it->second;
+        if (record.live() && it->first != peer.subject().id)
+        {
+            part.push_back(record.fact(true));
+        }
+        it = std::next(it) == records_.end() ? records_.begin() : std::next(it);
+    }
+    peer.table_at += n;
+    peer.table_left = peer.live() ? peer.table_left - n : 0;
+    send_facts(peer.subject().id, part, out);
+}
+
+void failure_detector::send_facts(instance_id to,
+                                  const std::vector<member_update>& facts,
+                                  outgoing_messages& out)
+{
+    const auto& stamp = find(self_id_)->subject().settings;
+    for (std::size_t first = 0; first < facts.size(); first += max_updates_per_probe)
+    {
+        const auto last = std::min(first + max_updates_per_probe, facts.size());
+        std::vector<member_update> part(facts.begin() + static_cast<std::ptrdiff_t>(first),
+                                        facts.begin() + static_cast<std::ptrdiff_t>(last));
+        out.push_back({to, probe_ack{0, self_id_, stamp, std::move(part)}});
+    }
+}
+
+} // namespace mangovane::internal
--- a/src/mangovane/membership/member_table.hpp
+++ b/src/mangovane/membership/member_table.hpp
@@ -4,6 +4,7 @@
 #define MANGOVANE_MEMBERSHIP_MEMBER_TABLE_HPP
 
 #include <cstdint>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -39,10 +40,19 @@
     bool operator==(const listed_instance&) const = default;
 };
 
+namespace internal
+{
+class failure_detector;
+} // namespace internal
+
 class member_table
 {
 public:
+    /// The first view expires at once: it becomes valid with the first `tick`.
     member_table(member self, detector_timing timing, std::uint64_t seed);
+    ~member_table();
+    member_table(const member_table&) = delete;
+    member_table& operator=(const member_table&) = delete;
 
     /// Handles a message of the failure detector; returns what has to be sent.
     std::vector<outgoing_message> on_probe(instance_id from, const probe& msg, time_point now);
@@ -64,18 +74,16 @@
     void set_settings(settings_stamp stamp);
 
     /// The view in force. The pointer changes only when the view's content or validity changes.
+    /// Settings stamps of members are refreshed with the validity.
     [[nodiscard]] view_ptr view() const;
 
-    /// The newest settings version that a member announced, and who has it.
+    /// The newest settings version that a live member announced, and who has it. Of several
+    /// holders, the one heard from last; this instance itself when no other has a newer version.
     [[nodiscard]] settings_stamp newest_settings(instance_id& holder) const;
 
 private:
-    struct peer_state;
-
     mutable std::mutex mutex_;
-    // The state of the detector is private to the implementation.
-    struct state;
-    std::shared_ptr<state> state_; ///< Guarded by `mutex_`; never null.
+    std::unique_ptr<internal::failure_detector> detector_; ///< Never null. Guarded by `mutex_`.
 };
 
 } // namespace mangovane
--- a/src/mangovane/message/membership.hpp
+++ b/src/mangovane/message/membership.hpp
@@ -48,6 +48,7 @@
     std::uint64_t sequence{0};
     settings_stamp settings;
     std::vector<member_update> updates; ///< At most `max_updates_per_probe`.
+    bool joining{false};                ///< The sender has just started and wants all members.
 
     bool operator==(const probe&) const = default;
 };
--- a/src/mangovane/wire/body_decode.cpp
+++ b/src/mangovane/wire/body_decode.cpp
@@ -155,7 +155,7 @@
 
 message unpack(const wire::Probe& it, time_point)
 {
-    return probe{it.sequence(), from_wire(it.settings()), unpack_updates(it)};
+    return probe{it.sequence(), from_wire(it.settings()), unpack_updates(it), it.joining()};
 }
 
 message unpack(const wire::ProbeAck& it, time_point)
--- a/src/mangovane/wire/body_encode.cpp
+++ b/src/mangovane/wire/body_encode.cpp
@@ -149,7 +149,7 @@
 {
     const auto updates = pack_updates(buf, it.updates);
     const auto stamp = to_wire(it.settings);
-    return wire::CreateProbe(buf, it.sequence, &stamp, updates);
+    return wire::CreateProbe(buf, it.sequence, &stamp, updates, it.joining);
 }
 
 auto pack(builder& buf, const probe_ack& it, time_point)
--- a/src/mangovane/wire/frame_generated.h
+++ b/src/mangovane/wire/frame_generated.h
@@ -1447,7 +1447,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SEQUENCE = 4,
     VT_SETTINGS = 6,
-    VT_UPDATES = 8
+    VT_UPDATES = 8,
+    VT_JOINING = 10
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1458,6 +1459,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::MemberUpdate>> *updates() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::MemberUpdate>> *>(VT_UPDATES);
   }
+  bool joining() const {
+    return GetField<uint8_t>(VT_JOINING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1465,6 +1469,7 @@
            VerifyOffset(verifier, VT_UPDATES) &&
            verifier.VerifyVector(updates()) &&
            verifier.VerifyVectorOfTables(updates()) &&
+           VerifyField<uint8_t>(verifier, VT_JOINING, 1) &&
            verifier.EndTable();
   }
 };
@@ -1482,6 +1487,9 @@
   void add_updates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::MemberUpdate>>> updates) {
     fbb_.AddOffset(Probe::VT_UPDATES, updates);
   }
+  void add_joining(bool joining) {
+    fbb_.AddElement<uint8_t>(Probe::VT_JOINING, static_cast<uint8_t>(joining), 0);
+  }
   explicit ProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1497,11 +1505,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
     const mangovane::wire::SettingsStamp *settings = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::MemberUpdate>>> updates = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::MemberUpdate>>> updates = 0,
+    bool joining = false) {
   ProbeBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_updates(updates);
   builder_.add_settings(settings);
+  builder_.add_joining(joining);
   return builder_.Finish();
 }
 
@@ -1509,13 +1519,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
     const mangovane::wire::SettingsStamp *settings = nullptr,
-    const std::vector<flatbuffers::Offset<mangovane::wire::MemberUpdate>> *updates = nullptr) {
+    const std::vector<flatbuffers::Offset<mangovane::wire::MemberUpdate>> *updates = nullptr,
+    bool joining = false) {
   auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<mangovane::wire::MemberUpdate>>(*updates) : 0;
   return mangovane::wire::CreateProbe(
       _fbb,
       sequence,
       settings,
-      updates__);
+      updates__,
+      joining);
 }
 
 struct ProbeAck FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/test/mangovane/membership/member_table.cpp
@@ -0,0 +1,228 @@
+// Tests of the failure detector on simulated fleets with fixed seeds.
+#include "mangovane/membership/member_table.hpp"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "mangovane/membership/fleet.hpp"
+
+using namespace mangovane;
+
+namespace
+{
+
+/// Everyone must know of a death in this time: the next probe of the member (1 s with probability
+/// 0.86, 2 s with 0.98), its timeout 0.5 s, the suspicion 2 s, and the spread to all.
+constexpr milliseconds detection_limit{6000};
+
+} // namespace
+
+TEST_CASE("a fleet of 13")
+{
+    fleet it{13, 20261204};
+    it.settle(seconds{10});
+    REQUIRE(it.full_views());
+
+    SUBCASE("notices a death everywhere in bounded time")
+    {
+        it.nodes[4].up = false;
+        const auto time = it.run_until([&] { return it.all_see(4, false); }, seconds{20});
+        MESSAGE("detected everywhere after " << time.count() << " ms");
+        CHECK(time <= detection_limit);
+        CHECK(time >= milliseconds{2000});
+
+        SUBCASE("and the return of its successor, which is told of all members")
+        {
+            it.start(4);
+            it.nodes[4].table->on_platform_list(it.list(1), it.now);
+            const auto back =
+                it.run_until([&] { return it.all_see(4, true) && it.full_views(); }, seconds{20});
+            MESSAGE("known everywhere after " << back.count() << " ms");
+            CHECK(back <= seconds{5});
+        }
+    }
+
+    SUBCASE("drops a leaving member at once and keeps it out")
+    {
+        it.send(4, it.nodes[4].table->leave(it.now));
+        it.run(fleet::step * 2);
+        CHECK(it.all_see(4, false));
+        it.run(seconds{5});
+        // It still answers; `left` is final for its incarnation.
+        CHECK(it.all_see(4, false));
+        CHECK_FALSE(it.find(4, 4)->eligible);
+    }
+
+    SUBCASE("survives a pause of one member (guards against deaths declared after a pause)")
+    {
+        it.nodes[4].paused = true;
+        const auto expires = it.nodes[4].table->view()->valid_until();
+        it.run(seconds{5});
+        CHECK(it.all_see(4, false));
+        CHECK(expires < it.now);
+        CHECK(it.nodes[4].table->view()->valid_until() == expires);
+        it.nodes[4].paused = false;
+        it.run(milliseconds{200});
+        CHECK(it.nodes[4].table->view()->valid_until() > it.now);
+        bool others_live = true;
+        const auto back = it.run_until(
+            [&]
+            {
+                others_live = others_live && it.nodes[4].table->view()->members().size() == 13;
+                return it.full_views();
+            },
+            seconds{20});
+        MESSAGE("known everywhere again after " << back.count() << " ms");
+        CHECK(back <= seconds{10});
+        CHECK(others_live);
+    }
+
+    SUBCASE("keeps a member that only one link cannot reach (guards against one bad link)")
+    {
+        it.cut = [](std::size_t from, std::size_t to)
+        { return (from == 1 && to == 2) || (from == 2 && to == 1); };
+        for (int n = 0; n != 300; ++n)
+        {
+            it.run(milliseconds{100});
+            REQUIRE(it.all_see(2, true));
+            REQUIRE(it.all_see(1, true));
+        }
+    }
+
+    SUBCASE("splits and heals")
+    {
+        it.cut = [](std::size_t from, std::size_t to) { return (from < 7) != (to < 7); };
+        const auto split = it.run_until(
+            [&]
+            {
+                return it.nodes[0].table->view()->members().size() == 7 &&
+                       it.nodes[12].table->view()->members().size() == 6;
+            },
+            seconds{60});
+        MESSAGE("split after " << split.count() << " ms");
+        CHECK(split <= seconds{20});
+        it.run(seconds{60});
+        CHECK(it.nodes[6].table->view()->members().size() == 7);
+        CHECK(it.nodes[7].table->view()->members().size() == 6);
+        CHECK(it.nodes[7].table->view()->valid_until() > it.now);
+        it.cut = nullptr;
+        const auto healed = it.run_until([&] { return it.full_views(); }, seconds{60});
+        MESSAGE("healed after " << healed.count() << " ms");
+        CHECK(healed <= seconds{20});
+    }
+
+    SUBCASE("spreads a settings version and names a holder")
+    {
+        it.nodes[3].table->set_settings({8, 80});
+        instance_id holder;
+        const auto time = it.run_until(
+            [&]
+            {
+                return std::all_of(it.nodes.begin(), it.nodes.end(),
+                                   [&](const auto& node)
+                                   { return node.table->newest_settings(holder).version == 8; });
+            },
+            seconds{20});
+        MESSAGE("announced everywhere after " << time.count() << " ms");
+        CHECK(time <= seconds{2});
+        CHECK(it.nodes[9].table->newest_settings(holder) == settings_stamp{8, 80});
+        CHECK(holder == it.id_of(3));
+    }
+}
+
+TEST_CASE("a fleet of 360")
+{
+    fleet it{360, 20261205};
+    it.settle(seconds{10});
+    REQUIRE(it.run_until([&] { return it.full_views(); }, seconds{60}) < seconds{60});
+    it.run(seconds{60});
+    const auto reset = [&]
+    { std::for_each(it.nodes.begin(), it.nodes.end(), [](auto& node) { node.bytes = 0; }); };
+    const auto mean = [&](seconds time)
+    {
+        std::uint64_t sum = 0;
+        for (const auto& node : it.nodes)
+        {
+            sum += node.bytes;
+        }
+        return sum / it.nodes.size() / static_cast<std::uint64_t>(time.count());
+    };
+    const auto peak = [&](seconds time)
+    {
+        std::uint64_t most = 0;
+        for (const auto& node : it.nodes)
+        {
+            most = std::max(most, node.bytes);
+        }
+        return most / static_cast<std::uint64_t>(time.count());
+    };
+
+    SUBCASE("at rest and with a death stays inside the budget of 3 KB/s for membership")
+    {
+        reset();
+        it.run(seconds{10});
+        MESSAGE("at rest: mean " << mean(seconds{10}) << " B/s, most " << peak(seconds{10})
+                                 << " B/s");
+        CHECK(mean(seconds{10}) < 3000);
+        reset();
+        it.nodes[77].up = false;
+        const auto start = it.now;
+        const auto time = it.run_until([&] { return it.all_see(77, false); }, seconds{30});
+        MESSAGE("a death known everywhere after " << time.count() << " ms");
+        CHECK(time <= milliseconds{9000});
+        it.run(seconds{20} - std::chrono::duration_cast<milliseconds>(it.now - start));
+        MESSAGE("with a death: mean " << mean(seconds{20}) << " B/s, most " << peak(seconds{20})
+                                      << " B/s");
+        CHECK(mean(seconds{20}) < 3000);
+        // A replacement is told of all members without breaking the whole budget of 21 KB/s.
+        it.start(77);
+        it.nodes[77].table->on_platform_list(it.list(3), it.now);
+        reset();
+        const auto joined = it.run_until([&] { return it.full_views(); }, seconds{60});
+        MESSAGE("a restart known everywhere after " << joined.count() << " ms");
+        CHECK(joined <= seconds{10});
+        it.run(seconds{10} - joined);
+        MESSAGE("with a restart: mean " << mean(seconds{10}) << " B/s, most " << peak(seconds{10})
+                                        << " B/s");
+        CHECK(peak(seconds{10}) < 21000);
+    }
+
+    SUBCASE("loses a failure domain of 51 members")
+    {
+        reset();
+        for (std::size_t n = 0; n != 51; ++n)
+        {
+            it.nodes[n].up = false;
+        }
+        const auto time = it.run_until(
+            [&]
+            {
+                return std::all_of(it.nodes.begin() + 51, it.nodes.end(),
+                                   [](const auto& node)
+                                   { return node.table->view()->members().size() == 309; });
+            },
+            seconds{120});
+        MESSAGE("a domain's death known everywhere after " << time.count() << " ms");
+        CHECK(time < seconds{60});
+        it.run(std::max(milliseconds{0}, milliseconds{30000} - time));
+        MESSAGE("most in 30 s: " << peak(seconds{30}) << " B/s");
+        CHECK(peak(seconds{30}) < 21000);
+    }
+
+    SUBCASE("announces a settings version in time for a change to be in force in 6 s")
+    {
+        it.nodes[3].table->set_settings({8, 80});
+        instance_id holder;
+        const auto time = it.run_until(
+            [&]
+            {
+                return std::all_of(it.nodes.begin(), it.nodes.end(),
+                                   [&](const auto& node)
+                                   { return node.table->newest_settings(holder).version == 8; });
+            },
+            seconds{20});
+        MESSAGE("announced everywhere after " << time.count() << " ms");
+        CHECK(time <= seconds{5});
+    }
+}
--- a/test/mangovane/wire/codec.cpp
+++ b/test/mangovane/wire/codec.cpp
@@ -38,7 +38,7 @@
             chat_update{chat_id{1}, endpoint_id{2}},
             limit_request{node_id{1}, 2, 3},
             limit_grant{node_id{1}, 2, 3, 200},
-            probe{1, {2, 3}, {update(1), member_update{instance_id{2}, 3}}},
+            probe{1, {2, 3}, {update(1), member_update{instance_id{2}, 3}}, true},
             probe_ack{1, instance_id{2}, {2, 3}, {update(4)}},
             probe_request{1, instance_id{2}},
             settings_query{{1, 2}},
