--- a/src/mangovane/daemon/claim_gateway.cpp
+++ b/src/mangovane/daemon/claim_gateway.cpp
@@ -1,6 +1,7 @@
 // Implementation of the claim gateway.
 #include "mangovane/daemon/claim_gateway.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -21,18 +22,25 @@
         std::chrono::duration_cast<milliseconds>(since_epoch).count());
 }
 
+/// Longest wait for the table. The call holds a slot meanwhile: during an outage of the store,
+/// calls with a key must not keep the endpoints from others.
+constexpr milliseconds longest_claim{2000};
+
 } // namespace
 
-claim_gateway::claim_gateway(asio::io_context& io, table_service& table)
-    : strand_{asio::make_strand(io)}, timer_{strand_}, batch_{table}
+claim_gateway::claim_gateway(asio::io_context& io, table_service& table, coordinator& core)
+    : strand_{asio::make_strand(io)}, timer_{strand_}, core_{core}, batch_{table}
 {}
 
 void claim_gateway::claim_key(claim wanted, time_point deadline, claim_batch::claim_handler handler)
 {
     wanted.claimed_unix_ms = unix_ms();
-    wanted.expires_unix_ms += wanted.claimed_unix_ms;
+    wanted.expires_unix_ms =
+        wanted.claimed_unix_ms +
+        static_cast<std::uint64_t>(milliseconds{retention_of(wanted.service)}.count());
+    const auto now = clock::now();
     ++waiting_;
-    batch_.claim_key(std::move(wanted), clock::now(), deadline,
+    batch_.claim_key(std::move(wanted), now, std::min(deadline, now + longest_claim),
                      [this, handler = std::move(handler)](absl::StatusOr<claim_result> result)
                      {
                          --waiting_;
@@ -53,6 +61,13 @@
     asio::post(strand_, [this] { arm(); });
 }
 
+seconds claim_gateway::retention_of(service_id service) const
+{
+    const auto settings = core_.settings().current();
+    const auto* policy = settings ? settings->find_service(service) : nullptr;
+    return policy == nullptr ? service_policy{}.key_retention : policy->key_retention;
+}
+
 void claim_gateway::arm()
 {
     if (armed_)
--- a/src/mangovane/daemon/claim_gateway.hpp
+++ b/src/mangovane/daemon/claim_gateway.hpp
@@ -18,8 +18,8 @@
 class claim_gateway final : public claim_port
 {
 public:
-    /// The table and the context outlive the gateway.
-    claim_gateway(boost::asio::io_context& io, table_service& table);
+    /// All three outlive the gateway.
+    claim_gateway(boost::asio::io_context& io, table_service& table, coordinator& core);
 
     void claim_key(claim wanted, time_point deadline, claim_batch::claim_handler handler) override;
     void settle(claim settled, time_point deadline, claim_batch::settle_handler handler) override;
@@ -29,9 +29,11 @@
 
 private:
     void arm();
+    [[nodiscard]] seconds retention_of(service_id service) const;
 
     boost::asio::strand<boost::asio::io_context::executor_type> strand_;
     boost::asio::steady_timer timer_; ///< Used on the strand alone.
+    coordinator& core_;
     claim_batch batch_;
     std::atomic<std::uint32_t> waiting_{0};
     bool armed_{false}; ///< Used on the strand alone.
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -90,7 +90,9 @@
                 { core.on_message(from, msg, clock::now()); }},
           core{core_options, peers, clock::now()}, fleet{core}, poller{io, core},
           platform{options.platform.empty() ? nullptr : make_http_platform(io, options.platform)},
-          claims{io, platform ? static_cast<table_service&>(*platform) : no_table},
+          claims_platform{options.platform.empty() ? nullptr
+                                                   : make_http_platform(io, options.platform)},
+          claims{io, platform ? static_cast<table_service&>(*claims_platform) : no_table, core},
           services{core,
                    claims,
                    metrics,
@@ -133,6 +135,8 @@
     endpoint_poller poller;
     unavailable_table no_table{io};
     std::unique_ptr<http_platform> platform; ///< Null in static mode.
+    /// Connections of their own: a slow table must not delay the list and the settings.
+    std::unique_ptr<http_platform> claims_platform;
     std::optional<platform_follower> follower;
     claim_gateway claims;
     request_metrics metrics;
--- a/src/mangovane/daemon/static_platform.hpp
+++ b/src/mangovane/daemon/static_platform.hpp
@@ -18,7 +18,10 @@
 public:
     explicit unavailable_table(boost::asio::io_context& io) : io_{io} {}
 
-    void read(std::string, time_point, read_handler handler) override { refuse(std::move(handler)); }
+    void read(std::string, time_point, read_handler handler) override
+    {
+        refuse(std::move(handler));
+    }
 
     void write(std::vector<table_write>, time_point, write_handler handler) override
     {
--- a/src/mangovane/net/fwd.hpp
+++ b/src/mangovane/net/fwd.hpp
@@ -13,6 +13,7 @@
 class operator_server;
 class status_source;
 struct operator_services;
+class peer_network;
 struct front_services;
 struct front_counters;
 
--- a/test/stateful/fleet_oracle.cpp
+++ b/test/stateful/fleet_oracle.cpp
@@ -43,7 +43,7 @@
     {
         fail(absl::StrCat("call ", id, " ran after it was told 'not run'"));
     }
-    if (now_ > engine.left_at + drain_time && !stale_list_)
+    if (engine.leaving && now_ > engine.left_at + drain_time)
     {
         fail(absl::StrCat("new work at leaving ", engine.info.name));
     }
