Test that a closed kept-alive connection is not used again

Cause: the check before reuse had no test.

Change: a server resets each connection after its answer; three reads in a row must succeed.

--- a/test/mangovane/platform/http_platform.cpp
+++ b/test/mangovane/platform/http_platform.cpp
@@ -1,6 +1,8 @@
 // Tests of the platform's client against the stand-in.
 #include "mangovane/platform/http_platform.hpp"
 
+#include <atomic>
+
 #include <doctest/doctest.h>
 
 #include "mangovane/platform/hosted.hpp"
@@ -160,3 +162,26 @@
         CHECK(absl::IsInvalidArgument(row.status()));
     }
 }
+
+TEST_CASE("a kept-alive connection that the platform closed after its answer is not used again")
+{
+    std::atomic<int> closed{0};
+    hosted server{[&](const standin::request&, standin::reply& rep) -> boost::asio::awaitable<void>
+                  {
+                      co_await rep.send(404, "{}");
+                      rep.reset();
+                      ++closed;
+                  }};
+    boost::asio::io_context io;
+    const auto client = make_http_platform(io, server.address());
+    for (int n = 1; n <= 3; ++n)
+    {
+        const auto row = run_call<read_result>(
+            io, [&](auto done) { client->read("a", clock::now() + seconds{5}, done); });
+        REQUIRE(row.ok()); // Otherwise each write after a pause would have to be read back.
+        while (closed != n)
+        {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+    }
+}
