--- a/test/mangovane/wire/codec.cpp
+++ b/test/mangovane/wire/codec.cpp
@@ -217,7 +217,9 @@
                 .ok());
         CHECK_FALSE(decode_frame(forged(1, 3,
                                         [](auto& buf) {
-                                            return wire::CreateSlotRefusal(buf, &id, 1, 11).Union();
+                                            return wire::CreateSlotRefusal(
+                                                       buf, &id, 1, slot_refusal_reason_count)
+                                                .Union();
                                         }),
                                  now)
                         .ok());
--- a/test/stateful/fleet_commands.hpp
+++ b/test/stateful/fleet_commands.hpp
@@ -18,8 +18,7 @@
 
 /// The fuzzer needs no model beside the oracle inside the fleet.
 struct fleet_model
-{
-};
+{};
 
 /// One kind of command; `a` and `b` are arbitrary numbers.
 struct command_row
@@ -30,17 +29,22 @@
 };
 
 /// Keys are few, so that the same key comes again at another instance.
-inline std::string key_of(std::uint32_t n) { return "key-" + std::to_string(n % 40); }
+inline std::string key_of(std::uint32_t n)
+{
+    return "key-" + std::to_string(n % 40);
+}
 
 inline constexpr std::array command_table{
-    command_row{"advance", 8, [](fleet& it, std::uint32_t a, std::uint32_t)
+    command_row{"advance", 8,
+                [](fleet& it, std::uint32_t a, std::uint32_t)
                 { it.advance(milliseconds{50 + a % 1500}); }},
-    command_row{"long wait", 1, [](fleet& it, std::uint32_t, std::uint32_t)
-                { it.advance(milliseconds{6000}); }},
+    command_row{"long wait", 1,
+                [](fleet& it, std::uint32_t, std::uint32_t) { it.advance(milliseconds{6000}); }},
     command_row{"read", 4, [](fleet& it, std::uint32_t a, std::uint32_t) { it.call(a, true, {}); }},
-    command_row{"write", 4, [](fleet& it, std::uint32_t a, std::uint32_t) { it.call(a, false, {}); }},
-    command_row{"keyed write", 6, [](fleet& it, std::uint32_t a, std::uint32_t b)
-                { it.call(a, false, key_of(b)); }},
+    command_row{"write", 4,
+                [](fleet& it, std::uint32_t a, std::uint32_t) { it.call(a, false, {}); }},
+    command_row{"keyed write", 6,
+                [](fleet& it, std::uint32_t a, std::uint32_t b) { it.call(a, false, key_of(b)); }},
     command_row{"same key at two instances", 3,
                 [](fleet& it, std::uint32_t a, std::uint32_t b)
                 {
@@ -60,10 +64,13 @@
     command_row{"pause", 2, [](fleet& it, std::uint32_t a, std::uint32_t) { it.pause(a); }},
     command_row{"resume", 3, [](fleet& it, std::uint32_t a, std::uint32_t) { it.resume(a); }},
     command_row{"shut down", 1, [](fleet& it, std::uint32_t a, std::uint32_t) { it.shut_down(a); }},
-    command_row{"engine down", 1, [](fleet& it, std::uint32_t a, std::uint32_t) { it.engine_down(a); }},
+    command_row{"engine down", 1,
+                [](fleet& it, std::uint32_t a, std::uint32_t) { it.engine_down(a); }},
     command_row{"engine up", 2, [](fleet& it, std::uint32_t a, std::uint32_t) { it.engine_up(a); }},
-    command_row{"engine cold", 2, [](fleet& it, std::uint32_t a, std::uint32_t) { it.engine_cold(a); }},
-    command_row{"engine leaves", 1, [](fleet& it, std::uint32_t a, std::uint32_t) { it.engine_leave(a); }},
+    command_row{"engine cold", 2,
+                [](fleet& it, std::uint32_t a, std::uint32_t) { it.engine_cold(a); }},
+    command_row{"engine leaves", 1,
+                [](fleet& it, std::uint32_t a, std::uint32_t) { it.engine_leave(a); }},
     command_row{"engine returns", 1,
                 [](fleet& it, std::uint32_t a, std::uint32_t) { it.engine_return(a); }},
     command_row{"connection reset", 3,
@@ -75,20 +82,26 @@
     command_row{"cut platform", 1,
                 [](fleet& it, std::uint32_t a, std::uint32_t) { it.cut_platform(a); }},
     command_row{"heal", 2, [](fleet& it, std::uint32_t, std::uint32_t) { it.heal(); }},
-    command_row{"store down", 1, [](fleet& it, std::uint32_t, std::uint32_t)
+    command_row{"store down", 1,
+                [](fleet& it, std::uint32_t, std::uint32_t)
                 { it.store(true, false, milliseconds{2}); }},
-    command_row{"store loses answers", 2, [](fleet& it, std::uint32_t, std::uint32_t)
+    command_row{"store loses answers", 2,
+                [](fleet& it, std::uint32_t, std::uint32_t)
                 { it.store(false, true, milliseconds{2}); }},
-    command_row{"store slow", 1, [](fleet& it, std::uint32_t a, std::uint32_t)
+    command_row{"store slow", 1,
+                [](fleet& it, std::uint32_t a, std::uint32_t)
                 { it.store(false, false, milliseconds{100 + a % 2000}); }},
-    command_row{"store well", 3, [](fleet& it, std::uint32_t, std::uint32_t)
+    command_row{"store well", 3,
+                [](fleet& it, std::uint32_t, std::uint32_t)
                 { it.store(false, false, milliseconds{2}); }},
     command_row{"domain out", 1,
                 [](fleet& it, std::uint32_t a, std::uint32_t) { it.change_settings(a, true); }},
     command_row{"domain in", 2,
                 [](fleet& it, std::uint32_t a, std::uint32_t) { it.change_settings(a, false); }},
-    command_row{"stale list", 1, [](fleet& it, std::uint32_t, std::uint32_t) { it.stale_list(true); }},
-    command_row{"fresh list", 2, [](fleet& it, std::uint32_t, std::uint32_t) { it.stale_list(false); }},
+    command_row{"stale list", 1,
+                [](fleet& it, std::uint32_t, std::uint32_t) { it.stale_list(true); }},
+    command_row{"fresh list", 2,
+                [](fleet& it, std::uint32_t, std::uint32_t) { it.stale_list(false); }},
 };
 
 /// One command with its numbers.
@@ -130,11 +143,10 @@
         rows.insert(rows.end(), static_cast<std::size_t>(command_table[n].weight), n);
     }
     using command_ptr = std::shared_ptr<const rc::state::Command<fleet_model, fleet>>;
-    return rc::gen::apply(
-        [](std::size_t row, std::uint32_t a, std::uint32_t b) -> command_ptr
-        { return std::make_shared<fleet_command>(row, a, b); },
-        rc::gen::elementOf(rows), rc::gen::inRange<std::uint32_t>(0, 10000),
-        rc::gen::inRange<std::uint32_t>(0, 10000));
+    return rc::gen::apply([](std::size_t row, std::uint32_t a, std::uint32_t b) -> command_ptr
+                          { return std::make_shared<fleet_command>(row, a, b); },
+                          rc::gen::elementOf(rows), rc::gen::inRange<std::uint32_t>(0, 10000),
+                          rc::gen::inRange<std::uint32_t>(0, 10000));
 }
 
 } // namespace mangovane::test
--- a/test/stateful/fleet_fuzz.cpp
+++ b/test/stateful/fleet_fuzz.cpp
@@ -1,5 +1,5 @@
-// Stateful fuzzing of several instances against the oracle of the fake fleet. RC_PARAMS sets seed and number
-// of cases; the longer run is documented in docs/testing.md.
+// Stateful fuzzing of several instances against the oracle of the fake fleet. RC_PARAMS sets seed
+// and number of cases; the longer run is documented in docs/testing.md.
 #include <doctest/doctest.h>
 
 #include "fleet_commands.hpp"
@@ -60,13 +60,40 @@
 
 TEST_CASE("the oracle can fail: it finds each fault that is planted")
 {
-    SUBCASE("an owner that ignores the load bound") { CHECK(finds(planted_fault::ignore_bound)); }
-    SUBCASE("an owner that takes cold endpoints for warm") { CHECK(finds(planted_fault::ignore_ramp)); }
-    SUBCASE("an instance that keeps old settings") { CHECK(finds(planted_fault::ignore_domain_out)); }
-    SUBCASE("answers given to another caller") { CHECK(finds(planted_fault::swap_answers)); }
-    SUBCASE("a lost answer told as 'not run'") { CHECK(finds(planted_fault::lie_not_run)); }
-    SUBCASE("a claim that two attempts win") { CHECK(finds(planted_fault::claim_twice)); }
-    SUBCASE("an endpoint whose leaving is not seen") { CHECK(finds(planted_fault::ignore_leaving)); }
-    SUBCASE("a shutdown that cuts requests") { CHECK(finds(planted_fault::cut_on_shutdown)); }
-    SUBCASE("settings that fall back") { CHECK(finds(planted_fault::settings_fall)); }
+    SUBCASE("an owner that ignores the load bound")
+    {
+        CHECK(finds(planted_fault::ignore_bound));
+    }
+    SUBCASE("an owner that takes cold endpoints for warm")
+    {
+        CHECK(finds(planted_fault::ignore_ramp));
+    }
+    SUBCASE("an instance that keeps old settings")
+    {
+        CHECK(finds(planted_fault::ignore_domain_out));
+    }
+    SUBCASE("answers given to another caller")
+    {
+        CHECK(finds(planted_fault::swap_answers));
+    }
+    SUBCASE("a lost answer told as 'not run'")
+    {
+        CHECK(finds(planted_fault::lie_not_run));
+    }
+    SUBCASE("a claim that two attempts win")
+    {
+        CHECK(finds(planted_fault::claim_twice));
+    }
+    SUBCASE("an endpoint whose leaving is not seen")
+    {
+        CHECK(finds(planted_fault::ignore_leaving));
+    }
+    SUBCASE("a shutdown that cuts requests")
+    {
+        CHECK(finds(planted_fault::cut_on_shutdown));
+    }
+    SUBCASE("settings that fall back")
+    {
+        CHECK(finds(planted_fault::settings_fall));
+    }
 }
