Refuse load reports with a number out of range, and mend two request fields

Cause: fuzzing of the load report and of affinity tokens. Boost.JSON's to_number clears the error code it is given, so an epoch out of range was taken as another number when in_flight was good. A token with a zero part was kept as a location in the wrong place. A query directly after a service's name was sent on as '?id=1', which is no valid target.

A zero in a token makes it invalid, and a forwarded target always starts with '/'.

--- a/src/mangovane/net/caller_request.cpp
+++ b/src/mangovane/net/caller_request.cpp
@@ -1,6 +1,7 @@
 // Implementation of the mapping of callers' requests.
 #include "mangovane/net/caller_request.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <exception>
 #include <optional>
@@ -168,8 +169,9 @@
     }
     out.routed.service = service->id;
     out.service_name = service->name;
-    const auto path = end == std::string_view::npos ? std::string_view{"/"} : rest.substr(end);
-    out.forwarded.target(boost::beast::string_view{path.data(), path.size()});
+    const auto path = end == std::string_view::npos ? std::string_view{} : rest.substr(end);
+    // A query may follow the name directly; the target of a request always starts with a path.
+    out.forwarded.target(absl::StrCat(path.starts_with('/') ? "" : "/", std::string{path}));
     out.routed.idempotent = req.method() == http::verb::get || req.method() == http::verb::head;
     return absl::OkStatus();
 }
@@ -277,7 +279,7 @@
         const auto part = token.substr(0, token.find('.'));
         std::uint64_t value = 0;
         const auto [end, ec] = std::from_chars(part.data(), part.data() + part.size(), value, 16);
-        if (ec != std::errc{} || end != part.data() + part.size())
+        if (ec != std::errc{} || end != part.data() + part.size() || value == 0)
         {
             return {};
         }
--- a/src/mangovane/net/endpoint_poller.cpp
+++ b/src/mangovane/net/endpoint_poller.cpp
@@ -14,9 +14,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/json.hpp>
 
 #include "mangovane/net/address.hpp"
+#include "mangovane/net/load_report.hpp"
 
 namespace mangovane
 {
@@ -34,38 +34,6 @@
 
 } // namespace
 
-std::optional<endpoint_report>
-read_load_report(const std::string& text, endpoint_id endpoint, time_point sampled_at)
-{
-    boost::system::error_code ec;
-    const auto value = boost::json::parse(text, ec);
-    const auto* obj = ec ? nullptr : value.if_object();
-    if (obj == nullptr)
-    {
-        return std::nullopt;
-    }
-    endpoint_report result;
-    result.endpoint = endpoint;
-    result.sampled_at = sampled_at;
-    const auto* epoch = obj->if_contains("epoch");
-    const auto* in_flight = obj->if_contains("in_flight");
-    if (epoch == nullptr || in_flight == nullptr || !epoch->is_number() || !in_flight->is_number())
-    {
-        return std::nullopt;
-    }
-    result.epoch = epoch->to_number<std::uint64_t>(ec);
-    result.in_flight = in_flight->to_number<std::uint32_t>(ec);
-    if (ec)
-    {
-        return std::nullopt;
-    }
-    const auto* warm = obj->if_contains("warm");
-    const auto* leaving = obj->if_contains("leaving");
-    result.warm = warm == nullptr || !warm->is_bool() || warm->as_bool();
-    result.leaving = leaving != nullptr && leaving->is_bool() && leaving->as_bool();
-    return result;
-}
-
 endpoint_poller::endpoint_poller(asio::io_context& io, coordinator& core)
     : io_{io}, core_{core}, timer_{asio::make_strand(io)}
 {}
--- a/src/mangovane/net/endpoint_poller.hpp
+++ b/src/mangovane/net/endpoint_poller.hpp
@@ -40,10 +40,6 @@
     std::atomic<std::uint64_t> bytes_{0};
 };
 
-/// Reads the text of a load report; nothing when it is malformed.
-[[nodiscard]] std::optional<endpoint_report>
-read_load_report(const std::string& text, endpoint_id endpoint, time_point sampled_at);
-
 } // namespace mangovane
 
 #endif
--- a/test/mangovane/net/caller_request.cpp
+++ b/test/mangovane/net/caller_request.cpp
@@ -114,6 +114,9 @@
         REQUIRE(read.ok());
         CHECK(read->routed.idempotent);
         CHECK(read->forwarded.target() == "/pledges?id=1");
+        const auto query = make_request(http::verb::get, "/services/ebi-ledger?id=1", "");
+        // Guards against a target that is a query alone, which endpoints refuse.
+        CHECK(read_caller_request(query, settings, time_point{})->forwarded.target() == "/?id=1");
         const auto post = make_request(http::verb::post, "/services/ebi-ledger/pledges", "{}");
         CHECK_FALSE(read_caller_request(post, settings, time_point{})->routed.idempotent);
     }
@@ -130,7 +133,8 @@
 
     SUBCASE("that was tampered with is ignored")
     {
-        for (const auto* token : {"", "x", "abc.zz", "..", "ffffffffffffffffffff"})
+        for (const auto* token :
+             {"", "x", "abc.zz", "..", "ffffffffffffffffffff", "0", "0.abc", "abc.0"})
         {
             CHECK(from_affinity(token).empty());
         }
