--- /dev/null
+++ b/fuzz/affinity.cpp
@@ -0,0 +1,12 @@
+// Affinity tokens of callers: guards against crashes and tokens that change when they are returned.
+#include "fuzz.hpp"
+#include "mangovane/net/caller_request.hpp"
+
+using namespace mangovane;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const auto locations = from_affinity(fuzz::text_of(data, size));
+    fuzz::require(from_affinity(to_affinity(locations)) == locations);
+    return 0;
+}
