Read the records of members only when one can have changed

Cause: a profile of the fleet of 360 showed most time in comparing all records with the view at every message and tick, and in copying members into each extended view.

Change: the failure detector notes changes of records and when time alone changes one next; it reads all records only then. A view that is only extended shares its members with the former one. Views move to a file of their own.

--- a/src/mangovane/membership/failure_detector.cpp
+++ b/src/mangovane/membership/failure_detector.cpp
@@ -82,6 +82,7 @@
         // A random start: the tables that several members send complete each other.
         peer->table_at = random_.below(records_.size());
         peer->table_left = records_.size();
+        tables_to_send_ = true;
     }
 }
 
@@ -112,6 +113,7 @@
         if (auto* known = find(id); known != nullptr)
         {
             known->set_listed_leaving(it.leaving);
+            records_changed_ = true;
         }
         else if (!it.leaving)
         {
@@ -131,11 +133,13 @@
     subject.address = address;
     subject.domain = domain;
     records_.try_emplace(id, peer_record{std::move(subject), 0});
+    records_changed_ = true;
 }
 
 outgoing_messages failure_detector::leave(time_point now)
 {
     find(self_id_)->set_left(now);
+    records_changed_ = true;
     updates_.put(self_id_);
     auto peers = live_peers();
     random_.choose(peers, leave_fanout);
@@ -157,6 +161,7 @@
 {
     if (find(self_id_)->merge_settings(stamp))
     {
+        stamps_changed_ = true;
         note_settings(self_id_, stamp);
     }
 }
@@ -217,6 +222,8 @@
     const bool confirmed = known->unverified() && fact.state == member_state::alive;
     const auto effect = known->merge(fact, timing_, now);
     const bool news = effect == fact_effect::changed || effect == fact_effect::returned;
+    records_changed_ = records_changed_ || news;
+    stamps_changed_ = stamps_changed_ || effect == fact_effect::settings;
     if (news && confirmed)
     {
         updates_.put_known(fact.instance);
@@ -238,6 +245,7 @@
     peer_record record{member{fact.instance}, 0};
     record.merge(fact, timing_, now);
     records_.emplace(fact.instance, std::move(record));
+    records_changed_ = true;
     if (table)
     {
         updates_.put_known(fact.instance);
@@ -259,6 +267,7 @@
     if (self.live() && (newer || wrong))
     {
         self.refute(fact, timing_, now);
+        records_changed_ = true;
         updates_.put(self_id_);
     }
     return self.live() && fact.state != member_state::alive;
@@ -275,6 +284,7 @@
         peer->knows_us = peer->knows_us && !behind;
         if (peer->merge_settings(settings))
         {
+            stamps_changed_ = true;
             note_settings(from, settings);
         }
     }
@@ -325,53 +335,4 @@
     return result;
 }
 
-bool failure_detector::in_view(const peer_record& record) const
-{
-    return record.live() || record.subject().id == self_id_;
-}
-
-bool failure_detector::view_is_current(time_point now) const
-{
-    const auto& entries = view_->members();
-    std::size_t n = 0;
-    for (const auto& [id, it] : records_)
-    {
-        if (!in_view(it))
-        {
-            continue;
-        }
-        if (n == entries.size() || !it.matches(entries[n], now))
-        {
-            return false;
-        }
-        ++n;
-    }
-    return n == entries.size();
-}
-
-void failure_detector::refresh_view(time_point now, bool extend)
-{
-    const bool current = view_is_current(now);
-    if (current && !extend)
-    {
-        return;
-    }
-    const auto valid_until = extend ? now + timing_.view_validity : view_->valid_until();
-    view_ = std::make_shared<membership_view>(view_->version() + (current ? 0 : 1), valid_until,
-                                              view_members(now));
-}
-
-std::vector<member> failure_detector::view_members(time_point now) const
-{
-    std::vector<member> result;
-    for (const auto& [id, it] : records_)
-    {
-        if (in_view(it))
-        {
-            result.push_back(it.in_view(now));
-        }
-    }
-    return result;
-}
-
 } // namespace mangovane::internal
--- a/src/mangovane/membership/failure_detector.hpp
+++ b/src/mangovane/membership/failure_detector.hpp
@@ -83,7 +83,9 @@
     [[nodiscard]] std::vector<instance_id> live_peers() const;
     [[nodiscard]] peer_record* find(instance_id id);
 
-    // Views.
+    // Views (failure_detector_view.cpp).
+    /// Whether the view is current. Reads the records only when one of them can have changed.
+    [[nodiscard]] bool check_view(time_point now);
     void refresh_view(time_point now, bool extend);
     [[nodiscard]] bool in_view(const peer_record& record) const;
     [[nodiscard]] bool view_is_current(time_point now) const;
@@ -101,6 +103,10 @@
     std::uint64_t newest_version_{0}; ///< Of all settings stamps heard of.
     bool joining_{true};              ///< No member has sent its table yet.
     bool announce_{false};            ///< A settings version was heard of for the first time.
+    bool tables_to_send_{false};      ///< A record may have `table_left`.
+    bool records_changed_{true};      ///< Since `check_view` read the records, stamps aside.
+    bool stamps_changed_{false};      ///< A settings stamp is newer than in the view.
+    time_point next_change_{};        ///< Before this, no record changes by the passage of time.
     time_point last_tick_{};
     time_point next_probe_{};
     time_point next_gone_probe_{};
--- a/src/mangovane/membership/failure_detector_tick.cpp
+++ b/src/mangovane/membership/failure_detector_tick.cpp
@@ -25,12 +25,6 @@
 /// Period in which one dead member is probed, so that the sides of a healed partition meet again.
 constexpr milliseconds gone_probe_period{1000};
 
-/// Dead members are remembered longer than regions stay partitioned (an hour).
-constexpr std::chrono::hours dead_retention{2};
-
-/// Members that left are remembered longer than an old fact or the platform's list can name them.
-constexpr std::chrono::minutes left_retention{10};
-
 /// Members that probe the same dead member in one period, on average. Without this limit a member
 /// that comes back would receive a probe from all others at once.
 constexpr std::size_t probers_of_dead_member = 8;
@@ -205,6 +199,7 @@
             auto* peer = find(entry.subject);
             if (entry.relay_to.empty() && peer != nullptr && peer->suspect(timing_, now))
             {
+                records_changed_ = true;
                 updates_.put(entry.subject);
             }
             it = pending_.erase(it);
@@ -234,20 +229,23 @@
 
 void failure_detector::expire_records(time_point now)
 {
+    if (now < next_change_)
+    {
+        return;
+    }
     for (auto it = records_.begin(); it != records_.end();)
     {
         auto& [id, record] = *it;
         if (id != self_id_ && record.expire_suspicion(now))
         {
             updates_.put(id);
+            records_changed_ = true;
         }
-        const bool left = record.state() == member_state::left;
-        const duration retention = left ? duration{left_retention} : duration{dead_retention};
-        const bool forgotten =
-            id != self_id_ && !record.live() && now - record.gone_since() > retention;
+        const bool forgotten = id != self_id_ && record.forgotten(now);
         if (forgotten)
         {
             updates_.erase(id);
+            records_changed_ = true;
         }
         it = forgotten ? records_.erase(it) : std::next(it);
     }
@@ -269,6 +267,10 @@
 
 void failure_detector::send_tables(outgoing_messages& out)
 {
+    if (!tables_to_send_)
+    {
+        return;
+    }
     for (auto& [id, it] : records_)
     {
         if (it.table_left != 0)
@@ -277,6 +279,7 @@
             return;
         }
     }
+    tables_to_send_ = false;
 }
 
 void failure_detector::send_table_part(peer_record& peer, outgoing_messages& out)
--- a/src/mangovane/membership/peer_record.cpp
+++ b/src/mangovane/membership/peer_record.cpp
@@ -12,6 +12,12 @@
 namespace
 {
 
+/// Dead members are remembered longer than regions stay partitioned (an hour).
+constexpr std::chrono::hours dead_retention{2};
+
+/// Members that left are remembered longer than an old fact or the platform's list can name them.
+constexpr std::chrono::minutes left_retention{10};
+
 /// Place of a fact in the order in which facts supersede each other.
 struct precedence
 {
@@ -188,6 +194,31 @@
            entry.name == subject_.name;
 }
 
+time_point peer_record::forgotten_after() const
+{
+    const bool left = subject_.state == member_state::left;
+    return gone_since_ + (left ? duration{left_retention} : duration{dead_retention});
+}
+
+bool peer_record::forgotten(time_point now) const
+{
+    return !live() && now > forgotten_after();
+}
+
+time_point peer_record::next_change(time_point now) const
+{
+    auto result = time_point::max();
+    if (subject_.state == member_state::suspect)
+    {
+        result = suspect_until_;
+    }
+    else if (!live())
+    {
+        result = forgotten_after();
+    }
+    return damped_until_ > now ? std::min(result, damped_until_) : result;
+}
+
 member peer_record::in_view(time_point now) const
 {
     auto result = subject_;
--- a/src/mangovane/membership/peer_record.hpp
+++ b/src/mangovane/membership/peer_record.hpp
@@ -67,8 +67,11 @@
     /// Whether the entry in a view is still right, its settings stamp aside.
     [[nodiscard]] bool matches(const member& entry, time_point now) const;
 
-    /// Since when the member is dead or has left.
-    [[nodiscard]] time_point gone_since() const noexcept { return gone_since_; }
+    /// Whether it has been gone for so long that the record can be dropped.
+    [[nodiscard]] bool forgotten(time_point now) const;
+
+    /// When the passage of time alone changes the record next; `time_point::max()` when it doesn't.
+    [[nodiscard]] time_point next_change(time_point now) const;
 
     /// The fact to spread. Names and addresses travel only with `alive`, unless `whole` is set.
     [[nodiscard]] member_update fact(bool whole) const;
@@ -79,6 +82,7 @@
     std::size_t table_left{0}; ///< Records still to send to it after it joined.
 
 private:
+    [[nodiscard]] time_point forgotten_after() const;
     [[nodiscard]] bool eligible(time_point now) const;
     void note_return(const detector_timing& timing, time_point now);
     void enter(const member_update& fact, const detector_timing& timing, time_point now);
--- a/src/mangovane/membership/view.cpp
+++ b/src/mangovane/membership/view.cpp
@@ -10,43 +10,63 @@
 membership_view::membership_view(std::uint64_t version,
                                  time_point valid_until,
                                  std::vector<member> members)
-    : version_{version}, valid_until_{valid_until}, members_{std::move(members)}
+    : version_{version}, valid_until_{valid_until}, content_{std::make_shared<const content>(
+                                                        content_of(std::move(members)))}
+{}
+
+membership_view::content membership_view::content_of(std::vector<member> members)
 {
-    std::sort(members_.begin(), members_.end(),
-              [](const member& lhs, const member& rhs) { return lhs.id < rhs.id; });
-    for (const auto& it : members_)
+    content result;
+    const auto in_order = [](const member& lhs, const member& rhs) { return lhs.id < rhs.id; };
+    std::sort(members.begin(), members.end(), in_order);
+    for (const auto& it : members)
     {
         if (!it.eligible)
         {
             continue;
         }
-        eligible_.push_back(it.id.value());
-        auto at = std::lower_bound(domains_.begin(), domains_.end(), it.domain,
+        result.eligible.push_back(it.id.value());
+        auto at = std::lower_bound(result.domains.begin(), result.domains.end(), it.domain,
                                    [](const domain_members& lhs, domain_id rhs)
                                    { return lhs.domain < rhs; });
-        if (at == domains_.end() || at->domain != it.domain)
+        if (at == result.domains.end() || at->domain != it.domain)
         {
-            at = domains_.insert(at, domain_members{it.domain, {}});
+            at = result.domains.insert(at, domain_members{it.domain, {}});
         }
         at->ids.push_back(it.id.value());
     }
+    result.members = std::move(members);
+    return result;
+}
+
+membership_view membership_view::with_validity(time_point valid_until) const
+{
+    auto result = *this;
+    result.valid_until_ = valid_until;
+    return result;
+}
+
+bool membership_view::operator==(const membership_view& other) const
+{
+    return version_ == other.version_ && valid_until_ == other.valid_until_ &&
+           *content_ == *other.content_;
 }
 
 const member* membership_view::find(instance_id id) const noexcept
 {
     const auto it =
-        std::lower_bound(members_.begin(), members_.end(), id,
+        std::lower_bound(content_->members.begin(), content_->members.end(), id,
                          [](const member& lhs, instance_id rhs) { return lhs.id < rhs; });
-    return it == members_.end() || it->id != id ? nullptr : &*it;
+    return it == content_->members.end() || it->id != id ? nullptr : &*it;
 }
 
 const std::vector<std::uint64_t>& membership_view::eligible_in(domain_id domain) const noexcept
 {
     static const std::vector<std::uint64_t> none;
     const auto it =
-        std::lower_bound(domains_.begin(), domains_.end(), domain,
+        std::lower_bound(content_->domains.begin(), content_->domains.end(), domain,
                          [](const domain_members& lhs, domain_id rhs) { return lhs.domain < rhs; });
-    return it == domains_.end() || it->domain != domain ? none : it->ids;
+    return it == content_->domains.end() || it->domain != domain ? none : it->ids;
 }
 
 std::optional<instance_id> membership_view::endpoint_owner(endpoint_id endpoint,
@@ -62,19 +82,19 @@
 
 std::optional<instance_id> membership_view::key_owner(std::uint64_t key) const noexcept
 {
-    if (eligible_.empty())
+    if (content_->eligible.empty())
     {
         return std::nullopt;
     }
-    return instance_id{eligible_[rendezvous_owner(key, eligible_)]};
+    return instance_id{content_->eligible[rendezvous_owner(key, content_->eligible)]};
 }
 
 std::vector<instance_id> membership_view::key_owners(std::uint64_t key, std::size_t count) const
 {
     std::vector<instance_id> result;
-    for (const auto n : rendezvous_order(key, eligible_, count))
+    for (const auto n : rendezvous_order(key, content_->eligible, count))
     {
-        result.emplace_back(eligible_[n]);
+        result.emplace_back(content_->eligible[n]);
     }
     return result;
 }
@@ -84,7 +104,7 @@
     const auto own = rendezvous_score(key, id.value());
     std::size_t rank = 0;
     bool present = false;
-    for (const auto node : eligible_)
+    for (const auto node : content_->eligible)
     {
         present = present || node == id.value();
         rank += rendezvous_score(key, node) > own ? 1U : 0U;
--- a/src/mangovane/membership/view.hpp
+++ b/src/mangovane/membership/view.hpp
@@ -36,18 +36,21 @@
 public:
     membership_view(std::uint64_t version, time_point valid_until, std::vector<member> members);
 
+    /// The same members, relied on until another time. The copy shares them.
+    [[nodiscard]] membership_view with_validity(time_point valid_until) const;
+
     [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
 
     /// After this time a process must refresh its view before it acts; it was paused or cut off.
     [[nodiscard]] time_point valid_until() const noexcept { return valid_until_; }
 
     /// All members, dead ones excluded, in order of id.
-    [[nodiscard]] const std::vector<member>& members() const noexcept { return members_; }
+    [[nodiscard]] const std::vector<member>& members() const noexcept { return content_->members; }
 
     [[nodiscard]] const member* find(instance_id id) const noexcept;
 
     /// Number of instances that may own state.
-    [[nodiscard]] std::size_t eligible_count() const noexcept { return eligible_.size(); }
+    [[nodiscard]] std::size_t eligible_count() const noexcept { return content_->eligible.size(); }
 
     /// Ids of instances that may own state, in a failure domain.
     [[nodiscard]] const std::vector<std::uint64_t>& eligible_in(domain_id domain) const noexcept;
@@ -65,7 +68,7 @@
     /// Rank of an instance in rendezvous order of a key among all that may own state.
     [[nodiscard]] std::optional<std::size_t> rank_of(std::uint64_t key, instance_id id) const;
 
-    bool operator==(const membership_view&) const = default;
+    bool operator==(const membership_view& other) const;
 
 private:
     struct domain_members
@@ -76,11 +79,21 @@
         bool operator==(const domain_members&) const = default;
     };
 
+    struct content
+    {
+        std::vector<member> members;         ///< Ordered by id.
+        std::vector<std::uint64_t> eligible; ///< Ids of the members with `eligible`, ordered.
+        std::vector<domain_members> domains; ///< Ordered by domain.
+
+        bool operator==(const content&) const = default;
+    };
+
+    [[nodiscard]] static content content_of(std::vector<member> members);
+
     std::uint64_t version_;
     time_point valid_until_;
-    std::vector<member> members_;         ///< Ordered by id.
-    std::vector<std::uint64_t> eligible_; ///< Ids of the members with `eligible`, ordered.
-    std::vector<domain_members> domains_; ///< Ordered by domain.
+    std::shared_ptr<const content>
+        content_; ///< Never null. Shared by views that differ in validity.
 };
 
 using view_ptr = std::shared_ptr<const membership_view>;
