Describe all metrics and add those that operators miss

Cause: the text of metrics had no HELP and TYPE lines, and the lines of a histogram family could be split. Refusals before routing, such as a wrong key, left no trace. Queues, orphaned slots, cold and rebuilding ledgers, cache reuse and refused connections of other instances were not shown.

Change: a table of metric families with types and help texts; the text is built from it. New metrics as listed in docs/operators/metrics.md. Reuse is counted for callers that return the affinity token only: what the directory answered stays inside the request flow.

Conclusion: every metric has a row in the table and on the page; a test keeps it so.

--- a/src/mangovane/daemon/fleet_view.cpp
+++ b/src/mangovane/daemon/fleet_view.cpp
@@ -1,8 +1,10 @@
 // Implementation of the operators' view.
 #include "mangovane/daemon/fleet_view.hpp"
 
+#include <algorithm>
 #include <array>
 #include <string_view>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
@@ -45,6 +47,43 @@
     return it == names.end() ? absl::StrCat(absl::Hex(id.value())) : it->second;
 }
 
+struct owned_gauge
+{
+    const char* name;
+    std::uint32_t (*value)(const ledger_status&);
+};
+
+/// Sums over all owned endpoints.
+constexpr std::array owned_gauges{
+    owned_gauge{"mangovane_owned_endpoints", [](const ledger_status&) { return 1U; }},
+    owned_gauge{"mangovane_owned_in_flight", [](const ledger_status& it) { return it.in_flight; }},
+    owned_gauge{"mangovane_owned_queued", [](const ledger_status& it) { return it.queued; }},
+    owned_gauge{"mangovane_owned_orphaned_slots",
+                [](const ledger_status& it) { return it.orphaned; }},
+    owned_gauge{"mangovane_owned_cold", [](const ledger_status& it) { return it.cold ? 1U : 0U; }},
+    owned_gauge{"mangovane_owned_rebuilding",
+                [](const ledger_status& it) { return it.rebuilding ? 1U : 0U; }},
+};
+
+void append_owned(std::string& out, const std::vector<owned_endpoint_status>& owned)
+{
+    for (const auto& row : owned_gauges)
+    {
+        std::uint32_t sum = 0;
+        for (const auto& it : owned)
+        {
+            sum += row.value(it.ledger);
+        }
+        absl::StrAppend(&out, row.name, " ", sum, "\n");
+    }
+    std::uint32_t largest = 0;
+    for (const auto& it : owned)
+    {
+        largest = std::max(largest, it.ledger.in_flight);
+    }
+    absl::StrAppend(&out, "mangovane_owned_in_flight_largest ", largest, "\n");
+}
+
 } // namespace
 
 fleet_status fleet_view::status() const
@@ -98,15 +137,6 @@
 {
     const auto counters = core_.counters();
     const auto settings = core_.settings().current();
-    std::uint32_t largest = 0;
-    std::uint32_t sum = 0;
-    std::uint32_t owned = 0;
-    for (const auto& it : core_.slots().status(clock::now()))
-    {
-        largest = std::max(largest, it.ledger.in_flight);
-        sum += it.ledger.in_flight;
-        ++owned;
-    }
     std::string out;
     absl::StrAppend(&out, "mangovane_accepted_total ", counters.accepted, "\n");
     absl::StrAppend(&out, "mangovane_attempts_total ", counters.attempts, "\n");
@@ -115,9 +145,7 @@
     absl::StrAppend(&out, "mangovane_stale_grants_total ", counters.stale_grants, "\n");
     absl::StrAppend(&out, "mangovane_local_slots_total ", counters.local_slots, "\n");
     absl::StrAppend(&out, "mangovane_running_requests ", core_.running(), "\n");
-    absl::StrAppend(&out, "mangovane_owned_endpoints ", owned, "\n");
-    absl::StrAppend(&out, "mangovane_owned_in_flight ", sum, "\n");
-    absl::StrAppend(&out, "mangovane_owned_in_flight_largest ", largest, "\n");
+    append_owned(out, core_.slots().status(clock::now()));
     absl::StrAppend(&out, "mangovane_chats_remembered ", core_.chats().size(), "\n");
     absl::StrAppend(&out, "mangovane_view_members ", core_.view()->members().size(), "\n");
     absl::StrAppend(&out, "mangovane_settings_version ", settings ? settings->stamp.version : 0,
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -17,6 +17,7 @@
 #include <glog/logging.h>
 
 #include "mangovane/daemon/claim_gateway.hpp"
+#include "mangovane/daemon/control_metrics.hpp"
 #include "mangovane/daemon/fleet_view.hpp"
 #include "mangovane/daemon/platform_follower.hpp"
 #include "mangovane/daemon/static_platform.hpp"
@@ -25,6 +26,7 @@
 #include "mangovane/net/http_server.hpp"
 #include "mangovane/net/operator_server.hpp"
 #include "mangovane/net/peer_network.hpp"
+#include "mangovane/observe/metric_table.hpp"
 #include "mangovane/observe/request_metrics.hpp"
 #include "mangovane/settings/parse.hpp"
 
@@ -93,19 +95,8 @@
           claims_platform{options.platform.empty() ? nullptr
                                                    : make_http_platform(io, options.platform)},
           claims{io, platform ? static_cast<table_service&>(*claims_platform) : no_table, core},
-          services{core,
-                   claims,
-                   metrics,
-                   ready,
-                   [this] { return absl::StrCat(metrics.text(false), fleet.metrics_text()); },
-                   {}},
-          server{io, services}, operators{io,
-                                          {fleet,
-                                           [this] {
-                                               return absl::StrCat(metrics.text(true),
-                                                                   fleet.metrics_text(), traffic());
-                                           },
-                                           options.cluster_key}},
+          services{core, claims, metrics, ready, [this] { return metrics_text(false); }, {}}, server{io, services},
+          operators{io, {fleet, [this] { return metrics_text(true); }, options.cluster_key}},
           signals{io, SIGTERM, SIGINT}, ticker{asio::make_strand(io)}, drain_timer{io}
     {
         if (platform)
@@ -116,7 +107,7 @@
 
     [[nodiscard]] absl::Status load_static();
     [[nodiscard]] absl::Status listen();
-    [[nodiscard]] std::string traffic() const;
+    [[nodiscard]] std::string metrics_text(bool for_operators) const;
     void tick();
     void update_readiness();
     void start_shutdown();
@@ -187,19 +178,16 @@
     return status;
 }
 
-std::string router::state::traffic() const
+std::string router::state::metrics_text(bool for_operators) const
 {
-    const auto n = peers.traffic();
-    std::string out;
-    absl::StrAppend(&out, "mangovane_control_bytes_total{direction=\"sent\"} ", n.bytes_sent, "\n");
-    absl::StrAppend(&out, "mangovane_control_bytes_total{direction=\"received\"} ",
-                    n.bytes_received, "\n");
-    absl::StrAppend(&out, "mangovane_poll_bytes_total ", poller.bytes(), "\n");
-    absl::StrAppend(&out, "mangovane_messages_dropped_total ", n.messages_dropped, "\n");
     const auto age = follower ? follower->settings_age(clock::now()) : std::nullopt;
-    absl::StrAppend(&out, "mangovane_settings_age_seconds ",
-                    age ? static_cast<double>(age->count()) / 1000.0 : -1.0, "\n");
-    return out;
+    std::string out =
+        absl::StrCat(metrics.text(for_operators), fleet.metrics_text(), settings_age_metric(age));
+    if (for_operators)
+    {
+        out += traffic_metrics(peers.traffic(), poller.bytes());
+    }
+    return describe_metrics(out);
 }
 
 void router::state::tick()
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -111,7 +111,7 @@
     if (is_bad_input(ec))
     {
         keep_alive_ = false;
-        co_await write_error(kind_of_read_error(ec), ec.message());
+        co_await refuse_early(kind_of_read_error(ec), ec.message());
     }
     co_return std::nullopt;
 }
@@ -137,13 +137,13 @@
     const auto settings = services_.core.settings().current();
     if (!settings)
     {
-        co_await write_error(error_kind::not_ready, "the instance has no settings yet");
+        co_await refuse_early(error_kind::not_ready, "the instance has no settings yet");
         co_return;
     }
     auto routed = read_caller_request(req, *settings, clock::now());
     if (!routed.ok())
     {
-        co_await write_error(*kind_of(routed.status()), std::string{routed.status().message()});
+        co_await refuse_early(*kind_of(routed.status()), std::string{routed.status().message()});
         co_return;
     }
     co_await route(std::move(*routed));
@@ -154,7 +154,7 @@
 {
     if (req.method() != http::verb::get && req.method() != http::verb::head)
     {
-        co_await write_error(error_kind::malformed_request, "this path is read by GET");
+        co_await refuse_early(error_kind::malformed_request, "this path is read by GET");
         co_return;
     }
     co_await write_answer(status, "text/plain; version=0.0.4", std::move(text), 0);
@@ -168,6 +168,7 @@
     record_.account_name = req.account_name;
     record_.service_name = req.service_name;
     record_.priority = req.routed.priority;
+    record_.has_affinity = !req.routed.hint.empty();
     caller_lost_ = false;
     request_ = std::move(req);
     exchange_ = std::make_shared<exchange>(stream_.get_executor(), services_);
@@ -244,6 +245,7 @@
     }
     record_.queue_wait = since(accepted_at_);
     ++record_.attempts;
+    record_.affinity_kept = action.endpoint == request_->routed.hint.endpoints.front();
     auto attempt = std::make_shared<endpoint_attempt>(stream_.get_executor(), std::move(order),
                                                       *this, services_.limits);
     attempt_ = attempt;
@@ -293,6 +295,12 @@
     services_.observer.on_request_end(record_);
 }
 
+asio::awaitable<void> caller_session::refuse_early(error_kind kind, std::string message)
+{
+    services_.observer.on_early_refusal(kind);
+    co_await write_error(kind, std::move(message));
+}
+
 asio::awaitable<void> caller_session::write_error(error_kind kind, std::string message)
 {
     const auto& answer = answer_for(kind);
--- a/src/mangovane/net/caller_session.hpp
+++ b/src/mangovane/net/caller_session.hpp
@@ -42,6 +42,8 @@
     serve_local(const http_request& req, unsigned status, std::string text);
     boost::asio::awaitable<void> route(caller_request req);
     boost::asio::awaitable<void> watch_caller(std::shared_ptr<exchange> ex);
+    /// Refuses a request that has not reached routing.
+    boost::asio::awaitable<void> refuse_early(error_kind kind, std::string message);
     boost::asio::awaitable<void> write_error(error_kind kind, std::string message);
     boost::asio::awaitable<void>
     write_answer(unsigned status, std::string type, std::string body, std::uint32_t retry_after_s);
--- /dev/null
+++ b/src/mangovane/observe/metric_table.hpp
@@ -0,0 +1,42 @@
+// The metric families of an instance, with their types and help texts.
+#ifndef MANGOVANE_OBSERVE_METRIC_TABLE_HPP
+#define MANGOVANE_OBSERVE_METRIC_TABLE_HPP
+
+#include <compare>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace mangovane
+{
+
+enum class metric_type : std::uint8_t
+{
+    counter,
+    gauge,
+    histogram,
+};
+
+struct metric_family
+{
+    std::string_view name;
+    metric_type type{metric_type::gauge};
+    std::string_view help;
+
+    auto operator<=>(const metric_family&) const = default;
+};
+
+/// All families, in the order of the text.
+[[nodiscard]] std::span<const metric_family> metric_families() noexcept;
+
+/// Family of a sample line; nothing when the table has none. Samples of a histogram have a suffix.
+[[nodiscard]] const metric_family* find_metric(std::string_view line) noexcept;
+
+/// Adds `# HELP` and `# TYPE` lines and brings the lines of a family together, as the format
+/// demands. Lines without a family are left out.
+[[nodiscard]] std::string describe_metrics(std::string_view samples);
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/observe/request_metrics.cpp
+++ b/src/mangovane/observe/request_metrics.cpp
@@ -37,6 +37,11 @@
     };
     const std::lock_guard lock{mutex_};
     ++outcomes_[record.outcome];
+    if (record.has_affinity && record.attempts != 0)
+    {
+        ++affinity_requests_;
+        affinity_kept_ += record.affinity_kept ? 1 : 0;
+    }
     add(all_);
     add(labels_.count(record.account, record.account_name) ? accounts_[record.account] : other_);
 }
@@ -83,15 +88,31 @@
     }
 }
 
-std::string request_metrics::text(bool with_accounts) const
+void request_metrics::append_counters(std::string& out) const
 {
-    std::string out;
-    const std::lock_guard lock{mutex_};
     for (const auto& [outcome, n] : outcomes_)
     {
         absl::StrAppend(&out, "mangovane_requests_total{outcome=\"", outcome, "\"} ", n, "\n");
     }
     absl::StrAppend(&out, "mangovane_dropped_answers_total ", dropped_answers_.load(), "\n");
+    absl::StrAppend(&out, "mangovane_affinity_requests_total ", affinity_requests_, "\n");
+    absl::StrAppend(&out, "mangovane_affinity_kept_total ", affinity_kept_, "\n");
+    for (const auto& it : error_answers())
+    {
+        const auto n = early_refusals_[static_cast<std::size_t>(it.kind)].load();
+        if (n != 0)
+        {
+            absl::StrAppend(&out, "mangovane_early_refusals_total{kind=\"", to_std(it.name), "\"} ",
+                            n, "\n");
+        }
+    }
+}
+
+std::string request_metrics::text(bool with_accounts) const
+{
+    std::string out;
+    const std::lock_guard lock{mutex_};
+    append_counters(out);
     if (!with_accounts)
     {
         append_histograms(out, {}, all_);
--- a/src/mangovane/observe/request_metrics.hpp
+++ b/src/mangovane/observe/request_metrics.hpp
@@ -27,6 +27,10 @@
     explicit request_metrics(std::size_t labels = labelled_accounts);
 
     void on_request_end(const request_record& record) override;
+    void on_early_refusal(error_kind kind) override
+    {
+        ++early_refusals_[static_cast<std::size_t>(kind)];
+    }
     void on_dropped_answer() override { ++dropped_answers_; }
 
     /// Gives labels to the accounts that were busiest since the last call. Called once a minute.
@@ -54,6 +58,7 @@
     };
     static const std::array<named_series, 3> series_table;
 
+    void append_counters(std::string& out) const;
     void append_histograms(std::string& out,
                            const std::string& account,
                            const class_series& series) const;
@@ -65,6 +70,9 @@
     class_series other_; ///< All other accounts. Guarded by `mutex_`.
     class_series all_;   ///< Every account. Guarded by `mutex_`.
     std::map<std::string, std::uint64_t> outcomes_; ///< By outcome. Guarded by `mutex_`.
+    std::uint64_t affinity_requests_{0};            ///< Guarded by `mutex_`.
+    std::uint64_t affinity_kept_{0};                ///< Guarded by `mutex_`.
+    std::array<std::atomic<std::uint64_t>, error_kind_count> early_refusals_{}; ///< By kind.
     std::atomic<std::uint64_t> dropped_answers_{0};
 };
 
--- a/src/mangovane/observe/request_record.hpp
+++ b/src/mangovane/observe/request_record.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "mangovane/core/error_kind.hpp"
 #include "mangovane/core/id.hpp"
 #include "mangovane/core/request_class.hpp"
 #include "mangovane/core/time.hpp"
@@ -23,6 +24,8 @@
     milliseconds queue_wait{0};  ///< From acceptance to the dispatch of the last attempt.
     milliseconds first_token{0}; ///< From acceptance to the first byte of the answer; 0: none.
     std::uint32_t attempts{0};
+    bool has_affinity{false};  ///< The caller sent an affinity token.
+    bool affinity_kept{false}; ///< The last attempt went to the first endpoint of the token.
 
     auto operator<=>(const request_record&) const = default;
 };
@@ -33,7 +36,8 @@
 public:
     virtual ~request_observer() = default;
     virtual void on_request_end(const request_record& record) = 0;
-    virtual void on_dropped_answer() = 0; ///< A late or crossed answer.
+    virtual void on_early_refusal(error_kind kind) = 0; ///< Refused before routing.
+    virtual void on_dropped_answer() = 0;               ///< A late or crossed answer.
 };
 
 } // namespace mangovane
--- /dev/null
+++ b/test/mangovane/daemon/metric_names.cpp
@@ -0,0 +1,117 @@
+// Tests that the metrics of an instance, their table and the operators' page agree.
+#include "mangovane/observe/metric_table.hpp"
+
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "mangovane/daemon/control_metrics.hpp"
+#include "mangovane/daemon/fleet_view.hpp"
+#include "mangovane/observe/request_metrics.hpp"
+
+using namespace mangovane;
+
+namespace
+{
+
+class no_network final : public message_sink
+{
+public:
+    void send(const outgoing_message&) override {}
+};
+
+request_record make_record()
+{
+    request_record result;
+    result.account = account_id::of("parish");
+    result.account_name = "parish";
+    result.outcome = "ok";
+    result.total = milliseconds{7};
+    result.first_token = milliseconds{3};
+    return result;
+}
+
+/// All lines that an instance can show.
+std::string all_samples()
+{
+    no_network sink;
+    coordinator core{coordinator_options{}, sink, clock::now()};
+    request_metrics metrics;
+    metrics.on_request_end(make_record());
+    metrics.on_early_refusal(error_kind::unauthenticated);
+    return metrics.text(true) + fleet_view{core}.metrics_text() + traffic_metrics({}, 0) +
+           settings_age_metric(std::nullopt);
+}
+
+std::string page()
+{
+    std::ifstream file{MANGOVANE_SOURCE_FOLDER "/docs/operators/metrics.md"};
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("the metrics of an instance")
+{
+    const auto samples = all_samples();
+
+    SUBCASE("have a row in the table each, otherwise they vanish from the text")
+    {
+        std::istringstream lines{samples};
+        std::set<std::string_view> seen;
+        for (std::string line; std::getline(lines, line);)
+        {
+            const auto* family = find_metric(line);
+            REQUIRE_MESSAGE(family != nullptr, line);
+            seen.insert(family->name);
+        }
+
+        SUBCASE("and the table has no rows of metrics that no longer exist")
+        {
+            for (const auto& it : metric_families())
+            {
+                CHECK_MESSAGE(seen.contains(it.name), std::string{it.name});
+            }
+        }
+    }
+
+    SUBCASE("have a row on the operators' page each, so that no metric lacks its meaning")
+    {
+        const auto text = page();
+        for (const auto& it : metric_families())
+        {
+            CHECK_MESSAGE(has(text, "| `" + std::string{it.name} + "` |"), std::string{it.name});
+        }
+    }
+
+    SUBCASE("are described once, before all lines of the family: scrapers refuse split families")
+    {
+        const auto text = describe_metrics("mangovane_request_seconds_sum{class=\"a\"} 1\n"
+                                           "mangovane_attempts_total 4\n"
+                                           "mangovane_request_seconds_count{class=\"a\"} 2\n");
+        CHECK(text == "# HELP mangovane_request_seconds Time from acceptance to the end of the "
+                      "answer.\n"
+                      "# TYPE mangovane_request_seconds histogram\n"
+                      "mangovane_request_seconds_sum{class=\"a\"} 1\n"
+                      "mangovane_request_seconds_count{class=\"a\"} 2\n"
+                      "# HELP mangovane_attempts_total Attempts sent to endpoints.\n"
+                      "# TYPE mangovane_attempts_total counter\n"
+                      "mangovane_attempts_total 4\n");
+    }
+}
+
+TEST_CASE("the age of the settings is -1 before the first read, not a small number")
+{
+    CHECK(settings_age_metric(std::nullopt) == "mangovane_settings_age_seconds -1\n");
+    CHECK(settings_age_metric(milliseconds{1500}) == "mangovane_settings_age_seconds 1.5\n");
+}
--- a/test/mangovane/observe/request_metrics.cpp
+++ b/test/mangovane/observe/request_metrics.cpp
@@ -91,3 +91,34 @@
         CHECK(sum.quantile_ms(0.5) == 50);
     }
 }
+
+TEST_CASE("cache reuse counts what reached an endpoint")
+{
+    request_metrics metrics;
+    auto record = make_record("a", milliseconds{3});
+    record.has_affinity = true;
+
+    SUBCASE("a refused request is not counted: it would look like a lost prefix")
+    {
+        record.outcome = "rate_limited";
+        metrics.on_request_end(record);
+        CHECK(has(metrics.text(false), "mangovane_affinity_requests_total 0\n"));
+    }
+
+    SUBCASE("requests that left their endpoint lower the share")
+    {
+        record.attempts = 1;
+        metrics.on_request_end(record);
+        record.affinity_kept = true;
+        metrics.on_request_end(record);
+        CHECK(has(metrics.text(false), "mangovane_affinity_requests_total 2\n"));
+        CHECK(has(metrics.text(false), "mangovane_affinity_kept_total 1\n"));
+    }
+
+    SUBCASE("refusals before routing are counted by kind: a wrong key left no trace")
+    {
+        metrics.on_early_refusal(error_kind::unauthenticated);
+        CHECK(has(metrics.text(false),
+                  "mangovane_early_refusals_total{kind=\"unauthenticated\"} 1\n"));
+    }
+}
