--- /dev/null
+++ b/src/mangovane/daemon/endpoint_log.hpp
@@ -0,0 +1,44 @@
+// Logs changes of the endpoints that an instance owns: ownership, ramp and readiness.
+#ifndef MANGOVANE_DAEMON_ENDPOINT_LOG_HPP
+#define MANGOVANE_DAEMON_ENDPOINT_LOG_HPP
+
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "mangovane/routing/routing_table.hpp"
+#include "mangovane/routing/slot_service.hpp"
+
+namespace mangovane
+{
+
+/// Used by one thread at a time.
+class endpoint_log
+{
+public:
+    /// Returns a line for each change since the last call, in no fixed order of endpoints.
+    [[nodiscard]] std::vector<std::string> changes(const std::vector<owned_endpoint_status>& owned,
+                                                   const endpoint_directory& endpoints);
+
+private:
+    /// What is logged of an endpoint.
+    struct seen_endpoint
+    {
+        std::string name;
+        std::uint32_t ramp{0}; ///< 0: the ramp has ended.
+        bool rebuilding{false};
+        std::optional<slot_refusal_reason> closed;
+
+        bool operator==(const seen_endpoint&) const = default;
+    };
+
+    static void
+    compare(const seen_endpoint& before, const seen_endpoint& after, std::vector<std::string>& out);
+
+    absl::flat_hash_map<endpoint_id, seen_endpoint> seen_;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/daemon/request_log.hpp
@@ -0,0 +1,32 @@
+// Observer that can log each request and passes everything on.
+#ifndef MANGOVANE_DAEMON_REQUEST_LOG_HPP
+#define MANGOVANE_DAEMON_REQUEST_LOG_HPP
+
+#include <string>
+
+#include "mangovane/observe/request_record.hpp"
+
+namespace mangovane
+{
+
+/// Line of one request.
+[[nodiscard]] std::string log_line(const request_record& record);
+
+class request_log final : public request_observer
+{
+public:
+    /// `next` outlives the log. Without `verbose` nothing is logged.
+    request_log(request_observer& next, bool verbose) : next_{next}, verbose_{verbose} {}
+
+    void on_request_end(const request_record& record) override;
+    void on_early_refusal(error_kind kind) override;
+    void on_dropped_answer() override { next_.on_dropped_answer(); }
+
+private:
+    request_observer& next_;
+    const bool verbose_;
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -18,8 +18,10 @@
 
 #include "mangovane/daemon/claim_gateway.hpp"
 #include "mangovane/daemon/control_metrics.hpp"
+#include "mangovane/daemon/endpoint_log.hpp"
 #include "mangovane/daemon/fleet_view.hpp"
 #include "mangovane/daemon/platform_follower.hpp"
+#include "mangovane/daemon/request_log.hpp"
 #include "mangovane/daemon/static_platform.hpp"
 #include "mangovane/daemon/view_log.hpp"
 #include "mangovane/net/endpoint_poller.hpp"
@@ -45,6 +47,8 @@
 /// Time for the last messages to other instances.
 constexpr milliseconds flush_time{200};
 constexpr seconds label_period{60};
+/// Period in which owned endpoints are looked at for changes to log.
+constexpr milliseconds endpoint_log_period{250};
 
 member make_self(const router_options& options)
 {
@@ -95,7 +99,8 @@
           claims_platform{options.platform.empty() ? nullptr
                                                    : make_http_platform(io, options.platform)},
           claims{io, platform ? static_cast<table_service&>(*claims_platform) : no_table, core},
-          services{core, claims, metrics, ready, [this] { return metrics_text(false); }, {}}, server{io, services},
+          requests{metrics, options.verbose},
+          services{core, claims, requests, ready, [this] { return metrics_text(false); }, {}}, server{io, services},
           operators{io, {fleet, [this] { return metrics_text(true); }, options.cluster_key}},
           signals{io, SIGTERM, SIGINT}, ticker{asio::make_strand(io)}, drain_timer{io}
     {
@@ -109,6 +114,7 @@
     [[nodiscard]] absl::Status listen();
     [[nodiscard]] std::string metrics_text(bool for_operators) const;
     void tick();
+    void log_endpoints(time_point now);
     void update_readiness();
     void start_shutdown();
     void await_last_request();
@@ -123,6 +129,7 @@
     coordinator core;
     fleet_view fleet;
     view_log log;
+    endpoint_log owned_log;
     endpoint_poller poller;
     unavailable_table no_table{io};
     std::unique_ptr<http_platform> platform; ///< Null in static mode.
@@ -131,6 +138,7 @@
     std::optional<platform_follower> follower;
     claim_gateway claims;
     request_metrics metrics;
+    request_log requests;
     std::atomic<bool> ready{false};
     std::atomic<bool> stopping{false};
     front_services services;
@@ -140,6 +148,7 @@
     asio::steady_timer ticker;
     asio::steady_timer drain_timer;
     time_point labels_rotated_at{};
+    time_point endpoints_logged_at{};
 };
 
 absl::Status router::state::load_static()
@@ -205,6 +214,7 @@
         peers.set_peers(*view);
     }
     log.on_settings(core.settings().current());
+    log_endpoints(now);
     if (now > labels_rotated_at + label_period)
     {
         labels_rotated_at = now;
@@ -222,6 +232,20 @@
         });
 }
 
+void router::state::log_endpoints(time_point now)
+{
+    if (now < endpoints_logged_at + endpoint_log_period)
+    {
+        return;
+    }
+    endpoints_logged_at = now;
+    const auto routes = core.routes();
+    for (const auto& it : owned_log.changes(core.slots().status(now), routes->endpoints()))
+    {
+        LOG(INFO) << it;
+    }
+}
+
 void router::state::update_readiness()
 {
     const bool fit =
