Add processor time of decision paths and memory slopes to the bench

Cause: the targets of 60 us for a decision path and 20 us for a placement, and the budget of 64 MB, had no measurement over the coordinator. Change: the sub-command path runs whole requests at one instance, and at two with encoded messages, and measures placement, probe, renewal, tick, the reading of the settings and the heap of each kind of state.

--- a/src/bench/control_command.cpp
+++ b/src/bench/control_command.cpp
@@ -44,6 +44,8 @@
     static const std::vector<control_run> runs{
         {"today", fleet_shape{}, control_load{}},
         {"today_idle", fleet_shape{}, control_load{0.001}},
+        {"today_unlimited", {13, 20, 3, 3, 10, false}, control_load{}},
+        {"90_unlimited", {90, 234, 3, 7, 1825, false}, {900, planned_answer_time}},
         {"today_all_cold", fleet_shape{},
          control_load{40, planned_answer_time, false, seconds{15}}},
         grown("13", 13),
--- a/src/bench/decision_command.cpp
+++ b/src/bench/decision_command.cpp
@@ -1,14 +1,12 @@
 // Sub-command `decision`: processor time of placement decisions, and time and memory of the chat
 // directory at the size of two years.
 #include <algorithm>
-#include <ctime>
 #include <iostream>
 
-#include <malloc.h>
-
 #include "bench/commands.hpp"
 #include "bench/figure.hpp"
 #include "bench/options.hpp"
+#include "bench/process_cost.hpp"
 #include "mangovane/core/hash.hpp"
 #include "mangovane/placement/chat_directory.hpp"
 #include "mangovane/placement/strategy.hpp"
@@ -25,31 +23,6 @@
 constexpr std::size_t entries = chats * chat_copies / instances;
 constexpr std::uint64_t decisions = 20'000;
 
-double cpu_us()
-{
-    timespec at{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
-    return static_cast<double>(at.tv_sec) * 1e6 + static_cast<double>(at.tv_nsec) / 1e3;
-}
-
-/// Mean processor time of `work(n)` for n from 0 to count.
-template <class Work>
-double mean_us(std::uint64_t count, Work work)
-{
-    const auto start = cpu_us();
-    for (std::uint64_t n = 0; n != count; ++n)
-    {
-        work(n);
-    }
-    return (cpu_us() - start) / static_cast<double>(count);
-}
-
-double heap_bytes()
-{
-    const auto info = mallinfo2();
-    return static_cast<double>(info.uordblks + info.hblkhd);
-}
-
 std::vector<candidate> make_candidates()
 {
     std::vector<candidate> result;
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -21,6 +21,7 @@
 constexpr std::array commands{
     command{"reuse", &mangovane::bench::run_reuse},
     command{"decision", &mangovane::bench::run_decision},
+    command{"path", &mangovane::bench::run_path},
     command{"control", &mangovane::bench::run_control},
 };
 
--- /dev/null
+++ b/src/bench/path_pair.cpp
@@ -0,0 +1,169 @@
+// Implementation of the instances of the path measurement.
+#include "bench/path_pair.hpp"
+
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovane/wire/codec.hpp"
+
+namespace mangovane::bench
+{
+
+namespace
+{
+
+constexpr milliseconds tick_period{50};
+constexpr seconds longest_request{3600};
+constexpr std::size_t small_directory = 1U << 16U;
+
+} // namespace
+
+class path_pair::sink final : public message_sink
+{
+public:
+    sink(path_pair& pair, std::size_t from) : pair_{pair}, from_{from} {}
+    void send(const outgoing_message& msg) override
+    {
+        pair_.packets_.push_back({from_, msg.to, msg.body});
+    }
+
+private:
+    path_pair& pair_;
+    std::size_t from_;
+};
+
+/// Remembers the attempt that is to be answered.
+class path_pair::port final : public request_port
+{
+public:
+    void send(const send_attempt& action) override { sent = action.attempt; }
+    void abort(const abort_attempt&) override {}
+    void claim(const claim_key&) override {}
+    void settle(const settle_claim&) override {}
+    void answer(const answer_error&) override {}
+    void answer(const answer_stored&) override {}
+    void end(const end_request& action) override { answered = action.complete; }
+    void wake(const wake_at&) override {}
+
+    std::uint64_t number{0};
+    std::optional<attempt_id> sent;
+    bool answered{false};
+};
+
+path_pair::path_pair(settings_ptr settings, endpoints_ptr endpoints, std::size_t instances)
+    : instances_{instances}
+{
+    for (std::size_t n = 0; n != instances; ++n)
+    {
+        add_node(n, settings, endpoints);
+    }
+    advance(seconds{10});
+}
+
+path_pair::~path_pair() = default;
+
+void path_pair::add_node(std::size_t n,
+                         const settings_ptr& settings,
+                         const endpoints_ptr& endpoints)
+{
+    // Endpoints stand in domain 0, which is the domain of the last instance.
+    const auto domain_of = [&](std::size_t it)
+    { return domain_id::of(domain_name(instances_ - 1 - it)); };
+    member self;
+    self.name = absl::StrCat("router-", n);
+    self.id = instance_id::of(self.name);
+    self.epoch = 1;
+    self.address = "127.0.0.1:1";
+    self.domain = domain_of(n);
+    std::vector<listed_instance> list;
+    for (std::size_t it = 0; it != instances_; ++it)
+    {
+        list.push_back({absl::StrCat("router-", it), "127.0.0.1:1", domain_of(it), false});
+    }
+    auto& added = nodes_.emplace_back();
+    added.id = self.id;
+    added.out = std::make_unique<sink>(*this, n);
+    const coordinator_options options{self, {}, n + 1, small_directory};
+    added.core = std::make_unique<coordinator>(options, *added.out, now_);
+    added.core->adopt_settings(settings, now_);
+    added.core->on_platform_list(list, endpoints, now_);
+}
+
+void path_pair::advance(milliseconds time)
+{
+    const auto end = now_ + time;
+    while (now_ < end)
+    {
+        now_ += tick_period;
+        for (auto& it : nodes_)
+        {
+            it.core->on_platform_read(now_);
+            it.core->tick(now_);
+        }
+        deliver();
+    }
+}
+
+void path_pair::deliver()
+{
+    while (!packets_.empty())
+    {
+        const auto next = std::move(packets_.front());
+        packets_.pop_front();
+        ++messages_;
+        const auto& sender = nodes_[next.from];
+        const auto bytes =
+            encode_frame(frame{sender.id, 1, std::nullopt, {next.body}}, now_).value();
+        const std::string body = bytes.substr(frame_prefix_bytes);
+        const auto received = decode_frame(body, now_).value();
+        for (auto& it : nodes_)
+        {
+            if (it.id == next.to)
+            {
+                it.core->on_message(received.sender, received.messages.front(), now_);
+            }
+        }
+    }
+}
+
+std::shared_ptr<path_pair::port> path_pair::start(std::uint64_t chat)
+{
+    routed_request request;
+    request.account = account_id::of(account_name(chat % planned_fleet.accounts));
+    request.service = model_service();
+    request.model = served_model();
+    request.chat = chat_id{hash_combine(chat, 1)};
+    request.idempotent = true;
+    request.deadline = now_ + longest_request;
+    auto caller = std::make_shared<port>();
+    caller->number = front().start(std::move(request), caller, now_);
+    deliver();
+    return caller;
+}
+
+bool path_pair::run_request(std::uint64_t chat)
+{
+    const auto caller = start(chat);
+    if (!caller->sent)
+    {
+        return false;
+    }
+    front().on_event(caller->number, attempt_answered{*caller->sent}, now_);
+    attempt_ended ended;
+    ended.attempt = *caller->sent;
+    ended.outcome = attempt_outcome::succeeded;
+    ended.answer_started = true;
+    ended.answer_complete = true;
+    ended.first_token_ms = 100;
+    front().on_event(caller->number, ended, now_);
+    deliver();
+    return caller->answered;
+}
+
+void path_pair::hold_request(std::uint64_t chat)
+{
+    held_.push_back(start(chat));
+}
+
+} // namespace mangovane::bench
--- /dev/null
+++ b/src/bench/process_cost.hpp
@@ -0,0 +1,40 @@
+// Processor time and heap of this process.
+#ifndef MANGOVANE_BENCH_PROCESS_COST_HPP
+#define MANGOVANE_BENCH_PROCESS_COST_HPP
+
+#include <cstdint>
+#include <ctime>
+
+#include <malloc.h>
+
+namespace mangovane::bench
+{
+
+[[nodiscard]] inline double cpu_us()
+{
+    timespec at{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
+    return static_cast<double>(at.tv_sec) * 1e6 + static_cast<double>(at.tv_nsec) / 1e3;
+}
+
+/// Mean processor time of `work(n)` for n from 0 to count.
+template <class Work>
+[[nodiscard]] double mean_us(std::uint64_t count, Work work)
+{
+    const auto start = cpu_us();
+    for (std::uint64_t n = 0; n != count; ++n)
+    {
+        work(n);
+    }
+    return (cpu_us() - start) / static_cast<double>(count);
+}
+
+[[nodiscard]] inline double heap_bytes()
+{
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+} // namespace mangovane::bench
+
+#endif
