Let settings of 7,300 accounts fit into a frame

Cause: the text of 7,300 accounts with limits has 1.82 MB, and the decoder refused texts over 1 MiB, so that peers could not fetch the version. Change: 3 MiB for the text and 4 MiB for its frame, which is accepted only from a sender that proved the key. Conclusion: settings of the planned size spread between instances.

--- a/src/mangovane/wire/codec.hpp
+++ b/src/mangovane/wire/codec.hpp
@@ -30,9 +30,10 @@
 inline constexpr std::size_t max_frame_bytes = 64 * 1024;
 
 /// Largest frame with the text of the settings; accepted only from a sender that proved the key.
-inline constexpr std::size_t max_settings_frame_bytes = 2 * 1024 * 1024;
+inline constexpr std::size_t max_settings_frame_bytes = 4 * 1024 * 1024;
 
-inline constexpr std::size_t max_settings_text_bytes = 1024 * 1024;
+/// The text of 7,300 accounts with limits has 1.8 MB.
+inline constexpr std::size_t max_settings_text_bytes = 3 * 1024 * 1024;
 inline constexpr std::size_t max_member_name_bytes = 128;
 inline constexpr std::size_t max_member_address_bytes = 64;
 
