Poll an endpoint before using its local share, and plant every fault for the oracle

Three planted faults of the oracle test were not planted at all, and passed only because the fleet broke promises by itself; the fake fleet also used freed memory when it ended.

Change: a local share is used only after this instance has polled the endpoint. The planted faults change the settings of the fake fleet or lose the settings of an instance; the check of the ramp allows no extra step. Waiting claims end before the queues of the fake instances.

--- a/src/mangovane/net/endpoint_poller.cpp
+++ b/src/mangovane/net/endpoint_poller.cpp
@@ -56,7 +56,7 @@
     while (!stopped_)
     {
         const auto routes = core_.routes();
-        for (const auto endpoint : core_.slots().owned())
+        for (const auto endpoint : core_.endpoints_to_poll(clock::now()))
         {
             const auto* info = routes->find(endpoint);
             if (info != nullptr)
@@ -107,7 +107,7 @@
     }
     else
     {
-        core_.on_endpoint_poll(endpoint.id, answered);
+        core_.on_endpoint_poll(endpoint.id, answered, clock::now());
     }
 }
 
--- a/src/mangovane/routing/coordinator.cpp
+++ b/src/mangovane/routing/coordinator.cpp
@@ -46,9 +46,24 @@
 
 void coordinator::on_endpoint_report(const endpoint_report& report, time_point now)
 {
+    shares_.on_poll(report.endpoint, !report.leaving, now);
     send(slots_.on_report(report, now), now);
 }
 
+void coordinator::on_endpoint_poll(endpoint_id endpoint, bool answered, time_point now)
+{
+    shares_.on_poll(endpoint, answered, now);
+    slots_.on_poll(endpoint, answered);
+}
+
+std::vector<endpoint_id> coordinator::endpoints_to_poll(time_point now)
+{
+    auto result = slots_.owned();
+    const auto wanted = shares_.wanted(now);
+    result.insert(result.end(), wanted.begin(), wanted.end());
+    return result;
+}
+
 template <class Message>
 void coordinator::handle(instance_id from, const Message& msg, time_point now)
 {
--- a/src/mangovane/routing/coordinator.hpp
+++ b/src/mangovane/routing/coordinator.hpp
@@ -68,10 +68,11 @@
     void on_endpoint_report(const endpoint_report& report, time_point now);
 
     /// An owned endpoint answered a poll without a report of its load, or did not answer.
-    void on_endpoint_poll(endpoint_id endpoint, bool answered)
-    {
-        slots_.on_poll(endpoint, answered);
-    }
+    void on_endpoint_poll(endpoint_id endpoint, bool answered, time_point now);
+
+    /// Endpoints that this instance has to poll: the ones it owns, and those whose share it wants
+    /// to use.
+    [[nodiscard]] std::vector<endpoint_id> endpoints_to_poll(time_point now);
 
     /// A message of another instance.
     void on_message(instance_id from, const message& msg, time_point now);
--- a/src/mangovane/routing/coordinator_requests.cpp
+++ b/src/mangovane/routing/coordinator_requests.cpp
@@ -172,7 +172,7 @@
 void coordinator::ask_local(std::uint64_t number, const slot_request& request, time_point now)
 {
     const auto load = slots_.load_of(request.service, now);
-    if (shares_.try_acquire(request.endpoint, load))
+    if (shares_.try_acquire(request.endpoint, load, now))
     {
         ++counters_.local_slots;
         if (!on_event(number, slot_grant{request.attempt, request.endpoint, 0, 0}, now))
--- a/src/mangovane/routing/local_shares.cpp
+++ b/src/mangovane/routing/local_shares.cpp
@@ -4,7 +4,7 @@
 namespace mangovane
 {
 
-bool local_shares::try_acquire(endpoint_id endpoint, const service_load& load)
+bool local_shares::try_acquire(endpoint_id endpoint, const service_load& load, time_point now)
 {
     const auto routes = state_.routes();
     const auto view = state_.view();
@@ -15,30 +15,44 @@
     {
         return false;
     }
-    const auto share = local_share(load_bound_slots(*policy, load), *rank, view->eligible_count());
-    return in_use_.with(endpoint,
-                        [&](std::uint32_t& n)
+    const auto n = local_share(load_bound_slots(*policy, load), *rank, view->eligible_count());
+    return shares_.with(endpoint,
+                        [&](share& it)
                         {
-                            if (n >= share)
+                            it.wanted_until = now + wanted_time;
+                            if (now >= it.fit_until || it.in_use >= n)
                             {
                                 return false;
                             }
-                            ++n;
+                            ++it.in_use;
                             return true;
                         });
 }
 
 void local_shares::release(endpoint_id endpoint)
 {
-    in_use_.with_shard(endpoint,
-                       [&](auto& map)
-                       {
-                           const auto it = map.find(endpoint);
-                           if (it != map.end() && --it->second == 0)
-                           {
-                               map.erase(it);
-                           }
-                       });
+    shares_.find(endpoint, [](share& it) { it.in_use -= it.in_use > 0 ? 1U : 0U; });
+}
+
+void local_shares::on_poll(endpoint_id endpoint, bool fit, time_point now)
+{
+    shares_.find(endpoint, [&](share& it) { it.fit_until = fit ? now + poll_validity : now; });
+}
+
+std::vector<endpoint_id> local_shares::wanted(time_point now)
+{
+    std::vector<endpoint_id> result;
+    shares_.for_each_shard(
+        [&](auto& entries)
+        {
+            absl::erase_if(entries, [&](const auto& it)
+                           { return it.second.in_use == 0 && it.second.wanted_until <= now; });
+            for (const auto& [endpoint, it] : entries)
+            {
+                result.push_back(endpoint);
+            }
+        });
+    return result;
 }
 
 } // namespace mangovane
--- a/test/stateful/fleet.cpp
+++ b/test/stateful/fleet.cpp
@@ -23,6 +23,16 @@
 {
     return absl::StrCat("engine-", n);
 }
+/// Settings that make owners ignore a promise; the oracle keeps to the defaults.
+std::string planted_policy(planted_fault fault)
+{
+    if (fault == planted_fault::ignore_bound)
+    {
+        return ",\"load_bound\":8,\"min_slots\":40";
+    }
+    return fault == planted_fault::ignore_ramp ? ",\"ramp_start\":64" : "";
+}
+
 std::string service_name(std::size_t n)
 {
     return absl::StrCat("service-", n);
@@ -72,7 +82,14 @@
     advance(milliseconds{6000});
 }
 
-fleet::~fleet() = default;
+fleet::~fleet()
+{
+    // Ends waiting claims while the queues of the instances still exist.
+    for (auto& it : nodes_)
+    {
+        it->claims.reset();
+    }
+}
 
 std::uint64_t fleet::chance()
 {
@@ -93,6 +110,13 @@
     node.table = std::make_unique<fake_table>(rows_, now_);
     node.table->cut = platform_cuts_.contains(node.domain);
     node.claims = std::make_unique<claim_batch>(*node.table);
+    node.core = make_core(node);
+    refresh_node(node);
+    note_disturbance();
+}
+
+std::unique_ptr<coordinator> fleet::make_core(const fleet_node& node) const
+{
     coordinator_options options;
     options.self.id = node.id;
     options.self.epoch = node.epoch;
@@ -101,9 +125,7 @@
     options.self.domain = domain_id::of(node.domain);
     options.seed = hash_combine(node.id.value(), node.epoch);
     options.chat_capacity = 4096;
-    node.core = std::make_unique<coordinator>(options, *node.sink, now_);
-    refresh_node(node);
-    note_disturbance();
+    return std::make_unique<coordinator>(options, *node.sink, now_);
 }
 
 std::string fleet::settings_text() const
@@ -112,7 +134,7 @@
     for (std::size_t n = 0; n != options_.services; ++n)
     {
         absl::StrAppend(&services, n == 0 ? "" : ",", "\"", service_name(n),
-                        "\":{\"kind\":\"plain\"}");
+                        "\":{\"kind\":\"plain\"", planted_policy(options_.fault), "}");
     }
     std::string out;
     for (const auto& [domain, at] : domains_out_)
@@ -222,6 +244,13 @@
     {
         return;
     }
+    if (options_.fault == planted_fault::settings_fall && chance() % 50 == 0)
+    {
+        node.core = make_core(node);
+        auto first = parse_settings(settings_text(), 1);
+        node.core->adopt_settings(*first, now_);
+        return;
+    }
     if (options_.fault != planted_fault::ignore_domain_out || head_->stamp.version == 1)
     {
         node.core->adopt_settings(head_, now_);
@@ -251,7 +280,7 @@
 
 void fleet::poll_engines(fleet_node& node)
 {
-    for (const auto id : node.core->slots().owned())
+    for (const auto id : node.core->endpoints_to_poll(now_))
     {
         const auto it = std::find_if(engines_.begin(), engines_.end(),
                                      [&](const auto& engine) { return engine.info.id == id; });
@@ -261,7 +290,7 @@
         }
         if (!it->up || !linked(node.domain, it->domain))
         {
-            node.core->on_endpoint_poll(id, false);
+            node.core->on_endpoint_poll(id, false, now_);
             continue;
         }
         endpoint_report report;
--- a/test/stateful/fleet.hpp
+++ b/test/stateful/fleet.hpp
@@ -153,6 +153,7 @@
     };
 
     void start_node(fleet_node& node);
+    [[nodiscard]] std::unique_ptr<coordinator> make_core(const fleet_node& node) const;
     void step();
     void deliver();
     void run_node(fleet_node& node);
--- a/test/stateful/fleet_fuzz.cpp
+++ b/test/stateful/fleet_fuzz.cpp
@@ -15,7 +15,7 @@
 {
     rc::detail::TestParams params;
     params.seed = seed;
-    params.maxSuccess = 60;
+    params.maxSuccess = 200;
     params.maxSize = 100;
     params.disableShrinking = true;
     return params;
--- a/test/stateful/fleet_oracle.cpp
+++ b/test/stateful/fleet_oracle.cpp
@@ -45,7 +45,9 @@
     }
     if (engine.leaving && now_ > engine.left_at + drain_time)
     {
-        fail(absl::StrCat("new work at leaving ", engine.info.name, " from ", node.name, ", ",
+        fail(absl::StrCat("new work at leaving ", engine.info.name, " from ", node.name,
+                          " local slots ", node.core->counters().local_slots, " left ",
+                          (now_ - engine.left_at) / milliseconds{1}, " ms ago, ",
                           describe_owners(engine)));
     }
     const auto out = domains_out_.find(engine.domain);
@@ -197,7 +199,7 @@
     {
         return;
     }
-    const auto steps = (now_ - engine.cold_since) / policy.ramp_step + 1;
+    const auto steps = (now_ - engine.cold_since) / policy.ramp_step;
     const auto allowed = policy.ramp_start << static_cast<unsigned>(steps);
     if (engine.in_flight() > allowed)
     {
