--- a/fuzz/platform.cpp
+++ b/fuzz/platform.cpp
@@ -2,7 +2,7 @@
 #include <algorithm>
 
 #include "fuzz.hpp"
-#include "mangovane/platform/platform_codec.hpp"
+#include "mangovane/store/platform_codec.hpp"
 
 using namespace mangovane;
 
--- a/src/ctl/session.hpp
+++ b/src/ctl/session.hpp
@@ -13,7 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "ctl/command_line.hpp"
-#include "mangovane/platform/http_platform.hpp"
+#include "mangovane/store/http_platform.hpp"
 #include "mangovane/settings/store.hpp"
 
 namespace mangovane::ctl
--- a/src/mangovane/daemon/claim_gateway.hpp
+++ b/src/mangovane/daemon/claim_gateway.hpp
@@ -10,7 +10,7 @@
 #include <boost/asio/strand.hpp>
 
 #include "mangovane/net/front_services.hpp"
-#include "mangovane/platform/table_service.hpp"
+#include "mangovane/store/table_service.hpp"
 
 namespace mangovane
 {
--- /dev/null
+++ b/src/mangovane/daemon/fleet_feed.cpp
@@ -0,0 +1,133 @@
+// Implementation of the feed.
+#include "mangovane/daemon/fleet_feed.hpp"
+
+#include <absl/strings/str_cat.h>
+
+namespace mangovane
+{
+
+namespace
+{
+
+std::string describe(const endpoint_info& it, time_point now)
+{
+    const auto cold = it.cold_until > now
+                          ? std::chrono::duration_cast<milliseconds>(it.cold_until - now).count()
+                          : 0;
+    return absl::StrCat("endpoint=", it.name, " address=", it.address, " domain=", it.domain_name,
+                        " leaving=", it.leaving ? 1 : 0, " cold_ms=", cold);
+}
+
+} // namespace
+
+void fleet_feed::on_settings(const settings_ptr& settings, time_point now)
+{
+    core_.adopt_settings(settings, now);
+}
+
+void fleet_feed::on_endpoints(const std::vector<endpoint_change>& entries,
+                              std::uint64_t revision,
+                              time_point now)
+{
+    catalog_.replace(entries, revision, now);
+    tick(now);
+}
+
+void fleet_feed::on_endpoint_changes(const std::vector<endpoint_change>& changes,
+                                     std::uint64_t revision,
+                                     time_point now)
+{
+    catalog_.apply(changes, revision, now);
+    tick(now);
+}
+
+void fleet_feed::on_instances(const std::vector<listed_instance>& instances, time_point now)
+{
+    core_.on_listed(instances, now);
+}
+
+void fleet_feed::on_outage(const std::string& reason, time_point now)
+{
+    catalog_.on_outage(now);
+    const std::lock_guard lock{mutex_};
+    if (reachable_)
+    {
+        reachable_ = false;
+        const auto age = std::chrono::duration_cast<milliseconds>(now - contact_at_).count();
+        log_.write(absl::StrCat("event=store_lost reason=\"", reason, "\" last_contact_ms=",
+                                contact_at_ == time_point{} ? -1 : age),
+                   now);
+    }
+}
+
+void fleet_feed::on_contact(time_point now)
+{
+    catalog_.on_contact(now);
+    const std::lock_guard lock{mutex_};
+    contact_at_ = now;
+    if (!reachable_)
+    {
+        reachable_ = true;
+        log_.write("event=store_regained", now);
+    }
+}
+
+void fleet_feed::on_unreadable(const std::string& what, const std::string& reason, time_point now)
+{
+    log_.write(absl::StrCat("event=entry_ignored entry=", what, " reason=\"", reason, "\""), now);
+}
+
+void fleet_feed::tick(time_point now)
+{
+    const std::lock_guard lock{mutex_};
+    if (auto endpoints = catalog_.take_changed(now))
+    {
+        core_.set_endpoints(endpoints);
+        log_changes(*endpoints_, *endpoints, now);
+        endpoints_ = std::move(endpoints);
+    }
+    const auto settings = core_.settings();
+    if (settings && settings->stamp.version != logged_version_)
+    {
+        log_.write(absl::StrCat("event=settings_in_force version=", settings->stamp.version,
+                                " before=", logged_version_, " routes=",
+                                settings->routes.all().size(), " accounts=",
+                                settings->accounts.size(), " domains_out=",
+                                settings->domains_out.size()),
+                   now);
+        logged_version_ = settings->stamp.version;
+    }
+}
+
+void fleet_feed::log_changes(const endpoint_directory& before,
+                             const endpoint_directory& after,
+                             time_point now)
+{
+    for (const auto& it : after.all())
+    {
+        const auto* known = before.find(it.id);
+        if (known == nullptr || !(*known == it))
+        {
+            log_.write(absl::StrCat(known == nullptr ? "event=endpoint_listed " :
+                                                       "event=endpoint_changed ",
+                                    describe(it, now), " revision=", catalog_.revision()),
+                       now);
+        }
+    }
+    for (const auto& it : before.all())
+    {
+        if (after.find(it.id) == nullptr)
+        {
+            log_.write(absl::StrCat("event=endpoint_gone ", describe(it, now), " revision=",
+                                    catalog_.revision()),
+                       now);
+        }
+    }
+}
+
+bool fleet_feed::complete()
+{
+    return core_.settings() != nullptr && catalog_.revision() != 0;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/daemon/fleet_feed.hpp
@@ -0,0 +1,77 @@
+// What an instance learns from outside: settings, endpoints and other instances. Takes the news in
+// the product's own terms, puts them in force and logs what the instance now believes.
+#ifndef MANGOVANE_DAEMON_FLEET_FEED_HPP
+#define MANGOVANE_DAEMON_FLEET_FEED_HPP
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "mangovane/forward/forward_core.hpp"
+#include "mangovane/membership/endpoint_catalog.hpp"
+#include "mangovane/observe/decision_log.hpp"
+
+namespace mangovane
+{
+
+class fleet_feed
+{
+public:
+    /// Both outlive the feed.
+    fleet_feed(forward_core& core, decision_log& log) : core_{core}, log_{log} {}
+
+    void on_settings(const settings_ptr& settings, time_point now);
+    void on_endpoints(const std::vector<endpoint_change>& entries, std::uint64_t revision, time_point now);
+    void on_endpoint_changes(const std::vector<endpoint_change>& changes,
+                             std::uint64_t revision,
+                             time_point now);
+    void on_instances(const std::vector<listed_instance>& instances, time_point now);
+
+    /// The source did not answer; it answered.
+    void on_outage(const std::string& reason, time_point now);
+    void on_contact(time_point now);
+
+    /// A row or entry could not be read; it is left out.
+    void on_unreadable(const std::string& what, const std::string& reason, time_point now);
+
+    /// Puts due changes in force.
+    void tick(time_point now);
+
+    /// Whether enough is known to serve.
+    [[nodiscard]] bool complete();
+
+    [[nodiscard]] endpoint_catalog& catalog() noexcept { return catalog_; }
+
+private:
+    void log_changes(const endpoint_directory& before, const endpoint_directory& after, time_point now);
+
+    forward_core& core_;
+    decision_log& log_;
+    endpoint_catalog catalog_;
+    std::mutex mutex_;
+    endpoints_ptr endpoints_ = std::make_shared<endpoint_directory>(); ///< Guarded by `mutex_`.
+    std::uint64_t logged_version_{0};                                  ///< Guarded by `mutex_`.
+    bool reachable_{true};                                             ///< Guarded by `mutex_`.
+    time_point contact_at_{};                                          ///< Guarded by `mutex_`.
+};
+
+/// Reads the outside and feeds the instance. Implemented by an adapter.
+class fleet_source
+{
+public:
+    virtual ~fleet_source() = default;
+    virtual void start() = 0;
+    virtual void stop() = 0;
+
+    /// Called a few times a second.
+    virtual void tick(time_point now) = 0;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -0,0 +1,378 @@
+// Implementation of the forwarding router.
+#include "mangovane/daemon/forward_router.hpp"
+
+#include <atomic>
+#include <csignal>
+#include <ctime>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <unistd.h>
+
+#include "mangovane/net/address.hpp"
+#include "mangovane/net/forward_server.hpp"
+#include "mangovane/net/page_server.hpp"
+#include "mangovane/net/peer_network.hpp"
+#include "mangovane/observe/metric_table.hpp"
+#include "mangovane/observe/request_metrics.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds tick_period{100};
+
+/// A longer time between two ticks, or of the boot clock beside the steady one, is logged as a
+/// pause of the process.
+constexpr milliseconds pause_limit{1000};
+
+/// Kept of the grace for the last messages and the end of the process.
+constexpr milliseconds stop_margin{250};
+
+constexpr seconds label_period{60};
+
+std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+/// Time since the machine started, suspensions included.
+milliseconds boot_time()
+{
+    timespec it{};
+    ::clock_gettime(CLOCK_BOOTTIME, &it);
+    return seconds{it.tv_sec} + milliseconds{it.tv_nsec / 1'000'000};
+}
+
+forward_options make_core_options(const forward_router_options& options)
+{
+    forward_options result;
+    result.self.id = instance_id::of(options.name);
+    result.self.epoch = static_cast<incarnation>(unix_ms());
+    result.self.name = options.name;
+    result.self.address = options.peer_listen;
+    result.self.domain = domain_id::of(options.domain);
+    result.fleet = options.fleet;
+    result.seed = hash_combine(result.self.id.value(), result.self.epoch);
+    return result;
+}
+
+peer_network_options make_peer_options(const forward_options& core,
+                                       const forward_router_options& options)
+{
+    peer_network_options result;
+    result.id = core.self.id;
+    result.epoch = core.self.epoch;
+    result.name = options.name;
+    result.address = options.peer_listen;
+    result.cluster_key = options.cluster_key;
+    return result;
+}
+
+/// Instances are named by their IP number and share one port: an address is enough to know one.
+std::vector<listed_instance> listed_seeds(const forward_router_options& options)
+{
+    const auto own = parse_address(options.peer_listen);
+    std::vector<listed_instance> result;
+    for (const auto& it : options.seeds)
+    {
+        const auto ip = parse_address(it)->address().to_string();
+        if (own && ip != options.name)
+        {
+            result.push_back({ip, absl::StrCat(ip, ":", own->port()), domain_id{}});
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+struct forward_router::state
+{
+    state(forward_router_options opts, forward_adapter adapter)
+        : options{std::move(opts)}, io{static_cast<int>(options.threads)},
+          output{STDOUT_FILENO}, log{output, log_limits{}, clock::now()},
+          core_options{make_core_options(options)},
+          peers{io, make_peer_options(core_options, options),
+                [this](instance_id from, const message& msg)
+                { core.on_message(from, msg, clock::now()); }},
+          core{core_options, peers, adapter.parser, clock::now()}, feed{core, log},
+          services{core, adapter.dialect, log, metrics, leaving, {}}, server{io, services},
+          ready_pages{io, [this](std::string_view) { return ready_page(); }},
+          metric_pages{io, [this](std::string_view) { return page{200, {}, metrics_text()}; }},
+          source{adapter.make_source(io, feed, options)}, stop_signals{io, SIGTERM, SIGINT},
+          reload_signals{io, SIGHUP}, ticker{asio::make_strand(io)}, stop_timer{io}
+    {}
+
+    [[nodiscard]] absl::Status listen();
+    [[nodiscard]] page ready_page() const;
+    [[nodiscard]] std::string metrics_text();
+    void tick();
+    void note_pause(time_point now);
+    void note_view(time_point now);
+    void update_readiness(time_point now);
+    void await_stop();
+    void await_reload();
+    void start_stop();
+    void refuse_connections();
+    void await_last_session();
+    void stop();
+
+    forward_router_options options;
+    asio::io_context io;
+    descriptor_output output;
+    decision_log log;
+    forward_options core_options;
+    request_metrics metrics;
+    peer_network peers;
+    forward_core core;
+    fleet_feed feed;
+    std::atomic<bool> ready{false};
+    std::atomic<bool> leaving{false};
+    forward_services services;
+    forward_server server;
+    page_server ready_pages;
+    page_server metric_pages;
+    std::unique_ptr<fleet_source> source;
+    asio::signal_set stop_signals;
+    asio::signal_set reload_signals;
+    asio::steady_timer ticker;
+    asio::steady_timer stop_timer;
+    time_point stop_at{};
+    time_point ticked_at{};
+    milliseconds booted_for{0};
+    time_point labels_rotated_at{};
+    std::uint64_t logged_view{0};
+};
+
+absl::Status forward_router::state::listen()
+{
+    absl::Status status = peers.listen(options.peer_listen);
+    if (!options.ready_listen.empty())
+    {
+        status.Update(ready_pages.listen(options.ready_listen));
+    }
+    if (!options.metrics_listen.empty())
+    {
+        status.Update(metric_pages.listen(options.metrics_listen));
+    }
+    status.Update(server.listen(options.listen));
+    return status;
+}
+
+page forward_router::state::ready_page() const
+{
+    const bool is_ready = ready.load();
+    return {is_ready ? 200U : 503U, "text/plain", is_ready ? "ready\n" : "not ready\n"};
+}
+
+std::string forward_router::state::metrics_text()
+{
+    const auto settings = core.settings();
+    const auto traffic = peers.traffic();
+    auto text = metrics.text(true);
+    absl::StrAppend(&text, "mangovane_settings_version ", settings ? settings->stamp.version : 0,
+                    "\nmangovane_peer_bytes_sent_total ", traffic.bytes_sent,
+                    "\nmangovane_peer_bytes_received_total ", traffic.bytes_received,
+                    "\nmangovane_log_lines_dropped_total ", log.dropped(), "\n");
+    return describe_metrics(text);
+}
+
+void forward_router::state::note_pause(time_point now)
+{
+    const auto booted = boot_time();
+    const auto ticked = ticked_at == time_point{} ? now : ticked_at;
+    const auto steady = std::chrono::duration_cast<milliseconds>(now - ticked);
+    const auto boot = booted_for.count() == 0 ? steady : booted - booted_for;
+    const auto pause = std::max(steady, boot);
+    if (pause > pause_limit)
+    {
+        log.write(absl::StrCat("event=paused ms=", pause.count(), " steady_ms=", steady.count()),
+                  now);
+    }
+    ticked_at = now;
+    booted_for = booted;
+}
+
+void forward_router::state::note_view(time_point now)
+{
+    const auto view = core.view();
+    if (view->version() == logged_view)
+    {
+        return;
+    }
+    logged_view = view->version();
+    peers.set_peers(*view);
+    log.write(absl::StrCat("event=members_changed version=", logged_view, " members=",
+                           view->members().size(), " eligible=", view->eligible_count()),
+              now);
+}
+
+void forward_router::state::update_readiness(time_point now)
+{
+    // An instance that was ready stays so when the store goes away: it serves what it can.
+    if (!leaving && !ready && feed.complete())
+    {
+        ready = true;
+        log.write(absl::StrCat("event=ready settings=", core.settings()->stamp.version,
+                               " endpoints_revision=", feed.catalog().revision()),
+                  now);
+    }
+}
+
+void forward_router::state::tick()
+{
+    const auto now = clock::now();
+    note_pause(now);
+    core.tick(now);
+    feed.tick(now);
+    source->tick(now);
+    note_view(now);
+    update_readiness(now);
+    if (now > labels_rotated_at + label_period)
+    {
+        labels_rotated_at = now;
+        metrics.rotate_labels();
+    }
+    log.flush(now);
+    ticker.expires_after(tick_period);
+    ticker.async_wait(
+        [this](boost::system::error_code ec)
+        {
+            if (!ec)
+            {
+                tick();
+            }
+        });
+}
+
+void forward_router::state::await_stop()
+{
+    stop_signals.async_wait(
+        [this](boost::system::error_code ec, int)
+        {
+            if (!ec)
+            {
+                start_stop();
+            }
+        });
+}
+
+void forward_router::state::await_reload()
+{
+    reload_signals.async_wait(
+        [this](boost::system::error_code ec, int)
+        {
+            if (!ec)
+            {
+                // Flags and environment hold for the life of the process.
+                log.write("event=reload effect=none", clock::now());
+                await_reload();
+            }
+        });
+}
+
+void forward_router::state::start_stop()
+{
+    const auto now = clock::now();
+    leaving = true;
+    ready = false;
+    stop_at = now + options.grace - stop_margin;
+    log.write(absl::StrCat("event=stopping sessions=", server.open_sessions()), now);
+    stop_timer.expires_at(now + std::min(options.drain_delay, options.grace - stop_margin));
+    stop_timer.async_wait(
+        [this](boost::system::error_code ec)
+        {
+            if (!ec)
+            {
+                refuse_connections();
+            }
+        });
+}
+
+void forward_router::state::refuse_connections()
+{
+    server.drain();
+    await_last_session();
+}
+
+void forward_router::state::await_last_session()
+{
+    const auto now = clock::now();
+    if (server.open_sessions() == 0 || now >= stop_at)
+    {
+        stop();
+        return;
+    }
+    stop_timer.expires_after(tick_period);
+    stop_timer.async_wait(
+        [this](boost::system::error_code ec)
+        {
+            if (!ec)
+            {
+                await_last_session();
+            }
+        });
+}
+
+void forward_router::state::stop()
+{
+    const auto now = clock::now();
+    core.leave(now);
+    source->stop();
+    log.write(absl::StrCat("event=stopped sessions=", server.open_sessions()), now);
+    log.flush(now);
+    stop_timer.expires_after(tick_period);
+    stop_timer.async_wait([this](boost::system::error_code) { io.stop(); });
+}
+
+forward_router::forward_router(forward_router_options options, forward_adapter adapter)
+    : state_{std::make_unique<state>(std::move(options), std::move(adapter))}
+{}
+
+forward_router::~forward_router() = default;
+
+absl::Status forward_router::run()
+{
+    auto& it = *state_;
+    const auto status = it.listen();
+    if (!status.ok())
+    {
+        return status;
+    }
+    it.log.write(absl::StrCat("event=started name=", it.options.name, " domain=", it.options.domain,
+                              " threads=", it.options.threads, " load_factor=",
+                              it.options.fleet.bound.factor),
+                 clock::now());
+    it.core.on_listed(listed_seeds(it.options), clock::now());
+    it.await_stop();
+    it.await_reload();
+    it.source->start();
+    it.tick();
+    std::vector<std::thread> threads;
+    for (std::uint32_t n = 1; n < it.options.threads; ++n)
+    {
+        threads.emplace_back([&it] { it.io.run(); });
+    }
+    it.io.run();
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+    return absl::OkStatus();
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -0,0 +1,216 @@
+// Implementation of the options of a forwarding router.
+#include "mangovane/daemon/forward_router_options.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdlib>
+#include <sstream>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+#include <boost/program_options.hpp>
+
+#include "mangovane/net/address.hpp"
+
+namespace mangovane
+{
+
+namespace po = boost::program_options;
+
+namespace
+{
+
+constexpr std::uint32_t max_threads = 64;
+constexpr std::uint32_t max_stop_ms = 600000;
+constexpr std::size_t shortest_cluster_key = 16;
+
+/// Raw values as they come from flags and environment.
+struct raw_options
+{
+    forward_router_options parsed;
+    std::string seeds;
+    std::uint32_t drain_delay_ms{2500};
+    std::uint32_t grace_ms{8000};
+    std::uint32_t retry_window_s{10};
+};
+
+po::options_description describe(raw_options& raw)
+{
+    auto& out = raw.parsed;
+    auto& fleet = out.fleet;
+    po::options_description result{"Settings (flag, or environment variable MANGOVANE_<NAME>)"};
+    auto add = result.add_options();
+    add("help,h", "print this text");
+    add("version", "print the version");
+    add("check", "check the settings and exit");
+    add("name", po::value(&out.name), "unique name of this instance: its IP number");
+    add("domain", po::value(&out.domain), "failure domain of this instance");
+    add("listen", po::value(&out.listen), "ip:port for callers");
+    add("ready-listen", po::value(&out.ready_listen), "ip:port of the readiness probe");
+    add("metrics-listen", po::value(&out.metrics_listen), "ip:port for metrics");
+    add("peer-listen", po::value(&out.peer_listen), "ip:port for other instances");
+    add("store", po::value(&out.store), "ip:port of the platform's store");
+    add("seeds", po::value(&raw.seeds), "ip:port of some instances, separated by commas");
+    add("threads", po::value(&out.threads)->default_value(2), "threads, 1 to 64");
+    add("drain-delay-ms", po::value(&raw.drain_delay_ms)->default_value(2500),
+        "from SIGTERM until connections are refused, 0 to 600000");
+    add("grace-ms", po::value(&raw.grace_ms)->default_value(8000),
+        "from SIGTERM until the process ends, 0 to 600000");
+    add("load-factor", po::value(&fleet.bound.factor)->default_value(1.6),
+        "bound on an endpoint's load as a multiple of the mean, 1 to 100");
+    add("load-extra", po::value(&fleet.bound.extra)->default_value(2.0),
+        "requests beyond that multiple, 0 to 1000");
+    add("retry-ratio", po::value(&fleet.retries.ratio)->default_value(0.1),
+        "retries of all instances for each request, 0 to 1");
+    add("retry-slack", po::value(&fleet.retries.slack)->default_value(10.0),
+        "retries of all instances beyond that ratio in a window, 0 to 1000000");
+    add("retry-window-s", po::value(&raw.retry_window_s)->default_value(10),
+        "window of the retry budget in seconds, 1 to 3600");
+    add("cold-overshoot", po::value(&fleet.cold_overshoot)->default_value(1.0),
+        "multiple of the rate that a cold endpoint bears, 0 to 100");
+    add("cold-tolerance", po::value(&fleet.cold_tolerance)->default_value(0.0),
+        "requests to a cold endpoint beyond that in a second, 0 to 1000");
+    return result;
+}
+
+/// Environment variable to option name; empty for variables that are no option.
+std::string option_of(const std::string& variable, const po::options_description& known)
+{
+    constexpr std::string_view prefix = "MANGOVANE_";
+    if (!variable.starts_with(prefix))
+    {
+        return {};
+    }
+    std::string name = variable.substr(prefix.size());
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c)
+                   { return c == '_' ? '-' : static_cast<char>(std::tolower(c)); });
+    return known.find_nothrow(name, false) != nullptr ? name : std::string{};
+}
+
+struct number_range
+{
+    const char* name;
+    double value;
+    double low;
+    double high;
+};
+
+std::vector<std::string> check(const raw_options& raw)
+{
+    const auto& it = raw.parsed;
+    std::vector<std::string> faults;
+    if (it.name.empty() || it.name.size() > 64)
+    {
+        faults.push_back(absl::StrCat("name '", it.name, "': allowed are 1 to 64 characters"));
+    }
+    if (it.domain.empty())
+    {
+        faults.emplace_back("domain '': a failure domain must be named");
+    }
+    const std::array<std::pair<const char*, const std::string*>, 5> addresses{
+        {{"listen", &it.listen},
+         {"peer-listen", &it.peer_listen},
+         {"store", &it.store},
+         {"ready-listen", &it.ready_listen},
+         {"metrics-listen", &it.metrics_listen}}};
+    for (const auto& [name, value] : addresses)
+    {
+        const bool optional = value == &it.ready_listen || value == &it.metrics_listen;
+        if (!(optional && value->empty()) && !parse_address(*value))
+        {
+            faults.push_back(absl::StrCat(name, " '", *value, "': allowed is ip:port"));
+        }
+    }
+    for (const auto& seed : it.seeds)
+    {
+        if (!parse_address(seed))
+        {
+            faults.push_back(absl::StrCat("seeds '", seed, "': allowed is ip:port"));
+        }
+    }
+    const std::array ranges{
+        number_range{"threads", static_cast<double>(it.threads), 1, max_threads},
+        number_range{"drain-delay-ms", static_cast<double>(raw.drain_delay_ms), 0, max_stop_ms},
+        number_range{"grace-ms", static_cast<double>(raw.grace_ms), 0, max_stop_ms},
+        number_range{"load-factor", it.fleet.bound.factor, 1, 100},
+        number_range{"load-extra", it.fleet.bound.extra, 0, 1000},
+        number_range{"retry-ratio", it.fleet.retries.ratio, 0, 1},
+        number_range{"retry-slack", it.fleet.retries.slack, 0, 1000000},
+        number_range{"retry-window-s", static_cast<double>(raw.retry_window_s), 1, 3600},
+        number_range{"cold-overshoot", it.fleet.cold_overshoot, 0, 100},
+        number_range{"cold-tolerance", it.fleet.cold_tolerance, 0, 1000},
+    };
+    for (const auto& range : ranges)
+    {
+        // Written so that a value that is no number is outside.
+        if (!(range.value >= range.low && range.value <= range.high))
+        {
+            faults.push_back(absl::StrCat(range.name, " '", range.value, "': allowed is ",
+                                          range.low, " to ", range.high));
+        }
+    }
+    if (it.cluster_key.size() < shortest_cluster_key)
+    {
+        faults.push_back(absl::StrCat("MANGOVANE_CLUSTER_KEY: at least ", shortest_cluster_key,
+                                      " characters are needed"));
+    }
+    return faults;
+}
+
+} // namespace
+
+absl::StatusOr<forward_router_options> read_forward_router_options(int argc,
+                                                                   const char* const* argv)
+{
+    raw_options raw;
+    const auto known = describe(raw);
+    po::variables_map values;
+    try
+    {
+        po::store(po::parse_command_line(argc, argv, known), values);
+        po::store(po::parse_environment(known, [&](const std::string& it)
+                                        { return option_of(it, known); }),
+                  values);
+        po::notify(values);
+    }
+    catch (const po::error& ex)
+    {
+        return absl::InvalidArgumentError(ex.what());
+    }
+    auto& out = raw.parsed;
+    if (values.count("help") != 0 || values.count("version") != 0)
+    {
+        out.command =
+            values.count("help") != 0 ? router_command::help : router_command::version;
+        return out;
+    }
+    out.command = values.count("check") != 0 ? router_command::check : router_command::run;
+    const char* key = std::getenv("MANGOVANE_CLUSTER_KEY");
+    out.cluster_key = key == nullptr ? "" : key;
+    out.drain_delay = milliseconds{raw.drain_delay_ms};
+    out.grace = milliseconds{raw.grace_ms};
+    out.fleet.retries.window = seconds{raw.retry_window_s};
+    out.seeds = absl::StrSplit(raw.seeds, ',', absl::SkipEmpty());
+    const auto faults = check(raw);
+    if (!faults.empty())
+    {
+        return absl::InvalidArgumentError(absl::StrJoin(faults, "\n"));
+    }
+    return out;
+}
+
+std::string forward_router_help()
+{
+    raw_options raw;
+    std::ostringstream out;
+    out << "Daemon of an entry instance that forwards requests by routes\n\n"
+        << describe(raw) << "\nMANGOVANE_CLUSTER_KEY holds the shared key of instances; it is no "
+        << "flag.\n";
+    return out.str();
+}
+
+} // namespace mangovane
--- a/src/mangovane/daemon/platform_follower.hpp
+++ b/src/mangovane/daemon/platform_follower.hpp
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "mangovane/platform/http_platform.hpp"
+#include "mangovane/store/http_platform.hpp"
 #include "mangovane/routing/coordinator.hpp"
 #include "mangovane/settings/watcher.hpp"
 
--- a/src/mangovane/daemon/static_platform.hpp
+++ b/src/mangovane/daemon/static_platform.hpp
@@ -7,7 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
-#include "mangovane/platform/table_service.hpp"
+#include "mangovane/store/table_service.hpp"
 
 namespace mangovane
 {
--- /dev/null
+++ b/src/mangovane/forward/endpoint_record.cpp
@@ -0,0 +1,115 @@
+// Implementation of the record of an endpoint.
+#include "mangovane/forward/endpoint_record.hpp"
+
+#include <algorithm>
+
+namespace mangovane
+{
+
+namespace
+{
+
+std::uint32_t less(std::uint32_t from, std::uint32_t amount)
+{
+    return from > amount ? from - amount : 0;
+}
+
+} // namespace
+
+void endpoint_record::roll(time_point now) noexcept
+{
+    if (now < period_start_ + count_period)
+    {
+        return;
+    }
+    const bool next = now < period_start_ + 2 * count_period;
+    previous_ = next ? current_ : attempt_counts{};
+    current_ = {};
+    period_start_ = now;
+}
+
+void endpoint_record::suspend(duration time, time_point now) noexcept
+{
+    suspended_until_ = std::max(suspended_until_, now + time);
+}
+
+void endpoint_record::on_finished(attempt_end end, time_point now) noexcept
+{
+    in_flight_ = less(in_flight_, 1);
+    roll(now);
+    switch (end)
+    {
+    case attempt_end::answered:
+        ++current_.successes;
+        next_suspension_ = first_suspension;
+        suspended_until_ = {};
+        break;
+    case attempt_end::failed:
+        ++current_.failures;
+        break;
+    case attempt_end::unreachable:
+        ++current_.failures;
+        suspend(next_suspension_, now);
+        next_suspension_ = std::min<duration>(next_suspension_ * 2, longest_suspension);
+        break;
+    case attempt_end::full:
+        suspend(full_suspension, now);
+        break;
+    case attempt_end::replaced:
+        suspend(replaced_suspension, now);
+        break;
+    case attempt_end::cancelled:
+        break;
+    }
+}
+
+void endpoint_record::add_others(const endpoint_digest& digest) noexcept
+{
+    others_in_flight_ += digest.in_flight;
+    others_.failures += digest.failures;
+    others_.successes += digest.successes;
+}
+
+void endpoint_record::remove_others(const endpoint_digest& digest) noexcept
+{
+    others_in_flight_ = less(others_in_flight_, digest.in_flight);
+    others_.failures = less(others_.failures, digest.failures);
+    others_.successes = less(others_.successes, digest.successes);
+}
+
+bool endpoint_record::try_cold(duration spacing, time_point now) noexcept
+{
+    if (cold_sent_at_ != time_point::min() && now < cold_sent_at_ + spacing)
+    {
+        return false;
+    }
+    cold_sent_at_ = now;
+    return true;
+}
+
+attempt_counts endpoint_record::own_counts(time_point now) const noexcept
+{
+    if (now >= period_start_ + 2 * count_period)
+    {
+        return {};
+    }
+    if (now >= period_start_ + count_period)
+    {
+        return current_;
+    }
+    return {current_.failures + previous_.failures, current_.successes + previous_.successes};
+}
+
+attempt_counts endpoint_record::counts(time_point now) const noexcept
+{
+    const auto own = own_counts(now);
+    return {own.failures + others_.failures, own.successes + others_.successes};
+}
+
+bool endpoint_record::idle(time_point now) const noexcept
+{
+    const bool cold = cold_sent_at_ != time_point::min() && now < cold_sent_at_ + cold_memory;
+    return load() == 0 && counts(now) == attempt_counts{} && !suspended(now) && !cold;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/forward/forward_core.cpp
@@ -0,0 +1,318 @@
+// Implementation of the core of a forwarding instance.
+#include "mangovane/forward/forward_core.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace mangovane
+{
+
+forward_core::forward_core(forward_options options,
+                           message_sink& sink,
+                           settings_parser parser,
+                           time_point now)
+    : options_{std::move(options)}, sink_{sink},
+      state_{options_.self, options_.timing, options_.seed}, spread_{state_, std::move(parser)},
+      retries_{options_.fleet.retries}, size_{now}
+{}
+
+adopt_result forward_core::adopt_settings(settings_ptr settings, time_point now)
+{
+    const auto before = state_.settings().current();
+    const auto result = state_.adopt(settings);
+    if (result == adopt_result::adopted && before)
+    {
+        note_returned(*before, *settings, now);
+    }
+    return result;
+}
+
+void forward_core::note_returned(const settings_snapshot& before,
+                                 const settings_snapshot& after,
+                                 time_point now)
+{
+    milliseconds cold_time{0};
+    for (const auto& [id, it] : after.services)
+    {
+        cold_time = std::max(cold_time, it.cold_time);
+    }
+    const std::lock_guard lock{mutex_};
+    for (const auto domain : before.domains_out)
+    {
+        if (!after.domains_out.contains(domain))
+        {
+            cold_domains_[domain] = now + cold_time;
+        }
+    }
+}
+
+bool forward_core::set_endpoints(endpoints_ptr endpoints)
+{
+    return state_.set_endpoints(std::move(endpoints));
+}
+
+void forward_core::on_listed(const std::vector<listed_instance>& instances, time_point now)
+{
+    state_.members().on_platform_list(instances, now);
+}
+
+template <class Message>
+void forward_core::dispatch(instance_id from, const message& msg, time_point now)
+{
+    const auto& it = std::get<Message>(msg);
+    if constexpr (std::is_same_v<Message, probe>)
+    {
+        send(state_.members().on_probe(from, it, now));
+    }
+    else if constexpr (std::is_same_v<Message, probe_ack>)
+    {
+        send(state_.members().on_probe_ack(from, it, now));
+    }
+    else if constexpr (std::is_same_v<Message, probe_request>)
+    {
+        send(state_.members().on_probe_request(from, it, now));
+    }
+    else if constexpr (std::is_same_v<Message, settings_query>)
+    {
+        send(spread_.on(from, it));
+    }
+    else if constexpr (std::is_same_v<Message, settings_content>)
+    {
+        const auto before = state_.settings().current();
+        spread_.on(from, it);
+        if (before)
+        {
+            note_returned(*before, *state_.settings().current(), now);
+        }
+    }
+    else if constexpr (std::is_same_v<Message, load_digest>)
+    {
+        board_.on_digest(from, it, now);
+    }
+    // Instances that forward by routes exchange no other messages.
+}
+
+template <class... Messages>
+constexpr auto forward_core::make_table(const std::variant<Messages...>*)
+{
+    return std::array<handler, sizeof...(Messages)>{&forward_core::dispatch<Messages>...};
+}
+
+void forward_core::on_message(instance_id from, const message& msg, time_point now)
+{
+    static constexpr auto table = make_table(static_cast<const message*>(nullptr));
+    (this->*table[msg.index()])(from, msg, now);
+}
+
+void forward_core::send(const outgoing_messages& list)
+{
+    for (const auto& it : list)
+    {
+        sink_.send(it);
+    }
+}
+
+void forward_core::tick(time_point now)
+{
+    send(state_.members().tick(now));
+    send(spread_.tick(now));
+    size_.note(static_cast<std::uint32_t>(view()->members().size()), now);
+    send_digest(now);
+    {
+        const std::lock_guard lock{mutex_};
+        if (now < expired_at_ + expire_period)
+        {
+            return;
+        }
+        expired_at_ = now;
+    }
+    board_.expire(now);
+}
+
+void forward_core::send_digest(time_point now)
+{
+    load_digest digest;
+    {
+        const std::lock_guard lock{mutex_};
+        if (now < digest_sent_at_ + digest_period)
+        {
+            return;
+        }
+        digest = board_.digest(now);
+        if (digest == last_digest_ && now < digest_sent_at_ + digest_renewal)
+        {
+            return;
+        }
+        digest_sent_at_ = now;
+        last_digest_ = digest;
+    }
+    const auto members = view();
+    for (const auto& it : members->members())
+    {
+        const bool live = it.state == member_state::alive || it.state == member_state::suspect;
+        if (live && it.id != options_.self.id)
+        {
+            sink_.send({it.id, digest});
+        }
+    }
+}
+
+void forward_core::leave(time_point now)
+{
+    send(state_.members().leave(now));
+}
+
+void forward_core::on_accepted(const forward_request& request)
+{
+    retries_.on_request(request.service, request.accepted_at);
+}
+
+bool forward_core::try_retry(service_id service, time_point now)
+{
+    return retries_.try_retry(service, size_.value(), now);
+}
+
+void forward_core::finish(endpoint_id endpoint, attempt_end end, time_point now)
+{
+    board_.on_finished(endpoint, end, now);
+}
+
+forward_core::service_scene forward_core::look_at(const routing_table& routes,
+                                                  service_id service,
+                                                  std::span<const endpoint_id> excluded,
+                                                  time_point now)
+{
+    service_scene result;
+    const auto& listed = routes.endpoints().of_service(service);
+    double total = 0;
+    for (const auto* it : listed)
+    {
+        const auto standing = board_.standing(it->id, now);
+        total += standing.load;
+        const bool tried = std::find(excluded.begin(), excluded.end(), it->id) != excluded.end();
+        if (!tried && !routes.closed(it->id))
+        {
+            result.options.push_back({it->id, it->domain, standing.load, standing.suspended});
+        }
+    }
+    result.mean_load = listed.empty() ? 0 : total / static_cast<double>(listed.size());
+    mark_avoided(result.options, now);
+    return result;
+}
+
+void forward_core::mark_avoided(std::vector<placement_option>& options, time_point now)
+{
+    attempt_counts all;
+    std::vector<attempt_counts> counts;
+    counts.reserve(options.size());
+    for (const auto& it : options)
+    {
+        counts.push_back(board_.standing(it.endpoint, now).counts);
+        all.failures += counts.back().failures;
+        all.successes += counts.back().successes;
+    }
+    const auto part = [](std::uint32_t failures, std::uint32_t successes)
+    {
+        const auto sum = failures + successes;
+        return sum == 0 ? 0.0 : static_cast<double>(failures) / sum;
+    };
+    for (std::size_t n = 0; n != options.size(); ++n)
+    {
+        const auto& own = counts[n];
+        const auto others =
+            part(all.failures - own.failures, all.successes - own.successes);
+        const auto failing = part(own.failures, own.successes);
+        options[n].avoided = options[n].avoided ||
+                             (own.failures >= least_failures && failing >= failing_part &&
+                              failing >= failing_excess * others);
+    }
+}
+
+bool forward_core::is_cold(const endpoint_info& endpoint, time_point now)
+{
+    if (now < endpoint.cold_until)
+    {
+        return true;
+    }
+    const std::lock_guard lock{mutex_};
+    const auto it = cold_domains_.find(endpoint.domain);
+    return it != cold_domains_.end() && now < it->second;
+}
+
+duration forward_core::cold_spacing(const service_policy& service) const
+{
+    const auto borne = service.cold_requests_per_s * options_.fleet.cold_overshoot +
+                       options_.fleet.cold_tolerance;
+    const auto seconds_apart = size_.value() / (cold_part * borne);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds_apart});
+}
+
+bool forward_core::admit(const routing_table& routes,
+                         const placement_option& option,
+                         time_point now)
+{
+    const auto* endpoint = routes.find(option.endpoint);
+    const auto* service = routes.settings().find_service(endpoint->service);
+    const bool bounded = service != nullptr && service->cold_requests_per_s > 0;
+    return !bounded || !is_cold(*endpoint, now) ||
+           board_.try_cold(option.endpoint, cold_spacing(*service), now);
+}
+
+std::optional<dispatch_target> forward_core::choose(const forward_request& request,
+                                                    std::span<const endpoint_id> excluded,
+                                                    time_point now)
+{
+    const auto routes = state_.routes();
+    const auto scene = look_at(*routes, request.service, excluded, now);
+    const auto allowed = options_.fleet.bound.allowed(scene.mean_load);
+    const auto affinity = request.affinity();
+    const auto& rule = affinity != 0 ? sticky_placement() : even_placement();
+    const auto chance = hash_combine(options_.seed, ++choices_);
+    const auto chosen = rule.choose(
+        {scene.options, allowed, affinity, chance, options_.self.domain},
+        [&](const placement_option& it) { return admit(*routes, it, now); });
+    if (!chosen)
+    {
+        return std::nullopt;
+    }
+    const auto& option = scene.options[*chosen];
+    const auto* endpoint = routes->find(option.endpoint);
+    board_.on_started(option.endpoint);
+    return dispatch_target{option.endpoint,
+                           endpoint->name,
+                           endpoint->address,
+                           prefix_source(*routes, request, option.endpoint, now),
+                           option.load,
+                           allowed,
+                           static_cast<std::uint32_t>(scene.options.size()),
+                           routes->settings().stamp.version};
+}
+
+std::string forward_core::prefix_source(const routing_table& routes,
+                                        const forward_request& request,
+                                        endpoint_id chosen,
+                                        time_point now)
+{
+    const auto affinity = request.affinity();
+    if (affinity == 0)
+    {
+        return {};
+    }
+    const endpoint_info* holder = nullptr;
+    std::uint64_t best = 0;
+    for (const auto* it : routes.endpoints().of_service(request.service))
+    {
+        const bool young = it->cold_until != time_point{} && now < it->cold_until + young_time;
+        const auto score = rendezvous_score(affinity, it->id.value());
+        if (!young && (holder == nullptr || score > best) &&
+            !board_.standing(it->id, now).suspended)
+        {
+            holder = it;
+            best = score;
+        }
+    }
+    return holder == nullptr || holder->id == chosen ? std::string{} : holder->address;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/forward/placement_rule.cpp
@@ -0,0 +1,91 @@
+// Implementation of the rules of placement.
+#include "mangovane/forward/placement_rule.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+#include <vector>
+
+#include "mangovane/core/hash.hpp"
+
+namespace mangovane
+{
+
+namespace
+{
+
+using positions = std::vector<std::size_t>;
+
+/// Positions of all options, ordered by a key.
+template <class Key>
+positions ordered_by(std::span<const placement_option> options, Key key)
+{
+    positions result(options.size());
+    std::iota(result.begin(), result.end(), std::size_t{0});
+    std::sort(result.begin(), result.end(),
+              [&](std::size_t lhs, std::size_t rhs)
+              { return key(options[lhs]) < key(options[rhs]); });
+    return result;
+}
+
+positions by_load(const placement_scene& scene)
+{
+    return ordered_by(scene.options,
+                      [&](const placement_option& it)
+                      {
+                          const auto tie = rendezvous_score(scene.chance, it.endpoint.value());
+                          return std::tuple{it.avoided, it.load, it.domain != scene.own_domain,
+                                            tie};
+                      });
+}
+
+std::optional<std::size_t>
+first_admitted(const placement_scene& scene, const positions& order, admission admit)
+{
+    const auto it = std::find_if(order.begin(), order.end(),
+                                 [&](std::size_t n) { return admit(scene.options[n]); });
+    return it == order.end() ? std::nullopt : std::optional{*it};
+}
+
+class even_rule final : public placement_rule
+{
+public:
+    [[nodiscard]] std::optional<std::size_t> choose(const placement_scene& scene,
+                                                    admission admit) const override
+    {
+        return first_admitted(scene, by_load(scene), admit);
+    }
+};
+
+class sticky_rule final : public placement_rule
+{
+public:
+    [[nodiscard]] std::optional<std::size_t> choose(const placement_scene& scene,
+                                                    admission admit) const override
+    {
+        const auto order = ordered_by(
+            scene.options,
+            [&](const placement_option& it)
+            { return ~rendezvous_score(scene.affinity, it.endpoint.value()); });
+        const auto has_room = [&](const placement_option& it)
+        { return !it.avoided && it.load < scene.allowed && admit(it); };
+        const auto found = first_admitted(scene, order, has_room);
+        return found ? found : first_admitted(scene, by_load(scene), admit);
+    }
+};
+
+} // namespace
+
+const placement_rule& sticky_placement() noexcept
+{
+    static const sticky_rule rule;
+    return rule;
+}
+
+const placement_rule& even_placement() noexcept
+{
+    static const even_rule rule;
+    return rule;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/forward/placement_rule.hpp
@@ -0,0 +1,75 @@
+// Which endpoint of a service gets a request. Strategy objects; no sockets, clock or randomness.
+#ifndef MANGOVANE_FORWARD_PLACEMENT_RULE_HPP
+#define MANGOVANE_FORWARD_PLACEMENT_RULE_HPP
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+#include <absl/functional/function_ref.h>
+
+#include "mangovane/core/id.hpp"
+
+namespace mangovane
+{
+
+/// An endpoint that takes new work.
+struct placement_option
+{
+    endpoint_id endpoint;
+    domain_id domain;
+    std::uint32_t load{0}; ///< Requests in flight over all instances.
+    bool avoided{false};   ///< Suspended, or fails more often than the others.
+
+    auto operator<=>(const placement_option&) const = default;
+};
+
+/// What a rule decides on.
+struct placement_scene
+{
+    std::span<const placement_option> options;
+    std::uint32_t allowed{0};   ///< Load at which an endpoint gets nothing more while others can.
+    std::uint64_t affinity{0};  ///< Hash of what requests share; 0: nothing.
+    std::uint64_t chance{0};    ///< Source of chance for this decision.
+    domain_id own_domain;
+};
+
+/// Asked for an option before it is chosen; false rules it out. A cold endpoint bears little, so
+/// that its admission is used up by asking.
+using admission = absl::FunctionRef<bool(const placement_option&)>;
+
+class placement_rule
+{
+public:
+    virtual ~placement_rule() = default;
+
+    /// Position of the chosen option; nothing when none is admitted.
+    [[nodiscard]] virtual std::optional<std::size_t> choose(const placement_scene& scene,
+                                                            admission admit) const = 0;
+};
+
+/// Requests that share a prefix go to the same endpoint, the first in rendezvous order below the
+/// bound; when all are at the bound, to the least loaded.
+[[nodiscard]] const placement_rule& sticky_placement() noexcept;
+
+/// The least loaded endpoint, of the instance's own failure domain where loads are equal.
+[[nodiscard]] const placement_rule& even_placement() noexcept;
+
+/// Load at which an endpoint is left for another, from the mean load over all endpoints of the
+/// service.
+struct load_bound
+{
+    double factor{1.6}; ///< Of the mean; at least 1.
+    double extra{2};    ///< Requests.
+
+    [[nodiscard]] std::uint32_t allowed(double mean) const noexcept
+    {
+        return static_cast<std::uint32_t>(factor * mean + extra);
+    }
+
+    auto operator<=>(const load_bound&) const = default;
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/forward/retry_share.cpp
@@ -0,0 +1,54 @@
+// Implementation of the share of the retry budget.
+#include "mangovane/forward/retry_share.hpp"
+
+#include <algorithm>
+
+namespace mangovane
+{
+
+std::int64_t retry_share::slot_number(time_point now) const
+{
+    return now.time_since_epoch() / (duration{policy_.window} / slot_count);
+}
+
+retry_share::time_slot& retry_share::slot_at(service_window& window, time_point now) const
+{
+    const auto number = slot_number(now);
+    auto& it = window[static_cast<std::size_t>(number) % slot_count];
+    if (it.number != number)
+    {
+        it = time_slot{number};
+    }
+    return it;
+}
+
+void retry_share::on_request(service_id service, time_point now)
+{
+    windows_.with(service, [&](service_window& it) { ++slot_at(it, now).requests; });
+}
+
+bool retry_share::try_retry(service_id service, std::uint32_t instances, time_point now)
+{
+    const auto oldest = slot_number(now) - static_cast<std::int64_t>(slot_count) + 1;
+    const auto take = [&](service_window& window)
+    {
+        std::uint32_t requests = 0;
+        std::uint32_t retries = 0;
+        for (const auto& it : window)
+        {
+            requests += it.number >= oldest ? it.requests : 0;
+            retries += it.number >= oldest ? it.retries : 0;
+        }
+        const auto slack = policy_.slack / std::max<std::uint32_t>(instances, 1);
+        const auto allowed = used_part * (policy_.ratio * requests + slack);
+        if (retries + 1 > allowed)
+        {
+            return false;
+        }
+        ++slot_at(window, now).retries;
+        return true;
+    };
+    return windows_.with(service, take);
+}
+
+} // namespace mangovane
--- a/src/mangovane/idempotency/claim_task.hpp
+++ b/src/mangovane/idempotency/claim_task.hpp
@@ -10,7 +10,7 @@
 #include "mangovane/core/time.hpp"
 #include "mangovane/idempotency/claim_batch.hpp"
 #include "mangovane/idempotency/claim_decision.hpp"
-#include "mangovane/platform/table_service.hpp"
+#include "mangovane/store/table_service.hpp"
 
 namespace mangovane
 {
--- /dev/null
+++ b/src/mangovane/membership/endpoint_catalog.hpp
@@ -0,0 +1,78 @@
+// The endpoints as a registry outside lists them, kept through its outages.
+#ifndef MANGOVANE_MEMBERSHIP_ENDPOINT_CATALOG_HPP
+#define MANGOVANE_MEMBERSHIP_ENDPOINT_CATALOG_HPP
+
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+
+#include "mangovane/membership/endpoint.hpp"
+
+namespace mangovane
+{
+
+/// A change of one entry of the registry.
+struct endpoint_change
+{
+    std::string name;                  ///< Of the endpoint.
+    std::optional<endpoint_info> info; ///< Nothing: the entry was removed, or names no endpoint.
+    std::uint64_t revision{0};         ///< Of the registry, after this change.
+    milliseconds cold_left{0};         ///< How much longer it stays cold.
+
+    bool operator==(const endpoint_change&) const = default;
+};
+
+/// Entries that lapsed because the registry could not be renewed come back soon after its return:
+/// until then an endpoint that was listed stays listed. Revisions of an entry only rise.
+class endpoint_catalog
+{
+public:
+    /// The whole list at a revision.
+    void replace(const std::vector<endpoint_change>& entries, std::uint64_t revision, time_point now);
+
+    /// Changes up to a revision.
+    void apply(const std::vector<endpoint_change>& changes, std::uint64_t revision, time_point now);
+
+    /// The registry did not answer, or answered again.
+    void on_outage(time_point now);
+    void on_contact(time_point now);
+
+    /// The list in force, when it differs from the one returned before.
+    [[nodiscard]] endpoints_ptr take_changed(time_point now);
+
+    /// Revision up to which the list is complete; 0: nothing is known.
+    [[nodiscard]] std::uint64_t revision() const;
+
+    /// Time after the registry's return in which lapsed entries come back.
+    static constexpr milliseconds return_grace{2000};
+
+    /// A registry that was silent for less than this cannot have let entries lapse.
+    static constexpr milliseconds shortest_outage{500};
+
+private:
+    struct entry
+    {
+        endpoint_info info;
+        std::uint64_t revision{0};
+        bool removed{false};
+        time_point keep_until{}; ///< A removed entry is still listed until then.
+    };
+
+    void put(const endpoint_change& change, time_point now);
+    void remove(entry& it, std::uint64_t revision, time_point now);
+    [[nodiscard]] time_point settled_at(time_point now) const;
+
+    mutable std::mutex mutex_;
+    absl::btree_map<std::string, entry> entries_; ///< By name. Guarded by `mutex_`.
+    std::uint64_t revision_{0};                   ///< Never falls. Guarded by `mutex_`.
+    std::optional<time_point> outage_since_;      ///< Guarded by `mutex_`.
+    time_point returned_at_{time_point::min()};   ///< End of the last outage. Guarded by `mutex_`.
+    bool changed_{false};                         ///< Guarded by `mutex_`.
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/membership/failure_detector.hpp
+++ b/src/mangovane/membership/failure_detector.hpp
@@ -17,8 +17,6 @@
 namespace mangovane::internal
 {
 
-using outgoing_messages = std::vector<outgoing_message>;
-
 class failure_detector
 {
 public:
--- a/src/mangovane/message/fwd.hpp
+++ b/src/mangovane/message/fwd.hpp
@@ -25,6 +25,8 @@
 struct probe_request;
 struct settings_query;
 struct settings_content;
+struct endpoint_digest;
+struct load_digest;
 
 } // namespace mangovane
 
--- a/src/mangovane/message/load.hpp
+++ b/src/mangovane/message/load.hpp
@@ -4,6 +4,7 @@
 #define MANGOVANE_MESSAGE_LOAD_HPP
 
 #include <cstdint>
+#include <vector>
 
 #include "mangovane/core/id.hpp"
 
@@ -53,6 +54,28 @@
     auto operator<=>(const load_mean&) const = default;
 };
 
+/// What one instance knows of one endpoint from its own requests.
+struct endpoint_digest
+{
+    endpoint_id endpoint;
+    std::uint16_t in_flight{0};
+    std::uint8_t failures{0};  ///< Recent attempts that failed.
+    std::uint8_t successes{0}; ///< Recent attempts that were answered.
+
+    auto operator<=>(const endpoint_digest&) const = default;
+};
+
+/// Each instance to the others, each period: all endpoints at which it has requests or had some
+/// recently. Replaces the sender's digest before.
+struct load_digest
+{
+    std::vector<endpoint_digest> endpoints; ///< At most `max_digest_endpoints`.
+
+    bool operator==(const load_digest&) const = default;
+};
+
+inline constexpr std::size_t max_digest_endpoints = 2048;
+
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/message/message.hpp
+++ b/src/mangovane/message/message.hpp
@@ -3,6 +3,7 @@
 #define MANGOVANE_MESSAGE_MESSAGE_HPP
 
 #include <variant>
+#include <vector>
 
 #include "mangovane/message/chat.hpp"
 #include "mangovane/message/limit.hpp"
@@ -32,7 +33,8 @@
                              probe_ack,
                              probe_request,
                              settings_query,
-                             settings_content>;
+                             settings_content,
+                             load_digest>;
 
 /// A message with its receiver.
 struct outgoing_message
@@ -43,6 +45,8 @@
     bool operator==(const outgoing_message&) const = default;
 };
 
+using outgoing_messages = std::vector<outgoing_message>;
+
 } // namespace mangovane
 
 #endif
--- /dev/null
+++ b/src/mangovane/net/event_splitter.cpp
@@ -0,0 +1,83 @@
+// Implementation of the splitting of events.
+#include "mangovane/net/event_splitter.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace mangovane
+{
+
+namespace
+{
+
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view crlf_event_end = "\r\n\r\n";
+constexpr std::string_view id_field = "id:";
+
+/// Position after the first event of the text; npos: it has not ended.
+std::size_t end_of_event(std::string_view text)
+{
+    const auto plain = text.find(event_end);
+    const auto crlf = text.find(crlf_event_end);
+    const auto after_plain =
+        plain == std::string_view::npos ? plain : plain + event_end.size();
+    const auto after_crlf =
+        crlf == std::string_view::npos ? crlf : crlf + crlf_event_end.size();
+    return std::min(after_plain, after_crlf);
+}
+
+std::optional<std::uint64_t> id_of(std::string_view event)
+{
+    while (!event.empty())
+    {
+        const auto end = std::min(event.find('\n'), event.size());
+        auto line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.starts_with(id_field))
+        {
+            continue;
+        }
+        line.remove_prefix(id_field.size());
+        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+        std::uint64_t id = 0;
+        const auto [rest, ec] = std::from_chars(line.data(), line.data() + line.size(), id);
+        return ec == std::errc{} ? std::optional{id} : std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string event_splitter::take(std::string_view bytes)
+{
+    pending_.append(bytes);
+    std::string out;
+    std::string_view rest = pending_;
+    for (auto end = end_of_event(rest); end != std::string_view::npos; end = end_of_event(rest))
+    {
+        take_event(rest.substr(0, end), out);
+        rest.remove_prefix(end);
+    }
+    pending_.erase(0, pending_.size() - rest.size());
+    return out;
+}
+
+void event_splitter::take_event(std::string_view event, std::string& out)
+{
+    const auto id = id_of(event);
+    if (id && last_id_)
+    {
+        if (*id <= *last_id_)
+        {
+            return;
+        }
+        broken_ = broken_ || *id != *last_id_ + 1;
+    }
+    last_id_ = id ? id : last_id_;
+    if (!broken_)
+    {
+        out.append(event);
+    }
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -0,0 +1,308 @@
+// Implementation of a caller's session on routes: attempts at endpoints.
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "mangovane/net/forward_session.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::size_t read_bytes = std::size_t{8} * 1024;
+
+/// Largest answer that is kept whole before it is passed on.
+constexpr std::size_t max_kept_bytes = std::size_t{8} * 1024 * 1024;
+
+constexpr std::array<std::string_view, attempt_result_count> result_names{
+    "delivered", "not_sent", "refused", "misdirected", "error",
+    "broken",    "stalled",  "cut",     "timed_out",   "caller_left"};
+
+bool may_have_body(http::verb method)
+{
+    return method != http::verb::get && method != http::verb::head && method != http::verb::delete_;
+}
+
+} // namespace
+
+void forward_session::arm(time_point at)
+{
+    alarm_.expires_at(at);
+    alarm_.async_wait(
+        [self = shared_from_this(), number = ++alarm_number_](error_code ec)
+        {
+            if (!ec)
+            {
+                self->on_alarm(number);
+            }
+        });
+}
+
+void forward_session::on_alarm(std::uint64_t number)
+{
+    if (number != alarm_number_ || !call_)
+    {
+        return;
+    }
+    const auto now = clock::now();
+    auto& flow = *current_->flow;
+    if (now < flow.request().deadline && !flow.may_replace_silent(now))
+    {
+        arm(flow.request().deadline);
+        return;
+    }
+    alarm_rang_ = true;
+    call_->close();
+}
+
+attempt_result forward_session::interrupted(attempt_result otherwise) const
+{
+    if (caller_lost_)
+    {
+        return attempt_result::caller_left;
+    }
+    if (!alarm_rang_)
+    {
+        return otherwise;
+    }
+    const bool late = clock::now() >= current_->flow->request().deadline;
+    return late ? attempt_result::timed_out : attempt_result::stalled;
+}
+
+std::string forward_session::head_for_endpoint(const send_step& step) const
+{
+    const auto& current = *current_;
+    std::optional<resume_point> resume;
+    if (step.resumes && current.events.last_id())
+    {
+        resume = resume_point{*current.events.last_id(), current.weights};
+    }
+    const auto head = services_.dialect.write(current.message, current.flow->request(), step,
+                                              resume, clock::now());
+    const bool framed = may_have_body(current.message.method()) || !current.body->empty();
+    const auto length =
+        framed ? std::optional<std::uint64_t>{current.body->size()} : std::nullopt;
+    return text_of(head, {false, length}, false);
+}
+
+asio::awaitable<attempt_result> forward_session::attempt(const send_step& step)
+{
+    auto& current = *current_;
+    const auto now = clock::now();
+    const auto deadline = current.flow->request().deadline;
+    current.dispatched_at = now;
+    current.failure.reset();
+    alarm_rang_ = false;
+    auto call = std::make_shared<upstream_call>(stream_.get_executor());
+    call_ = call;
+    // Closing at this time cannot lose anything: nothing was sent yet.
+    alarm_.expires_at(std::min(deadline, now + services_.times.connect_timeout));
+    alarm_.async_wait(
+        [call, self = shared_from_this(), number = ++alarm_number_](error_code ec)
+        {
+            if (!ec && number == self->alarm_number_)
+            {
+                call->close();
+            }
+        });
+    const bool connected = co_await call->connect(step.target.address);
+    ++alarm_number_;
+    if (!connected || caller_lost_)
+    {
+        call->close();
+        co_return caller_lost_ ? attempt_result::caller_left : attempt_result::not_sent;
+    }
+    call->send(head_for_endpoint(step), current.body);
+    arm(std::min(deadline, step.give_up_first_byte));
+    const auto result = co_await read_answer(step);
+    ++alarm_number_;
+    call->close();
+    co_return result;
+}
+
+asio::awaitable<attempt_result> forward_session::read_answer(const send_step& step)
+{
+    auto& current = *current_;
+    const bool head_only = current.message.method() == http::verb::head;
+    const auto ec = co_await call_->read_head(head_only);
+    if (ec)
+    {
+        co_return interrupted(attempt_result::broken);
+    }
+    const auto& request = current.flow->request();
+    switch (services_.dialect.judge(call_->head(), request))
+    {
+    case answer_meaning::no_room:
+        co_return attempt_result::refused;
+    case answer_meaning::other_endpoint:
+        co_return attempt_result::misdirected;
+    case answer_meaning::unusable:
+        co_return attempt_result::broken;
+    case answer_meaning::failure:
+        current.failure = kept_answer{call_->head(), {}};
+        if (!co_await read_body(current.failure->body))
+        {
+            co_return interrupted(attempt_result::broken);
+        }
+        remove_connection_fields(current.failure->head);
+        co_return current.head_written ? attempt_result::broken : attempt_result::error;
+    case answer_meaning::answer:
+        break;
+    }
+    const bool stream = request.route->kind == route_kind::stream && !head_only;
+    // Not in one expression: some compilers lose the awaited object of a conditional.
+    if (stream)
+    {
+        const auto result = co_await relay_stream(step);
+        co_return result;
+    }
+    const auto result = co_await relay_whole();
+    co_return result;
+}
+
+asio::awaitable<bool> forward_session::read_body(std::string& body)
+{
+    std::array<char, read_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    while (!call_->done())
+    {
+        std::size_t n = 0;
+        const auto ec = co_await call_->read_some(buf, n);
+        body.append(buf.data(), n);
+        if (ec || body.size() > max_kept_bytes)
+        {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<attempt_result> forward_session::relay_whole()
+{
+    kept_answer answer{call_->head(), {}};
+    const bool whole = co_await read_body(answer.body);
+    if (!whole)
+    {
+        co_return interrupted(attempt_result::broken);
+    }
+    remove_connection_fields(answer.head);
+    current_->first_byte_at = clock::now();
+    const bool written = co_await write_kept(answer);
+    co_return written ? attempt_result::delivered : attempt_result::caller_left;
+}
+
+asio::awaitable<attempt_result> forward_session::relay_stream(const send_step& step)
+{
+    auto& current = *current_;
+    const auto deadline = current.flow->request().deadline;
+    if (step.resumes)
+    {
+        current.events.restart();
+    }
+    else
+    {
+        current.weights = services_.dialect.weights_of(call_->head());
+    }
+    std::array<char, read_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    while (!call_->done())
+    {
+        std::size_t n = 0;
+        const auto ec = co_await call_->read_some(buf, n);
+        const bool relayed = n == 0 || co_await relay_events({buf.data(), n});
+        if (!relayed)
+        {
+            co_return caller_lost_ ? attempt_result::caller_left : attempt_result::cut;
+        }
+        if (ec)
+        {
+            const auto result =
+                interrupted(current.head_written ? attempt_result::cut : attempt_result::broken);
+            const bool silent = result == attempt_result::stalled && current.head_written;
+            co_return silent ? attempt_result::cut : result;
+        }
+        if (n != 0 && step.give_up_gap.count() != 0 && current.head_written)
+        {
+            arm(std::min(deadline, clock::now() + step.give_up_gap));
+        }
+        else if (n != 0 && current.head_written && step.give_up_first_byte != time_point::max())
+        {
+            arm(deadline);
+        }
+    }
+    auto rest = current.events.pending();
+    if (!current.head_written && rest.empty())
+    {
+        co_return attempt_result::broken;
+    }
+    const auto last = rest.empty() ? chunk_of({}) : chunk_of(rest) + chunk_of({});
+    const bool written = co_await write_caller(last);
+    co_return written ? attempt_result::delivered : attempt_result::caller_left;
+}
+
+asio::awaitable<bool> forward_session::relay_events(std::string_view bytes)
+{
+    auto& current = *current_;
+    const bool resumable = current.flow->request().route->resumable;
+    const auto events = resumable ? current.events.take(bytes) : std::string{bytes};
+    if (current.events.broken())
+    {
+        co_return false;
+    }
+    if (events.empty())
+    {
+        co_return true;
+    }
+    std::string out;
+    if (!current.head_written)
+    {
+        auto head = call_->head();
+        remove_connection_fields(head);
+        current.status = head.result_int();
+        current.first_byte_at = clock::now();
+        out = text_of(head, {true, std::nullopt}, keep_alive());
+        keep_alive_ = keep_alive();
+        current.head_written = true;
+        current.flow->on_answer_begun();
+    }
+    out += chunk_of(events);
+    const bool written = co_await write_caller(std::move(out));
+    co_return written;
+}
+
+void forward_session::log_dispatch(const send_step& step) const
+{
+    const auto& request = current_->flow->request();
+    services_.log.write(
+        absl::StrCat("event=dispatch request=", request.request, " route=", request.route->name,
+                     " attempt=", step.attempt, " endpoint=", step.target.name, " load=",
+                     step.target.load, " allowed=", step.target.allowed, " options=",
+                     step.target.options, " affinity=", absl::Hex(request.affinity()),
+                     " prefix_source=", step.target.prefix_source, " resumes=",
+                     step.resumes ? 1 : 0, " settings=", step.target.settings_version),
+        clock::now());
+}
+
+void forward_session::log_result(const send_step& step, attempt_result result) const
+{
+    if (result == attempt_result::delivered)
+    {
+        return; // The line of the answer tells it.
+    }
+    const auto name = result_names[static_cast<std::size_t>(result)];
+    const auto now = clock::now();
+    const auto time = std::chrono::duration_cast<milliseconds>(now - current_->dispatched_at);
+    services_.log.write(absl::StrCat("event=attempt_ended request=",
+                                     current_->flow->request().request, " attempt=", step.attempt,
+                                     " endpoint=", step.target.name, " result=",
+                                     absl::string_view{name.data(), name.size()},
+                                     " ms=", time.count()),
+                        now);
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/net/forward_session.cpp
@@ -0,0 +1,344 @@
+// Implementation of a caller's session on routes: requests and answers.
+#include "mangovane/net/forward_session.hpp"
+
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "mangovane/net/caller_request.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace
+{
+
+constexpr unsigned no_content = 204;
+constexpr unsigned not_modified = 304;
+
+milliseconds between(time_point from, time_point to)
+{
+    return std::chrono::duration_cast<milliseconds>(to - from);
+}
+
+/// Kind of error for bytes that are no acceptable request; nothing when the connection failed.
+std::optional<error_kind> kind_of_bad_input(const beast::error_code& ec)
+{
+    if (ec == http::error::body_limit)
+    {
+        return error_kind::body_too_large;
+    }
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+    {
+        return error_kind::header_too_large;
+    }
+    const bool connection = ec == http::error::end_of_stream || ec == http::error::partial_message;
+    const bool bad = ec.category() == http::make_error_code(http::error::bad_method).category();
+    return bad && !connection ? std::optional{error_kind::malformed_request} : std::nullopt;
+}
+
+/// A body whose end two parties could see in different places must not be passed on.
+bool is_ambiguous(const http::request_header<>& head)
+{
+    const auto coding = head[http::field::transfer_encoding];
+    return (!coding.empty() && !beast::iequals(coding, "chunked")) ||
+           head.count(http::field::content_length) > 1 || head.count(http::field::host) != 1 ||
+           (!coding.empty() && head.count(http::field::content_length) != 0);
+}
+
+} // namespace
+
+forward_session::forward_session(asio::ip::tcp::socket socket, forward_services& services)
+    : stream_{std::move(socket)}, services_{services}, alarm_{stream_.get_executor()}
+{}
+
+asio::awaitable<void> forward_session::run()
+{
+    error_code ec;
+    stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ec);
+    while (keep_alive_ && !draining_)
+    {
+        const bool read = co_await read_request();
+        if (!read)
+        {
+            break;
+        }
+        co_await serve();
+        current_.reset();
+    }
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    stream_.close();
+}
+
+void forward_session::drain_soon()
+{
+    asio::post(stream_.get_executor(), [self = shared_from_this()] { self->drain(); });
+}
+
+void forward_session::drain()
+{
+    draining_ = true;
+    if (!current_)
+    {
+        stream_.cancel();
+    }
+}
+
+bool forward_session::keep_alive() const
+{
+    return keep_alive_ && !draining_ && !caller_lost_ && !services_.leaving.load();
+}
+
+asio::awaitable<bool> forward_session::await_first_byte(const caller_limits& limits)
+{
+    if (buffer_.size() != 0)
+    {
+        co_return true;
+    }
+    // No buffer is held by a connection that waits.
+    buffer_.shrink_to_fit();
+    alarm_.expires_after(limits.idle_timeout);
+    alarm_.async_wait(
+        [self = shared_from_this(), number = ++alarm_number_](error_code ec)
+        {
+            if (!ec && number == self->alarm_number_)
+            {
+                self->stream_.cancel();
+            }
+        });
+    error_code ec;
+    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                         asio::redirect_error(asio::use_awaitable, ec));
+    ++alarm_number_;
+    co_return !ec;
+}
+
+asio::awaitable<bool> forward_session::read_request()
+{
+    const auto settings = services_.core.settings();
+    const auto limits = settings ? settings->limits_of_callers : caller_limits{};
+    const bool begun = co_await await_first_byte(limits);
+    if (!begun)
+    {
+        co_return false;
+    }
+    current_.emplace();
+    request_parser p;
+    p.header_limit(limits.header_bytes);
+    p.body_limit(limits.body_bytes);
+    error_code ec;
+    stream_.expires_after(limits.header_timeout);
+    co_await http::async_read_header(stream_, buffer_, p,
+                                     asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && beast::iequals(p.get()[http::field::expect], "100-continue"))
+    {
+        const bool written = co_await write_caller("HTTP/1.1 100 Continue\r\n\r\n");
+        ec = written ? error_code{} : asio::error::broken_pipe;
+    }
+    if (!ec && !p.is_done())
+    {
+        co_await http::async_read(stream_, buffer_, p,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+    }
+    stream_.expires_never();
+    const bool ambiguous = is_ambiguous(p.get().base());
+    const auto bad = !ec && ambiguous ? error_kind::malformed_request : kind_of_bad_input(ec);
+    if (bad)
+    {
+        keep_alive_ = false;
+        co_await refuse(*bad, ec ? ec.message() : "the end of the body is ambiguous", {});
+    }
+    if (ec || bad)
+    {
+        co_return false;
+    }
+    current_->message = p.release();
+    keep_alive_ = current_->message.keep_alive();
+    co_return true;
+}
+
+asio::awaitable<void> forward_session::serve()
+{
+    auto& current = *current_;
+    const auto now = clock::now();
+    const auto settings = services_.core.settings();
+    if (!settings)
+    {
+        co_await refuse(error_kind::not_ready, "no settings have arrived yet", seconds{1});
+        co_return;
+    }
+    auto request = services_.dialect.read(current.message, settings, now);
+    if (!request.ok())
+    {
+        co_await refuse(*kind_of(request.status()), std::string{request.status().message()}, {});
+        co_return;
+    }
+    current.body = std::make_shared<const std::string>(std::move(current.message.body()));
+    remove_connection_fields(current.message);
+    services_.core.on_accepted(*request);
+    current.flow.emplace(std::move(*request), services_.core);
+    watch_caller();
+    auto step = current.flow->start(now);
+    auto next = step;
+    while (co_await carry_out(step, next))
+    {
+        step = std::move(next);
+    }
+    // Ends the watch of the caller's connection; nothing else is pending on it.
+    ++alarm_number_;
+    alarm_.cancel();
+    error_code ec;
+    stream_.socket().cancel(ec);
+}
+
+asio::awaitable<bool> forward_session::carry_out(const forward_step& step, forward_step& next)
+{
+    auto& current = *current_;
+    if (const auto* it = std::get_if<send_step>(&step))
+    {
+        log_dispatch(*it);
+        const auto result = co_await attempt(*it);
+        call_.reset();
+        log_result(*it, result);
+        next = current.flow->on_result(result, clock::now());
+        co_return true;
+    }
+    if (std::holds_alternative<pass_on_step>(step))
+    {
+        const bool written = co_await write_kept(*current.failure);
+        observe(written ? "passed_on" : "cut");
+    }
+    else if (const auto* it = std::get_if<refuse_step>(&step))
+    {
+        co_await refuse(it->kind, "see the log for the request's id", it->retry_after);
+    }
+    else if (const auto* it = std::get_if<finish_step>(&step))
+    {
+        keep_alive_ = keep_alive_ && it->complete;
+        observe(it->complete ? "ok" : "cut");
+    }
+    co_return false;
+}
+
+void forward_session::watch_caller()
+{
+    stream_.socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this()](error_code ec)
+        {
+            error_code ignored;
+            const bool more = !ec && self->stream_.socket().available(ignored) != 0;
+            if (ec == asio::error::operation_aborted || more || !self->current_)
+            {
+                return;
+            }
+            self->caller_lost_ = true;
+            if (self->call_)
+            {
+                self->call_->close();
+            }
+        });
+}
+
+asio::awaitable<bool> forward_session::write_caller(std::string bytes)
+{
+    error_code ec = caller_lost_ ? asio::error::broken_pipe : error_code{};
+    if (!ec)
+    {
+        co_await asio::async_write(stream_.socket(), asio::buffer(bytes),
+                                   asio::redirect_error(asio::use_awaitable, ec));
+    }
+    caller_lost_ = caller_lost_ || ec;
+    keep_alive_ = keep_alive_ && !ec;
+    co_return !ec;
+}
+
+asio::awaitable<bool> forward_session::write_kept(const kept_answer& answer)
+{
+    auto& current = *current_;
+    current.status = answer.head.result_int();
+    const bool bodiless = current.message.method() == http::verb::head ||
+                          current.status == no_content || current.status == not_modified;
+    const auto length = bodiless ? std::nullopt : std::optional<std::uint64_t>{answer.body.size()};
+    auto bytes = text_of(answer.head, {false, length}, keep_alive());
+    bytes += answer.body;
+    keep_alive_ = keep_alive();
+    const bool written = co_await write_caller(std::move(bytes));
+    co_return written;
+}
+
+asio::awaitable<void>
+forward_session::refuse(error_kind kind, std::string message, milliseconds retry_after)
+{
+    const auto& answer = answer_for(kind);
+    if (!current_->flow)
+    {
+        services_.observer.on_early_refusal(kind);
+    }
+    http::response_header<> head;
+    head.version(11);
+    head.result(answer.http_status);
+    head.set(http::field::content_type, "application/json");
+    if (retry_after.count() != 0)
+    {
+        const auto seconds_after = static_cast<double>(retry_after.count()) / 1000;
+        head.set(http::field::retry_after, std::string{absl::StrCat(seconds_after)});
+    }
+    current_->status = answer.http_status;
+    const auto body = error_body(kind, message);
+    auto bytes = text_of(head, {false, body.size()}, keep_alive());
+    keep_alive_ = keep_alive();
+    co_await write_caller(std::move(bytes) + body);
+    observe(std::string_view{answer.name});
+}
+
+void forward_session::observe(std::string_view outcome)
+{
+    const auto now = clock::now();
+    const auto& current = *current_;
+    if (!current.flow)
+    {
+        services_.log.write(
+            absl::StrCat("event=refused request=",
+                         services_.dialect.request_id(current.message), " target=",
+                         std::string{current.message.target()}, " outcome=",
+                         absl::string_view{outcome.data(), outcome.size()}),
+            now);
+        return;
+    }
+    const auto& request = current.flow->request();
+    request_record record;
+    record.account = request.account;
+    record.account_name = request.account_name;
+    record.service_name = request.route->name;
+    record.outcome = std::string{outcome};
+    record.total = between(request.accepted_at, now);
+    record.first_token = current.first_byte_at == time_point{}
+                             ? milliseconds{0}
+                             : between(request.accepted_at, current.first_byte_at);
+    record.queue_wait = current.dispatched_at == time_point{}
+                            ? milliseconds{0}
+                            : between(request.accepted_at, current.dispatched_at);
+    record.attempts = current.flow->attempts();
+    record.has_affinity = request.affinity() != 0;
+    services_.observer.on_request_end(record);
+    services_.log.write(
+        absl::StrCat("event=answered request=", request.request, " route=", request.route->name,
+                     " account=", request.account_name, " outcome=", record.outcome, " status=",
+                     current.status, " attempts=", record.attempts, " ms=", record.total.count(),
+                     " first_ms=", record.first_token.count(),
+                     " may_have_run=", current.flow->may_have_run() ? 1 : 0,
+                     " settings=", request.settings->stamp.version),
+        now);
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/net/http_text.cpp
@@ -0,0 +1,95 @@
+// Implementation of heads as bytes.
+#include "mangovane/net/http_text.hpp"
+
+#include <array>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+#include <boost/beast/http/rfc7230.hpp>
+
+namespace mangovane
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::array connection_fields{
+    http::field::connection,          http::field::keep_alive, http::field::te,
+    http::field::trailer,             http::field::upgrade,    http::field::proxy_connection,
+    http::field::transfer_encoding,   http::field::expect,
+};
+
+absl::string_view view_of(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+void append_fields(const http::fields& fields,
+                   const body_framing& framing,
+                   bool keep_alive,
+                   std::string& out)
+{
+    for (const auto& it : fields)
+    {
+        if (it.name() != http::field::content_length)
+        {
+            absl::StrAppend(&out, view_of(it.name_string()), ": ", view_of(it.value()), "\r\n");
+        }
+    }
+    if (framing.chunked)
+    {
+        out += "Transfer-Encoding: chunked\r\n";
+    }
+    else if (framing.length)
+    {
+        absl::StrAppend(&out, "Content-Length: ", *framing.length, "\r\n");
+    }
+    out += keep_alive ? "\r\n" : "Connection: close\r\n\r\n";
+}
+
+} // namespace
+
+void remove_connection_fields(http::fields& fields)
+{
+    std::vector<std::string> named;
+    for (const auto& it : http::token_list{fields[http::field::connection]})
+    {
+        named.emplace_back(it);
+    }
+    for (const auto& it : named)
+    {
+        fields.erase(it);
+    }
+    for (const auto it : connection_fields)
+    {
+        fields.erase(it);
+    }
+}
+
+std::string
+text_of(const http::request_header<>& head, const body_framing& framing, bool keep_alive)
+{
+    std::string out = absl::StrCat(view_of(head.method_string()), " ", view_of(head.target()),
+                                   " HTTP/1.1\r\n");
+    append_fields(head, framing, keep_alive, out);
+    return out;
+}
+
+std::string
+text_of(const http::response_header<>& head, const body_framing& framing, bool keep_alive)
+{
+    std::string out =
+        absl::StrCat("HTTP/1.1 ", head.result_int(), " ", view_of(head.reason()), "\r\n");
+    append_fields(head, framing, keep_alive, out);
+    return out;
+}
+
+std::string chunk_of(std::string_view bytes)
+{
+    return absl::StrCat(absl::Hex(bytes.size()), "\r\n", view_of({bytes.data(), bytes.size()}),
+                        "\r\n");
+}
+
+} // namespace mangovane
--- a/src/mangovane/net/operator_server.cpp
+++ b/src/mangovane/net/operator_server.cpp
@@ -9,15 +9,14 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include "mangovane/core/time.hpp"
-#include "mangovane/net/address.hpp"
 #include "mangovane/net/status_json.hpp"
+#include "mangovane/net/tcp_acceptor.hpp"
 #include "mangovane/settings/digest.hpp"
 
 namespace mangovane
@@ -30,7 +29,6 @@
 namespace
 {
 
-constexpr milliseconds accept_pause{50};
 constexpr seconds read_timeout{30};
 constexpr seconds write_timeout{10};
 constexpr std::uint32_t max_header_bytes = 8U * 1024;
@@ -90,32 +88,6 @@
     return reply;
 }
 
-absl::Status open_acceptor(asio::ip::tcp::acceptor& acceptor, const std::string& address)
-{
-    const auto endpoint = parse_address(address);
-    if (!endpoint)
-    {
-        return absl::InvalidArgumentError(absl::StrCat("not an ip:port: ", address));
-    }
-    boost::system::error_code ec;
-    acceptor.open(endpoint->protocol(), ec);
-    if (!ec)
-    {
-        acceptor.set_option(asio::socket_base::reuse_address{true}, ec);
-    }
-    if (!ec)
-    {
-        acceptor.bind(*endpoint, ec);
-    }
-    if (!ec)
-    {
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    return ec ? absl::UnavailableError(
-                    absl::StrCat("cannot listen on ", address, ": ", ec.message()))
-              : absl::OkStatus();
-}
-
 } // namespace
 
 bool is_authorized(std::string_view header, std::string_view key)
@@ -147,7 +119,9 @@
         return status;
     }
     port_ = acceptor_.local_endpoint().port();
-    asio::co_spawn(acceptor_.get_executor(), accept(), asio::detached);
+    const auto on_socket = [this](asio::ip::tcp::socket it) { start(std::move(it)); };
+    asio::co_spawn(acceptor_.get_executor(), accept_all(acceptor_, io_, on_socket),
+                   asio::detached);
     return absl::OkStatus();
 }
 
@@ -162,26 +136,15 @@
                });
 }
 
-asio::awaitable<void> operator_server::accept()
+void operator_server::start(asio::ip::tcp::socket socket)
 {
-    while (acceptor_.is_open())
+    if (open_ >= max_operator_connections)
     {
-        boost::system::error_code ec;
-        auto socket = co_await acceptor_.async_accept(
-            asio::make_strand(io_), asio::redirect_error(asio::use_awaitable, ec));
-        if (!ec && open_ < max_operator_connections)
-        {
-            ++open_;
-            const auto executor = socket.get_executor();
-            asio::co_spawn(executor, serve(std::move(socket)),
-                           [this](std::exception_ptr) { --open_; });
-        }
-        else if (ec && acceptor_.is_open())
-        {
-            asio::steady_timer timer{acceptor_.get_executor(), accept_pause};
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-        }
+        return;
     }
+    ++open_;
+    const auto executor = socket.get_executor();
+    asio::co_spawn(executor, serve(std::move(socket)), [this](std::exception_ptr) { --open_; });
 }
 
 asio::awaitable<void> operator_server::serve(asio::ip::tcp::socket socket)
--- a/src/mangovane/net/operator_server.hpp
+++ b/src/mangovane/net/operator_server.hpp
@@ -44,7 +44,7 @@
     void stop();
 
 private:
-    boost::asio::awaitable<void> accept();
+    void start(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 
     boost::asio::io_context& io_;
--- /dev/null
+++ b/src/mangovane/net/page_server.cpp
@@ -0,0 +1,82 @@
+// Implementation of the server of pages.
+#include "mangovane/net/page_server.hpp"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "mangovane/core/time.hpp"
+#include "mangovane/net/tcp_acceptor.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace
+{
+
+constexpr seconds idle_timeout{30};
+constexpr std::uint32_t max_header_bytes = 8U * 1024;
+
+} // namespace
+
+page_server::page_server(asio::io_context& io, page_source source)
+    : io_{io}, source_{std::move(source)}, acceptor_{asio::make_strand(io)}
+{}
+
+absl::Status page_server::listen(const std::string& address)
+{
+    if (auto status = open_acceptor(acceptor_, address); !status.ok())
+    {
+        return status;
+    }
+    port_ = acceptor_.local_endpoint().port();
+    const auto on_socket = [this](asio::ip::tcp::socket it)
+    {
+        const auto executor = it.get_executor();
+        asio::co_spawn(executor, serve(std::move(it)), asio::detached);
+    };
+    asio::co_spawn(acceptor_.get_executor(), accept_all(acceptor_, io_, on_socket),
+                   asio::detached);
+    return absl::OkStatus();
+}
+
+asio::awaitable<void> page_server::serve(asio::ip::tcp::socket socket)
+{
+    beast::tcp_stream stream{std::move(socket)};
+    beast::flat_buffer buf;
+    bool open = true;
+    while (open)
+    {
+        boost::system::error_code ec;
+        http::request_parser<http::empty_body> parser;
+        parser.header_limit(max_header_bytes);
+        stream.expires_after(idle_timeout);
+        co_await http::async_read(stream, buf, parser,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+        {
+            co_return;
+        }
+        const auto target = parser.get().target();
+        auto content = source_({target.data(), target.size()});
+        http::response<http::string_body> reply{http::int_to_status(content.status), 11};
+        reply.set(http::field::content_type, content.type);
+        reply.body() = std::move(content.body);
+        reply.keep_alive(parser.get().keep_alive());
+        reply.prepare_payload();
+        co_await http::async_write(stream, reply, asio::redirect_error(asio::use_awaitable, ec));
+        open = !ec && reply.keep_alive();
+    }
+}
+
+} // namespace mangovane
--- a/src/mangovane/net/peer_link.cpp
+++ b/src/mangovane/net/peer_link.cpp
@@ -15,6 +15,7 @@
 
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/key_proof.hpp"
+#include "mangovane/net/socket_options.hpp"
 
 namespace mangovane::internal
 {
@@ -29,6 +30,10 @@
 constexpr std::size_t max_queue_bytes = 1024 * 1024;
 constexpr milliseconds first_retry_pause{50};
 constexpr milliseconds last_retry_pause{1000};
+constexpr milliseconds connect_timeout{500};
+
+/// A peer that acknowledges nothing for this long is cut off or has lost power.
+constexpr milliseconds peer_silence{2000};
 
 /// Older messages are dropped: their senders have given up waiting for an answer.
 constexpr milliseconds max_message_age{2000};
@@ -151,10 +156,20 @@
         co_return false;
     }
     error_code ec;
+    timer_.expires_after(connect_timeout);
+    timer_.async_wait(
+        [self = shared_from_this()](error_code timer_ec)
+        {
+            if (!timer_ec)
+            {
+                self->socket_.close(timer_ec);
+            }
+        });
     co_await socket_.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    timer_.cancel();
     if (!ec)
     {
-        socket_.set_option(asio::ip::tcp::no_delay{true}, ec);
+        end_when_silent(socket_, peer_silence);
     }
     if (ec)
     {
--- a/src/mangovane/net/peer_network.cpp
+++ b/src/mangovane/net/peer_network.cpp
@@ -7,14 +7,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
-#include "mangovane/net/address.hpp"
 #include "mangovane/net/peer_link.hpp"
 #include "mangovane/net/peer_session.hpp"
+#include "mangovane/net/tcp_acceptor.hpp"
 
 namespace mangovane
 {
@@ -22,14 +19,6 @@
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
-namespace
-{
-
-/// Pause after a failed accept, for instance when the process has no free descriptor.
-constexpr milliseconds accept_pause{50};
-
-} // namespace
-
 peer_network::peer_network(asio::io_context& io, peer_network_options options, peer_handler handler)
     : io_{io}, context_{std::make_shared<internal::peer_context>()}, acceptor_{
                                                                          asio::make_strand(io)}
@@ -44,58 +33,22 @@
 
 absl::Status peer_network::listen(const std::string& address)
 {
-    const auto endpoint = parse_address(address);
-    if (!endpoint)
-    {
-        return absl::InvalidArgumentError(absl::StrCat("not an ip:port: ", address));
-    }
-    error_code ec;
-    acceptor_.open(endpoint->protocol(), ec);
-    if (!ec)
-    {
-        acceptor_.set_option(asio::socket_base::reuse_address{true}, ec);
-    }
-    if (!ec)
-    {
-        acceptor_.bind(*endpoint, ec);
-    }
-    if (!ec)
+    if (auto status = open_acceptor(acceptor_, address); !status.ok())
     {
-        acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+        return status;
     }
-    if (ec)
-    {
-        return absl::UnavailableError(
-            absl::StrCat("cannot listen on ", address, ": ", ec.message()));
-    }
-    port_ = acceptor_.local_endpoint().port();
+    const auto local = acceptor_.local_endpoint();
+    port_ = local.port();
     if (context_->options.address.empty())
     {
-        context_->options.address = absl::StrCat(endpoint->address().to_string(), ":", port_);
+        context_->options.address = absl::StrCat(local.address().to_string(), ":", port_);
     }
-    asio::co_spawn(acceptor_.get_executor(), accept(), asio::detached);
+    const auto on_socket = [this](asio::ip::tcp::socket it) { serve(std::move(it)); };
+    asio::co_spawn(acceptor_.get_executor(), accept_all(acceptor_, io_, on_socket),
+                   asio::detached);
     return absl::OkStatus();
 }
 
-asio::awaitable<void> peer_network::accept()
-{
-    while (acceptor_.is_open())
-    {
-        error_code ec;
-        auto socket = co_await acceptor_.async_accept(
-            asio::make_strand(io_), asio::redirect_error(asio::use_awaitable, ec));
-        if (!ec)
-        {
-            serve(std::move(socket));
-        }
-        else if (acceptor_.is_open())
-        {
-            asio::steady_timer timer{acceptor_.get_executor(), accept_pause};
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-        }
-    }
-}
-
 void peer_network::serve(asio::ip::tcp::socket socket)
 {
     const auto executor = socket.get_executor();
--- a/src/mangovane/net/peer_network.hpp
+++ b/src/mangovane/net/peer_network.hpp
@@ -58,7 +58,6 @@
     void close();
 
 private:
-    boost::asio::awaitable<void> accept();
     void serve(boost::asio::ip::tcp::socket socket);
     [[nodiscard]] std::shared_ptr<internal::peer_link> link_to(instance_id peer);
 
--- a/src/mangovane/net/peer_session.cpp
+++ b/src/mangovane/net/peer_session.cpp
@@ -12,6 +12,7 @@
 #include <glog/logging.h>
 
 #include "mangovane/net/key_proof.hpp"
+#include "mangovane/net/socket_options.hpp"
 
 namespace mangovane::internal
 {
@@ -24,6 +25,9 @@
 
 constexpr int log_period_seconds = 60;
 
+/// A peer that acknowledges nothing for this long is cut off or has lost power.
+constexpr milliseconds peer_silence{5000};
+
 } // namespace
 
 peer_session::peer_session(asio::ip::tcp::socket socket, std::shared_ptr<peer_context> context)
@@ -32,6 +36,7 @@
 
 asio::awaitable<void> peer_session::run(std::shared_ptr<peer_session> self)
 {
+    end_when_silent(self->socket_, peer_silence);
     bool open = co_await self->read_frame(max_hello_bytes);
     auto status = open ? self->accept_greeting() : absl::OkStatus();
     while (open && status.ok())
--- /dev/null
+++ b/src/mangovane/net/session_server.hpp
@@ -0,0 +1,108 @@
+// Accepts connections and keeps account of their sessions.
+#ifndef MANGOVANE_NET_SESSION_SERVER_HPP
+#define MANGOVANE_NET_SESSION_SERVER_HPP
+
+#include <cstddef>
+#include <exception>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/status/status.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+
+#include "mangovane/net/tcp_acceptor.hpp"
+
+namespace mangovane
+{
+
+/// A session is made from a socket and the services, and has `run` and `drain_soon`.
+template <class Session, class Services>
+class session_server
+{
+public:
+    /// The services outlive the server.
+    session_server(boost::asio::io_context& io, Services& services)
+        : io_{io}, services_{services}, acceptor_{boost::asio::make_strand(io)}
+    {}
+
+    /// Listens on `ip:port`; port 0 takes a free one.
+    [[nodiscard]] absl::Status listen(const std::string& address)
+    {
+        if (auto status = open_acceptor(acceptor_, address); !status.ok())
+        {
+            return status;
+        }
+        port_ = acceptor_.local_endpoint().port();
+        const auto on_socket = [this](boost::asio::ip::tcp::socket it) { serve(std::move(it)); };
+        boost::asio::co_spawn(acceptor_.get_executor(), accept_all(acceptor_, io_, on_socket),
+                              boost::asio::detached);
+        return absl::OkStatus();
+    }
+
+    [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
+
+    /// Accepts no more connections and lets each session end after its current answer.
+    void drain()
+    {
+        boost::asio::post(acceptor_.get_executor(),
+                          [this]
+                          {
+                              boost::system::error_code ec;
+                              acceptor_.close(ec);
+                          });
+        const std::lock_guard lock{mutex_};
+        draining_ = true;
+        for (const auto& it : sessions_)
+        {
+            it->drain_soon();
+        }
+    }
+
+    /// Sessions that are open.
+    [[nodiscard]] std::size_t open_sessions() const
+    {
+        const std::lock_guard lock{mutex_};
+        return sessions_.size();
+    }
+
+private:
+    void serve(boost::asio::ip::tcp::socket socket)
+    {
+        const auto executor = socket.get_executor();
+        auto session = std::make_shared<Session>(std::move(socket), services_);
+        {
+            const std::lock_guard lock{mutex_};
+            if (draining_)
+            {
+                return;
+            }
+            sessions_.insert(session);
+        }
+        boost::asio::co_spawn(executor, session->run(),
+                              [this, session](std::exception_ptr)
+                              {
+                                  const std::lock_guard lock{mutex_};
+                                  sessions_.erase(session);
+                              });
+    }
+
+    boost::asio::io_context& io_;
+    Services& services_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::uint16_t port_{0};
+    mutable std::mutex mutex_;
+    absl::flat_hash_set<std::shared_ptr<Session>> sessions_; ///< Guarded by `mutex_`.
+    bool draining_{false};                                   ///< Guarded by `mutex_`.
+};
+
+} // namespace mangovane
+
+#endif
--- /dev/null
+++ b/src/mangovane/net/socket_options.cpp
@@ -0,0 +1,37 @@
+// Implementation of the options of sockets.
+#include "mangovane/net/socket_options.hpp"
+
+#include <algorithm>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace mangovane
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+template <int Name>
+using tcp_option = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+constexpr seconds probe_period{1};
+
+} // namespace
+
+void end_when_silent(asio::ip::tcp::socket& socket, milliseconds silence)
+{
+    const auto probes = std::max<int>(1, static_cast<int>(silence / probe_period));
+    const auto period = static_cast<int>(probe_period.count());
+    boost::system::error_code ec;
+    socket.set_option(asio::ip::tcp::no_delay{true}, ec);
+    socket.set_option(asio::socket_base::keep_alive{true}, ec);
+    socket.set_option(tcp_option<TCP_KEEPIDLE>{period}, ec);
+    socket.set_option(tcp_option<TCP_KEEPINTVL>{period}, ec);
+    socket.set_option(tcp_option<TCP_KEEPCNT>{probes}, ec);
+    socket.set_option(tcp_option<TCP_USER_TIMEOUT>{static_cast<int>(silence.count())}, ec);
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/net/tcp_acceptor.cpp
@@ -0,0 +1,75 @@
+// Implementation of the opening of listening sockets.
+#include "mangovane/net/tcp_acceptor.hpp"
+
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "mangovane/core/time.hpp"
+#include "mangovane/net/address.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Pause after a failed accept, for instance when the process has no free descriptor.
+constexpr milliseconds accept_pause{50};
+
+} // namespace
+
+absl::Status open_acceptor(asio::ip::tcp::acceptor& acceptor, const std::string& address)
+{
+    const auto endpoint = parse_address(address);
+    if (!endpoint)
+    {
+        return absl::InvalidArgumentError(absl::StrCat("not an ip:port: ", address));
+    }
+    boost::system::error_code ec;
+    acceptor.open(endpoint->protocol(), ec);
+    if (!ec)
+    {
+        acceptor.set_option(asio::socket_base::reuse_address{true}, ec);
+    }
+    if (!ec)
+    {
+        acceptor.bind(*endpoint, ec);
+    }
+    if (!ec)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    return ec ? absl::UnavailableError(
+                    absl::StrCat("cannot listen on ", address, ": ", ec.message()))
+              : absl::OkStatus();
+}
+
+asio::awaitable<void> accept_all(asio::ip::tcp::acceptor& acceptor,
+                                 asio::io_context& io,
+                                 std::function<void(asio::ip::tcp::socket)> serve)
+{
+    while (acceptor.is_open())
+    {
+        boost::system::error_code ec;
+        auto socket = co_await acceptor.async_accept(
+            asio::make_strand(io), asio::redirect_error(asio::use_awaitable, ec));
+        if (!ec)
+        {
+            serve(std::move(socket));
+        }
+        else if (acceptor.is_open())
+        {
+            asio::steady_timer timer{acceptor.get_executor(), accept_pause};
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        }
+    }
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/observe/decision_log.cpp
@@ -0,0 +1,102 @@
+// Implementation of the log of decisions.
+#include "mangovane/observe/decision_log.hpp"
+
+#include <algorithm>
+#include <climits>
+
+#include <absl/strings/str_cat.h>
+#include <poll.h>
+#include <unistd.h>
+
+namespace mangovane
+{
+
+namespace
+{
+
+std::int64_t ms_of(auto time)
+{
+    return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count();
+}
+
+} // namespace
+
+std::size_t descriptor_output::write(std::string_view bytes)
+{
+    std::size_t written = 0;
+    while (written != bytes.size())
+    {
+        pollfd ready{descriptor_, POLLOUT, 0};
+        if (::poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0)
+        {
+            break;
+        }
+        // A pipe that is ready takes at least this much at once.
+        const auto n = std::min<std::size_t>(bytes.size() - written, PIPE_BUF);
+        const auto done = ::write(descriptor_, bytes.data() + written, n);
+        if (done <= 0)
+        {
+            break;
+        }
+        written += static_cast<std::size_t>(done);
+    }
+    return written;
+}
+
+decision_log::decision_log(log_output& output, log_limits limits, time_point now)
+    : output_{output}, limits_{limits}, allowance_{limits.burst_lines}, counted_at_{now},
+      epoch_offset_ms_{ms_of(std::chrono::system_clock::now()) - ms_of(now)}
+{}
+
+bool decision_log::take_line(time_point now)
+{
+    const auto passed = std::chrono::duration<double>(now - counted_at_).count();
+    counted_at_ = std::max(counted_at_, now);
+    allowance_ = std::min(allowance_ + std::max(passed, 0.0) * limits_.lines_per_s,
+                          limits_.burst_lines);
+    if (allowance_ < 1)
+    {
+        return false;
+    }
+    allowance_ -= 1;
+    return true;
+}
+
+void decision_log::append(std::string_view text, time_point now)
+{
+    absl::StrAppend(&buffer_, "time=", ms_of(now) + epoch_offset_ms_, " ",
+                    absl::string_view{text.data(), text.size()}, "\n");
+}
+
+void decision_log::write(std::string_view text, time_point now)
+{
+    const std::lock_guard lock{mutex_};
+    if (buffer_.size() + text.size() > limits_.buffer_bytes || !take_line(now))
+    {
+        ++dropped_;
+        return;
+    }
+    append(text, now);
+}
+
+void decision_log::flush(time_point now)
+{
+    const std::lock_guard lock{mutex_};
+    if (dropped_ != reported_ && buffer_.size() < limits_.buffer_bytes)
+    {
+        append(absl::StrCat("event=log_dropped lines=", dropped_ - reported_), now);
+        reported_ = dropped_;
+    }
+    if (!buffer_.empty())
+    {
+        buffer_.erase(0, output_.write(buffer_));
+    }
+}
+
+std::uint64_t decision_log::dropped() const
+{
+    const std::lock_guard lock{mutex_};
+    return dropped_;
+}
+
+} // namespace mangovane
--- a/src/mangovane/routing/coordinator.cpp
+++ b/src/mangovane/routing/coordinator.cpp
@@ -110,6 +110,10 @@
         open_fence();
         follow_view(now);
     }
+    else if constexpr (internal::is_any_of<type, load_digest>)
+    {
+        // Loads are granted by the owners here, not estimated from digests.
+    }
     else if constexpr (internal::is_any_of<type, chat_answer, load_answer>)
     {
         on_event(msg.ticket >> request_flow::number_shift, msg, now);
--- a/src/mangovane/routing/settings_spread.cpp
+++ b/src/mangovane/routing/settings_spread.cpp
@@ -1,11 +1,17 @@
 // Implementation of the spread of settings.
 #include "mangovane/routing/settings_spread.hpp"
 
+#include <utility>
+
 #include "mangovane/settings/parse.hpp"
 
 namespace mangovane
 {
 
+settings_spread::settings_spread(instance_state& state, settings_parser parser)
+    : state_{state}, parser_{parser ? std::move(parser) : settings_parser{&parse_settings}}
+{}
+
 outgoing_messages settings_spread::on(instance_id from, const settings_query& msg) const
 {
     const auto current = state_.settings().current();
@@ -23,7 +29,7 @@
     {
         return;
     }
-    auto parsed = parse_settings(msg.text, msg.stamp.version);
+    auto parsed = parser_(msg.text, msg.stamp.version);
     if (parsed.ok() && (*parsed)->stamp == msg.stamp)
     {
         state_.adopt(*parsed);
--- a/src/mangovane/routing/settings_spread.hpp
+++ b/src/mangovane/routing/settings_spread.hpp
@@ -3,19 +3,26 @@
 #ifndef MANGOVANE_ROUTING_SETTINGS_SPREAD_HPP
 #define MANGOVANE_ROUTING_SETTINGS_SPREAD_HPP
 
+#include <functional>
 #include <mutex>
+#include <string>
+
+#include <absl/status/statusor.h>
 
 #include "mangovane/routing/instance_state.hpp"
-#include "mangovane/routing/slot_service.hpp"
 
 namespace mangovane
 {
 
+/// Reads the text of a settings version.
+using settings_parser =
+    std::function<absl::StatusOr<settings_ptr>(std::string text, std::uint64_t version)>;
+
 class settings_spread
 {
 public:
-    /// The state outlives it.
-    explicit settings_spread(instance_state& state) : state_{state} {}
+    /// The state outlives it. Without a parser, texts have the product's own format.
+    explicit settings_spread(instance_state& state, settings_parser parser = {});
 
     [[nodiscard]] outgoing_messages on(instance_id from, const settings_query& msg) const;
 
@@ -29,6 +36,7 @@
     static constexpr milliseconds query_period{300};
 
     instance_state& state_;
+    const settings_parser parser_;
     std::mutex mutex_;
     time_point asked_at_{}; ///< Guarded by `mutex_`.
 };
--- a/src/mangovane/routing/slot_service.hpp
+++ b/src/mangovane/routing/slot_service.hpp
@@ -14,8 +14,6 @@
 namespace mangovane
 {
 
-using outgoing_messages = std::vector<outgoing_message>;
-
 /// Status of one owned endpoint.
 struct owned_endpoint_status
 {
--- a/src/mangovane/settings/policy.hpp
+++ b/src/mangovane/settings/policy.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,9 @@
     bool checks_fencing{
         false}; ///< The service's endpoints refuse orders with an old fencing number.
 
+    double cold_requests_per_s{0}; ///< What a cold endpoint bears, over all instances; 0: no limit.
+    milliseconds cold_time{0};     ///< For how long an endpoint is cold after its start.
+
     bool operator==(const service_policy&) const = default;
 };
 
@@ -78,10 +82,22 @@
     std::vector<domain_id> domains;   ///< Failure domains that may serve it; empty: all.
     std::vector<limit_rule> limits;   ///< From the account's node to the root.
     milliseconds default_deadline{0}; ///< For requests that name none; 0: they are refused.
+    std::optional<std::uint8_t> urgency; ///< Goes before the route's; 0 is the most urgent.
 
     bool operator==(const account_policy&) const = default;
 };
 
+/// What a caller may send, and how long it may take.
+struct caller_limits
+{
+    std::uint32_t header_bytes{16U * 1024};
+    std::uint64_t body_bytes{8ULL * 1024 * 1024};
+    milliseconds header_timeout{10000}; ///< From the first byte of a request to its last.
+    milliseconds idle_timeout{60000};   ///< Between two requests of a connection.
+
+    auto operator<=>(const caller_limits&) const = default;
+};
+
 } // namespace mangovane
 
 #endif
--- /dev/null
+++ b/src/mangovane/settings/route.cpp
@@ -0,0 +1,62 @@
+// Implementation of the routes.
+#include "mangovane/settings/route.hpp"
+
+#include <numeric>
+#include <utility>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+
+#include "mangovane/core/hash.hpp"
+
+namespace mangovane
+{
+
+service_id route_policy::pick_service(std::uint64_t chance) const noexcept
+{
+    const auto add = [](std::uint64_t sum, const route_target& it) { return sum + it.weight; };
+    const auto total = std::accumulate(targets.begin(), targets.end(), std::uint64_t{0}, add);
+    if (total == 0)
+    {
+        return targets.front().service;
+    }
+    auto n = hash_combine(chance, total) % total;
+    for (const auto& it : targets)
+    {
+        if (n < it.weight)
+        {
+            return it.service;
+        }
+        n -= it.weight;
+    }
+    return targets.back().service;
+}
+
+route_list::route_list(std::vector<route_policy> routes) : routes_{std::move(routes)}
+{
+    by_place_.reserve(routes_.size());
+    for (std::size_t n = 0; n != routes_.size(); ++n)
+    {
+        by_place_.insert_or_assign(absl::StrCat(routes_[n].host, routes_[n].prefix), n);
+    }
+}
+
+const route_policy* route_list::match(std::string_view host, std::string_view path) const
+{
+    auto place = absl::AsciiStrToLower(absl::string_view{host.data(), host.size()});
+    const auto floor = place.size();
+    place.append(path.data(), path.size());
+    // Every prefix ends with a slash: the candidates are the path up to each of its slashes.
+    for (auto end = place.rfind('/'); end != std::string::npos && end >= floor;)
+    {
+        place.resize(end + 1);
+        if (const auto it = by_place_.find(place); it != by_place_.end())
+        {
+            return &routes_[it->second];
+        }
+        end = end == 0 ? std::string::npos : place.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+} // namespace mangovane
--- a/src/mangovane/settings/snapshot.hpp
+++ b/src/mangovane/settings/snapshot.hpp
@@ -11,6 +11,7 @@
 #include "mangovane/core/id.hpp"
 #include "mangovane/message/membership.hpp"
 #include "mangovane/settings/policy.hpp"
+#include "mangovane/settings/route.hpp"
 
 namespace mangovane
 {
@@ -29,6 +30,8 @@
     absl::flat_hash_map<node_id, limit_rule> limits; ///< Nodes with a rate or concurrency limit.
     absl::flat_hash_set<domain_id> domains_out;
     absl::flat_hash_set<endpoint_id> endpoints_drained;
+    route_list routes; ///< Empty when callers name the service in the path.
+    caller_limits limits_of_callers;
 
     [[nodiscard]] const service_policy* find_service(service_id id) const
     {
--- a/src/mangovane/settings/store.hpp
+++ b/src/mangovane/settings/store.hpp
@@ -16,7 +16,7 @@
 #include <absl/status/statusor.h>
 
 #include "mangovane/message/membership.hpp"
-#include "mangovane/platform/table_service.hpp"
+#include "mangovane/store/table_service.hpp"
 #include "mangovane/settings/mistake.hpp"
 
 namespace mangovane
--- a/src/mangovane/platform/fwd.hpp
+++ b/src/mangovane/store/fwd.hpp
@@ -1,6 +1,6 @@
-// Forward declarations of the platform module.
-#ifndef MANGOVANE_PLATFORM_FWD_HPP
-#define MANGOVANE_PLATFORM_FWD_HPP
+// Forward declarations of the store module.
+#ifndef MANGOVANE_STORE_FWD_HPP
+#define MANGOVANE_STORE_FWD_HPP
 
 namespace mangovane
 {
--- a/src/mangovane/platform/http_platform.cpp
+++ b/src/mangovane/store/http_platform.cpp
@@ -1,12 +1,12 @@
 // Implementation of the platform's services over HTTP.
-#include "mangovane/platform/http_platform.hpp"
+#include "mangovane/store/http_platform.hpp"
 
 #include <utility>
 
 #include <absl/strings/str_cat.h>
 
-#include "mangovane/platform/http_pool.hpp"
-#include "mangovane/platform/platform_codec.hpp"
+#include "mangovane/store/http_pool.hpp"
+#include "mangovane/store/platform_codec.hpp"
 
 namespace mangovane
 {
--- a/src/mangovane/platform/http_platform.hpp
+++ b/src/mangovane/store/http_platform.hpp
@@ -1,13 +1,13 @@
 // The platform's services over HTTP/1.1 (docs/platform-protocol.md), on a small pool of kept-alive
 // connections. A failed call is reported and never repeated here: only the caller knows whether a
 // repeat is safe.
-#ifndef MANGOVANE_PLATFORM_HTTP_PLATFORM_HPP
-#define MANGOVANE_PLATFORM_HTTP_PLATFORM_HPP
+#ifndef MANGOVANE_STORE_HTTP_PLATFORM_HPP
+#define MANGOVANE_STORE_HTTP_PLATFORM_HPP
 
 #include <memory>
 #include <string>
 
-#include "mangovane/platform/table_service.hpp"
+#include "mangovane/store/table_service.hpp"
 
 namespace boost::asio
 {
--- a/src/mangovane/platform/http_pool.cpp
+++ b/src/mangovane/store/http_pool.cpp
@@ -1,5 +1,5 @@
 // Implementation of the pool of connections.
-#include "mangovane/platform/http_pool.hpp"
+#include "mangovane/store/http_pool.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -15,6 +15,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "mangovane/net/address.hpp"
+#include "mangovane/net/socket_options.hpp"
 
 namespace mangovane
 {
@@ -26,6 +27,9 @@
 namespace
 {
 
+/// A store that acknowledges nothing for this long is cut off; a waiting read would not show it.
+constexpr milliseconds store_silence{2000};
+
 absl::Status status_of(const beast::error_code& ec)
 {
     if (ec == beast::error::timeout)
@@ -151,7 +155,7 @@
     {
         co_return status_of(ec);
     }
-    conn->socket().set_option(asio::ip::tcp::no_delay{true}, ec);
+    end_when_silent(conn->socket(), store_silence);
     co_return absl::OkStatus();
 }
 
--- a/src/mangovane/platform/http_pool.hpp
+++ b/src/mangovane/store/http_pool.hpp
@@ -1,6 +1,6 @@
 // Kept-alive HTTP/1.1 connections to one address. All state is touched on one strand.
-#ifndef MANGOVANE_PLATFORM_HTTP_POOL_HPP
-#define MANGOVANE_PLATFORM_HTTP_POOL_HPP
+#ifndef MANGOVANE_STORE_HTTP_POOL_HPP
+#define MANGOVANE_STORE_HTTP_POOL_HPP
 
 #include <cstddef>
 #include <deque>
--- a/src/mangovane/platform/platform_codec.hpp
+++ b/src/mangovane/store/platform_codec.hpp
@@ -1,6 +1,6 @@
 // JSON texts of the platform's protocol (docs/platform-protocol.md), read and written.
-#ifndef MANGOVANE_PLATFORM_PLATFORM_CODEC_HPP
-#define MANGOVANE_PLATFORM_PLATFORM_CODEC_HPP
+#ifndef MANGOVANE_STORE_PLATFORM_CODEC_HPP
+#define MANGOVANE_STORE_PLATFORM_CODEC_HPP
 
 #include <string>
 #include <string_view>
@@ -8,7 +8,7 @@
 
 #include <absl/status/statusor.h>
 
-#include "mangovane/platform/table_service.hpp"
+#include "mangovane/store/table_service.hpp"
 
 namespace mangovane
 {
--- a/src/mangovane/platform/table_service.hpp
+++ b/src/mangovane/store/table_service.hpp
@@ -1,8 +1,8 @@
 // Interfaces to the platform: a transactional table, an object store and the list of instances and
 // endpoints. Calls are asynchronous; every handler is called exactly once, never from inside the
 // call.
-#ifndef MANGOVANE_PLATFORM_TABLE_SERVICE_HPP
-#define MANGOVANE_PLATFORM_TABLE_SERVICE_HPP
+#ifndef MANGOVANE_STORE_TABLE_SERVICE_HPP
+#define MANGOVANE_STORE_TABLE_SERVICE_HPP
 
 #include <cstdint>
 #include <functional>
--- a/src/mangovane/wire/body_decode.cpp
+++ b/src/mangovane/wire/body_decode.cpp
@@ -181,6 +181,25 @@
     return settings_content{from_wire(it.stamp()), from_wire(it.text())};
 }
 
+message unpack(const wire::LoadDigest& it, time_point)
+{
+    load_digest result;
+    if (it.endpoints() == nullptr)
+    {
+        return result;
+    }
+    // One more than is allowed is enough for the check to fail.
+    const auto n = std::min<std::size_t>(it.endpoints()->size(), max_digest_endpoints + 1);
+    result.endpoints.reserve(n);
+    for (std::size_t k = 0; k != n; ++k)
+    {
+        const auto* entry = it.endpoints()->Get(static_cast<std::uint32_t>(k));
+        result.endpoints.push_back({endpoint_id{entry->endpoint()}, entry->in_flight(),
+                                    entry->failures(), entry->successes()});
+    }
+    return result;
+}
+
 using decoder = message (*)(const void*, time_point);
 
 template <class Table>
@@ -214,7 +233,8 @@
                                         wire::ProbeAck,
                                         wire::ProbeRequest,
                                         wire::SettingsQuery,
-                                        wire::SettingsContent>();
+                                        wire::SettingsContent,
+                                        wire::LoadDigest>();
 
 static_assert(decoders.size() == std::variant_size_v<message>);
 static_assert(decoders.size() == static_cast<std::size_t>(wire::Body::MAX));
@@ -259,6 +279,11 @@
         return it.text.size() <= max_settings_text_bytes;
     }
 
+    [[nodiscard]] bool operator()(const load_digest& it) const
+    {
+        return it.endpoints.size() <= max_digest_endpoints;
+    }
+
     [[nodiscard]] bool check_updates(const std::vector<member_update>& updates) const
     {
         return updates.size() <= max_updates_per_probe &&
--- a/src/mangovane/wire/body_encode.cpp
+++ b/src/mangovane/wire/body_encode.cpp
@@ -179,6 +179,19 @@
     return wire::CreateSettingsContent(buf, &stamp, content);
 }
 
+auto pack(builder& buf, const load_digest& it, time_point)
+{
+    std::vector<wire::EndpointDigest> entries;
+    entries.reserve(it.endpoints.size());
+    for (const auto& entry : it.endpoints)
+    {
+        entries.emplace_back(entry.endpoint.value(), entry.in_flight, entry.failures,
+                             entry.successes);
+    }
+    const auto vector = buf.CreateVectorOfStructs(entries);
+    return wire::CreateLoadDigest(buf, vector);
+}
+
 using encoder = body_offset (*)(builder&, const message&, time_point);
 
 template <std::size_t N>
--- a/src/mangovane/wire/frame_generated.h
+++ b/src/mangovane/wire/frame_generated.h
@@ -82,6 +82,11 @@
 struct SettingsContent;
 struct SettingsContentBuilder;
 
+struct EndpointDigest;
+
+struct LoadDigest;
+struct LoadDigestBuilder;
+
 struct Hello;
 struct HelloBuilder;
 
@@ -109,11 +114,12 @@
   ProbeRequest = 17,
   SettingsQuery = 18,
   SettingsContent = 19,
+  LoadDigest = 20,
   MIN = NONE,
-  MAX = SettingsContent
+  MAX = LoadDigest
 };
 
-inline const Body (&EnumValuesBody())[20] {
+inline const Body (&EnumValuesBody())[21] {
   static const Body values[] = {
     Body::NONE,
     Body::SlotRequest,
@@ -134,13 +140,14 @@
     Body::ProbeAck,
     Body::ProbeRequest,
     Body::SettingsQuery,
-    Body::SettingsContent
+    Body::SettingsContent,
+    Body::LoadDigest
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[21] = {
+  static const char * const names[22] = {
     "NONE",
     "SlotRequest",
     "SlotGrant",
@@ -161,13 +168,14 @@
     "ProbeRequest",
     "SettingsQuery",
     "SettingsContent",
+    "LoadDigest",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::SettingsContent)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LoadDigest)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -252,6 +260,10 @@
   static const Body enum_value = Body::SettingsContent;
 };
 
+template<> struct BodyTraits<mangovane::wire::LoadDigest> {
+  static const Body enum_value = Body::LoadDigest;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -345,6 +357,46 @@
 };
 FLATBUFFERS_STRUCT_END(HeldSlot, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndpointDigest FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  uint16_t in_flight_;
+  uint8_t failures_;
+  uint8_t successes_;
+  int32_t padding0__;
+
+ public:
+  EndpointDigest()
+      : endpoint_(0),
+        in_flight_(0),
+        failures_(0),
+        successes_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  EndpointDigest(uint64_t _endpoint, uint16_t _in_flight, uint8_t _failures, uint8_t _successes)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        in_flight_(flatbuffers::EndianScalar(_in_flight)),
+        failures_(flatbuffers::EndianScalar(_failures)),
+        successes_(flatbuffers::EndianScalar(_successes)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint16_t in_flight() const {
+    return flatbuffers::EndianScalar(in_flight_);
+  }
+  uint8_t failures() const {
+    return flatbuffers::EndianScalar(failures_);
+  }
+  uint8_t successes() const {
+    return flatbuffers::EndianScalar(successes_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EndpointDigest, 16);
+
 struct SlotRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SlotRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1804,6 +1856,57 @@
       text__);
 }
 
+struct LoadDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadDigestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINTS = 4
+  };
+  const flatbuffers::Vector<const mangovane::wire::EndpointDigest *> *endpoints() const {
+    return GetPointer<const flatbuffers::Vector<const mangovane::wire::EndpointDigest *> *>(VT_ENDPOINTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINTS) &&
+           verifier.VerifyVector(endpoints()) &&
+           verifier.EndTable();
+  }
+};
+
+struct LoadDigestBuilder {
+  typedef LoadDigest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<const mangovane::wire::EndpointDigest *>> endpoints) {
+    fbb_.AddOffset(LoadDigest::VT_ENDPOINTS, endpoints);
+  }
+  explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadDigest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadDigest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadDigest> CreateLoadDigest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovane::wire::EndpointDigest *>> endpoints = 0) {
+  LoadDigestBuilder builder_(_fbb);
+  builder_.add_endpoints(endpoints);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LoadDigest> CreateLoadDigestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<mangovane::wire::EndpointDigest> *endpoints = nullptr) {
+  auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<mangovane::wire::EndpointDigest>(*endpoints) : 0;
+  return mangovane::wire::CreateLoadDigest(
+      _fbb,
+      endpoints__);
+}
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2094,6 +2197,10 @@
       auto ptr = reinterpret_cast<const mangovane::wire::SettingsContent *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::LoadDigest: {
+      auto ptr = reinterpret_cast<const mangovane::wire::LoadDigest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -7,7 +7,7 @@
 #include <boost/json.hpp>
 #include <boost/url/pct_string_view.hpp>
 
-#include "mangovane/platform/platform_codec.hpp"
+#include "mangovane/store/platform_codec.hpp"
 #include "standin/support.hpp"
 
 namespace mangovane::standin
--- a/src/standin/platform.hpp
+++ b/src/standin/platform.hpp
@@ -11,7 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "mangovane/core/time.hpp"
-#include "mangovane/platform/table_service.hpp"
+#include "mangovane/store/table_service.hpp"
 #include "standin/http_host.hpp"
 
 namespace mangovane::standin
--- a/test/mangovane/idempotency/threads.cpp
+++ b/test/mangovane/idempotency/threads.cpp
@@ -9,7 +9,7 @@
 #include <doctest/doctest.h>
 
 #include "mangovane/idempotency/claim_batch.hpp"
-#include "mangovane/platform/table_service.hpp"
+#include "mangovane/store/table_service.hpp"
 
 using namespace mangovane;
 
--- a/test/mangovane/settings/fake_platform.hpp
+++ b/test/mangovane/settings/fake_platform.hpp
@@ -7,7 +7,7 @@
 #include <map>
 #include <utility>
 
-#include "mangovane/platform/table_service.hpp"
+#include "mangovane/store/table_service.hpp"
 
 namespace mangovane
 {
--- a/test/mangovane/standin/service.cpp
+++ b/test/mangovane/standin/service.cpp
@@ -3,8 +3,8 @@
 
 #include <doctest/doctest.h>
 
-#include "mangovane/platform/hosted.hpp"
-#include "mangovane/platform/http_pool.hpp"
+#include "mangovane/store/hosted.hpp"
+#include "mangovane/store/http_pool.hpp"
 
 using namespace mangovane;
 namespace http = boost::beast::http;
--- a/test/mangovane/platform/claims_over_http.cpp
+++ b/test/mangovane/store/claims_over_http.cpp
@@ -2,9 +2,9 @@
 #include <doctest/doctest.h>
 
 #include "mangovane/idempotency/claim_batch.hpp"
-#include "mangovane/platform/hosted.hpp"
-#include "mangovane/platform/http_platform.hpp"
-#include "mangovane/platform/http_pool.hpp"
+#include "mangovane/store/hosted.hpp"
+#include "mangovane/store/http_platform.hpp"
+#include "mangovane/store/http_pool.hpp"
 #include "standin/platform.hpp"
 
 using namespace mangovane;
--- a/test/mangovane/platform/http_platform.cpp
+++ b/test/mangovane/store/http_platform.cpp
@@ -1,12 +1,12 @@
 // Tests of the platform's client against the stand-in.
-#include "mangovane/platform/http_platform.hpp"
+#include "mangovane/store/http_platform.hpp"
 
 #include <atomic>
 
 #include <doctest/doctest.h>
 
-#include "mangovane/platform/hosted.hpp"
-#include "mangovane/platform/http_pool.hpp"
+#include "mangovane/store/hosted.hpp"
+#include "mangovane/store/http_pool.hpp"
 #include "standin/platform.hpp"
 
 using namespace mangovane;
--- a/test/mangovane/platform/platform_codec.cpp
+++ b/test/mangovane/store/platform_codec.cpp
@@ -1,5 +1,5 @@
 // Tests of the platform's JSON texts.
-#include "mangovane/platform/platform_codec.hpp"
+#include "mangovane/store/platform_codec.hpp"
 
 #include <doctest/doctest.h>
 
--- a/test/mangovane/wire/codec.cpp
+++ b/test/mangovane/wire/codec.cpp
@@ -42,7 +42,8 @@
             probe_ack{1, instance_id{2}, {2, 3}, {update(4)}},
             probe_request{1, instance_id{2}},
             settings_query{{1, 2}},
-            settings_content{{1, 2}, "{}"}};
+            settings_content{{1, 2}, "{}"},
+            load_digest{{{endpoint_id{1}, 2, 3, 4}, {endpoint_id{5}, 6, 0, 0}}}};
 }
 
 frame frame_of(std::vector<message> messages)
--- a/test/process/fleet_scenarios.cpp
+++ b/test/process/fleet_scenarios.cpp
@@ -6,7 +6,7 @@
 
 #include "mangovane/idempotency/claim.hpp"
 #include "mangovane/idempotency/claim_codec.hpp"
-#include "mangovane/platform/platform_codec.hpp"
+#include "mangovane/store/platform_codec.hpp"
 #include "process/fleet_load.hpp"
 
 using namespace mangovane;
--- a/test/stateful/fake_table.hpp
+++ b/test/stateful/fake_table.hpp
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "mangovane/platform/table_service.hpp"
+#include "mangovane/store/table_service.hpp"
 
 namespace mangovane::test
 {
