--- a/src/mangovane/daemon/fleet_feed.cpp
+++ b/src/mangovane/daemon/fleet_feed.cpp
@@ -23,22 +23,23 @@
 void fleet_feed::on_settings(const settings_ptr& settings, time_point now)
 {
     core_.adopt_settings(settings, now);
+    core_.refresh(now);
 }
 
 void fleet_feed::on_endpoints(const std::vector<endpoint_change>& entries,
                               std::uint64_t revision,
                               time_point now)
 {
-    catalog_.replace(entries, revision, now);
-    tick(now);
+    core_.catalog().replace(entries, revision, now);
+    core_.refresh(now);
 }
 
 void fleet_feed::on_endpoint_changes(const std::vector<endpoint_change>& changes,
                                      std::uint64_t revision,
                                      time_point now)
 {
-    catalog_.apply(changes, revision, now);
-    tick(now);
+    core_.catalog().apply(changes, revision, now);
+    core_.refresh(now);
 }
 
 void fleet_feed::on_instances(const std::vector<listed_instance>& instances, time_point now)
@@ -48,7 +49,7 @@
 
 void fleet_feed::on_outage(const std::string& reason, time_point now)
 {
-    catalog_.on_outage(now);
+    core_.catalog().on_outage(now);
     const std::lock_guard lock{mutex_};
     if (reachable_)
     {
@@ -62,7 +63,7 @@
 
 void fleet_feed::on_contact(time_point now)
 {
-    catalog_.on_contact(now);
+    core_.catalog().on_contact(now);
     const std::lock_guard lock{mutex_};
     contact_at_ = now;
     if (!reachable_)
@@ -80,11 +81,12 @@
 void fleet_feed::tick(time_point now)
 {
     const std::lock_guard lock{mutex_};
-    if (auto endpoints = catalog_.take_changed(now))
+    static const endpoint_directory none;
+    const auto routes = core_.state().routes();
+    if (routes != logged_routes_)
     {
-        core_.set_endpoints(endpoints);
-        log_changes(*endpoints_, *endpoints, now);
-        endpoints_ = std::move(endpoints);
+        log_changes(logged_routes_ ? logged_routes_->endpoints() : none, routes->endpoints(), now);
+        logged_routes_ = routes;
     }
     const auto settings = core_.settings();
     if (settings && settings->stamp.version != logged_version_)
@@ -110,7 +112,7 @@
         {
             log_.write(absl::StrCat(known == nullptr ? "event=endpoint_listed " :
                                                        "event=endpoint_changed ",
-                                    describe(it, now), " revision=", catalog_.revision()),
+                                    describe(it, now), " revision=", endpoints_revision()),
                        now);
         }
     }
@@ -119,15 +121,22 @@
         if (after.find(it.id) == nullptr)
         {
             log_.write(absl::StrCat("event=endpoint_gone ", describe(it, now), " revision=",
-                                    catalog_.revision()),
+                                    endpoints_revision()),
                        now);
         }
     }
 }
 
+void fleet_feed::on_reading_stopped()
+{
+    core_.catalog().on_reading_stopped();
+    const std::lock_guard lock{mutex_};
+    reachable_ = true;
+}
+
 bool fleet_feed::complete()
 {
-    return core_.settings() != nullptr && catalog_.revision() != 0;
+    return core_.settings() != nullptr && endpoints_revision() != 0;
 }
 
 } // namespace mangovane
--- a/src/mangovane/daemon/fleet_feed.hpp
+++ b/src/mangovane/daemon/fleet_feed.hpp
@@ -39,22 +39,26 @@
     /// A row or entry could not be read; it is left out.
     void on_unreadable(const std::string& what, const std::string& reason, time_point now);
 
-    /// Puts due changes in force.
+    /// Logs what has changed.
     void tick(time_point now);
 
     /// Whether enough is known to serve.
     [[nodiscard]] bool complete();
 
-    [[nodiscard]] endpoint_catalog& catalog() noexcept { return catalog_; }
+    /// Where a source goes on when it begins to read again.
+    [[nodiscard]] settings_ptr settings() { return core_.settings(); }
+    [[nodiscard]] std::uint64_t endpoints_revision() const { return core_.catalog().revision(); }
+
+    /// The source was told to stop reading.
+    void on_reading_stopped();
 
 private:
     void log_changes(const endpoint_directory& before, const endpoint_directory& after, time_point now);
 
     forward_core& core_;
     decision_log& log_;
-    endpoint_catalog catalog_;
     std::mutex mutex_;
-    endpoints_ptr endpoints_ = std::make_shared<endpoint_directory>(); ///< Guarded by `mutex_`.
+    routing_table_ptr logged_routes_; ///< Whose endpoints were logged last. Guarded by `mutex_`.
     std::uint64_t logged_version_{0};                                  ///< Guarded by `mutex_`.
     bool reachable_{true};                                             ///< Guarded by `mutex_`.
     time_point contact_at_{};                                          ///< Guarded by `mutex_`.
@@ -68,6 +72,9 @@
     virtual void start() = 0;
     virtual void stop() = 0;
 
+    /// Whether this instance has to read; else others tell it what they have read.
+    virtual void set_reading(bool reading) = 0;
+
     /// Called a few times a second.
     virtual void tick(time_point now) = 0;
 };
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -123,6 +123,7 @@
     void tick();
     void note_pause(time_point now);
     void note_view(time_point now);
+    void note_duty(time_point now);
     void update_readiness(time_point now);
     void await_stop();
     void await_reload();
@@ -156,6 +157,7 @@
     milliseconds booted_for{0};
     time_point labels_rotated_at{};
     std::uint64_t logged_view{0};
+    bool reading{true}; ///< Until others are heard of.
 };
 
 absl::Status forward_router::state::listen()
@@ -221,6 +223,19 @@
               now);
 }
 
+void forward_router::state::note_duty(time_point now)
+{
+    const bool reads = core.reads_store(now);
+    if (reads != reading)
+    {
+        reading = reads;
+        log.write(absl::StrCat("event=store_duty reads=", reads ? 1 : 0, " endpoints_revision=",
+                               feed.endpoints_revision()),
+                  now);
+        source->set_reading(reads);
+    }
+}
+
 void forward_router::state::update_readiness(time_point now)
 {
     // An instance that was ready stays so when the store goes away: it serves what it can.
@@ -228,7 +243,7 @@
     {
         ready = true;
         log.write(absl::StrCat("event=ready settings=", core.settings()->stamp.version,
-                               " endpoints_revision=", feed.catalog().revision()),
+                               " endpoints_revision=", feed.endpoints_revision()),
                   now);
     }
 }
@@ -239,6 +254,7 @@
     note_pause(now);
     core.tick(now);
     feed.tick(now);
+    note_duty(now);
     source->tick(now);
     note_view(now);
     update_readiness(now);
--- a/src/mangovane/forward/endpoint_board.hpp
+++ b/src/mangovane/forward/endpoint_board.hpp
@@ -43,7 +43,7 @@
     [[nodiscard]] load_digest digest(time_point now);
 
     /// A digest that is not renewed counts no longer: its sender has died or is cut off.
-    static constexpr milliseconds digest_validity{3000};
+    static constexpr milliseconds digest_validity{4000};
 
 private:
     struct received_digest
--- /dev/null
+++ b/src/mangovane/forward/feed_spread.cpp
@@ -0,0 +1,107 @@
+// Implementation of the spread of what readers have read.
+#include "mangovane/forward/feed_spread.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangovane
+{
+
+feed_state feed_spread::own_state(time_point now) const
+{
+    const auto settings = state_.settings().current();
+    const auto age = catalog_.contact_age(now);
+    const auto ms = age ? std::min<std::int64_t>(age->count(), UINT32_MAX) : UINT32_MAX;
+    return {settings ? settings->stamp : settings_stamp{}, catalog_.revision(),
+            static_cast<std::uint32_t>(ms)};
+}
+
+outgoing_messages feed_spread::on(instance_id from, const feed_state& msg, time_point now)
+{
+    duty_.on_state(from, msg, *state_.view(), now);
+    const auto own = own_state(now);
+    outgoing_messages result;
+    const std::lock_guard lock{mutex_};
+    if (msg.endpoints_revision > own.endpoints_revision && now >= endpoints_asked_at_ + query_pause)
+    {
+        endpoints_asked_at_ = now;
+        result.push_back({from, endpoint_query{own.endpoints_revision}});
+    }
+    if (msg.settings.version > own.settings.version && now >= settings_asked_at_ + query_pause)
+    {
+        settings_asked_at_ = now;
+        result.push_back({from, settings_query{own.settings}});
+    }
+    return result;
+}
+
+outgoing_messages feed_spread::on(instance_id from, const endpoint_query& msg, time_point now)
+{
+    outgoing_messages result;
+    if (catalog_.revision() <= msg.have)
+    {
+        return result;
+    }
+    for (auto& it : catalog_.updates_since(msg.have, now))
+    {
+        result.push_back({from, std::move(it)});
+    }
+    return result;
+}
+
+outgoing_messages feed_spread::on(instance_id from, const endpoint_update& msg, time_point now)
+{
+    if (catalog_.on_update(msg, now))
+    {
+        return {};
+    }
+    const std::lock_guard lock{mutex_};
+    if (now < endpoints_asked_at_ + query_pause)
+    {
+        return {};
+    }
+    endpoints_asked_at_ = now;
+    return {{from, endpoint_query{catalog_.revision()}}};
+}
+
+outgoing_messages feed_spread::tick(time_point now)
+{
+    const auto view = state_.view();
+    const bool reader = duty_.reads(*view, now);
+    const auto own = own_state(now);
+    const std::lock_guard lock{mutex_};
+    const bool first = reader && !std::exchange(told_, reader);
+    if (!reader)
+    {
+        return {};
+    }
+    if (first)
+    {
+        // Instances that lag ask for the whole list when they hear of its revision.
+        told_revision_ = own.endpoints_revision;
+    }
+    const bool news = own.endpoints_revision > told_revision_ ||
+                      own.settings.version != told_version_;
+    if (!news && now < told_at_ + watch_duty::state_period)
+    {
+        return {};
+    }
+    outgoing_messages result;
+    const auto updates = own.endpoints_revision > told_revision_
+                             ? catalog_.updates_since(told_revision_, now)
+                             : std::vector<endpoint_update>{};
+    for (const auto to : duty_.audience(*view))
+    {
+        for (const auto& it : updates)
+        {
+            result.push_back({to, it});
+        }
+        result.push_back({to, own});
+    }
+    told_revision_ = own.endpoints_revision;
+    told_version_ = own.settings.version;
+    told_at_ = now;
+    return result;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/forward/feed_spread.hpp
@@ -0,0 +1,51 @@
+// Spreads settings and endpoints from the instances that read the store to those that do not.
+#ifndef MANGOVANE_FORWARD_FEED_SPREAD_HPP
+#define MANGOVANE_FORWARD_FEED_SPREAD_HPP
+
+#include <mutex>
+
+#include "mangovane/forward/watch_duty.hpp"
+#include "mangovane/membership/endpoint_catalog.hpp"
+#include "mangovane/routing/instance_state.hpp"
+
+namespace mangovane
+{
+
+class feed_spread
+{
+public:
+    /// The state and the catalog outlive it.
+    feed_spread(instance_state& state, endpoint_catalog& catalog, time_point start)
+        : state_{state}, catalog_{catalog}, duty_{state.self().id, state.self().domain, start}
+    {}
+
+    [[nodiscard]] outgoing_messages on(instance_id from, const feed_state& msg, time_point now);
+    [[nodiscard]] outgoing_messages on(instance_id from, const endpoint_query& msg, time_point now);
+    [[nodiscard]] outgoing_messages on(instance_id from, const endpoint_update& msg, time_point now);
+
+    /// What a reader tells its audience: at once after a change, else each period.
+    [[nodiscard]] outgoing_messages tick(time_point now);
+
+    /// Whether this instance has to read the store now.
+    [[nodiscard]] bool reads(time_point now) const { return duty_.reads(*state_.view(), now); }
+
+private:
+    static constexpr milliseconds query_pause{150}; ///< Between two questions of one kind.
+
+    [[nodiscard]] feed_state own_state(time_point now) const;
+
+    instance_state& state_;
+    endpoint_catalog& catalog_;
+    watch_duty duty_;
+    std::mutex mutex_;
+    bool told_{false};              ///< This instance was a reader at the last tick. By `mutex_`.
+    std::uint64_t told_revision_{0}; ///< Of endpoints, pushed last. Guarded by `mutex_`.
+    std::uint64_t told_version_{0};  ///< Of settings, told last. Guarded by `mutex_`.
+    time_point told_at_{};           ///< Guarded by `mutex_`.
+    time_point endpoints_asked_at_{}; ///< Guarded by `mutex_`.
+    time_point settings_asked_at_{};  ///< Guarded by `mutex_`.
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -14,7 +14,7 @@
                            time_point now)
     : options_{std::move(options)}, sink_{sink},
       state_{options_.self, options_.timing, options_.seed}, spread_{state_, std::move(parser)},
-      retries_{options_.fleet.retries}, size_{now}
+      feed_{state_, catalog_, now}, retries_{options_.fleet.retries}, size_{now}
 {}
 
 adopt_result forward_core::adopt_settings(settings_ptr settings, time_point now)
@@ -47,9 +47,13 @@
     }
 }
 
-bool forward_core::set_endpoints(endpoints_ptr endpoints)
+void forward_core::refresh(time_point now)
 {
-    return state_.set_endpoints(std::move(endpoints));
+    if (auto endpoints = catalog_.take_changed(now))
+    {
+        state_.set_endpoints(std::move(endpoints));
+    }
+    send(feed_.tick(now));
 }
 
 void forward_core::on_listed(const std::vector<listed_instance>& instances, time_point now)
@@ -90,6 +94,16 @@
     {
         board_.on_digest(from, it, now);
     }
+    else if constexpr (std::is_same_v<Message, endpoint_update>)
+    {
+        send(feed_.on(from, it, now));
+        refresh(now);
+    }
+    else if constexpr (std::is_same_v<Message, feed_state> ||
+                       std::is_same_v<Message, endpoint_query>)
+    {
+        send(feed_.on(from, it, now));
+    }
     // Instances that forward by routes exchange no other messages.
 }
 
@@ -117,6 +131,7 @@
 {
     send(state_.members().tick(now));
     send(spread_.tick(now));
+    refresh(now);
     size_.note(static_cast<std::uint32_t>(view()->members().size()), now);
     send_digest(now);
     {
@@ -130,28 +145,38 @@
     board_.expire(now);
 }
 
+bool forward_core::take_digest_turn(bool near, const load_digest& digest, time_point now)
+{
+    const auto members = view()->members().size();
+    const auto factor = near ? 1.0
+                             : std::max(1.0, static_cast<double>(members) / fleet_of_full_rate);
+    const auto period = std::chrono::duration_cast<duration>(digest_period * factor);
+    const auto renewal = std::max<duration>(digest_renewal, period);
+    const std::lock_guard lock{mutex_};
+    auto& last = near ? near_digest_ : far_digest_;
+    const bool due = now >= last.at + (digest == last.content ? renewal : period);
+    if (due)
+    {
+        last = {digest, now};
+    }
+    return due;
+}
+
 void forward_core::send_digest(time_point now)
 {
-    load_digest digest;
+    const auto digest = board_.digest(now);
+    const bool near = take_digest_turn(true, digest, now);
+    const bool far = take_digest_turn(false, digest, now);
+    if (!near && !far)
     {
-        const std::lock_guard lock{mutex_};
-        if (now < digest_sent_at_ + digest_period)
-        {
-            return;
-        }
-        digest = board_.digest(now);
-        if (digest == last_digest_ && now < digest_sent_at_ + digest_renewal)
-        {
-            return;
-        }
-        digest_sent_at_ = now;
-        last_digest_ = digest;
+        return;
     }
     const auto members = view();
     for (const auto& it : members->members())
     {
         const bool live = it.state == member_state::alive || it.state == member_state::suspect;
-        if (live && it.id != options_.self.id)
+        const bool own_domain = it.domain == options_.self.domain;
+        if (live && it.id != options_.self.id && (own_domain ? near : far))
         {
             sink_.send({it.id, digest});
         }
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -12,6 +12,7 @@
 
 #include "mangovane/forward/endpoint_board.hpp"
 #include "mangovane/forward/endpoint_chooser.hpp"
+#include "mangovane/forward/feed_spread.hpp"
 #include "mangovane/forward/fleet_size.hpp"
 #include "mangovane/forward/placement_rule.hpp"
 #include "mangovane/forward/retry_share.hpp"
@@ -55,8 +56,14 @@
     /// Puts settings in force if they are newer.
     adopt_result adopt_settings(settings_ptr settings, time_point now);
 
-    /// Replaces the list of endpoints; false when it is the same as before.
-    bool set_endpoints(endpoints_ptr endpoints);
+    /// What the registry of endpoints says. After a change, `refresh` puts it in force.
+    [[nodiscard]] endpoint_catalog& catalog() noexcept { return catalog_; }
+
+    /// Puts changes of the catalog in force and tells other instances of what is new.
+    void refresh(time_point now);
+
+    /// Whether this instance has to read the store now, for itself and others.
+    [[nodiscard]] bool reads_store(time_point now) const { return feed_.reads(now); }
 
     /// Instances that the outside names; they are probed.
     void on_listed(const std::vector<listed_instance>& instances, time_point now);
@@ -91,8 +98,19 @@
         double mean_load{0};                   ///< Over all listed endpoints.
     };
 
+    /// The digest that was sent last.
+    struct sent_digest
+    {
+        load_digest content;
+        time_point at{};
+    };
+
     static constexpr milliseconds digest_period{200};
     static constexpr milliseconds digest_renewal{1000}; ///< Also without a change.
+
+    /// Bytes between domains have a price: beyond this size of the fleet, the period of digests to
+    /// other domains grows with it.
+    static constexpr std::size_t fleet_of_full_rate = 30;
     static constexpr milliseconds expire_period{1000};
 
     /// Time after its cold start in which an endpoint may lack prefixes that others still hold.
@@ -131,20 +149,23 @@
                                             time_point now);
     void send(const outgoing_messages& list);
     void send_digest(time_point now);
+    [[nodiscard]] bool take_digest_turn(bool near, const load_digest& digest, time_point now);
 
     const forward_options options_;
     message_sink& sink_;
     instance_state state_;
     settings_spread spread_;
+    endpoint_catalog catalog_;
+    feed_spread feed_;
     endpoint_board board_;
     retry_share retries_;
     fleet_size size_;
     std::mutex mutex_;
     absl::flat_hash_map<domain_id, time_point>
         cold_domains_; ///< Domains that were out, and until when they are cold. Guarded by `mutex_`.
-    time_point digest_sent_at_{}; ///< Guarded by `mutex_`.
-    time_point expired_at_{};     ///< Guarded by `mutex_`.
-    load_digest last_digest_;     ///< Guarded by `mutex_`.
+    sent_digest near_digest_; ///< To members of the own domain. Guarded by `mutex_`.
+    sent_digest far_digest_;  ///< To members of other domains. Guarded by `mutex_`.
+    time_point expired_at_{}; ///< Guarded by `mutex_`.
     std::atomic<std::uint64_t> choices_{0}; ///< Makes the chance of each choice its own.
 };
 
--- a/src/mangovane/forward/fwd.hpp
+++ b/src/mangovane/forward/fwd.hpp
@@ -13,11 +13,13 @@
 class endpoint_board;
 class endpoint_record;
 class endpoint_chooser;
+class feed_spread;
 class fleet_size;
 class forward_core;
 class forward_flow;
 class placement_rule;
 class retry_share;
+class watch_duty;
 
 } // namespace mangovane
 
--- a/src/mangovane/membership/endpoint_catalog.cpp
+++ b/src/mangovane/membership/endpoint_catalog.cpp
@@ -4,8 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <absl/container/flat_hash_set.h>
-
 namespace mangovane
 {
 
@@ -21,16 +19,15 @@
     absl::flat_hash_set<std::string> listed;
     for (const auto& it : entries)
     {
-        put(it, now);
-        listed.insert(it.name);
-    }
-    for (auto& [name, it] : entries_)
-    {
-        if (!listed.contains(name))
+        auto info = it.info;
+        if (info)
         {
-            remove(it, revision, now);
+            info->cold_until = it.cold_left.count() > 0 ? now + it.cold_left : time_point{};
         }
+        put(it.name, info, it.revision, now);
+        listed.insert(it.name);
     }
+    remove_unlisted(listed, revision, now);
     revision_ = revision;
 }
 
@@ -41,47 +38,63 @@
     const std::lock_guard lock{mutex_};
     for (const auto& it : changes)
     {
-        put(it, now);
+        auto info = it.info;
+        if (info)
+        {
+            info->cold_until = it.cold_left.count() > 0 ? now + it.cold_left : time_point{};
+        }
+        put(it.name, info, it.revision, now);
     }
     revision_ = std::max(revision_, revision);
 }
 
-void endpoint_catalog::put(const endpoint_change& change, time_point now)
+void endpoint_catalog::put(const std::string& name,
+                           const std::optional<endpoint_info>& info,
+                           std::uint64_t revision,
+                           time_point now)
 {
-    const auto place = entries_.find(change.name);
-    if (place != entries_.end() && change.revision <= place->second.revision)
+    const auto place = entries_.find(name);
+    if (place != entries_.end() && revision <= place->second.revision)
     {
         return;
     }
-    if (!change.info)
+    if (info)
     {
-        if (place != entries_.end())
-        {
-            remove(place->second, change.revision, now);
-        }
-        return;
+        entries_.insert_or_assign(name, entry{*info, revision, false, {}, true});
+        changed_ = true;
+    }
+    else if (place != entries_.end())
+    {
+        remove(place->second, revision, settled_at(now));
     }
-    auto info = *change.info;
-    info.cold_until = change.cold_left.count() > 0 ? now + change.cold_left : time_point{};
-    entries_.insert_or_assign(change.name, entry{std::move(info), change.revision, false, {}});
-    changed_ = true;
 }
 
-void endpoint_catalog::remove(entry& it, std::uint64_t revision, time_point now)
+void endpoint_catalog::remove(entry& it, std::uint64_t revision, time_point keep_until)
 {
-    if (it.removed)
+    it.revision = std::max(it.revision, revision);
+    if (!it.removed)
     {
-        return;
+        it.removed = true;
+        it.keep_until = keep_until;
+    }
+}
+
+void endpoint_catalog::remove_unlisted(const absl::flat_hash_set<std::string>& listed,
+                                       std::uint64_t revision,
+                                       time_point now)
+{
+    for (auto& [name, it] : entries_)
+    {
+        if (!it.removed && it.revision <= revision && !listed.contains(name))
+        {
+            remove(it, revision, settled_at(now));
+        }
     }
-    it.removed = true;
-    it.revision = std::max(it.revision, revision);
-    it.keep_until = settled_at(now);
-    changed_ = true;
 }
 
 time_point endpoint_catalog::settled_at(time_point now) const
 {
-    if (outage_since_)
+    if (outage_since_ && now >= *outage_since_ + shortest_outage)
     {
         return now + return_grace;
     }
@@ -89,6 +102,126 @@
     return recent ? returned_at_ + return_grace : now;
 }
 
+endpoint_row
+endpoint_catalog::row_of(const std::string& name, const entry& it, time_point now)
+{
+    endpoint_row result;
+    result.name = name;
+    result.revision = it.revision;
+    result.removed = it.removed;
+    result.keep_ms = it.removed ? remaining_ms(it.keep_until, now) : 0;
+    if (it.removed && result.keep_ms == 0)
+    {
+        return result;
+    }
+    result.service = it.info.service;
+    result.domain = it.info.domain;
+    result.domain_name = it.info.domain_name;
+    result.address = it.info.address;
+    result.epoch = it.info.epoch;
+    result.cold_ms = remaining_ms(it.info.cold_until, now);
+    result.leaving = it.info.leaving;
+    return result;
+}
+
+std::vector<endpoint_update> endpoint_catalog::updates_since(std::uint64_t have,
+                                                             time_point now) const
+{
+    const std::lock_guard lock{mutex_};
+    const bool whole = have == 0 || have < forgotten_;
+    std::vector<endpoint_row> rows;
+    for (const auto& [name, it] : entries_)
+    {
+        const bool gone = it.removed && now >= it.keep_until;
+        if (whole ? !gone : it.revision > have)
+        {
+            rows.push_back(row_of(name, it, now));
+        }
+    }
+    const auto parts = std::max<std::size_t>(1, (rows.size() + max_update_rows - 1) /
+                                                    max_update_rows);
+    std::vector<endpoint_update> result;
+    for (std::size_t n = 0; n != parts; ++n)
+    {
+        const auto first = rows.begin() + static_cast<std::ptrdiff_t>(n * max_update_rows);
+        const auto count = std::min<std::ptrdiff_t>(max_update_rows, rows.end() - first);
+        result.push_back({whole ? 0 : have, revision_, static_cast<std::uint16_t>(n),
+                          static_cast<std::uint16_t>(parts), {first, first + count}});
+    }
+    return result;
+}
+
+void endpoint_catalog::put_row(const endpoint_row& row, time_point now)
+{
+    const auto place = entries_.find(row.name);
+    if (place != entries_.end() && row.revision <= place->second.revision)
+    {
+        return;
+    }
+    const bool kept = !row.removed || row.keep_ms != 0;
+    if (kept)
+    {
+        endpoint_info info;
+        info.id = endpoint_id::of(row.name);
+        info.service = row.service;
+        info.domain = row.domain;
+        info.domain_name = row.domain_name;
+        info.name = row.name;
+        info.address = row.address;
+        info.leaving = row.leaving;
+        info.epoch = row.epoch;
+        info.cold_until = row.cold_ms != 0 ? deadline_from(row.cold_ms, now) : time_point{};
+        entries_.insert_or_assign(row.name, entry{std::move(info), row.revision, row.removed,
+                                                  deadline_from(row.keep_ms, now), true});
+        changed_ = true;
+    }
+    else if (place != entries_.end())
+    {
+        remove(place->second, row.revision, now);
+    }
+}
+
+bool endpoint_catalog::on_update(const endpoint_update& update, time_point now)
+{
+    const std::lock_guard lock{mutex_};
+    if (update.through <= revision_)
+    {
+        return true;
+    }
+    const bool whole = update.since == 0;
+    if (!whole && update.since > revision_)
+    {
+        return false;
+    }
+    if (update.part == 0)
+    {
+        partial_through_ = update.through;
+        partial_next_ = 0;
+        partial_names_.clear();
+    }
+    if (update.through != partial_through_ || update.part != partial_next_)
+    {
+        return false;
+    }
+    ++partial_next_;
+    for (const auto& it : update.rows)
+    {
+        put_row(it, now);
+        partial_names_.insert(it.name);
+    }
+    if (partial_next_ != update.parts)
+    {
+        return true;
+    }
+    if (whole)
+    {
+        remove_unlisted(partial_names_, update.through, now);
+    }
+    partial_names_.clear();
+    revision_ = update.through;
+    return true;
+}
+
 void endpoint_catalog::on_outage(time_point now)
 {
     const std::lock_guard lock{mutex_};
@@ -106,14 +239,44 @@
         returned_at_ = now;
     }
     outage_since_.reset();
+    contact_at_ = now;
+}
+
+void endpoint_catalog::on_reading_stopped()
+{
+    const std::lock_guard lock{mutex_};
+    outage_since_.reset();
+}
+
+std::optional<milliseconds> endpoint_catalog::contact_age(time_point now) const
+{
+    const std::lock_guard lock{mutex_};
+    return contact_at_ ? std::optional{std::chrono::duration_cast<milliseconds>(now - *contact_at_)}
+                       : std::nullopt;
+}
+
+void endpoint_catalog::expire(time_point now)
+{
+    for (auto it = entries_.begin(); it != entries_.end();)
+    {
+        auto& entry = it->second;
+        const bool gone = entry.removed && now >= entry.keep_until;
+        changed_ = changed_ || (gone && entry.listed);
+        entry.listed = !gone;
+        if (gone && now >= entry.keep_until + removal_memory)
+        {
+            forgotten_ = std::max(forgotten_, entry.revision);
+            it = entries_.erase(it);
+            continue;
+        }
+        ++it;
+    }
 }
 
 endpoints_ptr endpoint_catalog::take_changed(time_point now)
 {
     const std::lock_guard lock{mutex_};
-    const auto due = [&](const auto& it)
-    { return it.second.removed && now >= it.second.keep_until; };
-    changed_ = absl::erase_if(entries_, due) != 0 || changed_;
+    expire(now);
     if (!std::exchange(changed_, false))
     {
         return nullptr;
@@ -122,7 +285,10 @@
     list.reserve(entries_.size());
     for (const auto& [name, it] : entries_)
     {
-        list.push_back(it.info);
+        if (it.listed)
+        {
+            list.push_back(it.info);
+        }
     }
     return std::make_shared<endpoint_directory>(std::move(list));
 }
--- a/src/mangovane/membership/endpoint_catalog.hpp
+++ b/src/mangovane/membership/endpoint_catalog.hpp
@@ -1,4 +1,5 @@
-// The endpoints as a registry outside lists them, kept through its outages.
+// The endpoints as a registry outside lists them, kept through its outages and spread between
+// instances.
 #ifndef MANGOVANE_MEMBERSHIP_ENDPOINT_CATALOG_HPP
 #define MANGOVANE_MEMBERSHIP_ENDPOINT_CATALOG_HPP
 
@@ -8,8 +9,10 @@
 #include <vector>
 
 #include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include "mangovane/membership/endpoint.hpp"
+#include "mangovane/message/endpoints.hpp"
 
 namespace mangovane
 {
@@ -31,15 +34,30 @@
 {
 public:
     /// The whole list at a revision.
-    void replace(const std::vector<endpoint_change>& entries, std::uint64_t revision, time_point now);
+    void
+    replace(const std::vector<endpoint_change>& entries, std::uint64_t revision, time_point now);
 
     /// Changes up to a revision.
-    void apply(const std::vector<endpoint_change>& changes, std::uint64_t revision, time_point now);
+    void
+    apply(const std::vector<endpoint_change>& changes, std::uint64_t revision, time_point now);
+
+    /// Changes that another instance has read; false when they do not join on to what is known.
+    bool on_update(const endpoint_update& update, time_point now);
+
+    /// What an instance needs that knows the list up to a revision, in parts.
+    [[nodiscard]] std::vector<endpoint_update> updates_since(std::uint64_t have,
+                                                             time_point now) const;
 
     /// The registry did not answer, or answered again.
     void on_outage(time_point now);
     void on_contact(time_point now);
 
+    /// This instance no longer asks the registry.
+    void on_reading_stopped();
+
+    /// Since the registry answered this instance; nothing before the first answer.
+    [[nodiscard]] std::optional<milliseconds> contact_age(time_point now) const;
+
     /// The list in force, when it differs from the one returned before.
     [[nodiscard]] endpoints_ptr take_changed(time_point now);
 
@@ -52,6 +70,9 @@
     /// A registry that was silent for less than this cannot have let entries lapse.
     static constexpr milliseconds shortest_outage{500};
 
+    /// For how long the removal of an entry is remembered, to tell instances that lag.
+    static constexpr seconds removal_memory{30};
+
 private:
     struct entry
     {
@@ -59,18 +80,34 @@
         std::uint64_t revision{0};
         bool removed{false};
         time_point keep_until{}; ///< A removed entry is still listed until then.
+        bool listed{true};       ///< In the list returned last.
     };
 
-    void put(const endpoint_change& change, time_point now);
-    void remove(entry& it, std::uint64_t revision, time_point now);
+    void put(const std::string& name,
+             const std::optional<endpoint_info>& info,
+             std::uint64_t revision,
+             time_point now);
+    void remove(entry& it, std::uint64_t revision, time_point keep_until);
+    void remove_unlisted(const absl::flat_hash_set<std::string>& listed,
+                         std::uint64_t revision,
+                         time_point now);
+    void put_row(const endpoint_row& row, time_point now);
+    void expire(time_point now);
     [[nodiscard]] time_point settled_at(time_point now) const;
+    [[nodiscard]] static endpoint_row
+    row_of(const std::string& name, const entry& it, time_point now);
 
     mutable std::mutex mutex_;
     absl::btree_map<std::string, entry> entries_; ///< By name. Guarded by `mutex_`.
     std::uint64_t revision_{0};                   ///< Never falls. Guarded by `mutex_`.
-    std::optional<time_point> outage_since_;      ///< Guarded by `mutex_`.
-    time_point returned_at_{time_point::min()};   ///< End of the last outage. Guarded by `mutex_`.
-    bool changed_{false};                         ///< Guarded by `mutex_`.
+    std::uint64_t forgotten_{0}; ///< Newest removal that was forgotten. Guarded by `mutex_`.
+    std::optional<time_point> outage_since_;    ///< Guarded by `mutex_`.
+    std::optional<time_point> contact_at_;      ///< Guarded by `mutex_`.
+    time_point returned_at_{time_point::min()}; ///< End of the last outage. Guarded by `mutex_`.
+    bool changed_{false};                       ///< Guarded by `mutex_`.
+    std::uint64_t partial_through_{0};          ///< Of a whole list in parts. Guarded by `mutex_`.
+    std::uint16_t partial_next_{0};             ///< Next part of it. Guarded by `mutex_`.
+    absl::flat_hash_set<std::string> partial_names_; ///< In its parts so far. Guarded by `mutex_`.
 };
 
 } // namespace mangovane
--- a/src/mangovane/message/fwd.hpp
+++ b/src/mangovane/message/fwd.hpp
@@ -27,6 +27,10 @@
 struct settings_content;
 struct endpoint_digest;
 struct load_digest;
+struct feed_state;
+struct endpoint_query;
+struct endpoint_row;
+struct endpoint_update;
 
 } // namespace mangovane
 
--- a/src/mangovane/message/message.hpp
+++ b/src/mangovane/message/message.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "mangovane/message/chat.hpp"
+#include "mangovane/message/endpoints.hpp"
 #include "mangovane/message/limit.hpp"
 #include "mangovane/message/load.hpp"
 #include "mangovane/message/membership.hpp"
@@ -34,7 +35,10 @@
                              probe_request,
                              settings_query,
                              settings_content,
-                             load_digest>;
+                             load_digest,
+                             feed_state,
+                             endpoint_query,
+                             endpoint_update>;
 
 /// A message with its receiver.
 struct outgoing_message
--- a/src/mangovane/routing/coordinator.cpp
+++ b/src/mangovane/routing/coordinator.cpp
@@ -110,9 +110,11 @@
         open_fence();
         follow_view(now);
     }
-    else if constexpr (internal::is_any_of<type, load_digest>)
+    else if constexpr (internal::is_any_of<type, load_digest, feed_state, endpoint_query,
+                                           endpoint_update>)
     {
-        // Loads are granted by the owners here, not estimated from digests.
+        // Of instances that forward by routes: here loads are granted by owners, and each instance
+        // reads the platform itself.
     }
     else if constexpr (internal::is_any_of<type, chat_answer, load_answer>)
     {
--- a/src/mangovane/wire/body_decode.cpp
+++ b/src/mangovane/wire/body_decode.cpp
@@ -200,6 +200,48 @@
     return result;
 }
 
+message unpack(const wire::FeedState& it, time_point)
+{
+    return feed_state{from_wire(it.settings()), it.endpoints_revision(), it.age_ms()};
+}
+
+message unpack(const wire::EndpointQuery& it, time_point)
+{
+    return endpoint_query{it.have()};
+}
+
+endpoint_row unpack_row(const wire::EndpointRow& it)
+{
+    return {from_wire(it.name()),
+            service_id{it.service()},
+            domain_id{it.domain()},
+            from_wire(it.domain_name()),
+            from_wire(it.address()),
+            it.epoch(),
+            it.revision(),
+            it.cold_ms(),
+            it.keep_ms(),
+            it.leaving(),
+            it.removed()};
+}
+
+message unpack(const wire::EndpointUpdate& it, time_point)
+{
+    endpoint_update result{it.since(), it.through(), it.part(), it.parts(), {}};
+    if (it.rows() == nullptr)
+    {
+        return result;
+    }
+    // One more than is allowed is enough for the check to fail.
+    const auto n = std::min<std::size_t>(it.rows()->size(), max_update_rows + 1);
+    result.rows.reserve(n);
+    for (std::size_t k = 0; k != n; ++k)
+    {
+        result.rows.push_back(unpack_row(*it.rows()->Get(static_cast<std::uint32_t>(k))));
+    }
+    return result;
+}
+
 using decoder = message (*)(const void*, time_point);
 
 template <class Table>
@@ -234,7 +276,10 @@
                                         wire::ProbeRequest,
                                         wire::SettingsQuery,
                                         wire::SettingsContent,
-                                        wire::LoadDigest>();
+                                        wire::LoadDigest,
+                                        wire::FeedState,
+                                        wire::EndpointQuery,
+                                        wire::EndpointUpdate>();
 
 static_assert(decoders.size() == std::variant_size_v<message>);
 static_assert(decoders.size() == static_cast<std::size_t>(wire::Body::MAX));
@@ -284,6 +329,19 @@
         return it.endpoints.size() <= max_digest_endpoints;
     }
 
+    [[nodiscard]] bool operator()(const endpoint_row& it) const
+    {
+        return !it.name.empty() && it.name.size() <= max_endpoint_text_bytes &&
+               it.domain_name.size() <= max_endpoint_text_bytes &&
+               it.address.size() <= max_endpoint_text_bytes;
+    }
+
+    [[nodiscard]] bool operator()(const endpoint_update& it) const
+    {
+        return it.part < it.parts && it.rows.size() <= max_update_rows &&
+               std::all_of(it.rows.begin(), it.rows.end(), *this);
+    }
+
     [[nodiscard]] bool check_updates(const std::vector<member_update>& updates) const
     {
         return updates.size() <= max_updates_per_probe &&
--- a/src/mangovane/wire/body_encode.cpp
+++ b/src/mangovane/wire/body_encode.cpp
@@ -192,6 +192,39 @@
     return wire::CreateLoadDigest(buf, vector);
 }
 
+auto pack(builder& buf, const feed_state& it, time_point)
+{
+    const auto stamp = to_wire(it.settings);
+    return wire::CreateFeedState(buf, &stamp, it.endpoints_revision, it.age_ms);
+}
+
+auto pack(builder& buf, const endpoint_query& it, time_point)
+{
+    return wire::CreateEndpointQuery(buf, it.have);
+}
+
+flatbuffers::Offset<wire::EndpointRow> pack_row(builder& buf, const endpoint_row& it)
+{
+    const auto name = buf.CreateString(it.name);
+    const auto domain_name = text(buf, it.domain_name);
+    const auto address = text(buf, it.address);
+    return wire::CreateEndpointRow(buf, name, it.service.value(), it.domain.value(), domain_name,
+                                   address, it.epoch, it.revision, it.cold_ms, it.keep_ms,
+                                   it.leaving, it.removed);
+}
+
+auto pack(builder& buf, const endpoint_update& it, time_point)
+{
+    std::vector<flatbuffers::Offset<wire::EndpointRow>> rows;
+    rows.reserve(it.rows.size());
+    for (const auto& row : it.rows)
+    {
+        rows.push_back(pack_row(buf, row));
+    }
+    const auto vector = buf.CreateVector(rows);
+    return wire::CreateEndpointUpdate(buf, it.since, it.through, it.part, it.parts, vector);
+}
+
 using encoder = body_offset (*)(builder&, const message&, time_point);
 
 template <std::size_t N>
--- a/src/mangovane/wire/frame_generated.h
+++ b/src/mangovane/wire/frame_generated.h
@@ -87,6 +87,18 @@
 struct LoadDigest;
 struct LoadDigestBuilder;
 
+struct FeedState;
+struct FeedStateBuilder;
+
+struct EndpointQuery;
+struct EndpointQueryBuilder;
+
+struct EndpointRow;
+struct EndpointRowBuilder;
+
+struct EndpointUpdate;
+struct EndpointUpdateBuilder;
+
 struct Hello;
 struct HelloBuilder;
 
@@ -115,11 +127,14 @@
   SettingsQuery = 18,
   SettingsContent = 19,
   LoadDigest = 20,
+  FeedState = 21,
+  EndpointQuery = 22,
+  EndpointUpdate = 23,
   MIN = NONE,
-  MAX = LoadDigest
+  MAX = EndpointUpdate
 };
 
-inline const Body (&EnumValuesBody())[21] {
+inline const Body (&EnumValuesBody())[24] {
   static const Body values[] = {
     Body::NONE,
     Body::SlotRequest,
@@ -141,13 +156,16 @@
     Body::ProbeRequest,
     Body::SettingsQuery,
     Body::SettingsContent,
-    Body::LoadDigest
+    Body::LoadDigest,
+    Body::FeedState,
+    Body::EndpointQuery,
+    Body::EndpointUpdate
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[22] = {
+  static const char * const names[25] = {
     "NONE",
     "SlotRequest",
     "SlotGrant",
@@ -169,13 +187,16 @@
     "SettingsQuery",
     "SettingsContent",
     "LoadDigest",
+    "FeedState",
+    "EndpointQuery",
+    "EndpointUpdate",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LoadDigest)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::EndpointUpdate)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -264,6 +285,18 @@
   static const Body enum_value = Body::LoadDigest;
 };
 
+template<> struct BodyTraits<mangovane::wire::FeedState> {
+  static const Body enum_value = Body::FeedState;
+};
+
+template<> struct BodyTraits<mangovane::wire::EndpointQuery> {
+  static const Body enum_value = Body::EndpointQuery;
+};
+
+template<> struct BodyTraits<mangovane::wire::EndpointUpdate> {
+  static const Body enum_value = Body::EndpointUpdate;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1907,6 +1940,384 @@
       endpoints__);
 }
 
+struct FeedState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FeedStateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SETTINGS = 4,
+    VT_ENDPOINTS_REVISION = 6,
+    VT_AGE_MS = 8
+  };
+  const mangovane::wire::SettingsStamp *settings() const {
+    return GetStruct<const mangovane::wire::SettingsStamp *>(VT_SETTINGS);
+  }
+  uint64_t endpoints_revision() const {
+    return GetField<uint64_t>(VT_ENDPOINTS_REVISION, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<mangovane::wire::SettingsStamp>(verifier, VT_SETTINGS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ENDPOINTS_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct FeedStateBuilder {
+  typedef FeedState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_settings(const mangovane::wire::SettingsStamp *settings) {
+    fbb_.AddStruct(FeedState::VT_SETTINGS, settings);
+  }
+  void add_endpoints_revision(uint64_t endpoints_revision) {
+    fbb_.AddElement<uint64_t>(FeedState::VT_ENDPOINTS_REVISION, endpoints_revision, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(FeedState::VT_AGE_MS, age_ms, 0);
+  }
+  explicit FeedStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FeedState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FeedState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FeedState> CreateFeedState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const mangovane::wire::SettingsStamp *settings = nullptr,
+    uint64_t endpoints_revision = 0,
+    uint32_t age_ms = 0) {
+  FeedStateBuilder builder_(_fbb);
+  builder_.add_endpoints_revision(endpoints_revision);
+  builder_.add_age_ms(age_ms);
+  builder_.add_settings(settings);
+  return builder_.Finish();
+}
+
+struct EndpointQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndpointQueryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HAVE = 4
+  };
+  uint64_t have() const {
+    return GetField<uint64_t>(VT_HAVE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_HAVE, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct EndpointQueryBuilder {
+  typedef EndpointQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_have(uint64_t have) {
+    fbb_.AddElement<uint64_t>(EndpointQuery::VT_HAVE, have, 0);
+  }
+  explicit EndpointQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndpointQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndpointQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndpointQuery> CreateEndpointQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t have = 0) {
+  EndpointQueryBuilder builder_(_fbb);
+  builder_.add_have(have);
+  return builder_.Finish();
+}
+
+struct EndpointRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndpointRowBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_SERVICE = 6,
+    VT_DOMAIN = 8,
+    VT_DOMAIN_NAME = 10,
+    VT_ADDRESS = 12,
+    VT_EPOCH = 14,
+    VT_REVISION = 16,
+    VT_COLD_MS = 18,
+    VT_KEEP_MS = 20,
+    VT_LEAVING = 22,
+    VT_REMOVED = 24
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint64_t domain() const {
+    return GetField<uint64_t>(VT_DOMAIN, 0);
+  }
+  const flatbuffers::String *domain_name() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOMAIN_NAME);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint32_t cold_ms() const {
+    return GetField<uint32_t>(VT_COLD_MS, 0);
+  }
+  uint32_t keep_ms() const {
+    return GetField<uint32_t>(VT_KEEP_MS, 0);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  bool removed() const {
+    return GetField<uint8_t>(VT_REMOVED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DOMAIN, 8) &&
+           VerifyOffset(verifier, VT_DOMAIN_NAME) &&
+           verifier.VerifyString(domain_name()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_KEEP_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REMOVED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct EndpointRowBuilder {
+  typedef EndpointRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(EndpointRow::VT_NAME, name);
+  }
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(EndpointRow::VT_SERVICE, service, 0);
+  }
+  void add_domain(uint64_t domain) {
+    fbb_.AddElement<uint64_t>(EndpointRow::VT_DOMAIN, domain, 0);
+  }
+  void add_domain_name(flatbuffers::Offset<flatbuffers::String> domain_name) {
+    fbb_.AddOffset(EndpointRow::VT_DOMAIN_NAME, domain_name);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(EndpointRow::VT_ADDRESS, address);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(EndpointRow::VT_EPOCH, epoch, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(EndpointRow::VT_REVISION, revision, 0);
+  }
+  void add_cold_ms(uint32_t cold_ms) {
+    fbb_.AddElement<uint32_t>(EndpointRow::VT_COLD_MS, cold_ms, 0);
+  }
+  void add_keep_ms(uint32_t keep_ms) {
+    fbb_.AddElement<uint32_t>(EndpointRow::VT_KEEP_MS, keep_ms, 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(EndpointRow::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_removed(bool removed) {
+    fbb_.AddElement<uint8_t>(EndpointRow::VT_REMOVED, static_cast<uint8_t>(removed), 0);
+  }
+  explicit EndpointRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndpointRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndpointRow>(end);
+    fbb_.Required(o, EndpointRow::VT_NAME);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndpointRow> CreateEndpointRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    uint64_t service = 0,
+    uint64_t domain = 0,
+    flatbuffers::Offset<flatbuffers::String> domain_name = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint64_t epoch = 0,
+    uint64_t revision = 0,
+    uint32_t cold_ms = 0,
+    uint32_t keep_ms = 0,
+    bool leaving = false,
+    bool removed = false) {
+  EndpointRowBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_epoch(epoch);
+  builder_.add_domain(domain);
+  builder_.add_service(service);
+  builder_.add_keep_ms(keep_ms);
+  builder_.add_cold_ms(cold_ms);
+  builder_.add_address(address);
+  builder_.add_domain_name(domain_name);
+  builder_.add_name(name);
+  builder_.add_removed(removed);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<EndpointRow> CreateEndpointRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    uint64_t service = 0,
+    uint64_t domain = 0,
+    const char *domain_name = nullptr,
+    const char *address = nullptr,
+    uint64_t epoch = 0,
+    uint64_t revision = 0,
+    uint32_t cold_ms = 0,
+    uint32_t keep_ms = 0,
+    bool leaving = false,
+    bool removed = false) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto domain_name__ = domain_name ? _fbb.CreateString(domain_name) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return mangovane::wire::CreateEndpointRow(
+      _fbb,
+      name__,
+      service,
+      domain,
+      domain_name__,
+      address__,
+      epoch,
+      revision,
+      cold_ms,
+      keep_ms,
+      leaving,
+      removed);
+}
+
+struct EndpointUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndpointUpdateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SINCE = 4,
+    VT_THROUGH = 6,
+    VT_PART = 8,
+    VT_PARTS = 10,
+    VT_ROWS = 12
+  };
+  uint64_t since() const {
+    return GetField<uint64_t>(VT_SINCE, 0);
+  }
+  uint64_t through() const {
+    return GetField<uint64_t>(VT_THROUGH, 0);
+  }
+  uint16_t part() const {
+    return GetField<uint16_t>(VT_PART, 0);
+  }
+  uint16_t parts() const {
+    return GetField<uint16_t>(VT_PARTS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::EndpointRow>> *rows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::EndpointRow>> *>(VT_ROWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SINCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_THROUGH, 8) &&
+           VerifyField<uint16_t>(verifier, VT_PART, 2) &&
+           VerifyField<uint16_t>(verifier, VT_PARTS, 2) &&
+           VerifyOffset(verifier, VT_ROWS) &&
+           verifier.VerifyVector(rows()) &&
+           verifier.VerifyVectorOfTables(rows()) &&
+           verifier.EndTable();
+  }
+};
+
+struct EndpointUpdateBuilder {
+  typedef EndpointUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_since(uint64_t since) {
+    fbb_.AddElement<uint64_t>(EndpointUpdate::VT_SINCE, since, 0);
+  }
+  void add_through(uint64_t through) {
+    fbb_.AddElement<uint64_t>(EndpointUpdate::VT_THROUGH, through, 0);
+  }
+  void add_part(uint16_t part) {
+    fbb_.AddElement<uint16_t>(EndpointUpdate::VT_PART, part, 0);
+  }
+  void add_parts(uint16_t parts) {
+    fbb_.AddElement<uint16_t>(EndpointUpdate::VT_PARTS, parts, 0);
+  }
+  void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::EndpointRow>>> rows) {
+    fbb_.AddOffset(EndpointUpdate::VT_ROWS, rows);
+  }
+  explicit EndpointUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndpointUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndpointUpdate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndpointUpdate> CreateEndpointUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t since = 0,
+    uint64_t through = 0,
+    uint16_t part = 0,
+    uint16_t parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::EndpointRow>>> rows = 0) {
+  EndpointUpdateBuilder builder_(_fbb);
+  builder_.add_through(through);
+  builder_.add_since(since);
+  builder_.add_rows(rows);
+  builder_.add_parts(parts);
+  builder_.add_part(part);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<EndpointUpdate> CreateEndpointUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t since = 0,
+    uint64_t through = 0,
+    uint16_t part = 0,
+    uint16_t parts = 0,
+    const std::vector<flatbuffers::Offset<mangovane::wire::EndpointRow>> *rows = nullptr) {
+  auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<mangovane::wire::EndpointRow>>(*rows) : 0;
+  return mangovane::wire::CreateEndpointUpdate(
+      _fbb,
+      since,
+      through,
+      part,
+      parts,
+      rows__);
+}
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2201,6 +2612,18 @@
       auto ptr = reinterpret_cast<const mangovane::wire::LoadDigest *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::FeedState: {
+      auto ptr = reinterpret_cast<const mangovane::wire::FeedState *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::EndpointQuery: {
+      auto ptr = reinterpret_cast<const mangovane::wire::EndpointQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::EndpointUpdate: {
+      auto ptr = reinterpret_cast<const mangovane::wire::EndpointUpdate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/test/mangovane/wire/codec.cpp
+++ b/test/mangovane/wire/codec.cpp
@@ -43,7 +43,12 @@
             probe_request{1, instance_id{2}},
             settings_query{{1, 2}},
             settings_content{{1, 2}, "{}"},
-            load_digest{{{endpoint_id{1}, 2, 3, 4}, {endpoint_id{5}, 6, 0, 0}}}};
+            load_digest{{{endpoint_id{1}, 2, 3, 4}, {endpoint_id{5}, 6, 0, 0}}},
+            feed_state{{1, 2}, 3, 4},
+            endpoint_query{1},
+            endpoint_update{1, 2, 0, 1,
+                            {{"engine-1", service_id{3}, domain_id{4}, "ikeja-a", "10.0.0.1:80", 5,
+                              6, 7, 8, true, false}}}};
 }
 
 frame frame_of(std::vector<message> messages)
