Remember where prefixes were sent, and use the whole load bound less a margin

At low load a bound of 1.6 times the mean plus 2 turned requests away from their prefix long before the platform's limit of 2 times the mean plus 3.

Tried and reverted: a copy of each prefix in each failure domain.

Change: the bound is 0.92 of the limit.

--- a/src/mangovane/daemon/forward_router_options.cpp
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -59,9 +59,9 @@
         "from SIGTERM until connections are refused, 0 to 600000");
     add("grace-ms", po::value(&raw.grace_ms)->default_value(8000),
         "from SIGTERM until the process ends, 0 to 600000");
-    add("load-factor", po::value(&fleet.bound.factor)->default_value(1.6),
+    add("load-factor", po::value(&fleet.bound.factor)->default_value(2.0),
         "bound on an endpoint's load as a multiple of the mean, 1 to 100");
-    add("load-extra", po::value(&fleet.bound.extra)->default_value(2.0),
+    add("load-extra", po::value(&fleet.bound.extra)->default_value(3.0),
         "requests beyond that multiple, 0 to 1000");
     add("retry-ratio", po::value(&fleet.retries.ratio)->default_value(0.1),
         "retries of all instances for each request, 0 to 1");
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -304,40 +304,58 @@
     const auto& option = scene.options[*chosen];
     const auto* endpoint = routes->find(option.endpoint);
     board_.on_started(option.endpoint);
+    auto source = prefix_source(*routes, request, *endpoint, now);
+    if (affinity != 0)
+    {
+        prefixes_.note(affinity, endpoint->id, endpoint->epoch, now);
+    }
     return dispatch_target{option.endpoint,
                            endpoint->name,
                            endpoint->address,
-                           prefix_source(*routes, request, option.endpoint, now),
+                           std::move(source),
                            option.load,
                            allowed,
                            static_cast<std::uint32_t>(scene.options.size()),
                            routes->settings().stamp.version};
 }
 
+const endpoint_info* forward_core::expected_holder(const routing_table& routes,
+                                                   const forward_request& request,
+                                                   time_point now)
+{
+    const endpoint_info* best = nullptr;
+    std::uint64_t best_score = 0;
+    for (const auto* it : routes.endpoints().of_service(request.service))
+    {
+        const bool young = it->cold_until != time_point{} && now < it->cold_until + young_time;
+        const auto score = rendezvous_score(request.affinity(), it->id.value());
+        if (!young && (best == nullptr || score > best_score) &&
+            !board_.standing(it->id, now).suspended)
+        {
+            best = it;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
 std::string forward_core::prefix_source(const routing_table& routes,
                                         const forward_request& request,
-                                        endpoint_id chosen,
+                                        const endpoint_info& chosen,
                                         time_point now)
 {
     const auto affinity = request.affinity();
-    if (affinity == 0)
+    if (affinity == 0 || prefixes_.holds(affinity, chosen.id, chosen.epoch, now))
     {
         return {};
     }
-    const endpoint_info* holder = nullptr;
-    std::uint64_t best = 0;
-    for (const auto* it : routes.endpoints().of_service(request.service))
+    const auto last = prefixes_.last_but(affinity, chosen.id, now);
+    const auto* holder = last ? routes.find(*last) : nullptr;
+    if (holder == nullptr || board_.standing(holder->id, now).suspended)
     {
-        const bool young = it->cold_until != time_point{} && now < it->cold_until + young_time;
-        const auto score = rendezvous_score(affinity, it->id.value());
-        if (!young && (holder == nullptr || score > best) &&
-            !board_.standing(it->id, now).suspended)
-        {
-            holder = it;
-            best = score;
-        }
+        holder = expected_holder(routes, request, now);
     }
-    return holder == nullptr || holder->id == chosen ? std::string{} : holder->address;
+    return holder == nullptr || holder->id == chosen.id ? std::string{} : holder->address;
 }
 
 } // namespace mangovane
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -15,6 +15,7 @@
 #include "mangovane/forward/feed_spread.hpp"
 #include "mangovane/forward/fleet_size.hpp"
 #include "mangovane/forward/placement_rule.hpp"
+#include "mangovane/forward/prefix_memory.hpp"
 #include "mangovane/forward/retry_share.hpp"
 #include "mangovane/routing/instance_state.hpp"
 #include "mangovane/routing/message_sink.hpp"
@@ -142,11 +143,16 @@
     admit(const routing_table& routes, const placement_option& option, time_point now);
     void note_returned(const settings_snapshot& before, const settings_snapshot& after, time_point now);
     [[nodiscard]] duration cold_spacing(const service_policy& service) const;
-    /// Address of the endpoint that should hold the request's prefix, if that is not the chosen one.
+    /// Address of an endpoint that should hold the request's prefix, if the chosen one may lack it.
     [[nodiscard]] std::string prefix_source(const routing_table& routes,
                                             const forward_request& request,
-                                            endpoint_id chosen,
+                                            const endpoint_info& chosen,
                                             time_point now);
+
+    /// The endpoint at which a prefix is expected, of those that have been warm for a while.
+    [[nodiscard]] const endpoint_info* expected_holder(const routing_table& routes,
+                                                       const forward_request& request,
+                                                       time_point now);
     void send(const outgoing_messages& list);
     void send_digest(time_point now);
     [[nodiscard]] bool take_digest_turn(bool near, const load_digest& digest, time_point now);
@@ -158,6 +164,7 @@
     endpoint_catalog catalog_;
     feed_spread feed_;
     endpoint_board board_;
+    prefix_memory prefixes_;
     retry_share retries_;
     fleet_size size_;
     std::mutex mutex_;
--- a/src/mangovane/forward/placement_rule.cpp
+++ b/src/mangovane/forward/placement_rule.cpp
@@ -63,10 +63,12 @@
     [[nodiscard]] std::optional<std::size_t> choose(const placement_scene& scene,
                                                     admission admit) const override
     {
-        const auto order = ordered_by(
-            scene.options,
-            [&](const placement_option& it)
-            { return ~rendezvous_score(scene.affinity, it.endpoint.value()); });
+        const auto order = ordered_by(scene.options,
+                                      [&](const placement_option& it)
+                                      {
+                                          return ~rendezvous_score(scene.affinity,
+                                                                   it.endpoint.value());
+                                      });
         const auto has_room = [&](const placement_option& it)
         { return !it.avoided && it.load < scene.allowed && admit(it); };
         const auto found = first_admitted(scene, order, has_room);
--- a/src/mangovane/forward/placement_rule.hpp
+++ b/src/mangovane/forward/placement_rule.hpp
@@ -2,6 +2,7 @@
 #ifndef MANGOVANE_FORWARD_PLACEMENT_RULE_HPP
 #define MANGOVANE_FORWARD_PLACEMENT_RULE_HPP
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -59,12 +60,15 @@
 /// service.
 struct load_bound
 {
-    double factor{1.6}; ///< Of the mean; at least 1.
-    double extra{2};    ///< Requests.
+    double factor{2}; ///< Of the mean; at least 1.
+    double extra{3};  ///< Requests beyond that.
+
+    /// Part of the bound that is used: digests of other instances lag.
+    static constexpr double used_part = 0.92;
 
     [[nodiscard]] std::uint32_t allowed(double mean) const noexcept
     {
-        return static_cast<std::uint32_t>(factor * mean + extra);
+        return std::max(1U, static_cast<std::uint32_t>(used_part * (factor * mean + extra)));
     }
 
     auto operator<=>(const load_bound&) const = default;
--- /dev/null
+++ b/src/mangovane/forward/prefix_memory.cpp
@@ -0,0 +1,71 @@
+// Implementation of the memory of prefixes.
+#include "mangovane/forward/prefix_memory.hpp"
+
+#include <algorithm>
+
+namespace mangovane
+{
+
+void prefix_memory::note(std::uint64_t prefix,
+                         endpoint_id endpoint,
+                         incarnation epoch,
+                         time_point now)
+{
+    places_.with_shard(
+        prefix,
+        [&](auto& entries)
+        {
+            if (entries.size() >= capacity / shard_count && !entries.contains(prefix))
+            {
+                const auto oldest = std::min_element(
+                    entries.begin(), entries.end(), [](const auto& lhs, const auto& rhs)
+                    { return lhs.second.front().at < rhs.second.front().at; });
+                entries.erase(oldest);
+            }
+            auto& list = entries[prefix];
+            auto it = std::find_if(list.begin(), list.end(),
+                                   [&](const place& known) { return known.endpoint == endpoint; });
+            it = it == list.end() ? list.end() - 1 : it;
+            *it = place{endpoint, epoch, now};
+            std::rotate(list.begin(), it, it + 1);
+        });
+}
+
+bool prefix_memory::holds(std::uint64_t prefix,
+                          endpoint_id endpoint,
+                          incarnation epoch,
+                          time_point now)
+{
+    bool result = false;
+    places_.find(prefix,
+                 [&](const place_list& list)
+                 {
+                     result = std::any_of(list.begin(), list.end(),
+                                          [&](const place& it)
+                                          {
+                                              return it.endpoint == endpoint &&
+                                                     it.epoch == epoch && it.valid(now);
+                                          });
+                 });
+    return result;
+}
+
+std::optional<endpoint_id>
+prefix_memory::last_but(std::uint64_t prefix, endpoint_id other, time_point now)
+{
+    std::optional<endpoint_id> result;
+    places_.find(prefix,
+                 [&](const place_list& list)
+                 {
+                     const auto it = std::find_if(
+                         list.begin(), list.end(), [&](const place& known)
+                         { return known.endpoint != other && known.valid(now); });
+                     if (it != list.end())
+                     {
+                         result = it->endpoint;
+                     }
+                 });
+    return result;
+}
+
+} // namespace mangovane
