Say at once that the store does not answer, and notice it sooner

Ruled out: the spread itself (a change was everywhere within 60 ms), versions that fell, a slow machine.

Change: a reader whose last call failed has no age; it says so at once, and the next in order start to read after 0.15 s and 0.25 s for each rank. The waiting read of endpoints ends after 0.6 s, so that a silent cut shows as soon.

--- a/src/mangovane/forward/feed_spread.cpp
+++ b/src/mangovane/forward/feed_spread.cpp
@@ -80,8 +80,9 @@
         // Instances that lag ask for the whole list when they hear of its revision.
         told_revision_ = own.endpoints_revision;
     }
-    const bool news =
-        own.endpoints_revision > told_revision_ || own.settings.version != told_version_;
+    const bool fresh = milliseconds{own.age_ms} <= watch_duty::fresh_age;
+    const bool news = own.endpoints_revision > told_revision_ ||
+                      own.settings.version != told_version_ || fresh != told_fresh_;
     if (!news && now < told_at_ + watch_duty::state_period)
     {
         return {};
@@ -100,6 +101,7 @@
     }
     told_revision_ = own.endpoints_revision;
     told_version_ = own.settings.version;
+    told_fresh_ = fresh;
     told_at_ = now;
     return result;
 }
--- a/src/mangovane/forward/feed_spread.hpp
+++ b/src/mangovane/forward/feed_spread.hpp
@@ -42,6 +42,7 @@
     bool told_{false};                ///< This instance was a reader at the last tick. By `mutex_`.
     std::uint64_t told_revision_{0};  ///< Of endpoints, pushed last. Guarded by `mutex_`.
     std::uint64_t told_version_{0};   ///< Of settings, told last. Guarded by `mutex_`.
+    bool told_fresh_{false};         ///< The store answered, told last. Guarded by `mutex_`.
     time_point told_at_{};            ///< Guarded by `mutex_`.
     time_point endpoints_asked_at_{}; ///< Guarded by `mutex_`.
     time_point settings_asked_at_{};  ///< Guarded by `mutex_`.
--- a/src/mangovane/forward/watch_duty.cpp
+++ b/src/mangovane/forward/watch_duty.cpp
@@ -70,9 +70,10 @@
     {
         return true;
     }
-    const auto patience = silence + rank_step * static_cast<int>(std::min(*rank, longest_rank));
+    const auto turn = rank_step * static_cast<int>(std::min(*rank, longest_rank));
     const std::lock_guard lock{mutex_};
-    return now > heard_at_ + patience || (*rank <= ranks_in_outage && now > fresh_at_ + patience);
+    return now > heard_at_ + silence + turn ||
+           (*rank <= ranks_in_outage && now > fresh_at_ + stale_patience + turn);
 }
 
 std::vector<instance_id> watch_duty::audience(const membership_view& view) const
--- a/src/mangovane/forward/watch_duty.hpp
+++ b/src/mangovane/forward/watch_duty.hpp
@@ -35,13 +35,16 @@
     [[nodiscard]] std::vector<instance_id> audience(const membership_view& view) const;
 
     /// A reader whose store has been silent for longer is not relied on.
-    static constexpr milliseconds fresh_age{3500};
+    static constexpr milliseconds fresh_age{1500};
 
     /// Readers tell their state in this period.
     static constexpr milliseconds state_period{200};
 
 private:
     static constexpr milliseconds silence{700};
+
+    /// A reader that says that its store does not answer is replaced sooner than a silent one.
+    static constexpr milliseconds stale_patience{150};
     static constexpr milliseconds rank_step{250};
     static constexpr std::size_t longest_rank = 8;
 
--- a/src/mangovane/membership/endpoint_catalog.cpp
+++ b/src/mangovane/membership/endpoint_catalog.cpp
@@ -253,8 +253,11 @@
 std::optional<milliseconds> endpoint_catalog::contact_age(time_point now) const
 {
     const std::lock_guard lock{mutex_};
-    return contact_at_ ? std::optional{std::chrono::duration_cast<milliseconds>(now - *contact_at_)}
-                       : std::nullopt;
+    if (!contact_at_ || outage_since_)
+    {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<milliseconds>(now - *contact_at_);
 }
 
 void endpoint_catalog::expire(time_point now)
--- a/src/mangovane/membership/endpoint_catalog.hpp
+++ b/src/mangovane/membership/endpoint_catalog.hpp
@@ -54,7 +54,7 @@
     /// This instance no longer asks the registry.
     void on_reading_stopped();
 
-    /// Since the registry answered this instance; nothing before the first answer.
+    /// Since the registry answered this instance; nothing when it never did, or not the last time.
     [[nodiscard]] std::optional<milliseconds> contact_age(time_point now) const;
 
     /// The list in force, when it differs from the one returned before.
--- a/test/mangovane/forward/watch_duty.cpp
+++ b/test/mangovane/forward/watch_duty.cpp
@@ -97,6 +97,14 @@
             (void)second;
         }
     }
+    SUBCASE("another takes over within half a second when the reader says that its store is away")
+    {
+        // With the limit for silent readers, changes came later than operators allow when all
+        // readers lost the store at once.
+        fleet.tell(reader, 100, start);
+        fleet.tell(reader, UINT32_MAX, start + milliseconds{200});
+        CHECK(fleet.reading(start + milliseconds{500}).size() == 2);
+    }
     SUBCASE("few try as well when the store does not answer the reader: calls have a price")
     {
         for (auto now = start; now < start + seconds{10}; now += watch_duty::state_period)
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -113,7 +113,7 @@
     auto work = boost::asio::make_work_guard(io);
     store_client client{io, host.address()};
     kept_table sink;
-    const auto watch = std::make_shared<table_watch>(io, client, "servers", sink);
+    const auto watch = std::make_shared<table_watch>(io, client, "servers", milliseconds{600}, sink);
     std::thread thread{[&io] { io.run(); }};
     watch->start();
     REQUIRE(eventually([&] { return sink.value("one") == "first"; }));
@@ -163,7 +163,7 @@
             const auto calls = store.calls();
             return std::exchange(before, calls) == calls;
         };
-        std::this_thread::sleep_for(seconds{3});
+        std::this_thread::sleep_for(milliseconds{1500});
         CHECK(eventually(settled));
         const auto calls = store.calls();
         store.put("servers", "two", "second");
