--- a/src/mangovane/forward/feed_spread.cpp
+++ b/src/mangovane/forward/feed_spread.cpp
@@ -22,12 +22,13 @@
     const auto own = own_state(now);
     outgoing_messages result;
     const std::lock_guard lock{mutex_};
-    if (msg.endpoints_revision > own.endpoints_revision && now >= endpoints_asked_at_ + query_pause)
+    if (msg.endpoints_revision > own.endpoints_revision &&
+        now >= endpoints_asked_at_ + endpoint_pause)
     {
         endpoints_asked_at_ = now;
         result.push_back({from, endpoint_query{own.endpoints_revision}});
     }
-    if (msg.settings.version > own.settings.version && now >= settings_asked_at_ + query_pause)
+    if (msg.settings.version > own.settings.version && now >= settings_asked_at_ + settings_pause)
     {
         settings_asked_at_ = now;
         result.push_back({from, settings_query{own.settings}});
@@ -56,7 +57,7 @@
         return {};
     }
     const std::lock_guard lock{mutex_};
-    if (now < endpoints_asked_at_ + query_pause)
+    if (now < endpoints_asked_at_ + endpoint_pause)
     {
         return {};
     }
--- a/src/mangovane/forward/feed_spread.hpp
+++ b/src/mangovane/forward/feed_spread.hpp
@@ -31,7 +31,11 @@
     [[nodiscard]] bool reads(time_point now) const { return duty_.reads(*state_.view(), now); }
 
 private:
-    static constexpr milliseconds query_pause{150}; ///< Between two questions of one kind.
+    static constexpr milliseconds endpoint_pause{150}; ///< Between two questions for endpoints.
+
+    /// Between two questions for settings: asked again sooner, a reader with a thin link would send
+    /// them several times to each.
+    static constexpr milliseconds settings_pause{800};
 
     [[nodiscard]] feed_state own_state(time_point now) const;
 
@@ -42,7 +46,7 @@
     bool told_{false};                ///< This instance was a reader at the last tick. By `mutex_`.
     std::uint64_t told_revision_{0};  ///< Of endpoints, pushed last. Guarded by `mutex_`.
     std::uint64_t told_version_{0};   ///< Of settings, told last. Guarded by `mutex_`.
-    bool told_fresh_{false};         ///< The store answered, told last. Guarded by `mutex_`.
+    bool told_fresh_{false};          ///< The store answered, told last. Guarded by `mutex_`.
     time_point told_at_{};            ///< Guarded by `mutex_`.
     time_point endpoints_asked_at_{}; ///< Guarded by `mutex_`.
     time_point settings_asked_at_{};  ///< Guarded by `mutex_`.
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -12,9 +12,10 @@
                            message_sink& sink,
                            settings_parser parser,
                            time_point now)
-    : options_{std::move(options)}, sink_{sink},
-      state_{options_.self, options_.timing, options_.seed}, spread_{state_, std::move(parser)},
-      feed_{state_, catalog_, now}, retries_{options_.fleet.retries}, size_{now}
+    : options_{std::move(options)}, sink_{sink}, state_{options_.self, options_.timing,
+                                                        options_.seed},
+      spread_{state_, std::move(parser), settings_pause}, feed_{state_, catalog_, now},
+      retries_{options_.fleet.retries}, size_{now}
 {}
 
 adopt_result forward_core::adopt_settings(settings_ptr settings, time_point now)
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -106,6 +106,9 @@
         time_point at{};
     };
 
+    /// The reader of the domain is asked first; others only when its answer does not come.
+    static constexpr milliseconds settings_pause{1000};
+
     static constexpr milliseconds digest_period{200};
     static constexpr milliseconds digest_renewal{1000}; ///< Also without a change.
 
--- a/src/mangovane/routing/settings_spread.cpp
+++ b/src/mangovane/routing/settings_spread.cpp
@@ -8,8 +8,9 @@
 namespace mangovane
 {
 
-settings_spread::settings_spread(instance_state& state, settings_parser parser)
-    : state_{state}, parser_{parser ? std::move(parser) : settings_parser{&parse_settings}}
+settings_spread::settings_spread(instance_state& state, settings_parser parser, milliseconds pause)
+    : state_{state}, parser_{parser ? std::move(parser) : settings_parser{&parse_settings}},
+      pause_{pause}
 {}
 
 outgoing_messages settings_spread::on(instance_id from, const settings_query& msg) const
@@ -48,7 +49,7 @@
         return {};
     }
     const std::lock_guard lock{mutex_};
-    if (now < asked_at_ + query_period)
+    if (now < asked_at_ + pause_)
     {
         return {};
     }
--- a/src/mangovane/routing/settings_spread.hpp
+++ b/src/mangovane/routing/settings_spread.hpp
@@ -22,21 +22,23 @@
 {
 public:
     /// The state outlives it. Without a parser, texts have the product's own format.
-    explicit settings_spread(instance_state& state, settings_parser parser = {});
+    /// `pause` is the least time between two questions: an answer may take as long on thin links.
+    explicit settings_spread(instance_state& state,
+                             settings_parser parser = {},
+                             milliseconds pause = milliseconds{300});
 
     [[nodiscard]] outgoing_messages on(instance_id from, const settings_query& msg) const;
 
     /// Puts the content in force if it is newer and valid.
     void on(instance_id from, const settings_content& msg);
 
-    /// Asks the holder of the newest version that was heard of, at most once in `query_period`.
+    /// Asks the holder of the newest version that was heard of, at most once in the pause.
     [[nodiscard]] outgoing_messages tick(time_point now);
 
 private:
-    static constexpr milliseconds query_period{300};
-
     instance_state& state_;
     const settings_parser parser_;
+    const milliseconds pause_;
     std::mutex mutex_;
     time_point asked_at_{}; ///< Guarded by `mutex_`.
 };
--- a/test/platform/manifest.cpp
+++ b/test/platform/manifest.cpp
@@ -85,6 +85,33 @@
         REQUIRE(again.ok());
         CHECK(**again == it);
     }
+    SUBCASE("is small on the way: hundreds of routes go to dozens of instances over thin links")
+    {
+        operator_state large{manifest, {}};
+        std::string routes;
+        for (int n = 0; n != 1200; ++n)
+        {
+            routes +=
+                R"({"name":"r)" + std::to_string(n) + R"(x","host":"h.example","prefix":"/p)" +
+                std::to_string(n * 7919) + R"(/","type":"unsafe","timeout_ms":800,)" +
+                R"("goal_ms":300,"priority":2,"service":"s2","max_attempts":1,"public":false},)";
+        }
+        large.manifest.insert(large.manifest.find("[") + 1, routes);
+        const auto text = to_text(large);
+        CHECK(text.size() * 8 < large.manifest.size());
+        CHECK(*from_text(text) == large);
+    }
+    SUBCASE("is refused when it was damaged on the way")
+    {
+        for (const std::size_t place : {std::size_t{0}, it.text.size() / 2, it.text.size() - 1})
+        {
+            auto damaged = it.text;
+            damaged[place] = static_cast<char>(damaged[place] ^ 0x5a);
+            CHECK_FALSE(to_settings(damaged, 42).ok());
+        }
+        CHECK_FALSE(to_settings("99999999999\nx", 42).ok());
+        CHECK_FALSE(to_settings("", 42).ok());
+    }
 }
 
 TEST_CASE("a configuration that is malformed is refused whole")
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -113,7 +113,8 @@
     auto work = boost::asio::make_work_guard(io);
     store_client client{io, host.address()};
     kept_table sink;
-    const auto watch = std::make_shared<table_watch>(io, client, "servers", milliseconds{600}, sink);
+    const auto watch =
+        std::make_shared<table_watch>(io, client, "servers", milliseconds{600}, sink);
     std::thread thread{[&io] { io.run(); }};
     watch->start();
     REQUIRE(eventually([&] { return sink.value("one") == "first"; }));
