Share what daemons and stand-ins had twice

Cause: the reading of options from the environment, the start of threads and the reading of the stand-ins' arguments stood in two places each; a nested type of the session was not accepted by clang.

Change: daemon/process and standin/arguments; types of a served request stand before the session. No behaviour changed.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -5,7 +5,6 @@
 #include <csignal>
 #include <ctime>
 #include <optional>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -16,6 +15,7 @@
 #include <boost/asio/strand.hpp>
 #include <unistd.h>
 
+#include "mangovane/daemon/process.hpp"
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/forward_server.hpp"
 #include "mangovane/net/page_server.hpp"
@@ -382,16 +382,7 @@
     it.await_reload();
     it.source->start();
     it.tick();
-    std::vector<std::thread> threads;
-    for (std::uint32_t n = 1; n < it.options.threads; ++n)
-    {
-        threads.emplace_back([&it] { it.io.run(); });
-    }
-    it.io.run();
-    for (auto& thread : threads)
-    {
-        thread.join();
-    }
+    run_threads(it.io, it.options.threads);
     return absl::OkStatus();
 }
 
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -5,7 +5,6 @@
 #include <csignal>
 #include <fstream>
 #include <sstream>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -21,6 +20,7 @@
 #include "mangovane/daemon/endpoint_log.hpp"
 #include "mangovane/daemon/fleet_view.hpp"
 #include "mangovane/daemon/platform_follower.hpp"
+#include "mangovane/daemon/process.hpp"
 #include "mangovane/daemon/request_log.hpp"
 #include "mangovane/daemon/static_platform.hpp"
 #include "mangovane/daemon/view_log.hpp"
@@ -333,16 +333,7 @@
               << " port=" << it.server.port();
     it.tick();
     it.poller.start();
-    std::vector<std::thread> threads;
-    for (std::uint32_t n = 1; n < it.options.threads; ++n)
-    {
-        threads.emplace_back([&it] { it.io.run(); });
-    }
-    it.io.run();
-    for (auto& thread : threads)
-    {
-        thread.join();
-    }
+    run_threads(it.io, it.options.threads);
     return absl::OkStatus();
 }
 
--- a/src/mangovane/daemon/router_options.cpp
+++ b/src/mangovane/daemon/router_options.cpp
@@ -1,9 +1,7 @@
 // Implementation of the router's options.
 #include "mangovane/daemon/router_options.hpp"
 
-#include <algorithm>
 #include <array>
-#include <cctype>
 #include <cstdlib>
 #include <sstream>
 #include <utility>
@@ -13,6 +11,7 @@
 #include <absl/strings/str_split.h>
 #include <boost/program_options.hpp>
 
+#include "mangovane/daemon/process.hpp"
 #include "mangovane/net/address.hpp"
 
 namespace mangovane
@@ -62,21 +61,6 @@
     return result;
 }
 
-/// Environment variable to option name; empty for variables that are no option.
-std::string option_of(const std::string& variable, const po::options_description& known)
-{
-    constexpr std::string_view prefix = "MANGOVANE_";
-    if (!variable.starts_with(prefix))
-    {
-        return {};
-    }
-    std::string name = variable.substr(prefix.size());
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c)
-                   { return c == '_' ? '-' : static_cast<char>(std::tolower(c)); });
-    return known.find_nothrow(name, false) != nullptr ? name : std::string{};
-}
-
 absl::StatusOr<endpoint_info> read_endpoint(const std::string& text)
 {
     const std::vector<std::string> parts = absl::StrSplit(text, '/');
@@ -161,7 +145,7 @@
     {
         po::store(po::parse_command_line(argc, argv, known), values);
         po::store(po::parse_environment(known, [&](const std::string& it)
-                                        { return option_of(it, known); }),
+                                        { return option_of_variable(it, known); }),
                   values);
         po::notify(values);
     }
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -20,6 +20,33 @@
 namespace mangovane
 {
 
+namespace internal
+{
+
+/// A whole answer of an endpoint, not yet passed on.
+struct kept_answer
+{
+    answer_head head;
+    std::string body;
+};
+
+/// State of the request being served.
+struct served_request
+{
+    boost::beast::http::request<boost::beast::http::string_body> message;
+    std::shared_ptr<const std::string> body;
+    std::optional<forward_flow> flow;
+    std::optional<kept_answer> failure; ///< Of the last attempt.
+    event_splitter events;
+    std::string weights;        ///< Of the first endpoint of a stream.
+    bool head_written{false};   ///< The answer's head has gone to the caller.
+    unsigned status{0};         ///< Of the answer; 0: none yet.
+    time_point first_byte_at{}; ///< Of the answer.
+    time_point dispatched_at{}; ///< Of the last attempt.
+};
+
+} // namespace internal
+
 class forward_session : public std::enable_shared_from_this<forward_session>
 {
 public:
@@ -38,27 +65,8 @@
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using error_code = boost::system::error_code;
 
-    /// A whole answer of an endpoint, not yet passed on.
-    struct kept_answer
-    {
-        answer_head head;
-        std::string body;
-    };
-
-    /// State of the request being served.
-    struct current_request
-    {
-        request_type message;
-        std::shared_ptr<const std::string> body;
-        std::optional<forward_flow> flow;
-        std::optional<kept_answer> failure; ///< Of the last attempt.
-        event_splitter events;
-        std::string weights;        ///< Of the first endpoint of a stream.
-        bool head_written{false};   ///< The answer's head has gone to the caller.
-        unsigned status{0};         ///< Of the answer; 0: none yet.
-        time_point first_byte_at{}; ///< Of the answer.
-        time_point dispatched_at{}; ///< Of the last attempt.
-    };
+    using current_request = internal::served_request;
+    using kept_answer = internal::kept_answer;
 
     // Requests (forward_session.cpp).
     boost::asio::awaitable<bool> read_request();
--- a/src/mangovane/net/upstream_call.hpp
+++ b/src/mangovane/net/upstream_call.hpp
@@ -26,7 +26,7 @@
     using error_code = boost::system::error_code;
     using head_type = boost::beast::http::response_header<>;
 
-    explicit upstream_call(boost::asio::any_io_executor executor) : socket_{std::move(executor)} {}
+    explicit upstream_call(const boost::asio::any_io_executor& executor) : socket_{executor} {}
 
     /// False when there is no connection; nothing has been sent then.
     boost::asio::awaitable<bool> connect(const std::string& address);
--- a/src/standin/listen_option.cpp
+++ b/src/standin/arguments.cpp
@@ -1,5 +1,5 @@
-// Implementation of the option `--listen`.
-#include "standin/listen_option.hpp"
+// Implementation of the reading of arguments.
+#include "standin/arguments.hpp"
 
 #include <iostream>
 
@@ -10,30 +10,36 @@
 
 namespace po = boost::program_options;
 
-listen_option parse_listen_option(const std::string& command, const std::vector<std::string>& args)
+std::optional<int> read_arguments(const po::options_description& known,
+                                  const std::vector<std::string>& args)
 {
-    listen_option result;
-    po::options_description known{"mangovane-standin " + command};
-    auto add = known.add_options();
-    add("help", "print this text");
-    add("listen", po::value(&result.listen)->default_value("127.0.0.1:0"), "ip:port");
     po::variables_map values;
     try
     {
         po::store(po::command_line_parser(args).options(known).run(), values);
+        if (values.count("help") != 0)
+        {
+            std::cout << known;
+            return 0;
+        }
         po::notify(values);
     }
     catch (const po::error& ex)
     {
         std::cerr << ex.what() << '\n';
-        result.exit_code = 2;
-        return result;
-    }
-    if (values.count("help") != 0)
-    {
-        std::cout << known;
-        result.exit_code = 0;
+        return 2;
     }
+    return std::nullopt;
+}
+
+listen_option parse_listen_option(const std::string& command, const std::vector<std::string>& args)
+{
+    listen_option result;
+    po::options_description known{"mangovane-standin " + command};
+    auto add = known.add_options();
+    add("help", "print this text");
+    add("listen", po::value(&result.listen)->default_value("127.0.0.1:0"), "ip:port");
+    result.exit_code = read_arguments(known, args);
     return result;
 }
 
--- a/src/standin/engine_command.cpp
+++ b/src/standin/engine_command.cpp
@@ -1,8 +1,8 @@
 // The sub-command `engine`.
-#include <iostream>
 
 #include <boost/program_options.hpp>
 
+#include "standin/arguments.hpp"
 #include "standin/commands.hpp"
 #include "standin/engine.hpp"
 
@@ -30,21 +30,9 @@
     add("capacity", po::value(&behaviour.capacity)->default_value(64), "requests in flight");
     add("cold-capacity", po::value(&behaviour.cold_capacity)->default_value(2), "while cold");
     add("warm-after", po::value(&behaviour.warm_after)->default_value(20), "requests");
-    po::variables_map values;
-    try
+    if (const auto code = read_arguments(known, args))
     {
-        po::store(po::command_line_parser(args).options(known).run(), values);
-        po::notify(values);
-    }
-    catch (const po::error& ex)
-    {
-        std::cerr << ex.what() << '\n';
-        return 2;
-    }
-    if (values.count("help") != 0)
-    {
-        std::cout << known;
-        return 0;
+        return *code;
     }
     behaviour.token_interval = milliseconds{token_ms};
     behaviour.first_token = milliseconds{first_ms};
--- a/src/standin/platform_command.cpp
+++ b/src/standin/platform_command.cpp
@@ -1,6 +1,6 @@
 // The sub-command `platform`.
+#include "standin/arguments.hpp"
 #include "standin/commands.hpp"
-#include "standin/listen_option.hpp"
 #include "standin/platform.hpp"
 
 namespace mangovane::standin
--- a/src/standin/service_command.cpp
+++ b/src/standin/service_command.cpp
@@ -1,6 +1,6 @@
 // The sub-command `service`.
+#include "standin/arguments.hpp"
 #include "standin/commands.hpp"
-#include "standin/listen_option.hpp"
 #include "standin/service.hpp"
 
 namespace mangovane::standin
