Spread the first requests to a cold endpoint over the instances

Each of 105 instances sends one in 9.4 s, but all may send their first at once.

Change: an instance's first request to a cold endpoint waits for a part of the spacing that differs between instances, also when the endpoint becomes cold anew.

--- a/src/mangovane/forward/endpoint_board.cpp
+++ b/src/mangovane/forward/endpoint_board.cpp
@@ -81,9 +81,13 @@
     return result;
 }
 
-bool endpoint_board::try_cold(endpoint_id endpoint, duration spacing, time_point now)
+bool endpoint_board::try_cold(endpoint_id endpoint,
+                              duration spacing,
+                              duration first_wait,
+                              time_point now)
 {
-    return records_.with(endpoint, [&](endpoint_record& it) { return it.try_cold(spacing, now); });
+    return records_.with(endpoint, [&](endpoint_record& it)
+                         { return it.try_cold(spacing, first_wait, now); });
 }
 
 load_digest endpoint_board::digest(time_point now)
--- a/src/mangovane/forward/endpoint_board.hpp
+++ b/src/mangovane/forward/endpoint_board.hpp
@@ -37,7 +37,8 @@
 
     [[nodiscard]] endpoint_standing standing(endpoint_id endpoint, time_point now);
 
-    [[nodiscard]] bool try_cold(endpoint_id endpoint, duration spacing, time_point now);
+    [[nodiscard]] bool
+    try_cold(endpoint_id endpoint, duration spacing, duration first_wait, time_point now);
 
     /// What the other instances have to know.
     [[nodiscard]] load_digest digest(time_point now);
--- a/src/mangovane/forward/endpoint_record.cpp
+++ b/src/mangovane/forward/endpoint_record.cpp
@@ -77,9 +77,15 @@
     others_.successes = less(others_.successes, digest.successes);
 }
 
-bool endpoint_record::try_cold(duration spacing, time_point now) noexcept
+bool endpoint_record::try_cold(duration spacing, duration first_wait, time_point now) noexcept
 {
-    if (cold_sent_at_ != time_point::min() && now < cold_sent_at_ + spacing)
+    // After so long without a request the endpoint has become cold anew.
+    const bool anew = cold_sent_at_ == time_point::min() || now >= cold_sent_at_ + 2 * spacing;
+    if (anew)
+    {
+        cold_sent_at_ = now - spacing + first_wait;
+    }
+    if (now < cold_sent_at_ + spacing)
     {
         return false;
     }
--- a/src/mangovane/forward/endpoint_record.hpp
+++ b/src/mangovane/forward/endpoint_record.hpp
@@ -42,9 +42,10 @@
     void add_others(const endpoint_digest& digest) noexcept;
     void remove_others(const endpoint_digest& digest) noexcept;
 
-    /// Takes the right to send one request to the endpoint while it is cold; false within
-    /// `spacing` of the last.
-    [[nodiscard]] bool try_cold(duration spacing, time_point now) noexcept;
+    /// Takes the right to send one request to the endpoint while it is cold; false within `spacing`
+    /// of the last. The first comes after `first_wait`, which is below `spacing` and differs
+    /// between instances: else all of a large fleet would send their first in the same second.
+    [[nodiscard]] bool try_cold(duration spacing, duration first_wait, time_point now) noexcept;
 
     [[nodiscard]] std::uint32_t in_flight() const noexcept { return in_flight_; }
 
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -280,8 +280,15 @@
     const auto* endpoint = routes.find(option.endpoint);
     const auto* service = routes.settings().find_service(endpoint->service);
     const bool bounded = service != nullptr && service->cold_requests_per_s > 0;
-    return !bounded || !is_cold(*endpoint, now) ||
-           board_.try_cold(option.endpoint, cold_spacing(*service), now);
+    if (!bounded || !is_cold(*endpoint, now))
+    {
+        return true;
+    }
+    const auto spacing = cold_spacing(*service);
+    const auto chance = hash_combine(options_.self.id.value(), option.endpoint.value());
+    const duration first_wait{static_cast<duration::rep>(
+        chance % static_cast<std::uint64_t>(std::max<duration::rep>(spacing.count(), 1)))};
+    return board_.try_cold(option.endpoint, spacing, first_wait, now);
 }
 
 std::optional<dispatch_target> forward_core::choose(const forward_request& request,
--- a/test/mangovane/forward/endpoint_board.cpp
+++ b/test/mangovane/forward/endpoint_board.cpp
@@ -82,11 +82,19 @@
     }
     SUBCASE("a cold endpoint gets requests apart, also after it was idle for long")
     {
-        CHECK(board.try_cold(engine, seconds{10}, start));
-        CHECK_FALSE(board.try_cold(engine, seconds{10}, start + seconds{9}));
+        CHECK(board.try_cold(engine, seconds{10}, seconds{0}, start));
+        CHECK_FALSE(board.try_cold(engine, seconds{10}, seconds{0}, start + seconds{9}));
         // Forgetting the last request when nothing else is known would send the next too soon.
         board.expire(start + seconds{8});
-        CHECK_FALSE(board.try_cold(engine, seconds{10}, start + seconds{9}));
-        CHECK(board.try_cold(engine, seconds{10}, start + seconds{10}));
+        CHECK_FALSE(board.try_cold(engine, seconds{10}, seconds{0}, start + seconds{9}));
+        CHECK(board.try_cold(engine, seconds{10}, seconds{0}, start + seconds{10}));
+
+        SUBCASE("and waits with the first when it has become cold anew")
+        {
+            const auto later = start + seconds{100};
+            CHECK_FALSE(board.try_cold(engine, seconds{10}, seconds{4}, later));
+            CHECK_FALSE(board.try_cold(engine, seconds{10}, seconds{4}, later + seconds{3}));
+            CHECK(board.try_cold(engine, seconds{10}, seconds{4}, later + seconds{4}));
+        }
     }
 }
--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -1,6 +1,7 @@
 // Tests of a whole instance's decisions, and of several instances that exchange messages.
 #include "mangovane/forward/forward_core.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -212,6 +213,54 @@
     }
 }
 
+TEST_CASE("the instances of a large fleet that all want a cold endpoint")
+{
+    // 105 instances that each sent their first request at once gave it 19 in a second.
+    constexpr std::size_t count = 105;
+    const auto settings = test::make_settings(10);
+    auto cold = make_entry("cold", test::model_service, "ikeja-a", 1);
+    cold.cold_left = milliseconds{3000};
+    std::vector<std::unique_ptr<test::kept_messages>> sinks;
+    std::vector<std::unique_ptr<forward_core>> cores;
+    std::vector<listed_instance> list;
+    for (std::size_t n = 0; n != count; ++n)
+    {
+        const auto name = "router-" + std::to_string(n);
+        list.push_back({name, "10.0.0.9:7000", domain_id::of("ikeja-a")});
+        sinks.push_back(std::make_unique<test::kept_messages>());
+        cores.push_back(std::make_unique<forward_core>(test::make_options(name, "ikeja-a"),
+                                                       *sinks.back(), &read_settings, start));
+    }
+    for (auto& it : cores)
+    {
+        it->on_listed(list, start);
+        it->tick(start);
+        it->adopt_settings(settings, start);
+        it->catalog().replace({cold}, 1, start);
+        it->refresh(start);
+        it->tick(start + milliseconds{100});
+    }
+    std::vector<time_point> sent;
+    for (auto now = start + milliseconds{100}; now < start + seconds{3}; now += milliseconds{20})
+    {
+        for (auto& it : cores)
+        {
+            if (it->choose(make_request(settings, "review", 5, now), {}, now))
+            {
+                sent.push_back(now);
+            }
+        }
+    }
+    REQUIRE(sent.size() > 10);
+    for (const auto first : sent)
+    {
+        const auto in_second =
+            std::count_if(sent.begin(), sent.end(),
+                          [&](time_point it) { return it >= first && it < first + seconds{1}; });
+        CHECK(in_second <= 10 * 1.5 + 5);
+    }
+}
+
 TEST_CASE("several instances")
 {
     forward_fleet fleet{6};
--- a/test/platform/router_process.cpp
+++ b/test/platform/router_process.cpp
@@ -206,8 +206,8 @@
         std::this_thread::sleep_for(seconds{3});
         const auto before = fleet.store.calls();
         std::this_thread::sleep_for(seconds{4});
-        // In 4 s a reader calls 7 times for endpoints and twice for the operators' rows, and once for
-        // the list of instances; four readers would make 36 calls or more.
+        // In 4 s a reader calls 7 times for endpoints and twice for the operators' rows, and once
+        // for the list of instances; four readers would make 36 calls or more.
         CHECK(fleet.store.calls() - before <= 2 * (7 + 2 + 1));
     }
     SUBCASE("a router that starts while the store is away learns from the others")
