Share only the start of the ramp of a cold endpoint without its owner

Its owner knew of 1 request in flight; the other 2 came from instances that did not reach the owner and used their local shares of the whole bound, since a poll that says that the endpoint is cold counted like any other.

Ruled out: an owner that forgot slots (it was not rebuilding and had no orphans), the ramp's steps (1 slot allowed).

Change: while the last poll says that the endpoint is cold, instances share the start of its ramp. The oracle's message names the owners.

--- a/src/mangovane/routing/coordinator.cpp
+++ b/src/mangovane/routing/coordinator.cpp
@@ -46,13 +46,15 @@
 
 void coordinator::on_endpoint_report(const endpoint_report& report, time_point now)
 {
-    shares_.on_poll(report.endpoint, !report.leaving, now);
+    const auto awake = report.warm ? endpoint_condition::fit : endpoint_condition::cold;
+    shares_.on_poll(report.endpoint, report.leaving ? endpoint_condition::unfit : awake, now);
     send(slots_.on_report(report, now), now);
 }
 
 void coordinator::on_endpoint_poll(endpoint_id endpoint, bool answered, time_point now)
 {
-    shares_.on_poll(endpoint, answered, now);
+    // Without a report nothing says that the endpoint is cold: plain services report none.
+    shares_.on_poll(endpoint, answered ? endpoint_condition::fit : endpoint_condition::unfit, now);
     slots_.on_poll(endpoint, answered);
 }
 
--- a/src/mangovane/routing/local_shares.cpp
+++ b/src/mangovane/routing/local_shares.cpp
@@ -1,6 +1,8 @@
 // Implementation of the local shares.
 #include "mangovane/routing/local_shares.hpp"
 
+#include <algorithm>
+
 namespace mangovane
 {
 
@@ -15,11 +17,15 @@
     {
         return false;
     }
-    const auto n = local_share(load_bound_slots(*policy, load), *rank, view->eligible_count());
+    const auto bound = load_bound_slots(*policy, load);
     return shares_.with(endpoint,
                         [&](share& it)
                         {
                             it.wanted_until = now + wanted_time;
+                            // The instance does not know how far the owner's ramp has got.
+                            const auto slots =
+                                it.cold ? std::min(bound, policy->ramp_start) : bound;
+                            const auto n = local_share(slots, *rank, view->eligible_count());
                             if (now >= it.fit_until || it.in_use >= n)
                             {
                                 return false;
@@ -34,9 +40,15 @@
     shares_.find(endpoint, [](share& it) { it.in_use -= it.in_use > 0 ? 1U : 0U; });
 }
 
-void local_shares::on_poll(endpoint_id endpoint, bool fit, time_point now)
+void local_shares::on_poll(endpoint_id endpoint, endpoint_condition condition, time_point now)
 {
-    shares_.find(endpoint, [&](share& it) { it.fit_until = fit ? now + poll_validity : now; });
+    const bool fit = condition != endpoint_condition::unfit;
+    shares_.find(endpoint,
+                 [&](share& it)
+                 {
+                     it.fit_until = fit ? now + poll_validity : now;
+                     it.cold = condition == endpoint_condition::cold;
+                 });
 }
 
 std::vector<endpoint_id> local_shares::wanted(time_point now)
--- a/src/mangovane/routing/local_shares.hpp
+++ b/src/mangovane/routing/local_shares.hpp
@@ -12,6 +12,14 @@
 namespace mangovane
 {
 
+/// What a poll by this instance has shown of an endpoint.
+enum class endpoint_condition : std::uint8_t
+{
+    fit,
+    cold,  ///< It bears little: it has just started.
+    unfit, ///< It leaves, or it did not answer.
+};
+
 class local_shares
 {
 public:
@@ -24,7 +32,7 @@
     [[nodiscard]] bool try_acquire(endpoint_id endpoint, const service_load& load, time_point now);
 
     /// Result of a poll by this instance.
-    void on_poll(endpoint_id endpoint, bool fit, time_point now);
+    void on_poll(endpoint_id endpoint, endpoint_condition condition, time_point now);
 
     /// Endpoints that have to be polled before their share may be used.
     [[nodiscard]] std::vector<endpoint_id> wanted(time_point now);
@@ -42,6 +50,7 @@
     {
         std::uint32_t in_use{0};
         time_point fit_until{}; ///< By the last poll.
+        bool cold{false};       ///< By the last poll: only the start of the ramp is shared.
         time_point wanted_until{};
     };
 
--- a/test/stateful/fleet_oracle.cpp
+++ b/test/stateful/fleet_oracle.cpp
@@ -204,7 +204,7 @@
     if (engine.in_flight() > allowed)
     {
         fail(absl::StrCat("cold ", engine.info.name, " carries ", engine.in_flight(), ", ramp ",
-                          allowed));
+                          allowed, ", ", describe_owners(engine)));
     }
 }
 
