Do not hold removals back when only this instance was cut off

A reader that had been cut off alone came back at 24.57 s, took that for the return of the store, held removals for 2 s as for lapsed entries, and told the others to hold them.

Ruled out: a slow spread (all instances dropped the entries within 70 ms, at 26.57 s).

Change: the store counts as away only when it was silent for 2 s and did not answer other readers for 1.5 s before.

--- a/src/mangovane/forward/feed_spread.cpp
+++ b/src/mangovane/forward/feed_spread.cpp
@@ -19,6 +19,10 @@
 outgoing_messages feed_spread::on(instance_id from, const feed_state& msg, time_point now)
 {
     duty_.on_state(from, msg, *state_.view(), now);
+    if (milliseconds{msg.age_ms} <= watch_duty::fresh_age)
+    {
+        catalog_.on_peer_contact(now);
+    }
     const auto own = own_state(now);
     outgoing_messages result;
     const std::lock_guard lock{mutex_};
--- a/src/mangovane/membership/endpoint_catalog.cpp
+++ b/src/mangovane/membership/endpoint_catalog.cpp
@@ -94,7 +94,7 @@
 
 time_point endpoint_catalog::settled_at(time_point now) const
 {
-    if (outage_since_ && now >= *outage_since_ + shortest_outage)
+    if (was_away(now))
     {
         return now + return_grace;
     }
@@ -224,6 +224,23 @@
     return true;
 }
 
+bool endpoint_catalog::was_away(time_point now) const
+{
+    const bool others = peers_at_ != time_point::min() && now <= peers_at_ + peer_gap &&
+                        now >= peers_since_ + served_others;
+    return outage_since_ && now >= *outage_since_ + shortest_outage && !others;
+}
+
+void endpoint_catalog::on_peer_contact(time_point now)
+{
+    const std::lock_guard lock{mutex_};
+    if (peers_at_ == time_point::min() || now > peers_at_ + peer_gap)
+    {
+        peers_since_ = now;
+    }
+    peers_at_ = now;
+}
+
 void endpoint_catalog::on_outage(time_point now)
 {
     const std::lock_guard lock{mutex_};
@@ -236,7 +253,7 @@
 void endpoint_catalog::on_contact(time_point now)
 {
     const std::lock_guard lock{mutex_};
-    if (outage_since_ && now >= *outage_since_ + shortest_outage)
+    if (was_away(now))
     {
         returned_at_ = now;
     }
--- a/src/mangovane/membership/endpoint_catalog.hpp
+++ b/src/mangovane/membership/endpoint_catalog.hpp
@@ -51,6 +51,9 @@
     void on_outage(time_point now);
     void on_contact(time_point now);
 
+    /// The registry answers another instance.
+    void on_peer_contact(time_point now);
+
     /// This instance no longer asks the registry.
     void on_reading_stopped();
 
@@ -67,12 +70,18 @@
     static constexpr milliseconds return_grace{2000};
 
     /// A registry that was silent for less than this cannot have let entries lapse.
-    static constexpr milliseconds shortest_outage{500};
+    static constexpr milliseconds shortest_outage{2000};
+
+    /// A registry that has answered others for as long was not away: this instance was cut off.
+    static constexpr milliseconds served_others{1500};
 
     /// For how long the removal of an entry is remembered, to tell instances that lag.
     static constexpr seconds removal_memory{30};
 
 private:
+    /// A longer time without the contact of another instance begins a new row of contacts.
+    static constexpr milliseconds peer_gap{600};
+
     struct entry
     {
         endpoint_info info;
@@ -93,6 +102,7 @@
     void put_row(const endpoint_row& row, time_point now);
     void expire(time_point now);
     [[nodiscard]] time_point settled_at(time_point now) const;
+    [[nodiscard]] bool was_away(time_point now) const;
     [[nodiscard]] static endpoint_row
     row_of(const std::string& name, const entry& it, time_point now);
 
@@ -102,6 +112,8 @@
     std::uint64_t forgotten_{0}; ///< Newest removal that was forgotten. Guarded by `mutex_`.
     std::optional<time_point> outage_since_;    ///< Guarded by `mutex_`.
     std::optional<time_point> contact_at_;      ///< Guarded by `mutex_`.
+    time_point peers_since_{time_point::min()}; ///< It has answered others. Guarded by `mutex_`.
+    time_point peers_at_{time_point::min()};    ///< It answered another last. Guarded by `mutex_`.
     time_point returned_at_{time_point::min()}; ///< End of the last outage. Guarded by `mutex_`.
     bool changed_{false};                       ///< Guarded by `mutex_`.
     std::uint64_t partial_through_{0};          ///< Of a whole list in parts. Guarded by `mutex_`.
--- a/test/mangovane/membership/endpoint_catalog.cpp
+++ b/test/mangovane/membership/endpoint_catalog.cpp
@@ -98,6 +98,32 @@
             CHECK(other_view.count(back + endpoint_catalog::return_grace) == 1);
         }
     }
+    SUBCASE("an instance that was cut off alone drops at once what left meanwhile")
+    {
+        // It held removals for 2 s after its own return, and told the others to hold them too:
+        // requests reached an endpoint 2,046 ms after it had begun to leave.
+        catalog.on_outage(start + seconds{1});
+        const auto back = start + seconds{9};
+        for (auto now = start; now <= back; now += milliseconds{200})
+        {
+            catalog.on_peer_contact(now);
+        }
+        catalog.on_contact(back);
+        catalog.apply({removal("one", 3)}, 3, back);
+        CHECK(view.count(back) == 1);
+
+        SUBCASE("but not when the others have only just been answered again")
+        {
+            catalog.on_outage(back + seconds{1});
+            const auto again = back + seconds{6};
+            catalog.on_peer_contact(again - milliseconds{400});
+            catalog.on_peer_contact(again - milliseconds{200});
+            catalog.on_contact(again);
+            catalog.apply({removal("two", 4)}, 4, again);
+            CHECK(view.count(again) == 1);
+            CHECK(view.count(again + endpoint_catalog::return_grace) == 0);
+        }
+    }
     SUBCASE("a call that failed once is no outage")
     {
         catalog.on_outage(start);
