Take prefixes for endpoints that have just become warm from those that had them

The log of all instances showed 11 prompts that were sent to an endpoint new to them without a source: each was an endpoint that had come cold a few seconds before. The catalog forgot when it became warm as soon as its entry no longer said that it was cold, so that it counted as the expected holder of prefixes it never had. Besides, a prompt whose second part is new was read whole, though other endpoints held its first part.

Ruled out: dropped parts (an endpoint holds 40,000 of 450,000 tokens), the bound (2 of 155 prompts went elsewhere for it).

Change: the catalog keeps the time at which an incarnation became warm, also in what it takes from other instances. A prompt whose beginning is new gets the endpoint that was sent its first part last as a source. `replace` and `apply` of the catalog share one put.

--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -312,9 +312,12 @@
     const auto* endpoint = routes->find(option.endpoint);
     board_.on_started(option.endpoint);
     auto source = prefix_source(*routes, request, *endpoint, now);
-    if (affinity != 0)
+    for (const auto prefix : {affinity, request.common_prefix()})
     {
-        prefixes_.note(affinity, endpoint->id, endpoint->epoch, now);
+        if (prefix != 0)
+        {
+            prefixes_.note(prefix, endpoint->id, endpoint->epoch, now);
+        }
     }
     return dispatch_target{option.endpoint,
                            endpoint->name,
@@ -346,6 +349,16 @@
     return best;
 }
 
+const endpoint_info* forward_core::last_holder(const routing_table& routes,
+                                               std::uint64_t prefix,
+                                               const endpoint_info& chosen,
+                                               time_point now)
+{
+    const auto last = prefixes_.last_but(prefix, chosen.id, now);
+    const auto* holder = last ? routes.find(*last) : nullptr;
+    return holder != nullptr && board_.standing(holder->id, now).suspended ? nullptr : holder;
+}
+
 std::string forward_core::prefix_source(const routing_table& routes,
                                         const forward_request& request,
                                         const endpoint_info& chosen,
@@ -356,13 +369,23 @@
     {
         return {};
     }
-    const auto last = prefixes_.last_but(affinity, chosen.id, now);
-    const auto* holder = last ? routes.find(*last) : nullptr;
-    if (holder == nullptr || board_.standing(holder->id, now).suspended)
+    const auto* holder = last_holder(routes, affinity, chosen, now);
+    if (holder == nullptr)
     {
         holder = expected_holder(routes, request, now);
     }
-    return holder == nullptr || holder->id == chosen.id ? std::string{} : holder->address;
+    if (holder != nullptr && holder->id != chosen.id)
+    {
+        return holder->address;
+    }
+    // The chosen endpoint is the first to read this beginning; others may hold its first part.
+    const auto common = request.common_prefix();
+    if (common == 0 || prefixes_.holds(common, chosen.id, chosen.epoch, now))
+    {
+        return {};
+    }
+    holder = last_holder(routes, common, chosen, now);
+    return holder == nullptr ? std::string{} : holder->address;
 }
 
 } // namespace mangovane
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -147,7 +147,8 @@
     void
     note_returned(const settings_snapshot& before, const settings_snapshot& after, time_point now);
     [[nodiscard]] duration cold_spacing(const service_policy& service) const;
-    /// Address of an endpoint that should hold the request's prefix, if the chosen one may lack it.
+    /// Address of an endpoint that should hold the request's prefix, or its first part, if the
+    /// chosen one may lack it.
     [[nodiscard]] std::string prefix_source(const routing_table& routes,
                                             const forward_request& request,
                                             const endpoint_info& chosen,
@@ -156,6 +157,13 @@
     /// The endpoint at which a prefix is expected, of those that have been warm for a while.
     [[nodiscard]] const endpoint_info*
     expected_holder(const routing_table& routes, const forward_request& request, time_point now);
+
+    /// The endpoint that was sent a prefix last, other than the chosen one; null when it is not
+    /// known, not listed or suspended.
+    [[nodiscard]] const endpoint_info* last_holder(const routing_table& routes,
+                                                   std::uint64_t prefix,
+                                                   const endpoint_info& chosen,
+                                                   time_point now);
     void send(const outgoing_messages& list);
     void send_digest(time_point now);
     [[nodiscard]] bool take_digest_turn(bool near, const load_digest& digest, time_point now);
--- a/src/mangovane/forward/forward_request.hpp
+++ b/src/mangovane/forward/forward_request.hpp
@@ -42,11 +42,23 @@
         {
             return 0;
         }
-        const auto n = prompt.size() > 1 ? prompt.size() - 2 : 0;
-        return hash_combine(prompt[n].id, 1);
+        return hash_combine(prompt[last_shared()].id, 1);
+    }
+
+    /// Hash of the first part, which more requests share than the whole beginning; 0 when the
+    /// beginning has no other part.
+    [[nodiscard]] std::uint64_t common_prefix() const noexcept
+    {
+        return affinity() == 0 || last_shared() == 0 ? 0 : hash_combine(prompt.front().id, 1);
     }
 
     bool operator==(const forward_request&) const = default;
+
+private:
+    [[nodiscard]] std::size_t last_shared() const noexcept
+    {
+        return prompt.size() > 1 ? prompt.size() - 2 : 0;
+    }
 };
 
 } // namespace mangovane
--- a/src/mangovane/membership/endpoint_catalog.cpp
+++ b/src/mangovane/membership/endpoint_catalog.cpp
@@ -19,12 +19,7 @@
     absl::flat_hash_set<std::string> listed;
     for (const auto& it : entries)
     {
-        auto info = it.info;
-        if (info)
-        {
-            info->cold_until = it.cold_left.count() > 0 ? now + it.cold_left : time_point{};
-        }
-        put(it.name, info, it.revision, now);
+        put(it, now);
         listed.insert(it.name);
     }
     remove_unlisted(listed, revision, now);
@@ -38,34 +33,41 @@
     const std::lock_guard lock{mutex_};
     for (const auto& it : changes)
     {
-        auto info = it.info;
-        if (info)
-        {
-            info->cold_until = it.cold_left.count() > 0 ? now + it.cold_left : time_point{};
-        }
-        put(it.name, info, it.revision, now);
+        put(it, now);
     }
     revision_ = std::max(revision_, revision);
 }
 
-void endpoint_catalog::put(const std::string& name,
-                           const std::optional<endpoint_info>& info,
-                           std::uint64_t revision,
-                           time_point now)
+time_point
+endpoint_catalog::cold_end(const endpoint_info& info, milliseconds left, time_point now) const
+{
+    if (left.count() > 0)
+    {
+        return now + left;
+    }
+    const auto place = entries_.find(info.name);
+    const bool known = place != entries_.end() && place->second.info.epoch == info.epoch;
+    return known ? std::min(place->second.info.cold_until, now) : time_point{};
+}
+
+void endpoint_catalog::put(const endpoint_change& change, time_point now)
 {
-    const auto place = entries_.find(name);
-    if (place != entries_.end() && revision <= place->second.revision)
+    const auto place = entries_.find(change.name);
+    if (place != entries_.end() && change.revision <= place->second.revision)
     {
         return;
     }
-    if (info)
+    if (change.info)
     {
-        entries_.insert_or_assign(name, entry{*info, revision, false, {}, true});
+        auto info = *change.info;
+        info.cold_until = cold_end(info, change.cold_left, now);
+        entries_.insert_or_assign(change.name,
+                                  entry{std::move(info), change.revision, false, {}, true});
         changed_ = true;
     }
     else if (place != entries_.end())
     {
-        remove(place->second, revision, settled_at(now));
+        remove(place->second, change.revision, settled_at(now));
     }
 }
 
@@ -172,7 +174,7 @@
         info.address = row.address;
         info.leaving = row.leaving;
         info.epoch = row.epoch;
-        info.cold_until = row.cold_ms != 0 ? deadline_from(row.cold_ms, now) : time_point{};
+        info.cold_until = cold_end(info, milliseconds{row.cold_ms}, now);
         entries_.insert_or_assign(row.name, entry{std::move(info), row.revision, row.removed,
                                                   deadline_from(row.keep_ms, now), true});
         changed_ = true;
--- a/src/mangovane/membership/endpoint_catalog.hpp
+++ b/src/mangovane/membership/endpoint_catalog.hpp
@@ -91,10 +91,13 @@
         bool listed{true};       ///< In the list returned last.
     };
 
-    void put(const std::string& name,
-             const std::optional<endpoint_info>& info,
-             std::uint64_t revision,
-             time_point now);
+    void put(const endpoint_change& change, time_point now);
+
+    /// When an endpoint stops being cold, from how long it stays so. An endpoint that has become
+    /// warm keeps the time at which it did, as long as it is the same incarnation.
+    [[nodiscard]] time_point
+    cold_end(const endpoint_info& info, milliseconds left, time_point now) const;
+
     void remove(entry& it, std::uint64_t revision, time_point keep_until);
     void remove_unlisted(const absl::flat_hash_set<std::string>& listed,
                          std::uint64_t revision,
--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <doctest/doctest.h>
@@ -112,6 +113,47 @@
     core.catalog().replace(entries, 6, start);
     core.refresh(start);
 
+    SUBCASE("takes prefixes for an endpoint that has just become warm from those that had them")
+    {
+        // The endpoint that comes first for the prefix is new; the others were there before.
+        const auto home = core.choose(make_request(settings, "review", 5), {}, start);
+        REQUIRE(home);
+        core.finish(home->endpoint, attempt_end::answered, start);
+        test::kept_messages none;
+        forward_core other{test::make_options("other", "ikeja-a"), none, &read_settings, start};
+        other.adopt_settings(settings, start);
+        auto before = entries;
+        std::erase_if(before, [&](const auto& it) { return it.name == home->name; });
+        other.catalog().replace(before, 6, start);
+        auto came = make_entry(home->name, test::model_service, "ikeja-a", 7);
+        came.cold_left = milliseconds{3000};
+        other.catalog().apply({came}, 7, start);
+        const auto warm_at = start + seconds{4};
+        other.catalog().apply({make_entry(home->name, test::model_service, "ikeja-a", 8)}, 8,
+                              warm_at);
+        other.refresh(warm_at);
+
+        const auto chosen = other.choose(make_request(settings, "review", 5, warm_at), {}, warm_at);
+        REQUIRE(chosen);
+        CHECK(chosen->endpoint == home->endpoint);
+        CHECK_FALSE(chosen->prefix_source.empty());
+        CHECK(chosen->prefix_source != chosen->address);
+    }
+    SUBCASE("names a source for the first part of a prompt whose next part is new")
+    {
+        const auto first = core.choose(make_request(settings, "review", 5), {}, start);
+        REQUIRE(first);
+        std::optional<dispatch_target> elsewhere;
+        for (std::uint64_t chat = 6; !elsewhere && chat != 40; ++chat)
+        {
+            auto it = core.choose(make_request(settings, "review", chat), {}, start);
+            REQUIRE(it);
+            core.finish(it->endpoint, attempt_end::answered, start);
+            elsewhere = it->endpoint == first->endpoint ? std::nullopt : it;
+        }
+        REQUIRE(elsewhere);
+        CHECK(elsewhere->prefix_source == first->address);
+    }
     SUBCASE("sends requests with the same prefix to one endpoint")
     {
         const auto first = core.choose(make_request(settings, "review", 5), {}, start);
--- a/test/mangovane/membership/endpoint_catalog.cpp
+++ b/test/mangovane/membership/endpoint_catalog.cpp
@@ -68,6 +68,52 @@
         CHECK(view.count(start) == 1);
         CHECK(view.list->find(endpoint_id::of("two")) != nullptr);
     }
+    SUBCASE("tells since when an endpoint is warm that came cold")
+    {
+        auto came = make_entry("new", test::model_service, "ikeja-a", 3);
+        came.cold_left = milliseconds{3000};
+        catalog.apply({came}, 3, start);
+        auto warm = make_entry("new", test::model_service, "ikeja-a", 4);
+        const auto cold_until = [&](time_point now)
+        {
+            (void)view.count(now);
+            return view.list->find(endpoint_id::of("new"))->cold_until;
+        };
+        CHECK(cold_until(start) == start + seconds{3});
+
+        SUBCASE("after its entry no longer says so")
+        {
+            catalog.apply({warm}, 4, start + seconds{4});
+            CHECK(cold_until(start + seconds{4}) == start + seconds{3});
+        }
+        SUBCASE("when it is warm sooner than it said")
+        {
+            catalog.apply({warm}, 4, start + seconds{1});
+            CHECK(cold_until(start + seconds{1}) == start + seconds{1});
+        }
+        SUBCASE("to other instances as well")
+        {
+            endpoint_catalog other;
+            for (const auto& it : catalog.updates_since(0, start))
+            {
+                CHECK(other.on_update(it, start));
+            }
+            catalog.apply({warm}, 4, start + seconds{4});
+            for (const auto& it : catalog.updates_since(3, start + seconds{4}))
+            {
+                CHECK(other.on_update(it, start + seconds{4}));
+            }
+            listed others{other};
+            (void)others.count(start + seconds{4});
+            CHECK(others.list->find(endpoint_id::of("new"))->cold_until == start + seconds{3});
+        }
+        SUBCASE("but not of its next incarnation")
+        {
+            warm.info->epoch = 2;
+            catalog.apply({warm}, 4, start + seconds{4});
+            CHECK(cold_until(start + seconds{4}) == time_point{});
+        }
+    }
     SUBCASE("when the registry was away, entries that lapsed")
     {
         catalog.on_outage(start + seconds{1});
