Add the fault soak: real routers, loopback proxies, and a judge of what was seen

Cause: the users ask for a randomized soak of the real programs; none was built.

soak/ plays seeds: routers as processes, each with a proxy before its store and its peer port, endpoints and the store as stand-ins behind proxies. Connections are delayed, cut in one or both directions, reset and silenced; processes are killed, stopped, paused, restarted and hung up; the store is down, silent, slow, forgetful, or loses answers; endpoints fail, crash, come cold and leave. Callers keep using open connections.

Not in it: clocks that jump (the routers read the time of day only once, for their incarnation), keys taken away.

`hosted` and the texts of the store's rows moved to where soak and tests share them.

--- /dev/null
+++ b/soak/deployment.cpp
@@ -0,0 +1,253 @@
+// Implementation of the deployment.
+#include "soak/deployment.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+
+#include "platform/store_text.hpp"
+#include "process/http_client.hpp"
+#include "soak/call_text.hpp"
+
+namespace mangovane::soak
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::array domains{"ikeja-a", "lekki-b", "agege-c"};
+constexpr milliseconds probe_limit{1000};
+
+standin::fleet_engine_behaviour behaviour_of(const std::string& name)
+{
+    return {name, stream_events, std::chrono::milliseconds{30}, std::chrono::milliseconds{20}};
+}
+
+/// Ports of a router, in a row.
+enum port : int
+{
+    callers,
+    readiness,
+    metrics,
+    peers,
+    advertised
+};
+
+/// Counts a request as under way while it lives.
+class active_request
+{
+public:
+    explicit active_request(std::atomic<int>& count) : count_{count} { ++count_; }
+    ~active_request() { --count_; }
+    active_request(const active_request&) = delete;
+    active_request& operator=(const active_request&) = delete;
+
+private:
+    std::atomic<int>& count_;
+};
+
+int free_port()
+{
+    const auto address = test::free_address();
+    return std::stoi(address.substr(address.find(':') + 1));
+}
+
+} // namespace
+
+endpoint::endpoint(asio::io_context& io,
+                   std::string its_name,
+                   std::string its_service,
+                   std::string its_domain,
+                   milliseconds cold_time)
+    : name{std::move(its_name)}, service{std::move(its_service)}, domain{std::move(its_domain)},
+      engine{behaviour_of(name)}, cold_until_{clock::now() + cold_time},
+      host_{[this](const standin::request& req, standin::reply& rep) { return handle(req, rep); }},
+      link_{io, "127.0.0.1:0", host_.address()}
+{}
+
+std::string deployment::domain_of(std::size_t number)
+{
+    return domains[number % domains.size()];
+}
+
+deployment::deployment(asio::io_context& io, const deployment_options& options, history& seen)
+    : io_{io}, options_{options}, seen_{seen}, store_host_{[this](const standin::request& req,
+                                                                  standin::reply& rep)
+                                                           { return store_.handle(req, rep); }},
+      first_port_{free_port()}
+{
+    ::setenv("MANGOVANE_CLUSTER_KEY", "the key of the soak's fleet", 1);
+    configure();
+    for (std::size_t n = 0; n != options_.model_endpoints; ++n)
+    {
+        add_endpoint("dictamen", milliseconds{0});
+    }
+    for (std::size_t n = 0; n != options_.plain_endpoints; ++n)
+    {
+        add_endpoint("ventanilla", milliseconds{0});
+    }
+    for (std::size_t n = 0; n != options_.routers; ++n)
+    {
+        auto it = std::make_unique<router>();
+        it->store_link = std::make_unique<link_proxy>(io_, "127.0.0.1:0", store_host_.address());
+        it->peer_link = std::make_unique<link_proxy>(io_, address(n, port::advertised),
+                                                     address(n, port::peers));
+        routers_.push_back(std::move(it));
+    }
+    for (std::size_t n = 0; n != options_.routers; ++n)
+    {
+        start(n);
+    }
+}
+
+deployment::~deployment() = default;
+
+std::string deployment::address(std::size_t router, int port) const
+{
+    return "127.0.4." + std::to_string(router + 1) + ":" + std::to_string(first_port_ + port);
+}
+
+void deployment::start(std::size_t n)
+{
+    auto& it = *routers_[n];
+    ++it.boot;
+    const auto ip = "127.0.4." + std::to_string(n + 1);
+    const std::vector<std::string> words{
+        "mangovane-platform",
+        "--name=" + ip,
+        "--domain=" + domain_of(n),
+        "--listen=" + address(n, port::callers),
+        "--ready-listen=" + address(n, port::readiness),
+        "--metrics-listen=" + address(n, port::metrics),
+        "--peer-listen=" + address(n, port::peers),
+        "--peer-advertise=" + address(n, port::advertised),
+        "--store=" + it.store_link->address(),
+        "--seeds=" + address(0, port::metrics) + "," + address(1, port::metrics),
+        "--retry-ratio=0.2",
+        "--retry-slack=100",
+        "--cold-overshoot=1.5",
+        "--cold-tolerance=5",
+        "--drain-delay-ms=500",
+        "--grace-ms=7800",
+    };
+    const auto log = options_.log_folder.empty()
+                         ? std::string{"/dev/null"}
+                         : options_.log_folder + "/router-" + std::to_string(n) + ".log";
+    it.process = std::make_unique<test::child_process>(words, log);
+}
+
+bool deployment::ready(std::size_t n) const
+{
+    return test::send(address(n, port::readiness), {"GET", "/readyz", "", {}, probe_limit})
+               .status == 200;
+}
+
+void deployment::configure()
+{
+    const auto next = version_ + 1;
+    store_.put("op", "config",
+               test::configuration_text({next, first_added_route, cold_time, cold_rate}));
+    seen_.add(operator_change{change_kind::configuration, {}, next, clock::now()});
+    version_ = next;
+}
+
+void deployment::list(endpoint& it, const std::string& state, milliseconds cold_left)
+{
+    store_.put("servers", it.name,
+               test::entry_text({it.service, it.link().address(), it.domain, state, cold_left}));
+}
+
+void deployment::add_endpoint(const std::string& service, milliseconds cold)
+{
+    std::unique_lock lock{mutex_};
+    const auto number = endpoints_.size();
+    auto& it = *endpoints_.emplace_back(std::make_unique<endpoint>(
+        io_, service + "-" + std::to_string(number), service, domain_of(number), cold));
+    lock.unlock();
+    it.handle = [this, &it](const standin::request& req, standin::reply& rep)
+    { return serve(it, req, rep); };
+    it.listed = true;
+    list(it, "ready", cold);
+}
+
+void deployment::drain(endpoint& it)
+{
+    it.leaving = true;
+    list(it, "draining", milliseconds{0});
+    seen_.add(operator_change{change_kind::drain, it.name, 0, clock::now()});
+}
+
+void deployment::unlist(endpoint& it)
+{
+    it.listed = false;
+    store_.remove("servers", it.name);
+}
+
+void deployment::take_out(const std::string& domain)
+{
+    store_.put("op", "evacuate/" + domain, "{}");
+    seen_.add(operator_change{change_kind::domain_out, domain, 0, clock::now()});
+}
+
+void deployment::take_back(const std::string& domain)
+{
+    // Requests may arrive as soon as the store has taken the change.
+    seen_.add(operator_change{change_kind::domain_back, domain, 0, clock::now()});
+    store_.remove("op", "evacuate/" + domain);
+}
+
+std::vector<endpoint*> deployment::endpoints() const
+{
+    const std::lock_guard lock{mutex_};
+    std::vector<endpoint*> result;
+    for (const auto& it : endpoints_)
+    {
+        result.push_back(it.get());
+    }
+    return result;
+}
+
+double deployment::mean_load(const std::string& service) const
+{
+    double total = 0;
+    double count = 0;
+    for (const auto* it : endpoints())
+    {
+        const bool counts = it->service == service && it->listed;
+        total += counts ? it->active.load() : 0;
+        count += counts ? 1 : 0;
+    }
+    return count == 0 ? 0 : total / count;
+}
+
+asio::awaitable<void>
+deployment::serve(endpoint& it, const standin::request& req, standin::reply& rep)
+{
+    const auto now = clock::now();
+    seen_.add(arrival{it.name, now, static_cast<double>(it.active.load()), mean_load(it.service),
+                      it.cold(now)});
+    const active_request counted{it.active};
+    co_await it.engine.handle(req, rep);
+}
+
+std::vector<run_record> deployment::runs() const
+{
+    std::vector<run_record> result;
+    for (const auto* it : endpoints())
+    {
+        for (const auto& run : it->engine.runs())
+        {
+            const bool as_sent = run.target == target_of(run.request) &&
+                                 run.body == body_of(run.request) && run.account == "desk" &&
+                                 !run.had_key;
+            result.push_back({run.request, it->name, it->domain, run.at, as_sent});
+        }
+    }
+    std::sort(result.begin(), result.end(),
+              [](const auto& lhs, const auto& rhs) { return lhs.at < rhs.at; });
+    return result;
+}
+
+} // namespace mangovane::soak
--- /dev/null
+++ b/soak/fault_plan.cpp
@@ -0,0 +1,76 @@
+// Implementation of the plan.
+#include "soak/fault_plan.hpp"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <span>
+
+namespace mangovane::soak
+{
+
+namespace
+{
+
+constexpr milliseconds first_fault{500};
+constexpr std::uint64_t faults_end_ms = 9000; ///< No fault starts later.
+constexpr std::uint64_t shortest_fault_ms = 300;
+constexpr std::uint64_t longest_fault_ms = 4000;
+
+/// Calm part: starts when all faults are over and routers count as in touch again.
+constexpr milliseconds calm_from{17000};
+constexpr milliseconds calm_step{600};
+constexpr milliseconds calm_time{9500};
+
+/// Changes of the calm part, in this order.
+constexpr std::array calm_changes{fault_kind::configure,       fault_kind::drain_endpoint,
+                                  fault_kind::take_domain_out, fault_kind::configure,
+                                  fault_kind::stop_router,     fault_kind::hang_up};
+
+std::uint64_t between(std::mt19937_64& random, std::uint64_t low, std::uint64_t high)
+{
+    return low + random() % (high - low);
+}
+
+fault_event draw(std::mt19937_64& random)
+{
+    const auto kind = static_cast<fault_kind>(random() % fault_kind_count);
+    const auto from = first_fault + milliseconds{between(random, 0, faults_end_ms)};
+    const auto length = milliseconds{between(random, shortest_fault_ms, longest_fault_ms)};
+    return {kind, from, from + length, random()};
+}
+
+} // namespace
+
+std::string_view name_of(fault_kind kind)
+{
+    static constexpr std::array<std::string_view, fault_kind_count> names{
+        "kill_router",    "pause_router",     "cut_store",     "cut_peers",
+        "delay_peers",    "reset_links",      "silence_links", "store_down",
+        "store_silent",   "store_slow",       "store_loses",   "store_forgets",
+        "endpoint_fails", "endpoint_crashes", "endpoint_slow", "endpoint_silent",
+        "stop_router",    "hang_up",          "configure",     "add_cold_endpoint",
+        "drain_endpoint", "take_domain_out"};
+    return names[static_cast<std::size_t>(kind)];
+}
+
+fault_plan make_plan(std::uint64_t seed, std::size_t fault_count, bool brief)
+{
+    std::mt19937_64 random{seed};
+    fault_plan result;
+    for (std::size_t n = 0; n != fault_count; ++n)
+    {
+        result.events.push_back(draw(random));
+    }
+    auto at = calm_from;
+    for (const auto kind : brief ? std::span<const fault_kind>{} : std::span{calm_changes})
+    {
+        result.events.push_back({kind, at, calm_from + calm_time, random()});
+        at += calm_step;
+    }
+    std::sort(result.events.begin(), result.events.end(),
+              [](const auto& lhs, const auto& rhs) { return lhs.from < rhs.from; });
+    return result;
+}
+
+} // namespace mangovane::soak
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -63,7 +63,7 @@
     result.self.id = instance_id::of(options.name);
     result.self.epoch = static_cast<incarnation>(unix_ms());
     result.self.name = options.name;
-    result.self.address = options.peer_listen;
+    result.self.address = options.peer_advertise;
     result.self.domain = domain_id::of(options.domain);
     result.fleet = options.fleet;
     result.seed = hash_combine(result.self.id.value(), result.self.epoch);
@@ -77,7 +77,7 @@
     result.id = core.self.id;
     result.epoch = core.self.epoch;
     result.name = options.name;
-    result.address = options.peer_listen;
+    result.address = options.peer_advertise;
     result.cluster_key = options.cluster_key;
     return result;
 }
@@ -85,7 +85,7 @@
 /// Instances are named by their IP number and share one port: an address is enough to know one.
 std::vector<listed_instance> listed_seeds(const forward_router_options& options)
 {
-    const auto own = parse_address(options.peer_listen);
+    const auto own = parse_address(options.peer_advertise);
     std::vector<listed_instance> result;
     for (const auto& it : options.seeds)
     {
--- a/src/mangovane/daemon/forward_router_options.cpp
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -51,6 +51,8 @@
     add("ready-listen", po::value(&out.ready_listen), "ip:port of the readiness probe");
     add("metrics-listen", po::value(&out.metrics_listen), "ip:port for metrics");
     add("peer-listen", po::value(&out.peer_listen), "ip:port for other instances");
+    add("peer-advertise", po::value(&out.peer_advertise),
+        "ip:port under which other instances reach peer-listen, if it is another");
     add("store", po::value(&out.store), "ip:port of the platform's store");
     add("seeds", po::value(&raw.seeds), "ip:port of some instances, separated by commas");
     add("threads", po::value(&out.threads)->default_value(2), "threads, 1 to 64");
@@ -95,9 +97,10 @@
     {
         faults.emplace_back("domain '': a failure domain must be named");
     }
-    const std::array<std::pair<const char*, const std::string*>, 5> addresses{
+    const std::array<std::pair<const char*, const std::string*>, 6> addresses{
         {{"listen", &it.listen},
          {"peer-listen", &it.peer_listen},
+         {"peer-advertise", &it.peer_advertise},
          {"store", &it.store},
          {"ready-listen", &it.ready_listen},
          {"metrics-listen", &it.metrics_listen}}};
@@ -174,6 +177,10 @@
     out.command = values.count("check") != 0 ? router_command::check : router_command::run;
     const char* key = std::getenv("MANGOVANE_CLUSTER_KEY");
     out.cluster_key = key == nullptr ? "" : key;
+    if (out.peer_advertise.empty())
+    {
+        out.peer_advertise = out.peer_listen;
+    }
     out.drain_delay = milliseconds{raw.drain_delay_ms};
     out.grace = milliseconds{raw.grace_ms};
     out.fleet.retries.window = seconds{raw.retry_window_s};
--- a/src/mangovane/daemon/forward_router_options.hpp
+++ b/src/mangovane/daemon/forward_router_options.hpp
@@ -24,6 +24,7 @@
     std::string ready_listen;       ///< `ip:port` of the readiness probe; empty: none.
     std::string metrics_listen;     ///< `ip:port` for metrics; empty: none.
     std::string peer_listen;        ///< `ip:port` for other instances.
+    std::string peer_advertise;     ///< `ip:port` under which they reach it.
     std::string store;              ///< `ip:port` of the platform's store.
     std::string cluster_key;        ///< Shared key of instances; from the environment only.
     std::vector<std::string> seeds; ///< IP numbers of some instances.
--- a/src/standin/fleet_engine.cpp
+++ b/src/standin/fleet_engine.cpp
@@ -59,7 +59,8 @@
     runs_.push_back({field(req, "X-Attempt-Id"), std::string{req.target()}, req.body(),
                      field(req, "X-Tenant"), field(req, "X-Request-Priority"),
                      field(req, "Kv-Fetch"), field(req, "Last-Event-ID"),
-                     req.count("Authorization") != 0, number(field(req, "X-Deadline-Ms"))});
+                     req.count("Authorization") != 0, number(field(req, "X-Deadline-Ms")),
+                     std::chrono::steady_clock::now()});
 }
 
 asio::awaitable<void> fleet_engine::stream(const request& req, reply& rep, bool cut)
--- a/src/standin/fleet_engine.hpp
+++ b/src/standin/fleet_engine.hpp
@@ -49,6 +49,7 @@
     std::string last_event;
     bool had_key{false}; ///< The caller's key was passed on.
     std::uint32_t deadline_ms{0};
+    std::chrono::steady_clock::time_point at{}; ///< When it began.
 
     auto operator<=>(const engine_run&) const = default;
 };
--- a/test/platform/routers.cpp
+++ b/test/platform/routers.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 
 #include "mangovane/core/time.hpp"
+#include "platform/store_text.hpp"
 
 namespace mangovane::test
 {
@@ -23,7 +24,7 @@
     ::setenv("MANGOVANE_CLUSTER_KEY", "the key of the tests' fleet", 1);
     const auto free = free_address();
     first_port_ = std::stoi(free.substr(free.find(':') + 1));
-    write_configuration();
+    store.put("op", "config", configuration_text({}));
     processes.resize(count);
     for (std::size_t n = 0; n != count; ++n)
     {
@@ -67,24 +68,6 @@
                                  "5000"});
 }
 
-void routers::write_configuration()
-{
-    store.put("op", "config", R"({"version":1,"routes":[
-{"name":"review","host":"desk.example","prefix":"/review/","type":"streaming","timeout_ms":3000,
- "goal_ms":1000,"priority":1,"service":"dictamen","max_attempts":1,"sticky":true,"gap_goal_ms":600},
-{"name":"rights","host":"desk.example","prefix":"/rights/","type":"streaming","timeout_ms":3000,
- "goal_ms":500,"priority":0,"service":"dictamen","max_attempts":2,"sticky":true,"resumable":true,
- "gap_goal_ms":600},
-{"name":"grant","host":"desk.example","prefix":"/grant/","type":"unsafe","timeout_ms":800,
- "goal_ms":300,"service":"ventanilla","max_attempts":1},
-{"name":"status","host":"desk.example","prefix":"/status/","type":"idempotent","timeout_ms":800,
- "goal_ms":300,"service":"ventanilla","max_attempts":2}],
-"services":[{"name":"dictamen","warmup_s":0.0,"warmup_per_s":0.0,"engine":{}},
- {"name":"ventanilla","warmup_s":0.0,"warmup_per_s":0.0}],
-"limits":{"max_header_bytes":4096,"max_body_bytes":20000,"header_timeout_ms":1000,"idle_timeout_ms":5000},
-"tenants":[{"name":"desk","api_keys":["key-1"]}]})");
-}
-
 hosted_engine&
 routers::add_engine(const std::string& name, const std::string& service, std::uint32_t events)
 {
@@ -98,9 +81,7 @@
                           const std::string& state)
 {
     store.put("servers", name,
-              "{\"service\":\"" + service + "\",\"address\":\"" + engines[name]->host.address() +
-                  "\",\"zone\":\"bogota-a\",\"version\":\"v1\",\"slots\":8,\"state\":\"" + state +
-                  "\",\"warmup_left_ms\":0,\"sequence\":1}");
+              entry_text({service, engines[name]->host.address(), "bogota-a", state, {}}));
 }
 
 unsigned routers::ready_status(std::size_t n) const
--- a/test/platform/routers.hpp
+++ b/test/platform/routers.hpp
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
-#include "mangovane/store/hosted.hpp"
 #include "process/child_process.hpp"
 #include "process/http_client.hpp"
 #include "standin/fleet_engine.hpp"
 #include "standin/fleet_store.hpp"
+#include "standin/hosted.hpp"
 
 namespace mangovane::test
 {
@@ -26,7 +26,7 @@
     {}
 
     standin::fleet_engine engine;
-    hosted host;
+    standin::hosted host;
 };
 
 class routers
@@ -62,9 +62,7 @@
     std::vector<std::unique_ptr<child_process>> processes;
 
 private:
-    void write_configuration();
-
-    hosted store_host_;
+    standin::hosted store_host_;
     int first_port_{0}; ///< Of four in a row that all routers use, each at its own address.
 };
 
--- /dev/null
+++ b/test/platform/store_text.cpp
@@ -0,0 +1,44 @@
+// Implementation of the rows of the store.
+#include "platform/store_text.hpp"
+
+#include <absl/strings/str_cat.h>
+
+namespace mangovane::test
+{
+
+std::string configuration_text(const configuration_choice& choice)
+{
+    std::string added;
+    for (auto n = choice.first_added; n <= choice.version; ++n)
+    {
+        absl::StrAppend(&added, R"({"name":"v)", n, R"(","host":"desk.example","prefix":"/v)", n,
+                        R"(/","type":"idempotent","timeout_ms":800,"goal_ms":300,)",
+                        R"("service":"ventanilla","max_attempts":2},)");
+    }
+    return absl::StrCat(R"({"version":)", choice.version, R"(,"routes":[)", added, R"(
+{"name":"review","host":"desk.example","prefix":"/review/","type":"streaming","timeout_ms":3000,
+ "goal_ms":1000,"priority":1,"service":"dictamen","max_attempts":1,"sticky":true,"gap_goal_ms":600},
+{"name":"rights","host":"desk.example","prefix":"/rights/","type":"streaming","timeout_ms":3000,
+ "goal_ms":500,"priority":0,"service":"dictamen","max_attempts":2,"sticky":true,"resumable":true,
+ "gap_goal_ms":600},
+{"name":"grant","host":"desk.example","prefix":"/grant/","type":"unsafe","timeout_ms":800,
+ "goal_ms":300,"service":"ventanilla","max_attempts":1},
+{"name":"status","host":"desk.example","prefix":"/status/","type":"idempotent","timeout_ms":800,
+ "goal_ms":300,"service":"ventanilla","max_attempts":2}],
+"services":[{"name":"dictamen","warmup_s":)",
+                        choice.cold_time.count(), R"(,"warmup_per_s":)", choice.cold_rate,
+                        R"(,"engine":{}},
+ {"name":"ventanilla","warmup_s":0.0,"warmup_per_s":0.0}],
+"limits":{"max_header_bytes":4096,"max_body_bytes":20000,"header_timeout_ms":1000,"idle_timeout_ms":5000},
+"tenants":[{"name":"desk","api_keys":["key-1"]}]})");
+}
+
+std::string entry_text(const entry_choice& choice)
+{
+    return absl::StrCat(R"({"service":")", choice.service, R"(","address":")", choice.address,
+                        R"(","zone":")", choice.domain, R"(","version":"v1","slots":8,"state":")",
+                        choice.state, R"(","warmup_left_ms":)", choice.cold_left.count(),
+                        R"(,"sequence":1})");
+}
+
+} // namespace mangovane::test
--- /dev/null
+++ b/test/platform/store_text.hpp
@@ -0,0 +1,37 @@
+// Rows of the users' store as its operators and endpoints write them.
+#ifndef MANGOVANE_TEST_PLATFORM_STORE_TEXT_HPP
+#define MANGOVANE_TEST_PLATFORM_STORE_TEXT_HPP
+
+#include <cstdint>
+#include <string>
+
+#include "mangovane/core/time.hpp"
+
+namespace mangovane::test
+{
+
+/// Streams go to `dictamen`, plain requests to `ventanilla`.
+struct configuration_choice
+{
+    std::uint64_t version{1};
+    std::uint64_t first_added{2}; ///< Versions from here on have added a route `v<version>` each.
+    seconds cold_time{0};         ///< Of `dictamen`.
+    double cold_rate{0};          ///< Requests a second that one of its endpoints bears while cold.
+};
+
+[[nodiscard]] std::string configuration_text(const configuration_choice& choice);
+
+struct entry_choice
+{
+    std::string service;
+    std::string address; ///< `ip:port`
+    std::string domain;
+    std::string state{"ready"};
+    milliseconds cold_left{0};
+};
+
+[[nodiscard]] std::string entry_text(const entry_choice& choice);
+
+} // namespace mangovane::test
+
+#endif
--- a/test/process/child_process.cpp
+++ b/test/process/child_process.cpp
@@ -80,6 +80,17 @@
     }
 }
 
+child_process::child_process(const std::vector<std::string>& args, const std::string& log_file)
+{
+    const int out = open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    if (out < 0)
+    {
+        throw std::runtime_error{"cannot write " + log_file};
+    }
+    pid_ = spawn(args, out);
+    close(out);
+}
+
 child_process::~child_process()
 {
     if (code_)
--- a/test/process/child_process.hpp
+++ b/test/process/child_process.hpp
@@ -23,6 +23,9 @@
     /// The first argument is the name of a program of this build. With `reads_port` the child is
     /// expected to print "listening PORT" first.
     explicit child_process(const std::vector<std::string>& args, bool reads_port = false);
+
+    /// Appends the child's standard output to a file.
+    child_process(const std::vector<std::string>& args, const std::string& log_file);
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
