--- /dev/null
+++ b/src/mangovane/routing/request_flow_attempt.cpp
@@ -0,0 +1,286 @@
+// Implementation of the request flow: from a granted slot to the end of the request.
+#include "mangovane/routing/request_flow.hpp"
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <utility>
+
+namespace mangovane
+{
+
+bool request_flow::may_dispatch(const flow_context& ctx) const
+{
+    return ctx.now < request_.deadline && ctx.now < lease_until_ && !ctx.fenced &&
+           asked_at_ >= ctx.resumed_at && ctx.now < ctx.view.valid_until() &&
+           !ctx.routes.closed(endpoint_);
+}
+
+void request_flow::dispatch_or_claim(const flow_context& ctx)
+{
+    if (!may_dispatch(ctx))
+    {
+        give_slot_back(attempt_outcome::cancelled, 0);
+        pause_or_fail(ctx);
+        return;
+    }
+    if (request_.key.empty() || request_.idempotent || claim_held_)
+    {
+        dispatch(ctx);
+        return;
+    }
+    stage_ = stage::claiming;
+    claim_attempt_ = attempt_;
+    act(claim_key{make_claim(claim_state::claimed)});
+    wake(request_.deadline);
+}
+
+void request_flow::on(const claim_decided& event, const flow_context& ctx)
+{
+    if (stage_ != stage::claiming || event.attempt != attempt_)
+    {
+        return;
+    }
+    if (event.won)
+    {
+        claim_held_ = true;
+        dispatch_or_claim(ctx);
+        return;
+    }
+    give_slot_back(attempt_outcome::cancelled, 0);
+    if (event.store_failed)
+    {
+        fail(error_kind::store_unavailable, "the idempotency key could not be claimed");
+    }
+    else if (event.repeated.outcome)
+    {
+        act(answer_stored{*event.repeated.outcome});
+        stage_ = stage::finished;
+    }
+    else
+    {
+        fail(event.repeated.refusal.value_or(error_kind::in_progress),
+             "the idempotency key is in use");
+    }
+}
+
+void request_flow::dispatch(const flow_context& ctx)
+{
+    const auto* info = ctx.routes.find(endpoint_);
+    stage_ = stage::running;
+    act(send_attempt{attempt_, endpoint_, info->address});
+    wake(request_.deadline);
+}
+
+void request_flow::on(const attempt_answered& event, const flow_context&)
+{
+    if (stage_ == stage::running && event.attempt == attempt_)
+    {
+        answered_ = true;
+        ever_sent_ = true;
+    }
+}
+
+void request_flow::on(const attempt_ended& event, const flow_context& ctx)
+{
+    if (stage_ != stage::running || event.attempt != attempt_)
+    {
+        return;
+    }
+    ever_sent_ = ever_sent_ || event.bytes_sent;
+    give_slot_back(event.outcome, event.first_token_ms);
+    if (!event.answer_complete)
+    {
+        on_failed_attempt(event, ctx);
+        return;
+    }
+    if (is_model_ && !request_.chat.empty() && event.outcome == attempt_outcome::succeeded)
+    {
+        act(record_chat{chat_update{request_.chat, endpoint_}});
+    }
+    if (claim_held_)
+    {
+        auto settled = make_claim(claim_state::completed);
+        settled.outcome = event.stored;
+        act(settle_claim{std::move(settled)});
+    }
+    act(end_request{true});
+    stage_ = stage::finished;
+}
+
+void request_flow::on_failed_attempt(const attempt_ended& event, const flow_context& ctx)
+{
+    if (event.answer_started || answered_)
+    {
+        if (claim_held_)
+        {
+            act(settle_claim{make_claim(claim_state::unknown)});
+        }
+        act(end_request{false});
+        stage_ = stage::finished;
+        return;
+    }
+    excluded_.push_back(endpoint_);
+    const failed_attempt failed{request_.idempotent, event.bytes_sent, event.answer_started,
+                                request_.deadline};
+    if (may_retry(failed, ctx.now) && ctx.retries.try_retry(request_.service))
+    {
+        make_plan(ctx);
+        return;
+    }
+    fail(event.outcome == attempt_outcome::overloaded ? error_kind::overloaded
+                                                      : error_kind::no_endpoint,
+         "the endpoint failed");
+}
+
+void request_flow::on(const timer_expired&, const flow_context& ctx)
+{
+    if (ctx.now >= request_.deadline)
+    {
+        on_deadline();
+        return;
+    }
+    switch (stage_)
+    {
+    case stage::locating:
+        locations_ = request_.hint;
+        make_plan(ctx);
+        break;
+    case stage::sampling:
+        finish_sampling(ctx);
+        break;
+    case stage::asking:
+        abandon_ask();
+        next_try(ctx);
+        break;
+    case stage::pausing:
+        // An endpoint that failed before the pause may have recovered.
+        excluded_.clear();
+        make_plan(ctx);
+        break;
+    default:
+        wake(request_.deadline);
+        break;
+    }
+}
+
+void request_flow::on_deadline()
+{
+    if (stage_ == stage::running)
+    {
+        act(abort_attempt{attempt_});
+        ever_sent_ = true;
+    }
+    if (stage_ == stage::asking)
+    {
+        abandon_ask();
+    }
+    give_slot_back(attempt_outcome::cancelled, 0);
+    if (answered_)
+    {
+        if (claim_held_)
+        {
+            act(settle_claim{make_claim(claim_state::unknown)});
+        }
+        act(end_request{false});
+        stage_ = stage::finished;
+        return;
+    }
+    fail(error_kind::deadline_exceeded, "the deadline has passed");
+}
+
+void request_flow::on(const caller_left&, const flow_context&)
+{
+    // A call that may not be repeated goes on, so that its outcome can be stored.
+    if (stage_ == stage::running && !request_.idempotent)
+    {
+        return;
+    }
+    if (stage_ == stage::running)
+    {
+        act(abort_attempt{attempt_});
+    }
+    if (stage_ == stage::asking)
+    {
+        abandon_ask();
+    }
+    give_slot_back(attempt_outcome::cancelled, 0);
+    if (claim_held_)
+    {
+        act(settle_claim{make_claim(claim_state::abandoned)});
+    }
+    act(end_request{false});
+    stage_ = stage::finished;
+}
+
+void request_flow::abandon_ask()
+{
+    act(give_back{slot_release{attempt_, endpoint_, attempt_outcome::cancelled, 0}, slot_local_});
+}
+
+void request_flow::give_slot_back(attempt_outcome outcome, std::uint32_t first_token_ms)
+{
+    if (std::exchange(slot_held_, false))
+    {
+        act(give_back{slot_release{attempt_, endpoint_, outcome, first_token_ms}, slot_local_});
+    }
+}
+
+error_kind request_flow::truthful(error_kind kind) const
+{
+    if (!ever_sent_ || !answer_for(kind).not_run)
+    {
+        return kind;
+    }
+    if (kind == error_kind::deadline_exceeded)
+    {
+        return error_kind::deadline_exceeded_running;
+    }
+    return request_.idempotent ? error_kind::endpoint_failed : error_kind::outcome_unknown;
+}
+
+void request_flow::fail(error_kind kind, std::string_view message)
+{
+    stage_ = stage::finished;
+    if (claim_held_)
+    {
+        const auto state = ever_sent_ ? claim_state::unknown : claim_state::abandoned;
+        act(settle_claim{make_claim(state)});
+    }
+    // The caller is not kept waiting for the store: what this request did is known without it.
+    act(answer_error{truthful(kind), std::string{message}});
+}
+
+claim request_flow::make_claim(claim_state state) const
+{
+    claim result;
+    result.account = request_.account;
+    result.service = request_.service;
+    result.key = request_.key;
+    result.fingerprint = request_.fingerprint;
+    result.attempt = claim_attempt_;
+    result.state = state;
+    return result;
+}
+
+std::uint64_t request_flow::next_sequence()
+{
+    return (number_ << number_shift) | (++count_ & ((1U << number_shift) - 1U));
+}
+
+void request_flow::next_attempt()
+{
+    attempt_.sequence = next_sequence();
+}
+
+void request_flow::wake(time_point at)
+{
+    act(wake_at{std::min(at, request_.deadline)});
+}
+
+const account_policy* request_flow::account(const flow_context& ctx) const
+{
+    return ctx.routes.settings().find_account(request_.account);
+}
+
+} // namespace mangovane
--- a/src/mangovane/store/fwd.hpp
+++ b/src/mangovane/store/fwd.hpp
@@ -10,6 +10,12 @@
 class instance_list;
 class http_platform;
 class http_pool;
+class table_reader;
+class table_sink;
+class table_watch;
+
+struct store_row;
+struct store_rows;
 
 } // namespace mangovane
 
--- a/platform/table_watch.cpp
+++ b/src/mangovane/store/table_watch.cpp
@@ -1,5 +1,5 @@
 // Implementation of the watch of a table.
-#include "table_watch.hpp"
+#include "mangovane/store/table_watch.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -7,7 +7,7 @@
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
 
-namespace mangovane::platform
+namespace mangovane
 {
 
 namespace asio = boost::asio;
@@ -28,11 +28,11 @@
 } // namespace
 
 table_watch::table_watch(asio::io_context& io,
-                         store_client& client,
+                         table_reader& reader,
                          std::string table,
                          milliseconds wait,
                          table_sink& sink)
-    : strand_{asio::make_strand(io)}, client_{client}, table_{std::move(table)}, wait_{wait},
+    : strand_{asio::make_strand(io)}, reader_{reader}, table_{std::move(table)}, wait_{wait},
       sink_{sink}, timer_{strand_}, next_pause_{first_pause}
 {}
 
@@ -86,7 +86,7 @@
         rows_.clear();
     }
     calling_ = true;
-    client_.list(
+    reader_.list(
         table_, from, clock::now() + list_timeout,
         [self = shared_from_this()](absl::StatusOr<store_rows> page)
         { asio::post(self->strand_, [self, page = std::move(page)] { self->on_page(page); }); });
@@ -119,7 +119,7 @@
 void table_watch::read_changes()
 {
     calling_ = true;
-    client_.changes(table_, revision_, wait_, clock::now() + wait_ + answer_time,
+    reader_.changes(table_, revision_, wait_, clock::now() + wait_ + answer_time,
                     [self = shared_from_this()](absl::StatusOr<store_rows> answer) {
                         asio::post(self->strand_, [self, answer = std::move(answer)]
                                    { self->on_changes(answer); });
@@ -178,4 +178,4 @@
         });
 }
 
-} // namespace mangovane::platform
+} // namespace mangovane
--- a/platform/table_watch.hpp
+++ b/src/mangovane/store/table_watch.hpp
@@ -1,6 +1,6 @@
 // Follows a table of the store: reads it whole, then its changes, through outages of the store.
-#ifndef MANGOVANE_PLATFORM_TABLE_WATCH_HPP
-#define MANGOVANE_PLATFORM_TABLE_WATCH_HPP
+#ifndef MANGOVANE_STORE_TABLE_WATCH_HPP
+#define MANGOVANE_STORE_TABLE_WATCH_HPP
 
 #include <functional>
 #include <memory>
@@ -11,9 +11,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
-#include "store_client.hpp"
+#include "mangovane/store/table_reader.hpp"
 
-namespace mangovane::platform
+namespace mangovane
 {
 
 /// Where the rows of a table go. Called on one strand for each table.
@@ -35,10 +35,10 @@
 class table_watch : public std::enable_shared_from_this<table_watch>
 {
 public:
-    /// The client and the sink outlive the watch's last call. The shorter the wait, the sooner an
+    /// The reader and the sink outlive the watch's last call. The shorter the wait, the sooner an
     /// outage of the store shows.
     table_watch(boost::asio::io_context& io,
-                store_client& client,
+                table_reader& reader,
                 std::string table,
                 milliseconds wait,
                 table_sink& sink);
@@ -61,7 +61,7 @@
     [[nodiscard]] bool take_answer();
 
     boost::asio::strand<boost::asio::io_context::executor_type> strand_;
-    store_client& client_;
+    table_reader& reader_;
     const std::string table_;
     const milliseconds wait_; ///< For which a read waits for a change.
     table_sink& sink_;
@@ -73,6 +73,6 @@
     bool calling_{false}; ///< A call or a pause is under way.
 };
 
-} // namespace mangovane::platform
+} // namespace mangovane
 
 #endif
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -8,8 +8,8 @@
 #include <doctest/doctest.h>
 
 #include "mangovane/store/hosted.hpp"
+#include "mangovane/store/table_watch.hpp"
 #include "standin/fleet_store.hpp"
-#include "table_watch.hpp"
 
 using namespace mangovane;
 using namespace mangovane::platform;
