--- a/test/mangovane/daemon/forward_router_options.cpp
+++ b/test/mangovane/daemon/forward_router_options.cpp
@@ -34,6 +34,13 @@
         CHECK(it->fleet.retries.slack == 104);
         CHECK(it->grace == milliseconds{7000});
     }
+    SUBCASE("name the address that others reach: the one listened at, or another")
+    {
+        CHECK(read({})->peer_advertise == "10.0.0.1:7000");
+        CHECK(read({"--peer-advertise", "10.0.0.1:7001"})->peer_advertise == "10.0.0.1:7001");
+        const auto it = read({"--peer-advertise", "somewhere"});
+        CHECK(it.status().message().find("peer-advertise 'somewhere'") != std::string::npos);
+    }
     SUBCASE("come from the environment, and a flag wins")
     {
         ::setenv("MANGOVANE_THREADS", "3", 1);
