Reject late copies of the store's responses to other calls

Cause: connections to the store are kept. When the store sends a second copy of a response late, the next call on that connection took it for its own: a claim got the row of another key, and with it that key's stored response for its caller; a read of the endpoints took the rows of the operators' table for the list, which removes all endpoints.

A copy without rows cannot be told apart; for a claim the conditional write still decides.

--- a/src/mangovane/idempotency/claim_writer.cpp
+++ b/src/mangovane/idempotency/claim_writer.cpp
@@ -313,6 +313,12 @@
                          {
                              return;
                          }
+                         if (row && row->key != it->second.row_key())
+                         {
+                             // A late copy of an earlier response: it says nothing of this row.
+                             it->second.on_call_failed(last_time());
+                             return;
+                         }
                          result = it->second.on_row(row);
                          row_key = it->second.row_key();
                          if (result.ended)
--- a/test/mangovane/idempotency/claim_writer.cpp
+++ b/test/mangovane/idempotency/claim_writer.cpp
@@ -278,3 +278,26 @@
         CHECK(refused == 1);
     }
 }
+
+TEST_CASE("the table's response to an earlier call arrives a second time, in place of the next one")
+{
+    claim_fixture one{1};
+    auto other = one.make("other");
+    REQUIRE(acquired(one.claim_at(0, other)));
+    other.outcome = claim_outcome{200, "text/plain", "an answer for another caller"};
+    REQUIRE(one.settle_at(0, other, claim_state::completed)->ok());
+
+    SUBCASE("to a claim: the claim is read back, and gets no outcome of another key")
+    {
+        one.table.next_write_outcome = in_order({reply_crossed});
+        CHECK(acquired(one.claim_at(0, one.make("mine"))));
+        CHECK(one.stored("mine").state == claim_state::claimed);
+    }
+    SUBCASE("to the read that follows a lost response")
+    {
+        one.table.next_write_outcome = in_order({reply_lost});
+        one.table.next_read_outcome = in_order({reply_crossed});
+        CHECK(acquired(one.claim_at(0, one.make("mine"))));
+        CHECK(one.table.reads == 2);
+    }
+}
--- a/test/mangovane/idempotency/fake_table.hpp
+++ b/test/mangovane/idempotency/fake_table.hpp
@@ -19,12 +19,14 @@
     milliseconds apply_after{1};  ///< When a write is applied; negative: never.
     milliseconds answer_after{2}; ///< When the handler is called.
     bool answer_lost{false};      ///< The handler receives an error.
+    bool answer_crossed{false};   ///< The handler receives the results of the last write.
 
     auto operator<=>(const call_outcome&) const = default;
 };
 
 inline constexpr call_outcome succeeds{};
 inline constexpr call_outcome reply_lost{milliseconds{1}, milliseconds{2}, true};
+inline constexpr call_outcome reply_crossed{milliseconds{1}, milliseconds{2}, false, true};
 inline constexpr call_outcome never_applied{milliseconds{-1}, milliseconds{2}, true};
 inline constexpr call_outcome applied_after_answer{milliseconds{60}, milliseconds{2}, true};
 
@@ -45,13 +47,18 @@
         const auto chosen = next_read_outcome();
         at(chosen.answer_after,
            [this, key = std::move(key), handler = std::move(handler),
-            answer_lost = chosen.answer_lost]
+            answer_lost = chosen.answer_lost, answer_crossed = chosen.answer_crossed]
            {
                if (answer_lost)
                {
                    handler(absl::UnavailableError("reset"));
                    return;
                }
+               if (answer_crossed)
+               {
+                   handler(last_results_.at(0).current);
+                   return;
+               }
                const auto it = rows.find(key);
                handler(it == rows.end() ? std::optional<table_row>{} : it->second);
            });
@@ -74,14 +81,15 @@
                });
         }
         at(chosen.answer_after,
-           [results, handler = std::move(handler), answer_lost = chosen.answer_lost]
+           [this, results, handler = std::move(handler), chosen]
            {
-               if (answer_lost)
+               if (chosen.answer_lost)
                {
                    handler(absl::UnavailableError("reset"));
                    return;
                }
-               handler(*results);
+               handler(chosen.answer_crossed ? last_results_ : *results);
+               last_results_ = *results;
            });
     }
 
@@ -123,6 +131,7 @@
 
     time_point now_{seconds{1000}};
     std::uint64_t sequence_{0};
+    std::vector<write_result> last_results_; ///< Of the last write that was answered.
     std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> events_;
 };
 
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -92,7 +92,8 @@
     const auto it = parse_rows_response(
         R"({"rows":[{"table":"t","part":"","key":"a","value":"bm9kZS0x","ver":4},
         {"key":"b","value":"???","ver":5},{"key":7},5,{"key":"c","ver":6,"deleted":true}],
-        "more_pages":true,"ver":9,"now_ms":1})");
+        "more_pages":true,"ver":9,"now_ms":1})",
+        "t");
     REQUIRE(it.ok());
     REQUIRE(it->rows.size() == 3);
     CHECK(it->rows[0] == store_row{"a", "node-1", 4, false});
@@ -100,8 +101,17 @@
     CHECK(it->rows[2].removed);
     CHECK(it->more);
     CHECK(it->revision == 9);
-    CHECK_FALSE(parse_rows_response("{}").ok());
-    CHECK_FALSE(parse_rows_response("").ok());
+    CHECK_FALSE(parse_rows_response("{}", "t").ok());
+    CHECK_FALSE(parse_rows_response("", "t").ok());
+}
+
+TEST_CASE("a late copy of the response to a read of another table is no result")
+{
+    // Taken for the list of endpoints, it would remove all of them.
+    const auto body =
+        R"({"rows":[{"table":"op","key":"config","value":"","ver":4}],"more_pages":false,"ver":9})";
+    CHECK(parse_rows_response(body, "op").ok());
+    CHECK_FALSE(parse_rows_response(body, "servers").ok());
 }
 
 TEST_CASE("a table watch")
