--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -308,7 +308,7 @@
 void forward_router::state::await_last_session()
 {
     const auto now = clock::now();
-    if (server.open_sessions() == 0 || now >= stop_at)
+    if (server.drained() || now >= stop_at)
     {
         stop();
         return;
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -268,7 +268,7 @@
 
 void router::state::await_last_request()
 {
-    if (core.running() == 0 && server.open_sessions() == 0)
+    if (core.running() == 0 && server.drained())
     {
         after(flush_time, &state::stop);
         return;
--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// Fraction of the latency objective after which a stalled attempt is abandoned: the remainder is
-/// enough for a second attempt that succeeds.
+/// Fraction of the objective for the first byte after which a stalled attempt is abandoned: the
+/// remainder is enough for a second attempt that succeeds.
 constexpr double stall_fraction = 0.7;
 
 /// Shortest time after which an attempt counts as stalled.
@@ -61,7 +61,8 @@
     }
     endpoint_ = target->endpoint;
     excluded_.push_back(endpoint_);
-    send_step step{std::move(*target), ++attempts_, resumes, time_point::max(), milliseconds{0}};
+    send_step step{std::move(*target),   ++attempts_,       resumes,
+                   now + max_choice_age, time_point::max(), milliseconds{0}};
     const bool replaceable =
         request_.route->may_repeat() && possible_runs_ + 1 < request_.route->max_attempts;
     if (replaceable && request_.route->first_byte_goal.count() != 0)
@@ -70,7 +71,8 @@
     }
     if (replaceable && request_.route->event_gap_goal.count() != 0)
     {
-        step.event_gap_timeout = stall_timeout(request_.route->event_gap_goal);
+        // A stream whose events keep within the objective is sound, however slow it is.
+        step.event_gap_timeout = std::max(request_.route->event_gap_goal, min_stall_timeout);
     }
     return step;
 }
@@ -88,6 +90,7 @@
         {health_outcome::failed, true, &forward_flow::after_cut},
         {health_outcome::failed, true, &forward_flow::after_timeout},
         {health_outcome::cancelled, true, &forward_flow::after_caller_left},
+        {health_outcome::cancelled, false, &forward_flow::after_outdated},
     }};
     const auto& rule = table[static_cast<std::size_t>(result)];
     chooser_.finish(endpoint_, rule.outcome, now);
@@ -98,8 +101,10 @@
 
 bool forward_flow::may_retry_stalled(time_point now)
 {
+    const bool repeatable =
+        response_started_ ? request_.route->may_resume() : request_.route->may_repeat();
     // `possible_runs_` does not include the current attempt yet.
-    if (!request_.route->may_repeat() || possible_runs_ + 1 >= request_.route->max_attempts ||
+    if (!repeatable || possible_runs_ + 1 >= request_.route->max_attempts ||
         now >= request_.deadline)
     {
         return false;
@@ -149,7 +154,8 @@
 
 forward_step forward_flow::after_cut(time_point now)
 {
-    return may_run_again(now) ? send(true, now) : forward_step{finish_step{false}};
+    const bool resumes = request_.route->may_resume() && may_run_again(now);
+    return resumes ? send(true, now) : forward_step{finish_step{false}};
 }
 
 forward_step forward_flow::after_timeout(time_point)
@@ -162,6 +168,13 @@
     return finish_step{false};
 }
 
+forward_step forward_flow::after_outdated(time_point now)
+{
+    // The delay is not the endpoint's fault, so it may be chosen again.
+    excluded_.pop_back();
+    return after_not_sent(now);
+}
+
 forward_step forward_flow::refuse(error_kind kind) const
 {
     if (response_started_)
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -27,10 +27,11 @@
     stalled,     ///< No data in time and the attempt was abandoned; the request may have run.
     cut,         ///< The response broke off after part of it had been sent to the caller.
     timed_out,   ///< The deadline passed.
-    caller_left, ///< The caller closed its connection.
+    caller_left, ///< The caller closed its connection, or accepts no more data.
+    outdated,    ///< Nothing was sent, because too much time had passed since the choice.
 };
 
-inline constexpr std::size_t attempt_result_count = 10;
+inline constexpr std::size_t attempt_result_count = 11;
 
 /// Sends the request to an endpoint.
 struct send_step
@@ -38,6 +39,7 @@
     dispatch_target target;
     std::uint32_t attempt{1};       ///< Number of the attempt, from 1.
     bool resumes{false};            ///< The response continues after the last event received.
+    time_point send_deadline;       ///< Report `outdated` instead of sending the request later.
     time_point first_byte_deadline; ///< Report `stalled` when no byte has arrived by then.
     /// Report `stalled` after a longer gap between events; 0: never.
     milliseconds event_gap_timeout{0};
@@ -98,11 +100,16 @@
     /// Whether an endpoint may have run the request.
     [[nodiscard]] bool may_have_run() const noexcept { return possible_runs_ != 0; }
 
-    /// Limit on attempts that did not run (`not_sent`, `refused`, `misdirected`). An endpoint's
-    /// rejection ends the request when this number is reached, an attempt that was not sent when it
-    /// is exceeded.
+    /// Limit on attempts that did not run (`not_sent`, `refused`, `misdirected`, `outdated`). An
+    /// endpoint's rejection ends the request when this number is reached, an attempt that was not
+    /// sent when it is exceeded.
     static constexpr std::uint32_t max_not_run_attempts = 3;
 
+    /// Time after which the choice of an endpoint may not be used: a process that was paused would
+    /// otherwise send to an endpoint that has left or been taken out meanwhile. Longer than the
+    /// connection to an endpoint may take.
+    static constexpr milliseconds max_choice_age{500};
+
 private:
     struct result_rule;
 
@@ -115,6 +122,7 @@
     [[nodiscard]] forward_step after_cut(time_point now);
     [[nodiscard]] forward_step after_timeout(time_point now);
     [[nodiscard]] forward_step after_caller_left(time_point now);
+    [[nodiscard]] forward_step after_outdated(time_point now);
 
     /// Whether the request may be sent again after it may have run; charges the retry budget.
     [[nodiscard]] bool may_run_again(time_point now);
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -9,10 +9,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "mangovane/net/caller_connection.hpp"
 #include "mangovane/net/peek.hpp"
 
 namespace mangovane
@@ -60,13 +62,14 @@
 {
     beast::error_code ec;
     stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ec);
-    while (keep_alive_ && !draining_)
+    while (keep_alive_)
     {
         auto req = co_await read_request();
         if (!req)
         {
             break;
         }
+        served_ = true;
         idle_ = false;
         keep_alive_ = req->keep_alive();
         is_head_request_ = req->method() == http::verb::head;
@@ -85,10 +88,18 @@
 void caller_session::drain()
 {
     draining_ = true;
-    if (idle_)
-    {
-        stream_.cancel();
-    }
+    const auto wait = served_ ? milliseconds{0} : first_request_wait;
+    auto timer = std::make_shared<asio::steady_timer>(stream_.get_executor(), wait);
+    timer->async_wait(
+        [self = shared_from_this(), timer](beast::error_code)
+        {
+            // A request that has arrived, even in part, is served.
+            if (self->idle_ && self->buffer_.size() == 0 &&
+                peek(self->stream_.socket()) != peek_result::data)
+            {
+                self->stream_.cancel();
+            }
+        });
 }
 
 asio::awaitable<std::optional<http_request>> caller_session::read_request()
@@ -96,8 +107,10 @@
     parser p;
     p.header_limit(services_.limits.callers.header_bytes);
     p.body_limit(services_.limits.callers.body_bytes);
+    buffer_.max_size(
+        std::max<std::size_t>(services_.limits.callers.header_bytes, min_read_buffer_bytes));
     beast::error_code ec;
-    stream_.expires_after(services_.limits.callers.idle_timeout);
+    stream_.expires_after(draining_ ? first_request_wait : services_.limits.callers.idle_timeout);
     co_await http::async_read_header(stream_, buffer_, p,
                                      asio::redirect_error(asio::use_awaitable, ec));
     if (!ec)
@@ -249,7 +262,8 @@
     params.request = request_->forwarded;
     params.idempotent = request_->routed.idempotent;
     params.store_response = !request_->routed.key.empty();
-    params.keep_alive = keep_alive_ && !draining_;
+    keep_alive_ = keep_alive_ && !draining_;
+    params.keep_alive = keep_alive_;
     params.deadline = request_->routed.deadline;
     if (!request_->routed.chat.empty())
     {
--- a/src/mangovane/net/caller_session.hpp
+++ b/src/mangovane/net/caller_session.hpp
@@ -26,7 +26,8 @@
     /// Serves the connection until it is closed.
     boost::asio::awaitable<void> run();
 
-    /// Closes the connection now if it is idle, else after the current response. Thread-safe.
+    /// Closes the connection after the current response, or soon if no request has been sent on it.
+    /// A request that has arrived is served. Thread-safe.
     void request_drain();
 
     [[nodiscard]] bool is_current(const attempt_id& attempt) const override;
@@ -64,6 +65,7 @@
     bool keep_alive_{true};
     bool is_head_request_{false}; ///< The current request has the method HEAD.
     bool idle_{true};             ///< Between two requests.
+    bool served_{false};          ///< A request has been read.
     bool draining_{false};
     bool caller_disconnected_{false};
 };
--- a/src/mangovane/net/endpoint_attempt.cpp
+++ b/src/mangovane/net/endpoint_attempt.cpp
@@ -42,8 +42,6 @@
 {
     result_.attempt = params_.action.attempt;
     result_.may_have_reached_endpoint = false;
-    parser_.header_limit(limits_.callers.header_bytes);
-    parser_.body_limit(boost::none);
 }
 
 void endpoint_attempt::abort()
@@ -63,7 +61,7 @@
     }
     if (params_.store_response && result_.response_complete)
     {
-        stored_response_.http_status = static_cast<std::uint16_t>(parser_.get().result_int());
+        stored_response_.http_status = static_cast<std::uint16_t>(parser_->get().result_int());
         result_.stored = stored_response_;
     }
     beast::error_code ec;
@@ -107,19 +105,15 @@
 
 asio::awaitable<bool> endpoint_attempt::read_header()
 {
-    beast::error_code ec;
-    if (params_.request.method() == http::verb::head)
-    {
-        parser_.skip(true);
-    }
-    co_await http::async_read_header(stream_, buffer_, parser_,
-                                     asio::redirect_error(asio::use_awaitable, ec));
+    const bool head_only = params_.request.method() == http::verb::head;
+    const auto ec = co_await read_final_head(stream_, buffer_, parser_, head_only,
+                                             limits_.callers.header_bytes);
     co_return !ec && !aborted_;
 }
 
 bool endpoint_attempt::is_usable()
 {
-    const auto& res = parser_.get();
+    const auto& res = parser_->get();
     const auto it = res.find(header::attempt);
     if (it != res.end() && it->value() != to_string(params_.action.attempt))
     {
@@ -141,7 +135,7 @@
 
 std::string endpoint_attempt::response_head_text() const
 {
-    const auto& res = parser_.get();
+    const auto& res = parser_->get();
     std::string text =
         absl::StrCat("HTTP/1.1 ", res.result_int(), " ", std::string{res.reason()}, "\r\n");
     for (const auto& it : res)
@@ -166,8 +160,8 @@
 
 asio::awaitable<void> endpoint_attempt::relay()
 {
-    const auto& res = parser_.get();
-    chunked_ = !parser_.content_length() && params_.request.method() != http::verb::head &&
+    const auto& res = parser_->get();
+    chunked_ = !parser_->content_length() && params_.request.method() != http::verb::head &&
                res.result() != http::status::no_content;
     const auto it = res.find(http::field::content_type);
     if (it != res.end())
@@ -220,19 +214,19 @@
 asio::awaitable<void> endpoint_attempt::relay_body(bool to_caller)
 {
     std::array<char, relay_buffer_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
-    bool complete = parser_.is_done();
+    bool complete = parser_->is_done();
     while (!complete)
     {
-        parser_.get().body().data = buf.data();
-        parser_.get().body().size = buf.size();
+        parser_->get().body().data = buf.data();
+        parser_->get().body().size = buf.size();
         beast::error_code ec;
-        co_await http::async_read_some(stream_, buffer_, parser_,
+        co_await http::async_read_some(stream_, buffer_, *parser_,
                                        asio::redirect_error(asio::use_awaitable, ec));
         if (ec == http::error::need_buffer)
         {
             ec = {};
         }
-        const auto n = buf.size() - parser_.get().body().size;
+        const auto n = buf.size() - parser_->get().body().size;
         if (n != 0 && result_.first_token_ms == 0)
         {
             const auto wait = std::chrono::duration_cast<milliseconds>(clock::now() - sent_at_);
@@ -252,7 +246,7 @@
         {
             co_return;
         }
-        complete = parser_.is_done();
+        complete = parser_->is_done();
     }
     if (to_caller && chunked_)
     {
--- a/src/mangovane/net/endpoint_attempt.hpp
+++ b/src/mangovane/net/endpoint_attempt.hpp
@@ -3,15 +3,14 @@
 #define MANGOVANE_NET_ENDPOINT_ATTEMPT_HPP
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "mangovane/net/caller_request.hpp"
+#include "mangovane/net/final_head.hpp"
 #include "mangovane/net/frontend_services.hpp"
 
 namespace mangovane
@@ -65,8 +64,6 @@
     [[nodiscard]] bool attempt_mismatch() const noexcept { return attempt_mismatch_; }
 
 private:
-    using parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
     boost::asio::awaitable<bool> connect();
     boost::asio::awaitable<bool> send();
     boost::asio::awaitable<bool> read_header();
@@ -81,8 +78,8 @@
     response_sink& sink_;
     const frontend_limits& limits_;
     boost::beast::tcp_stream stream_;
-    boost::beast::flat_buffer buffer_;
-    parser parser_;
+    boost::beast::flat_buffer buffer_{max_response_section_bytes};
+    std::optional<endpoint_response_parser> parser_;
     attempt_ended result_;
     claim_outcome stored_response_;
     time_point sent_at_;
--- a/src/mangovane/net/endpoint_poller.cpp
+++ b/src/mangovane/net/endpoint_poller.cpp
@@ -34,6 +34,7 @@
 /// must not count as information about a later time.
 constexpr milliseconds report_lag{500};
 constexpr std::size_t max_report_bytes = std::size_t{16} * 1024;
+constexpr std::size_t max_read_buffer_bytes = std::size_t{16} * 1024;
 
 } // namespace
 
@@ -91,7 +92,7 @@
         req.keep_alive(false);
         bytes_ +=
             co_await http::async_write(stream, req, asio::redirect_error(asio::use_awaitable, ec));
-        beast::flat_buffer buf;
+        beast::flat_buffer buf{max_read_buffer_bytes};
         if (!ec)
         {
             bytes_ += co_await http::async_read(stream, buf, parser,
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -18,12 +18,19 @@
 
 constexpr std::size_t read_buffer_bytes = std::size_t{8} * 1024;
 
-/// Largest response body that is buffered completely before it is relayed.
-constexpr std::size_t max_buffered_bytes = std::size_t{8} * 1024 * 1024;
+/// Largest response body that is held until it is complete. Such a response can still be replaced
+/// by that of another endpoint when it breaks off; a larger one is relayed while it is read.
+constexpr std::size_t max_held_bytes = std::size_t{256} * 1024;
 
 constexpr std::array<std::string_view, attempt_result_count> result_names{
-    "delivered", "not_sent", "refused", "misdirected", "error",
-    "broken",    "stalled",  "cut",     "timed_out",   "caller_left"};
+    "delivered", "not_sent", "refused",   "misdirected", "error",   "broken",
+    "stalled",   "cut",      "timed_out", "caller_left", "outdated"};
+
+/// Category and value of an error, such as `beast.http:9`; "none" for no error.
+std::string error_text(const boost::system::error_code& ec)
+{
+    return ec ? absl::StrCat(ec.category().name(), ":", ec.value()) : std::string{"none"};
+}
 
 bool may_have_body(http::verb method)
 {
@@ -34,6 +41,7 @@
 
 void forward_session::set_timer(time_point at)
 {
+    call_timeout_at_ = at;
     timer_.expires_at(at);
     timer_.async_wait(
         [self = shared_from_this(), generation = ++timer_generation_](error_code ec)
@@ -45,6 +53,13 @@
         });
 }
 
+void forward_session::set_event_timer(const send_step& step)
+{
+    const auto deadline = current_->flow->request().deadline;
+    const auto gap = step.event_gap_timeout;
+    set_timer(gap.count() == 0 ? deadline : std::min(deadline, clock::now() + gap));
+}
+
 void forward_session::on_timer(std::uint64_t generation)
 {
     if (generation != timer_generation_ || !call_)
@@ -98,6 +113,7 @@
     const auto deadline = current.flow->request().deadline;
     current.dispatched_at = now;
     current.error_response.reset();
+    current.endpoint_error = {};
     timed_out_ = false;
     auto call = std::make_shared<upstream_call>(stream_.get_executor());
     call_ = call;
@@ -118,6 +134,11 @@
         call->close();
         co_return caller_disconnected_ ? attempt_result::caller_left : attempt_result::not_sent;
     }
+    if (clock::now() > std::min(deadline, step.send_deadline))
+    {
+        call->close();
+        co_return attempt_result::outdated;
+    }
     call->send(upstream_head_text(step), current.body);
     set_timer(std::min(deadline, step.first_byte_deadline));
     const auto result = co_await read_answer(step);
@@ -130,8 +151,8 @@
 {
     auto& current = *current_;
     const bool head_only = current.message.method() == http::verb::head;
-    const auto ec = co_await call_->read_head(head_only);
-    if (ec)
+    current.endpoint_error = co_await call_->read_head(head_only);
+    if (current.endpoint_error)
     {
         co_return early_end_result(attempt_result::broken);
     }
@@ -144,14 +165,10 @@
         co_return attempt_result::misdirected;
     case response_class::invalid_response:
         co_return attempt_result::broken;
-    case response_class::failure:
-        current.error_response = buffered_response{call_->head(), {}};
-        if (!co_await read_body(current.error_response->body))
-        {
-            co_return early_end_result(attempt_result::broken);
-        }
-        remove_hop_by_hop_fields(current.error_response->head);
-        co_return current.flow->response_started() ? attempt_result::broken : attempt_result::error;
+    case response_class::failure: {
+        const auto result = co_await read_failure();
+        co_return result;
+    }
     case response_class::pass_through:
         break;
     }
@@ -167,57 +184,125 @@
     co_return result;
 }
 
-asio::awaitable<bool> forward_session::read_body(std::string& body)
+asio::awaitable<forward_session::error_code> forward_session::read_part(std::span<char> buf,
+                                                                        std::size_t& n)
+{
+    const auto ec = co_await call_->read_some(buf, n);
+    current_->endpoint_error = ec;
+    co_return ec;
+}
+
+asio::awaitable<forward_session::held_body> forward_session::hold_body(buffered_response& answer)
 {
     std::array<char, read_buffer_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
     while (!call_->done())
     {
         std::size_t n = 0;
-        const auto ec = co_await call_->read_some(buf, n);
-        body.append(buf.data(), n);
-        if (ec || body.size() > max_buffered_bytes)
+        const auto ec = co_await read_part(buf, n);
+        answer.body.append(buf.data(), n);
+        if (ec)
+        {
+            co_return held_body::broken;
+        }
+        if (answer.body.size() > max_held_bytes || !answer.reservation.try_grow(n))
         {
-            co_return false;
+            co_return held_body::oversized;
         }
     }
-    co_return true;
+    co_return held_body::complete;
+}
+
+asio::awaitable<attempt_result> forward_session::read_failure()
+{
+    auto& current = *current_;
+    current.error_response =
+        buffered_response{call_->head(), byte_reservation{services_.held_responses}, {}};
+    const auto held = co_await hold_body(*current.error_response);
+    if (held != held_body::complete)
+    {
+        current.error_response.reset();
+        co_return early_end_result(attempt_result::broken);
+    }
+    remove_hop_by_hop_fields(current.error_response->head);
+    co_return current.flow->response_started() ? attempt_result::broken : attempt_result::error;
 }
 
 asio::awaitable<attempt_result> forward_session::relay_buffered()
 {
-    buffered_response answer{call_->head(), {}};
-    const bool complete = co_await read_body(answer.body);
-    if (!complete)
+    buffered_response answer{call_->head(), byte_reservation{services_.held_responses}, {}};
+    const auto held = co_await hold_body(answer);
+    if (held == held_body::broken)
     {
         co_return early_end_result(attempt_result::broken);
     }
+    if (held == held_body::oversized)
+    {
+        const auto result = co_await relay_oversized(answer);
+        co_return result;
+    }
     remove_hop_by_hop_fields(answer.head);
     current_->first_byte_at = clock::now();
     const bool written = co_await write_buffered(answer);
     co_return written ? attempt_result::delivered : attempt_result::caller_left;
 }
 
+asio::awaitable<attempt_result> forward_session::relay_oversized(const buffered_response& answer)
+{
+    const auto length = call_->content_length();
+    const bool chunked = !length;
+    const auto framed = [&](std::string_view bytes)
+    { return chunked ? encode_chunk(bytes) : std::string{bytes}; };
+    set_timer(current_->flow->request().deadline);
+    auto out = begin_response(answer.head, {chunked, length}) + framed(answer.body);
+    std::array<char, read_buffer_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    while (!call_->done())
+    {
+        const bool written = co_await write_to_caller(std::move(out));
+        if (!written)
+        {
+            co_return attempt_result::caller_left;
+        }
+        std::size_t n = 0;
+        const auto ec = co_await read_part(buf, n);
+        if (ec)
+        {
+            co_return early_end_result(attempt_result::cut);
+        }
+        out = n == 0 ? std::string{} : framed({buf.data(), n});
+    }
+    out += chunked ? encode_chunk({}) : std::string{};
+    const bool written = co_await write_to_caller(std::move(out));
+    co_return written ? attempt_result::delivered : attempt_result::caller_left;
+}
+
 asio::awaitable<attempt_result> forward_session::relay_stream(const send_step& step)
 {
     auto& current = *current_;
-    const auto deadline = current.flow->request().deadline;
     if (step.resumes)
     {
-        current.events.discard_partial();
+        current.events.restart_after_last_event();
     }
     else
     {
         current.weights_version = services_.dialect.weights_version_of(call_->head());
     }
+    const bool watched =
+        step.first_byte_deadline != time_point::max() || step.event_gap_timeout.count() != 0;
     std::array<char, read_buffer_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
     while (!call_->done())
     {
         std::size_t n = 0;
-        const auto ec = co_await call_->read_some(buf, n);
-        const bool relayed = n == 0 || co_await relay_events({buf.data(), n});
-        if (!relayed)
+        const auto ec = co_await read_part(buf, n);
+        auto relayed = relayed_events::none;
+        if (n != 0)
         {
-            co_return caller_disconnected_ ? attempt_result::caller_left : attempt_result::cut;
+            relayed = co_await relay_events({buf.data(), n});
+        }
+        if (relayed == relayed_events::failed)
+        {
+            const auto failed =
+                current.flow->response_started() ? attempt_result::cut : attempt_result::broken;
+            co_return caller_disconnected_ ? attempt_result::caller_left : failed;
         }
         if (ec)
         {
@@ -227,54 +312,65 @@
                 result == attempt_result::stalled && current.flow->response_started();
             co_return stalled_mid_response ? attempt_result::cut : result;
         }
-        if (n != 0 && step.event_gap_timeout.count() != 0 && current.flow->response_started())
-        {
-            set_timer(std::min(deadline, clock::now() + step.event_gap_timeout));
-        }
-        else if (n != 0 && current.flow->response_started() &&
-                 step.first_byte_deadline != time_point::max())
+        // Only events count as progress, not the bytes of an event that never ends.
+        if (relayed == relayed_events::some && watched)
         {
-            set_timer(deadline);
+            set_event_timer(step);
         }
     }
-    auto remaining = current.events.partial_event();
-    if (!current.flow->response_started() && remaining.empty())
+    const auto result = co_await end_stream();
+    co_return result;
+}
+
+asio::awaitable<attempt_result> forward_session::end_stream()
+{
+    const auto& current = *current_;
+    const auto& remaining = current.events.partial_event();
+    const bool started = current.flow->response_started();
+    if (!started && remaining.empty())
     {
         co_return attempt_result::broken;
     }
-    const auto last =
-        remaining.empty() ? encode_chunk({}) : encode_chunk(remaining) + encode_chunk({});
-    const bool written = co_await write_to_caller(last);
+    auto out = started ? std::string{} : begin_response(call_->head(), {true, std::nullopt});
+    out += remaining.empty() ? std::string{} : encode_chunk(remaining);
+    out += encode_chunk({});
+    const bool written = co_await write_to_caller(std::move(out));
     co_return written ? attempt_result::delivered : attempt_result::caller_left;
 }
 
-asio::awaitable<bool> forward_session::relay_events(std::string_view bytes)
+asio::awaitable<forward_session::relayed_events>
+forward_session::relay_events(std::string_view bytes)
 {
     auto& current = *current_;
-    const bool resumable = current.flow->request().route->resumable;
+    const bool resumable = current.flow->request().route->may_resume();
     const auto events = resumable ? current.events.parse(bytes) : std::string{bytes};
-    if (current.events.has_gap())
+    if (current.events.has_gap() || current.events.is_oversized())
     {
-        co_return false;
+        co_return relayed_events::failed;
     }
     if (events.empty())
     {
-        co_return true;
+        co_return relayed_events::none;
     }
     std::string out;
     if (!current.flow->response_started())
     {
-        auto head = call_->head();
-        remove_hop_by_hop_fields(head);
-        current.status = head.result_int();
-        current.first_byte_at = clock::now();
-        out = serialize_head(head, {true, std::nullopt}, keep_alive());
-        keep_alive_ = keep_alive();
-        current.flow->on_response_started();
+        out = begin_response(call_->head(), {true, std::nullopt});
     }
     out += encode_chunk(events);
     const bool written = co_await write_to_caller(std::move(out));
-    co_return written;
+    co_return written ? relayed_events::some : relayed_events::failed;
+}
+
+std::string forward_session::begin_response(response_head head, const body_framing& framing)
+{
+    remove_hop_by_hop_fields(head);
+    current_->status = head.result_int();
+    current_->first_byte_at = clock::now();
+    current_->flow->on_response_started();
+    auto out = serialize_head(head, framing, keep_alive());
+    keep_alive_ = keep_alive();
+    return out;
 }
 
 void forward_session::log_dispatch(const send_step& step) const
@@ -302,7 +398,8 @@
     services_.log.write(
         absl::StrCat("event=attempt_ended request=", current_->flow->request().request,
                      " attempt=", step.attempt, " endpoint=", step.target.name,
-                     " result=", absl::string_view{name.data(), name.size()}, " ms=", time.count()),
+                     " result=", absl::string_view{name.data(), name.size()}, " ms=", time.count(),
+                     " error=", error_text(current_->endpoint_error)),
         now);
 }
 
--- a/src/mangovane/net/forward_services.hpp
+++ b/src/mangovane/net/forward_services.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 
 #include "mangovane/forward/forward_core.hpp"
+#include "mangovane/net/byte_budget.hpp"
 #include "mangovane/net/http_dialect.hpp"
 #include "mangovane/observe/event_log.hpp"
 #include "mangovane/observe/request_record.hpp"
@@ -18,11 +19,18 @@
     /// To an endpoint; below 1 s, after which TCP retransmits a lost SYN, so that another endpoint
     /// is tried first.
     milliseconds connect_timeout{250};
-    milliseconds final_write_timeout{1000}; ///< For the end of a response after the deadline.
+    /// Time for which a write to a caller may continue after the deadline of its request.
+    milliseconds final_write_timeout{400};
+    /// A write to a caller that accepts no byte for this long has failed.
+    milliseconds caller_stall_timeout{5000};
 
     auto operator<=>(const forward_timeouts&) const = default;
 };
 
+/// Limit on response bodies that all sessions hold until they are complete. Instances have 112 MB
+/// or more; larger bodies are passed on as they arrive.
+inline constexpr std::size_t max_held_response_bytes = std::size_t{16} * 1024 * 1024;
+
 /// All references outlive the server.
 struct forward_services
 {
@@ -32,6 +40,7 @@
     request_observer& observer;
     const std::atomic<bool>& leaving; ///< Shutting down: responses close the connection.
     forward_timeouts timeouts;
+    byte_budget held_responses{max_held_response_bytes};
 };
 
 } // namespace mangovane
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -1,15 +1,16 @@
 // Session of a caller on routes: requests, flow steps, responses and log events.
 #include "mangovane/net/forward_session.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "mangovane/net/caller_connection.hpp"
 #include "mangovane/net/caller_request.hpp"
 #include "mangovane/net/peek.hpp"
 
@@ -67,13 +68,15 @@
 {
     error_code ec;
     stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ec);
-    while (keep_alive_ && !draining_)
+    stream_.socket().non_blocking(true, ec);
+    while (keep_alive_)
     {
         const bool read = co_await read_request();
         if (!read)
         {
             break;
         }
+        served_ = true;
         co_await serve();
         current_.reset();
     }
@@ -89,9 +92,10 @@
 void forward_session::drain()
 {
     draining_ = true;
-    if (!current_)
+    const bool idle = !current_ && buffer_.size() == 0;
+    if (idle && peek(stream_.socket()) != peek_result::data)
     {
-        stream_.cancel();
+        set_idle_timer(served_ ? milliseconds{0} : first_request_wait);
     }
 }
 
@@ -108,7 +112,17 @@
     }
     // Idle connections hold no buffer memory.
     buffer_.shrink_to_fit();
-    timer_.expires_after(limits.idle_timeout);
+    set_idle_timer(draining_ ? first_request_wait : limits.idle_timeout);
+    error_code ec;
+    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                         asio::redirect_error(asio::use_awaitable, ec));
+    ++timer_generation_;
+    co_return !ec;
+}
+
+void forward_session::set_idle_timer(milliseconds wait)
+{
+    timer_.expires_after(wait);
     timer_.async_wait(
         [self = shared_from_this(), generation = ++timer_generation_](error_code ec)
         {
@@ -117,11 +131,6 @@
                 self->stream_.cancel();
             }
         });
-    error_code ec;
-    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
-                                         asio::redirect_error(asio::use_awaitable, ec));
-    ++timer_generation_;
-    co_return !ec;
 }
 
 asio::awaitable<bool> forward_session::read_request()
@@ -137,6 +146,7 @@
     request_parser p;
     p.header_limit(limits.header_bytes);
     p.body_limit(limits.body_bytes);
+    buffer_.max_size(std::max<std::size_t>(limits.header_bytes, min_read_buffer_bytes));
     error_code ec;
     stream_.expires_after(limits.header_timeout);
     co_await http::async_read_header(stream_, buffer_, p,
@@ -267,17 +277,61 @@
 
 asio::awaitable<bool> forward_session::write_to_caller(std::string bytes)
 {
+    const auto started_at = clock::now();
+    const bool routed = current_ && current_->flow;
+    const auto deadline = routed ? current_->flow->request().deadline : started_at;
+    const auto write_deadline =
+        routed ? std::max(started_at, deadline) + services_.timeouts.final_write_timeout
+               : started_at + services_.timeouts.caller_stall_timeout;
     error_code ec = caller_disconnected_ ? asio::error::broken_pipe : error_code{};
-    if (!ec)
+    asio::const_buffer remaining = asio::buffer(bytes);
+    while (!ec && remaining.size() != 0)
     {
-        co_await asio::async_write(stream_.socket(), asio::buffer(bytes),
-                                   asio::redirect_error(asio::use_awaitable, ec));
+        // Most writes fit into the buffer of the socket and need neither a timer nor a suspension.
+        remaining += stream_.socket().write_some(remaining, ec);
+        if (ec == asio::error::would_block)
+        {
+            ec = co_await await_writable(write_deadline);
+        }
     }
     caller_disconnected_ = caller_disconnected_ || ec;
     keep_alive_ = keep_alive_ && !ec;
     co_return !ec;
 }
 
+asio::awaitable<forward_session::error_code>
+forward_session::await_writable(time_point write_deadline)
+{
+    const auto now = clock::now();
+    const auto give_up_at = std::min(write_deadline, now + services_.timeouts.caller_stall_timeout);
+    // The timer of the call pauses: the endpoint is not to blame for a caller that reads slowly.
+    timer_.expires_at(give_up_at);
+    timer_.async_wait(
+        [self = shared_from_this(), generation = ++timer_generation_](error_code ec)
+        {
+            if (!ec && generation == self->timer_generation_)
+            {
+                self->stream_.socket().cancel(ec);
+            }
+        });
+    error_code ec;
+    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_write,
+                                         asio::redirect_error(asio::use_awaitable, ec));
+    ++timer_generation_;
+    if (ec && clock::now() >= give_up_at)
+    {
+        services_.log.write(absl::StrCat("event=caller_stalled request=",
+                                         services_.dialect.request_id(current_->message),
+                                         " ms=", elapsed(now, give_up_at).count()),
+                            clock::now());
+    }
+    if (!ec && call_)
+    {
+        set_timer(call_timeout_at_);
+    }
+    co_return ec;
+}
+
 asio::awaitable<bool> forward_session::write_buffered(const buffered_response& answer)
 {
     auto& current = *current_;
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -2,8 +2,10 @@
 #ifndef MANGOVANE_NET_FORWARD_SESSION_HPP
 #define MANGOVANE_NET_FORWARD_SESSION_HPP
 
+#include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -23,13 +25,30 @@
 namespace internal
 {
 
-/// A complete response of an endpoint that has not been relayed yet.
+/// A response of an endpoint that has not been relayed yet.
 struct buffered_response
 {
     response_head head;
+    byte_reservation reservation; ///< Covers the body.
     std::string body;
 };
 
+/// What reading a response body into memory resulted in.
+enum class held_body : std::uint8_t
+{
+    complete,
+    oversized, ///< A first part was read; the rest is too large to hold.
+    broken,    ///< The connection ended early.
+};
+
+/// What became of bytes of a stream.
+enum class relayed_events : std::uint8_t
+{
+    some,   ///< At least one event has been sent to the caller.
+    none,   ///< No event is complete yet.
+    failed, ///< The caller has disconnected, or the stream cannot be continued.
+};
+
 /// State of the request that is being served.
 struct served_request
 {
@@ -37,6 +56,7 @@
     std::shared_ptr<const std::string> body;
     std::optional<forward_flow> flow;
     std::optional<buffered_response> error_response; ///< Error response of the last attempt.
+    boost::system::error_code endpoint_error;        ///< Why the last attempt's connection failed.
     sse_splitter events;
     std::string weights_version; ///< Version of the model weights that began the stream.
     unsigned status{0};          ///< HTTP status sent to the caller; 0: none yet.
@@ -57,7 +77,8 @@
     /// Serves the connection until it is closed.
     boost::asio::awaitable<void> run();
 
-    /// Closes the connection now if it is idle, else after the current response. Thread-safe.
+    /// Closes the connection after the current response, or soon if no request has been sent on it.
+    /// A request that has arrived is served. Thread-safe.
     void request_drain();
 
 private:
@@ -67,15 +88,22 @@
 
     using current_request = internal::served_request;
     using buffered_response = internal::buffered_response;
+    using held_body = internal::held_body;
+    using relayed_events = internal::relayed_events;
 
     // Implemented in forward_session.cpp: requests and responses.
     boost::asio::awaitable<bool> read_request();
     boost::asio::awaitable<bool> await_first_byte(const http_limits& limits);
+    /// Starts the timer that closes the connection while it waits for a request.
+    void set_idle_timer(milliseconds wait);
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<bool> execute_step(const forward_step& step, forward_step& next);
     boost::asio::awaitable<void>
     refuse(error_kind kind, std::string message, milliseconds retry_after);
     boost::asio::awaitable<bool> write_to_caller(std::string bytes);
+    /// Waits until the caller accepts more data. Error: it has disconnected, or has accepted
+    /// nothing until the write deadline.
+    boost::asio::awaitable<error_code> await_writable(time_point write_deadline);
     boost::asio::awaitable<bool> write_buffered(const buffered_response& answer);
     void watch_caller();
     void on_caller_disconnected();
@@ -86,16 +114,27 @@
     // Implemented in forward_attempt.cpp: attempts at endpoints.
     boost::asio::awaitable<attempt_result> attempt(const send_step& step);
     boost::asio::awaitable<attempt_result> read_answer(const send_step& step);
+    boost::asio::awaitable<attempt_result> read_failure();
     boost::asio::awaitable<attempt_result> relay_buffered();
-    boost::asio::awaitable<bool> read_body(std::string& body);
+    boost::asio::awaitable<held_body> hold_body(buffered_response& answer);
+    /// Relays a response that is too large to hold, whose first part has been read.
+    boost::asio::awaitable<attempt_result> relay_oversized(const buffered_response& answer);
     boost::asio::awaitable<attempt_result> relay_stream(const send_step& step);
-    boost::asio::awaitable<bool> relay_events(std::string_view bytes);
+    boost::asio::awaitable<relayed_events> relay_events(std::string_view bytes);
+    boost::asio::awaitable<attempt_result> end_stream();
+    /// Reads a part of the response; records an error for the log.
+    boost::asio::awaitable<error_code> read_part(std::span<char> buf, std::size_t& n);
+    /// Head of a response that is relayed while it is being read; from then on it can only be
+    /// continued.
+    [[nodiscard]] std::string begin_response(response_head head, const body_framing& framing);
     /// Result of an attempt whose connection ended early: the caller disconnected, a timeout, or
     /// else `fallback`.
     [[nodiscard]] attempt_result early_end_result(attempt_result fallback) const;
     [[nodiscard]] std::string upstream_head_text(const send_step& step) const;
     /// Starts the timer that closes the call.
     void set_timer(time_point at);
+    /// Starts the timer for the next event of a stream.
+    void set_event_timer(const send_step& step);
     void on_timer(std::uint64_t generation);
     void log_dispatch(const send_step& step) const;
     void log_result(const send_step& step, attempt_result result) const;
@@ -107,6 +146,8 @@
     std::shared_ptr<upstream_call> call_;    ///< Null between attempts.
     std::optional<current_request> current_; ///< Empty between requests.
     std::uint64_t timer_generation_{0};      ///< Of the running timer; older expiries are ignored.
+    time_point call_timeout_at_{};           ///< When the timer of the call expires.
+    bool served_{false};                     ///< A request has been read.
     bool timed_out_{false};                  ///< The timer has closed the call.
     bool caller_disconnected_{false};
     bool keep_alive_{true};
--- a/src/mangovane/net/monitoring_server.cpp
+++ b/src/mangovane/net/monitoring_server.cpp
@@ -26,6 +26,7 @@
 
 constexpr seconds idle_timeout{30};
 constexpr std::uint32_t max_header_bytes = 8U * 1024;
+constexpr std::size_t max_read_buffer_bytes = std::size_t{16} * 1024;
 
 } // namespace
 
@@ -53,7 +54,7 @@
 asio::awaitable<void> monitoring_server::serve(asio::ip::tcp::socket socket)
 {
     beast::tcp_stream stream{std::move(socket)};
-    beast::flat_buffer buf;
+    beast::flat_buffer buf{max_read_buffer_bytes};
     bool open = true;
     while (open)
     {
--- a/src/mangovane/net/operator_server.cpp
+++ b/src/mangovane/net/operator_server.cpp
@@ -32,6 +32,7 @@
 constexpr seconds read_timeout{30};
 constexpr seconds write_timeout{10};
 constexpr std::uint32_t max_header_bytes = 8U * 1024;
+constexpr std::size_t max_read_buffer_bytes = std::size_t{16} * 1024;
 constexpr std::uint64_t max_body_bytes = 1024;
 
 using request_type = http::request<http::string_body>;
@@ -152,7 +153,7 @@
 asio::awaitable<void> operator_server::serve(asio::ip::tcp::socket socket)
 {
     beast::tcp_stream stream{std::move(socket)};
-    beast::flat_buffer buf;
+    beast::flat_buffer buf{max_read_buffer_bytes};
     bool keep_alive = true;
     while (keep_alive && !stopped_)
     {
--- a/src/mangovane/net/session_server.hpp
+++ b/src/mangovane/net/session_server.hpp
@@ -50,21 +50,18 @@
     /// Port that `listen` has bound; 0 before.
     [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
 
-    /// Accepts no more connections and ends each session after its current response.
+    /// Accepts no more connections and ends each session after its current response. Connections
+    /// that the kernel has accepted already are served: they may carry complete requests.
     void drain()
     {
-        boost::asio::post(acceptor_.get_executor(),
-                          [this]
-                          {
-                              boost::system::error_code ec;
-                              acceptor_.close(ec);
-                          });
+        boost::asio::post(acceptor_.get_executor(), [this] { drain_acceptor(); });
+    }
+
+    /// Whether `drain` has taken effect and all sessions have ended.
+    [[nodiscard]] bool drained() const
+    {
         const std::lock_guard lock{mutex_};
-        draining_ = true;
-        for (const auto& it : sessions_)
-        {
-            it->request_drain();
-        }
+        return draining_ && sessions_.empty();
     }
 
     /// Number of open sessions.
@@ -81,11 +78,11 @@
         auto session = std::make_shared<Session>(std::move(socket), services_);
         {
             const std::lock_guard lock{mutex_};
+            sessions_.insert(session);
             if (draining_)
             {
-                return;
+                session->request_drain();
             }
-            sessions_.insert(session);
         }
         boost::asio::co_spawn(executor, session->run(),
                               [this, session](std::exception_ptr)
@@ -95,6 +92,27 @@
                               });
     }
 
+    void drain_acceptor()
+    {
+        boost::system::error_code ec;
+        acceptor_.non_blocking(true, ec);
+        while (!ec)
+        {
+            auto socket = acceptor_.accept(boost::asio::make_strand(io_), ec);
+            if (!ec)
+            {
+                serve(std::move(socket));
+            }
+        }
+        acceptor_.close(ec);
+        const std::lock_guard lock{mutex_};
+        draining_ = true;
+        for (const auto& it : sessions_)
+        {
+            it->request_drain();
+        }
+    }
+
     boost::asio::io_context& io_;
     Services& services_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/src/mangovane/net/sse_splitter.cpp
+++ b/src/mangovane/net/sse_splitter.cpp
@@ -10,18 +10,29 @@
 namespace
 {
 
-constexpr std::string_view lf_event_end = "\n\n";
-constexpr std::string_view crlf_event_end = "\r\n\r\n";
 constexpr std::string_view id_field = "id:";
 
-/// Position after the first event of the text; npos if the event is incomplete.
-std::size_t end_of_event(std::string_view text)
+/// An event ends with a line break and an empty line, at most "\n\r\n": the search for it continues
+/// this many bytes before the end of the bytes searched last.
+constexpr std::size_t max_event_end_bytes = 3;
+
+/// Position after the first event that ends at `from` or later; npos if there is none.
+std::size_t end_of_event(std::string_view text, std::size_t from)
 {
-    const auto lf = text.find(lf_event_end);
-    const auto crlf = text.find(crlf_event_end);
-    const auto after_lf = lf == std::string_view::npos ? lf : lf + lf_event_end.size();
-    const auto after_crlf = crlf == std::string_view::npos ? crlf : crlf + crlf_event_end.size();
-    return std::min(after_lf, after_crlf);
+    for (auto line_end = text.find('\n', from); line_end != std::string_view::npos;
+         line_end = text.find('\n', line_end + 1))
+    {
+        const auto rest = text.substr(line_end + 1);
+        if (rest.starts_with('\n'))
+        {
+            return line_end + 2;
+        }
+        if (rest.starts_with("\r\n"))
+        {
+            return line_end + 3;
+        }
+    }
+    return std::string_view::npos;
 }
 
 std::optional<std::uint64_t> id_in(std::string_view event)
@@ -49,18 +60,29 @@
 std::string sse_splitter::parse(std::string_view bytes)
 {
     partial_event_.append(bytes);
+    const std::string_view text = partial_event_;
     std::string out;
-    std::string_view remaining = partial_event_;
-    for (auto end = end_of_event(remaining); end != std::string_view::npos;
-         end = end_of_event(remaining))
+    std::size_t begin = 0;
+    // Only new bytes are searched, so that an event in many small pieces takes linear time.
+    auto end = end_of_event(text, searched_ - std::min(searched_, max_event_end_bytes));
+    while (end != std::string_view::npos)
     {
-        accept_event(remaining.substr(0, end), out);
-        remaining.remove_prefix(end);
+        accept_event(text.substr(begin, end - begin), out);
+        begin = end;
+        end = end_of_event(text, begin);
     }
-    partial_event_.erase(0, partial_event_.size() - remaining.size());
+    partial_event_.erase(0, begin);
+    searched_ = partial_event_.size();
     return out;
 }
 
+void sse_splitter::restart_after_last_event()
+{
+    partial_event_.clear();
+    searched_ = 0;
+    has_gap_ = false;
+}
+
 void sse_splitter::accept_event(std::string_view event, std::string& out)
 {
     const auto id = id_in(event);
@@ -72,9 +94,9 @@
         }
         has_gap_ = has_gap_ || *id != *last_id_ + 1;
     }
-    last_id_ = id ? id : last_id_;
     if (!has_gap_)
     {
+        last_id_ = id ? id : last_id_;
         out.append(event);
     }
 }
--- a/src/mangovane/net/sse_splitter.hpp
+++ b/src/mangovane/net/sse_splitter.hpp
@@ -3,6 +3,7 @@
 #ifndef MANGOVANE_NET_SSE_SPLITTER_HPP
 #define MANGOVANE_NET_SSE_SPLITTER_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,25 +18,36 @@
 {
 public:
     /// Appends bytes of the stream; returns the events that are complete now and not duplicates.
-    /// Returns no events after a gap.
+    /// Returns no events after a gap or an oversized event.
     [[nodiscard]] std::string parse(std::string_view bytes);
 
-    /// Drops an incomplete event. Call when another endpoint resumes the stream.
-    void discard_partial() { partial_event_.clear(); }
+    /// Drops an incomplete event, and a gap. Call when another endpoint resumes the stream after
+    /// the last event.
+    void restart_after_last_event();
 
     /// Bytes of the incomplete event at the end of the stream.
     [[nodiscard]] const std::string& partial_event() const noexcept { return partial_event_; }
 
-    /// Id of the last complete event; empty before the first event with an id.
+    /// Id of the last event that was returned; empty before the first event with an id.
     [[nodiscard]] std::optional<std::uint64_t> last_id() const noexcept { return last_id_; }
 
     /// Whether an event id was skipped.
     [[nodiscard]] bool has_gap() const noexcept { return has_gap_; }
 
+    /// Whether the incomplete event is longer than `max_event_bytes`. Without this limit an
+    /// endpoint that never ends an event would fill the memory of the instance.
+    [[nodiscard]] bool is_oversized() const noexcept
+    {
+        return partial_event_.size() > max_event_bytes;
+    }
+
+    static constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+
 private:
     void accept_event(std::string_view event, std::string& out);
 
     std::string partial_event_;
+    std::size_t searched_{0};              ///< Bytes of `partial_event_` in which no event ends.
     std::optional<std::uint64_t> last_id_; ///< Never decreases.
     bool has_gap_{false};
 };
--- a/src/mangovane/net/upstream_call.cpp
+++ b/src/mangovane/net/upstream_call.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "mangovane/net/address.hpp"
 
@@ -17,14 +16,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-namespace
-{
-
-constexpr std::uint32_t max_head_bytes = 64U * 1024;
-constexpr unsigned first_final_status = 200; ///< Lower ones are informational (1xx).
-
-} // namespace
-
 asio::awaitable<bool> upstream_call::connect(const std::string& address)
 {
     const auto endpoint = parse_address(address);
@@ -55,16 +46,7 @@
 
 asio::awaitable<upstream_call::error_code> upstream_call::read_head(bool head_only)
 {
-    error_code ec;
-    do
-    {
-        parser_.emplace();
-        parser_->header_limit(max_head_bytes);
-        parser_->body_limit(boost::none);
-        parser_->skip(head_only);
-        co_await http::async_read_header(socket_, buffer_, *parser_,
-                                         asio::redirect_error(asio::use_awaitable, ec));
-    } while (!ec && parser_->get().result_int() < first_final_status);
+    const auto ec = co_await read_final_head(socket_, buffer_, parser_, head_only);
     co_return ec;
 }
 
--- a/src/mangovane/net/upstream_call.hpp
+++ b/src/mangovane/net/upstream_call.hpp
@@ -3,6 +3,7 @@
 #ifndef MANGOVANE_NET_UPSTREAM_CALL_HPP
 #define MANGOVANE_NET_UPSTREAM_CALL_HPP
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <span>
@@ -11,9 +12,8 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
+
+#include "mangovane/net/final_head.hpp"
 
 namespace mangovane
 {
@@ -34,28 +34,34 @@
     /// Starts to write the request. The endpoint may run it from here on.
     void send(std::string head, std::shared_ptr<const std::string> body);
 
-    /// Reads the head of the final response and skips informational ones. With `head_only` the
-    /// response has no body, whatever its head says.
+    /// Reads the head of the final response and skips informational ones, of which it accepts a
+    /// limited number. With `head_only` the response has no body, whatever its head says.
     boost::asio::awaitable<error_code> read_head(bool head_only);
 
     [[nodiscard]] const head_type& head() const { return parser_->get().base(); }
 
     /// Reads a part of the body into the buffer and sets `count` to its size in bytes. A response
     /// that is delimited by the end of the connection is complete only after an orderly close.
+    /// Fails on chunk headers and trailers that are longer than a head may be.
     boost::asio::awaitable<error_code> read_some(std::span<char> buf, std::size_t& count);
 
     /// Whether the response has been read completely.
     [[nodiscard]] bool done() const { return parser_->is_done(); }
 
+    /// Length of the body in bytes; empty if the response does not state it.
+    [[nodiscard]] std::optional<std::uint64_t> content_length() const
+    {
+        const auto length = parser_->content_length();
+        return length ? std::optional<std::uint64_t>{*length} : std::nullopt;
+    }
+
     /// Closes the connection and cancels pending operations.
     void close();
 
 private:
-    using parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
     boost::asio::ip::tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
-    std::optional<parser> parser_;
+    boost::beast::flat_buffer buffer_{max_response_section_bytes};
+    std::optional<endpoint_response_parser> parser_;
     std::string request_head_;                        ///< Alive until written.
     std::shared_ptr<const std::string> request_body_; ///< Alive until written.
     bool closed_{false};
--- a/src/mangovane/settings/route.hpp
+++ b/src/mangovane/settings/route.hpp
@@ -48,10 +48,16 @@
     milliseconds event_gap_goal{0};    ///< Objective for the time between events; 0: none.
     std::vector<route_target> targets; ///< Never empty.
 
+    /// Whether another endpoint may continue a response that broke off.
+    [[nodiscard]] bool may_resume() const noexcept
+    {
+        return kind == route_kind::stream && resumable;
+    }
+
     /// Whether a request may be retried after an endpoint may have executed it.
     [[nodiscard]] bool may_repeat() const noexcept
     {
-        return kind == route_kind::idempotent || (kind == route_kind::stream && resumable);
+        return kind == route_kind::idempotent || may_resume();
     }
 
     /// Selects a service by weight; the same `hash` always selects the same service.
--- a/src/mangovane/store/http_pool.cpp
+++ b/src/mangovane/store/http_pool.cpp
@@ -32,6 +32,10 @@
 /// would not detect the broken link.
 constexpr milliseconds max_unacknowledged_time{2000};
 
+/// Limit on the read buffer, and so on a head, a chunk header with its extensions and a trailer
+/// section.
+constexpr std::size_t max_read_buffer_bytes = std::size_t{64} * 1024;
+
 absl::Status status_from(const beast::error_code& ec)
 {
     if (ec == beast::error::timeout)
@@ -180,7 +184,7 @@
     {
         co_return status_from(ec);
     }
-    beast::flat_buffer buf;
+    beast::flat_buffer buf{max_read_buffer_bytes};
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_body_bytes);
     co_await http::async_read(*conn, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
--- a/src/standin/http_host.cpp
+++ b/src/standin/http_host.cpp
@@ -128,6 +128,14 @@
     stream_.socket().close(ec);
 }
 
+asio::awaitable<void> reply::close()
+{
+    beast::error_code ec;
+    open_ = false;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    co_return;
+}
+
 asio::awaitable<void> accept_all(asio::ip::tcp::acceptor& acceptor, const handler& handle)
 {
     while (acceptor.is_open())
--- a/src/standin/http_host.hpp
+++ b/src/standin/http_host.hpp
@@ -46,6 +46,9 @@
     /// Resets the connection without a response.
     void reset();
 
+    /// Ends the connection in order after what has been written.
+    boost::asio::awaitable<void> close();
+
     [[nodiscard]] bool open() const noexcept { return open_; }
     void set_attempt(std::string attempt) { attempt_ = std::move(attempt); }
 
--- a/test/mangovane/forward/forward_flow.cpp
+++ b/test/mangovane/forward/forward_flow.cpp
@@ -127,6 +127,27 @@
         CHECK(std::get<send_step>(step).first_byte_deadline == time_point::max());
         CHECK_FALSE(flow.may_retry_stalled(start + milliseconds{500}));
     }
+    SUBCASE("is not sent on a choice made before a pause of the process")
+    {
+        // The endpoint may have left, or its domain may have been taken out, meanwhile.
+        const auto woken = start + milliseconds{700};
+        CHECK(std::get<send_step>(step).send_deadline < woken);
+
+        SUBCASE("but on a new choice, which may be the same endpoint")
+        {
+            const auto next = flow.on_result(attempt_result::outdated, woken);
+            CHECK(sent_to(next) == "one");
+            CHECK(chooser.outcomes.back() == health_outcome::cancelled);
+            CHECK(std::get<send_step>(next).send_deadline > woken);
+            CHECK_FALSE(flow.may_have_run());
+        }
+        SUBCASE("and is refused as not run if its deadline has passed")
+        {
+            const auto next = flow.on_result(attempt_result::outdated, start + seconds{60});
+            CHECK(refused_with(next) == error_kind::deadline_exceeded);
+            CHECK(descriptor_of(refused_with(next)).not_run);
+        }
+    }
 }
 
 TEST_CASE("a request that may run more than once")
@@ -162,6 +183,17 @@
         CHECK(
             std::holds_alternative<relay_error_step>(flow.on_result(attempt_result::error, start)));
     }
+    SUBCASE("is not continued at another endpoint once part of its response has been sent")
+    {
+        // Only the events of a stream can be continued; the rest would be joined to a part of
+        // another response.
+        flow.on_response_started();
+        CHECK_FALSE(flow.may_retry_stalled(start + milliseconds{250}));
+        step = flow.on_result(attempt_result::cut, start);
+        REQUIRE(std::holds_alternative<finish_step>(step));
+        CHECK_FALSE(std::get<finish_step>(step).complete);
+        CHECK(chooser.started == 1);
+    }
     SUBCASE("is not sent after its deadline")
     {
         step = flow.on_result(attempt_result::not_sent, start + milliseconds{1000});
@@ -178,7 +210,8 @@
     {
         forward_flow flow{test::make_request(settings, "rights", 5), chooser};
         auto step = flow.start(start);
-        CHECK(std::get<send_step>(step).event_gap_timeout > milliseconds{0});
+        // A slow stream whose events keep within the objective of 600 ms is not abandoned.
+        CHECK(std::get<send_step>(step).event_gap_timeout >= milliseconds{600});
         flow.on_response_started();
         step = flow.on_result(attempt_result::cut, start);
         REQUIRE(sent_to(step) == "two");
--- a/test/mangovane/net/sse_splitter.cpp
+++ b/test/mangovane/net/sse_splitter.cpp
@@ -37,7 +37,7 @@
     {
         auto out = splitter.parse(event(1) + event(2) + "id: 3\nda");
         CHECK(out == event(1) + event(2));
-        splitter.discard_partial();
+        splitter.restart_after_last_event();
 
         SUBCASE("contains the broken event once and complete")
         {
@@ -53,11 +53,36 @@
         {
             CHECK(splitter.parse(event(4)).empty());
             CHECK(splitter.has_gap());
+
+            SUBCASE("and is resumed after the last event before it")
+            {
+                CHECK(splitter.last_id() == 2);
+                splitter.restart_after_last_event();
+                CHECK_FALSE(splitter.has_gap());
+                CHECK(splitter.parse(event(3)) == event(3));
+            }
+        }
+    }
+    SUBCASE("does not hold an event without end")
+    {
+        // Bytes without end would otherwise fill the memory of the instance.
+        const std::string piece(1000, 'x');
+        std::size_t n = 0;
+        while (!splitter.is_oversized() && n < 2 * sse_splitter::max_event_bytes)
+        {
+            CHECK(splitter.parse(piece).empty());
+            n += piece.size();
         }
+        CHECK(splitter.is_oversized());
+        CHECK(n <= sse_splitter::max_event_bytes + piece.size());
+        splitter.restart_after_last_event();
+        CHECK_FALSE(splitter.is_oversized());
+        CHECK(splitter.parse(event(1)) == event(1));
     }
     SUBCASE("may have CRLF line ends and events without ids")
     {
         CHECK(splitter.parse("data: x\r\n\r\n") == "data: x\r\n\r\n");
+        CHECK(splitter.parse("data: y\n\r\n") == "data: y\n\r\n");
         CHECK_FALSE(splitter.last_id());
     }
 }
--- a/test/platform/explain.cpp
+++ b/test/platform/explain.cpp
@@ -92,7 +92,7 @@
 TEST_CASE("the log explains a request that failed")
 {
     const scratch_folder folder;
-    router_fleet fleet{1, folder.path};
+    router_fleet fleet{1, {.log_folder = folder.path}};
     fleet.add_engine("plain-1", "ventanilla");
     fleet.add_engine("engine-1", "dictamen");
     REQUIRE(fleet.await_ready(0));
--- /dev/null
+++ b/test/platform/raw_caller.cpp
@@ -0,0 +1,59 @@
+// Implementation of the raw caller.
+#include "platform/raw_caller.hpp"
+
+#include <charconv>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "mangovane/net/address.hpp"
+
+namespace mangovane::test
+{
+
+namespace asio = boost::asio;
+
+std::string request_text(const std::string& method, const std::string& route, const std::string& id)
+{
+    return absl::StrCat(
+        method, " /", route, "/7 HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: ", id,
+        "\r\nX-Deadline-Ms: 2500\r\nAuthorization: Bearer key-1\r\n", "Content-Length: 0\r\n\r\n");
+}
+
+raw_caller::raw_caller(const std::string& address)
+{
+    socket_.connect(*parse_address(address));
+}
+
+void raw_caller::send(std::string_view bytes)
+{
+    asio::write(socket_, asio::buffer(bytes.data(), bytes.size()));
+}
+
+std::string raw_caller::read_all(milliseconds timeout)
+{
+    std::string result;
+    asio::async_read(socket_, asio::dynamic_buffer(result),
+                     [](const boost::system::error_code&, std::size_t) {});
+    io_.restart();
+    io_.run_for(timeout);
+    socket_.close();
+    io_.run();
+    return result;
+}
+
+unsigned status_of(std::string_view bytes)
+{
+    constexpr std::string_view version = "HTTP/1.1 ";
+    unsigned result = 0;
+    if (bytes.starts_with(version))
+    {
+        const auto* first = bytes.data() + version.size();
+        std::from_chars(first, bytes.data() + bytes.size(), result);
+    }
+    return result;
+}
+
+} // namespace mangovane::test
--- /dev/null
+++ b/test/platform/raw_caller.hpp
@@ -0,0 +1,43 @@
+// Connection of a caller whose requests the tests write byte by byte, for callers that behave
+// unusually.
+#ifndef MANGOVANE_TEST_PLATFORM_RAW_CALLER_HPP
+#define MANGOVANE_TEST_PLATFORM_RAW_CALLER_HPP
+
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "mangovane/core/time.hpp"
+
+namespace mangovane::test
+{
+
+/// Head of a request with an empty body on a route of the tests' configuration.
+[[nodiscard]] std::string
+request_text(const std::string& method, const std::string& route, const std::string& id);
+
+class raw_caller
+{
+public:
+    /// Connects; the connection is complete even if the server does not accept it yet.
+    explicit raw_caller(const std::string& address);
+
+    /// Writes the bytes, which must fit into the buffer of the socket.
+    void send(std::string_view bytes);
+
+    /// Reads until the server closes the connection or the time is over, and returns all bytes.
+    [[nodiscard]] std::string read_all(milliseconds timeout);
+
+private:
+    boost::asio::io_context io_{1};
+    boost::asio::ip::tcp::socket socket_{io_};
+};
+
+/// Status of the first response in the bytes; 0 if there is none.
+[[nodiscard]] unsigned status_of(std::string_view bytes);
+
+} // namespace mangovane::test
+
+#endif
--- a/test/platform/router_fleet.cpp
+++ b/test/platform/router_fleet.cpp
@@ -17,10 +17,10 @@
 
 } // namespace
 
-router_fleet::router_fleet(std::size_t count, std::string log_folder)
-    : log_folder_{std::move(log_folder)}, store_host_{[this](const standin::request& req,
-                                                             standin::reply& rep)
-                                                      { return store.handle(req, rep); }}
+router_fleet::router_fleet(std::size_t count, fleet_params params)
+    : params_{std::move(params)}, store_host_{
+                                      [this](const standin::request& req, standin::reply& rep)
+                                      { return store.handle(req, rep); }}
 {
     ::setenv("MANGOVANE_CLUSTER_KEY", "the key of the tests' fleet", 1);
     const auto free = free_address();
@@ -42,8 +42,9 @@
 
 std::string router_fleet::log_file(std::size_t n) const
 {
-    return log_folder_.empty() ? "/dev/null"
-                               : log_folder_ + "/router-" + std::to_string(n) + ".log";
+    return params_.log_folder.empty()
+               ? "/dev/null"
+               : params_.log_folder + "/router-" + std::to_string(n) + ".log";
 }
 
 void router_fleet::start(std::size_t n)
@@ -70,9 +71,9 @@
                                  "--retry-slack",
                                  "100",
                                  "--drain-delay-ms",
-                                 "300",
+                                 std::to_string(params_.drain_delay.count()),
                                  "--grace-ms",
-                                 "5000"},
+                                 std::to_string(params_.grace_period.count())},
         log_file(n));
 }
 
@@ -92,6 +93,13 @@
               entry_text({service, engines[name]->host.address(), "bogota-a", state, {}}));
 }
 
+void router_fleet::write_address(const std::string& name,
+                                 const std::string& service,
+                                 const std::string& address)
+{
+    store.put("servers", name, entry_text({service, address, "bogota-a", "ready", {}}));
+}
+
 unsigned router_fleet::ready_status(std::size_t n) const
 {
     return send(address(n, 1), {"GET", "/readyz", "", {}, milliseconds{1000}}).status;
--- a/test/platform/router_fleet.hpp
+++ b/test/platform/router_fleet.hpp
@@ -29,12 +29,17 @@
     standin::hosted_server host;
 };
 
+struct fleet_params
+{
+    std::string log_folder;        ///< Each router writes `router-<n>.log` there; empty: none.
+    milliseconds drain_delay{300}; ///< From the stop signal until connections are refused.
+    milliseconds grace_period{5000};
+};
+
 class router_fleet
 {
 public:
-    /// Starts `count` routers. Logs are written to `router-<n>.log` in the folder, or discarded if
-    /// no folder is given.
-    explicit router_fleet(std::size_t count, std::string log_folder = {});
+    explicit router_fleet(std::size_t count, fleet_params params = {});
     ~router_fleet();
 
     /// Adds an endpoint, whose streams have `events` events, and its entry in the store.
@@ -43,6 +48,9 @@
     void write_entry(const std::string& name,
                      const std::string& service,
                      const std::string& state = "ready");
+    /// Adds the entry of an endpoint that the test serves itself.
+    void
+    write_address(const std::string& name, const std::string& service, const std::string& address);
 
     /// Starts a router again, for instance after it was killed.
     void start(std::size_t n);
@@ -65,7 +73,7 @@
     std::vector<std::unique_ptr<child_process>> processes;
 
 private:
-    const std::string log_folder_;
+    const fleet_params params_;
     standin::hosted_server store_host_;
     int first_port_{0}; ///< First of four ports that all routers use, each at its own address.
 };
--- a/test/process/child_process.cpp
+++ b/test/process/child_process.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <stdexcept>
 #include <thread>
 
@@ -114,6 +115,21 @@
     }
 }
 
+std::size_t child_process::peak_memory_kb() const
+{
+    std::ifstream in{"/proc/" + std::to_string(pid_) + "/status"};
+    for (std::string field; in >> field;)
+    {
+        if (field == "VmHWM:")
+        {
+            std::size_t result = 0;
+            in >> result;
+            return result;
+        }
+    }
+    return 0;
+}
+
 std::optional<int> child_process::wait(milliseconds timeout)
 {
     const auto has_ended = [this]
--- a/test/process/child_process.hpp
+++ b/test/process/child_process.hpp
@@ -34,6 +34,9 @@
 
     void signal(int number) const;
 
+    /// Largest resident size since the start of the process, in KB; 0 if it has ended.
+    [[nodiscard]] std::size_t peak_memory_kb() const;
+
     /// Exit code of the child; empty if it still runs after `timeout`.
     std::optional<int> wait(milliseconds timeout);
 
