Let the newest wake of a request flow decide, so that it tries again

The first step checks the limits and then sets the timer to the deadline; the limits were granted at once, the slot refused while the owner rebuilds its ledger, and the timer for the next try was set and then overwritten by the deadline. It needs an instance that owns the endpoint itself; two threads could invert wakes in the same way.

Change: a flow numbers its wakes; sessions, the bench and the fake caller of the stateful tests ignore older ones.

Conclusion: not a fault of claims; keyed and other requests were hit alike.

--- a/src/bench/control_port.cpp
+++ b/src/bench/control_port.cpp
@@ -54,11 +54,16 @@
 
 void control_port::wake(const wake_at& action)
 {
+    if (action.number <= last_wake_)
+    {
+        return;
+    }
+    last_wake_ = action.number;
     const auto in = std::max(action.at - context_.now, duration{0});
     context_.schedule(in,
-                      [self = shared_from_this(), number = ++timer_generation_]
+                      [self = shared_from_this(), number = action.number]
                       {
-                          if (self->timer_generation_ == number && !self->closed_)
+                          if (self->last_wake_ == number && !self->closed_)
                           {
                               self->context_.core.on_event(self->number_, timer_expired{},
                                                            self->context_.now);
--- a/src/bench/control_port.hpp
+++ b/src/bench/control_port.hpp
@@ -47,7 +47,7 @@
 
     port_context context_;
     std::uint64_t number_{0};
-    std::uint64_t timer_generation_{0}; ///< Timers of older generations are ignored.
+    std::uint64_t last_wake_{0}; ///< Number of the newest wake; older ones are ignored.
     bool closed_{false};
 };
 
--- a/src/mangovane/net/request_exchange.cpp
+++ b/src/mangovane/net/request_exchange.cpp
@@ -105,13 +105,14 @@
 void request_exchange::wake(const wake_at& action)
 {
     asio::post(executor_,
-               [self = shared_from_this(), at = action.at]
+               [self = shared_from_this(), action]
                {
-                   if (self->closed_)
+                   if (self->closed_ || action.number <= self->last_wake_)
                    {
                        return;
                    }
-                   self->wake_timer_.expires_at(at);
+                   self->last_wake_ = action.number;
+                   self->wake_timer_.expires_at(action.at);
                    self->wake_timer_.async_wait(
                        [self](boost::system::error_code ec)
                        {
--- a/src/mangovane/net/request_exchange.hpp
+++ b/src/mangovane/net/request_exchange.hpp
@@ -40,7 +40,7 @@
     /// Waits for the next action for the session. Called on the strand.
     boost::asio::awaitable<session_action> next();
 
-    /// Cancels the timer that the last `wake_at` set; later timer events are dropped.
+    /// Cancels the timer; later timer events are dropped.
     void close();
 
     void send(const send_attempt& action) override { push(action); }
@@ -62,6 +62,7 @@
     boost::asio::steady_timer wake_timer_;
     std::deque<session_action> actions_;
     std::uint64_t flow_id_{0};
+    std::uint64_t last_wake_{0}; ///< Number of the wake that set the timer.
     time_point deadline_;
     bool closed_{false};
 };
--- a/src/mangovane/routing/flow_event.hpp
+++ b/src/mangovane/routing/flow_event.hpp
@@ -176,10 +176,13 @@
     auto operator<=>(const end_request&) const = default;
 };
 
-/// Sets the timer of the flow, which ends with `timer_expired`; replaces an earlier time.
+/// Sets the timer of the flow, which ends with `timer_expired`; replaces an earlier time. An action
+/// performed before it, or another thread, may have caused a later event of the flow: of two wakes
+/// the one with the higher number decides, whichever is performed last.
 struct wake_at
 {
     time_point at;
+    std::uint64_t number{0}; ///< Rises with each wake of a flow.
     auto operator<=>(const wake_at&) const = default;
 };
 
--- a/src/mangovane/routing/request_flow.hpp
+++ b/src/mangovane/routing/request_flow.hpp
@@ -143,6 +143,7 @@
     attempt_id attempt_; ///< Current attempt; slots, claims and answers of others are stale.
     std::uint64_t number_;
     std::uint64_t count_{0};   ///< Sequence numbers used so far.
+    std::uint64_t wakes_{0};   ///< Number of the last `wake_at`.
     attempt_id claim_attempt_; ///< Attempt of the claim; valid with `claim_held_`.
     stage stage_{stage::checking_limits};
     plan_step step_{plan_step::warm_first};
--- a/src/mangovane/routing/request_flow_attempt.cpp
+++ b/src/mangovane/routing/request_flow_attempt.cpp
@@ -277,7 +277,7 @@
 
 void request_flow::wake(time_point at)
 {
-    add_action(wake_at{std::min(at, request_.deadline)});
+    add_action(wake_at{std::min(at, request_.deadline), ++wakes_});
 }
 
 const account_policy* request_flow::account(const flow_context& ctx) const
--- a/test/process/fault_scenarios.cpp
+++ b/test/process/fault_scenarios.cpp
@@ -1,6 +1,7 @@
 // Faults and restarts in a small fleet of real processes on loopback: writes must run once and
 // streams must complete although routers are killed, paused or restarted or the store is down.
 #include <csignal>
+#include <future>
 #include <thread>
 
 #include <doctest/doctest.h>
@@ -71,6 +72,53 @@
     }
 }
 
+TEST_CASE("three routers that are all stopped and started again")
+{
+    // The owner of an endpoint rebuilds its ledger for some seconds after its start and refuses
+    // slots meanwhile; a request that does not try again afterwards waits until its deadline. With
+    // one service, one of the routers owns the only endpoint and refuses its own requests.
+    fleet small{{3, 3, 1}};
+    REQUIRE(send(small.router_address(0), keyed_write("before")).status == 200);
+    for (std::size_t n = 0; n != small.routers(); ++n)
+    {
+        small.router(n).signal(SIGTERM);
+    }
+    for (std::size_t n = 0; n != small.routers(); ++n)
+    {
+        CHECK(small.router(n).wait(milliseconds{15000}) == 0);
+    }
+    for (std::size_t n = 0; n != small.routers(); ++n)
+    {
+        small.start_router(n);
+    }
+    for (std::size_t n = 0; n != small.routers(); ++n)
+    {
+        CHECK(eventually([&] { return small.is_ready(n); }, milliseconds{15000}));
+    }
+
+    SUBCASE("answer the repeat of a completed key with its stored response, at each of them")
+    {
+        for (std::size_t n = 0; n != small.routers(); ++n)
+        {
+            CHECK(send(small.router_address(n), keyed_write("before")).status == 200);
+        }
+        CHECK(small.runs().at("before") == 1);
+    }
+    SUBCASE("answer requests sent at once to each of them")
+    {
+        std::vector<std::future<http_response>> calls;
+        for (std::size_t n = 0; n != small.routers(); ++n)
+        {
+            calls.push_back(std::async(std::launch::async, send, small.router_address(n),
+                                       unkeyed_write("single-" + std::to_string(n))));
+        }
+        for (auto& it : calls)
+        {
+            CHECK(it.get().status == 200);
+        }
+    }
+}
+
 TEST_CASE("three routers while the table store is down")
 {
     fleet small{{3, 3, 3}};
--- a/test/stateful/fleet_port.cpp
+++ b/test/stateful/fleet_port.cpp
@@ -125,7 +125,11 @@
 
 void fleet_port::wake(const wake_at& action)
 {
-    wake_at_ = action.at;
+    if (action.number > last_wake_)
+    {
+        last_wake_ = action.number;
+        wake_at_ = action.at;
+    }
 }
 
 } // namespace mangovane::test
--- a/test/stateful/fleet_port.hpp
+++ b/test/stateful/fleet_port.hpp
@@ -47,6 +47,7 @@
     std::uint64_t call_;
     std::uint64_t number_{0};
     std::optional<time_point> wake_at_;
+    std::uint64_t last_wake_{0}; ///< Number of the wake that set `wake_at_`.
     std::uint64_t response_of_{0};
     bool closed_{false};
 };
