Handle pending claims oldest first, and in the same order in each run

Cause of the varying number of assertions in test_idempotency (1,467 to 1,499): a tick visited the tasks in the order of a hash map, whose seed differs between processes. The order decided which task drew which outcome in the seeded schedule, and which tasks got one of the 16 reads in flight.

Change: a tick visits the tasks in the order of their ids, so that the oldest read first.

--- a/src/mangovane/idempotency/claim_writer.cpp
+++ b/src/mangovane/idempotency/claim_writer.cpp
@@ -1,6 +1,7 @@
 // Implementation of the claim writer: tasks in shards, a write queue, and the calls of the table.
 #include "mangovane/idempotency/claim_writer.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <utility>
 #include <vector>
@@ -58,6 +59,15 @@
     void tick(time_point now);
     void close();
 
+    /// What a tick has to do once it holds no lock.
+    struct due_work
+    {
+        std::vector<std::function<void()>> completions;
+        std::vector<std::pair<std::uint64_t, std::string>> reads; ///< Task and row key.
+    };
+
+    [[nodiscard]] std::vector<std::uint64_t> task_ids(); ///< In ascending order.
+    void collect_due(std::uint64_t id, time_point now, due_work& out);
     void send_due_writes(time_point now);
     std::vector<table_write> start_writes(const std::vector<queued_write>& items,
                                           std::vector<std::uint64_t>& tasks_written);
@@ -144,41 +154,65 @@
     add(std::move(task), now);
 }
 
-void claim_writer::state::tick(time_point now)
+std::vector<std::uint64_t> claim_writer::state::task_ids()
 {
-    last_now = now.time_since_epoch().count();
-    std::vector<std::function<void()>> completions;
-    std::vector<std::pair<std::uint64_t, std::string>> reads;
-    const auto visit = [&](auto& entries)
-    {
-        for (auto it = entries.begin(); it != entries.end();)
+    std::vector<std::uint64_t> result;
+    tasks.for_each_shard(
+        [&](const auto& entries)
         {
-            auto& task = it->second;
-            auto result = task.expire(now, abandon_retry_time);
-            if (result.completion)
-            {
-                completions.push_back(std::move(result.completion));
-            }
-            if (result.ended)
+            for (const auto& [id, task] : entries)
             {
-                remove_from_counts(task);
-                entries.erase(it++);
-                continue;
+                result.push_back(id);
             }
-            if (reads_in_flight + reads.size() < max_reads_in_flight && task.start_read(now))
-            {
-                reads.emplace_back(it->first, task.row_key());
-            }
-            ++it;
-        }
-    };
-    tasks.for_each_shard(visit);
-    for (const auto& [id, row_key] : reads)
+        });
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+void claim_writer::state::collect_due(std::uint64_t id, time_point now, due_work& out)
+{
+    tasks.with_shard(id,
+                     [&](auto& entries)
+                     {
+                         const auto it = entries.find(id);
+                         if (it == entries.end())
+                         {
+                             return;
+                         }
+                         auto& task = it->second;
+                         auto result = task.expire(now, abandon_retry_time);
+                         if (result.completion)
+                         {
+                             out.completions.push_back(std::move(result.completion));
+                         }
+                         if (result.ended)
+                         {
+                             remove_from_counts(task);
+                             entries.erase(it);
+                         }
+                         else if (reads_in_flight + out.reads.size() < max_reads_in_flight &&
+                                  task.start_read(now))
+                         {
+                             out.reads.emplace_back(id, task.row_key());
+                         }
+                     });
+}
+
+void claim_writer::state::tick(time_point now)
+{
+    last_now = now.time_since_epoch().count();
+    due_work due;
+    // The oldest tasks read first, as the number of reads in flight is limited.
+    for (const auto id : task_ids())
+    {
+        collect_due(id, now, due);
+    }
+    for (const auto& [id, row_key] : due.reads)
     {
         read_row(id, row_key, now);
     }
     send_due_writes(now);
-    for (const auto& it : completions)
+    for (const auto& it : due.completions)
     {
         it();
     }
