Judge the reachability of a failure domain as a whole

Change: domain_reachability suspects a domain after one unreachable endpoint when its instances have fallen silent too, otherwise after three without a response in between; its endpoints are then chosen last, for 0.4 s at first and 3.2 s at most, until one responds.

--- a/src/mangovane/daemon/request_log.hpp
+++ b/src/mangovane/daemon/request_log.hpp
@@ -22,6 +22,8 @@
     void on_request_end(const request_record& record) override;
     void on_early_refusal(error_kind kind) override;
     void on_dropped_answer() override { next_.on_dropped_answer(); }
+    void on_failed_attempt(std::string_view result) override { next_.on_failed_attempt(result); }
+    void on_caller_stall() override { next_.on_caller_stall(); }
 
 private:
     request_observer& next_;
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -94,6 +94,11 @@
     else if constexpr (std::is_same_v<Message, load_digest>)
     {
         tracker_.on_digest(from, it, now);
+        const auto members = view();
+        if (const auto* sender = members->find(from))
+        {
+            domains_.on_message(sender->domain, now);
+        }
     }
     else if constexpr (std::is_same_v<Message, endpoint_update>)
     {
@@ -202,6 +207,20 @@
 void forward_core::finish(endpoint_id endpoint, health_outcome outcome, time_point now)
 {
     tracker_.on_finished(endpoint, outcome, now);
+    const auto routes = state_.routes();
+    const auto* info = routes->find(endpoint);
+    if (info == nullptr || outcome == health_outcome::cancelled)
+    {
+        return;
+    }
+    if (outcome == health_outcome::unreachable)
+    {
+        domains_.on_unreachable(info->domain, endpoint, now);
+    }
+    else if (outcome != health_outcome::failed)
+    {
+        domains_.on_response(info->domain);
+    }
 }
 
 forward_core::candidate_set forward_core::collect_candidates(const routing_table& routes,
@@ -211,6 +230,12 @@
 {
     candidate_set result;
     const auto& listed = routes.endpoints().of_service(service);
+    const auto suspected_domains = domains_.suspected(now);
+    const auto is_suspected = [&](domain_id it)
+    {
+        return std::find(suspected_domains.begin(), suspected_domains.end(), it) !=
+               suspected_domains.end();
+    };
     std::vector<attempt_counts> counts;
     double total = 0;
     for (const auto* it : listed)
@@ -220,7 +245,8 @@
         const bool tried = std::find(excluded.begin(), excluded.end(), it->id) != excluded.end();
         if (!tried && !routes.closed(it->id))
         {
-            result.candidates.push_back({it->id, it->domain, snapshot.load, snapshot.suspended});
+            const bool avoided = snapshot.suspended || is_suspected(it->domain);
+            result.candidates.push_back({it->id, it->domain, snapshot.load, avoided});
             counts.push_back(snapshot.counts);
         }
     }
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "mangovane/forward/domain_reachability.hpp"
 #include "mangovane/forward/endpoint_chooser.hpp"
 #include "mangovane/forward/endpoint_tracker.hpp"
 #include "mangovane/forward/feed_distributor.hpp"
@@ -207,6 +208,7 @@
     endpoint_catalog catalog_;
     feed_distributor feed_;
     endpoint_tracker tracker_;
+    domain_reachability domains_;
     prefix_locations prefixes_;
     local_retry_budget retries_;
     fleet_size fleet_size_;
--- a/src/mangovane/forward/fwd.hpp
+++ b/src/mangovane/forward/fwd.hpp
@@ -10,6 +10,7 @@
 struct dispatch_target;
 struct endpoint_snapshot;
 struct placement_context;
+class domain_reachability;
 class endpoint_tracker;
 class endpoint_record;
 class endpoint_chooser;
--- a/src/mangovane/forward/placement_rule.hpp
+++ b/src/mangovane/forward/placement_rule.hpp
@@ -21,7 +21,7 @@
     endpoint_id endpoint;
     domain_id domain;
     std::uint32_t load{0}; ///< Requests in flight over all instances.
-    bool avoided{false};   ///< Suspended, or fails more often than the others.
+    bool avoided{false}; ///< Suspended, in a suspected domain, or fails more often than the others.
 
     auto operator<=>(const placement_candidate&) const = default;
 };
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -394,6 +394,7 @@
     }
     const auto name = result_names[static_cast<std::size_t>(result)];
     const auto now = clock::now();
+    services_.observer.on_failed_attempt(name);
     const auto time = std::chrono::duration_cast<milliseconds>(now - current_->dispatched_at);
     services_.log.write(
         absl::StrCat("event=attempt_ended request=", current_->flow->request().request,
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -320,6 +320,7 @@
     ++timer_generation_;
     if (ec && clock::now() >= give_up_at)
     {
+        services_.observer.on_caller_stall();
         services_.log.write(absl::StrCat("event=caller_stalled request=",
                                          services_.dialect.request_id(current_->message),
                                          " ms=", elapsed(now, give_up_at).count()),
--- a/src/mangovane/observe/request_metrics.cpp
+++ b/src/mangovane/observe/request_metrics.cpp
@@ -46,6 +46,12 @@
     add(labels_.count(record.account, record.account_name) ? accounts_[record.account] : other_);
 }
 
+void request_metrics::on_failed_attempt(std::string_view result)
+{
+    const std::lock_guard lock{mutex_};
+    ++failed_attempts_[to_std(result)];
+}
+
 void request_metrics::rotate_labels()
 {
     const std::lock_guard lock{mutex_};
@@ -94,7 +100,12 @@
     {
         absl::StrAppend(&out, "mangovane_requests_total{outcome=\"", outcome, "\"} ", n, "\n");
     }
+    for (const auto& [result, n] : failed_attempts_)
+    {
+        absl::StrAppend(&out, "mangovane_failed_attempts_total{result=\"", result, "\"} ", n, "\n");
+    }
     absl::StrAppend(&out, "mangovane_dropped_answers_total ", dropped_answers_.load(), "\n");
+    absl::StrAppend(&out, "mangovane_caller_stalls_total ", caller_stalls_.load(), "\n");
     absl::StrAppend(&out, "mangovane_affinity_requests_total ", affinity_requests_, "\n");
     absl::StrAppend(&out, "mangovane_affinity_kept_total ", affinity_kept_, "\n");
     for (const auto& it : error_descriptors())
--- a/src/mangovane/observe/request_metrics.hpp
+++ b/src/mangovane/observe/request_metrics.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -33,6 +34,8 @@
         ++early_refusals_[static_cast<std::size_t>(kind)];
     }
     void on_dropped_answer() override { ++dropped_answers_; }
+    void on_failed_attempt(std::string_view result) override;
+    void on_caller_stall() override { ++caller_stalls_; }
 
     /// Assigns the labels to approximately the busiest accounts since the last call. Call once per
     /// minute.
@@ -73,10 +76,12 @@
     class_histograms other_;                        ///< All other accounts. Guarded by `mutex_`.
     class_histograms all_;                          ///< Every account. Guarded by `mutex_`.
     std::map<std::string, std::uint64_t> outcomes_; ///< Requests by outcome. Guarded by `mutex_`.
-    std::uint64_t affinity_requests_{0};            ///< Guarded by `mutex_`.
-    std::uint64_t affinity_kept_{0};                ///< Guarded by `mutex_`.
+    std::map<std::string, std::uint64_t> failed_attempts_; ///< By result. Guarded by `mutex_`.
+    std::uint64_t affinity_requests_{0};                   ///< Guarded by `mutex_`.
+    std::uint64_t affinity_kept_{0};                       ///< Guarded by `mutex_`.
     std::array<std::atomic<std::uint64_t>, error_kind_count> early_refusals_{}; ///< By kind.
     std::atomic<std::uint64_t> dropped_answers_{0};
+    std::atomic<std::uint64_t> caller_stalls_{0};
 };
 
 } // namespace mangovane
--- a/src/mangovane/observe/request_record.hpp
+++ b/src/mangovane/observe/request_record.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "mangovane/core/error_kind.hpp"
 #include "mangovane/core/id.hpp"
@@ -38,6 +39,9 @@
     virtual void on_request_end(const request_record& record) = 0;
     virtual void on_early_refusal(error_kind kind) = 0; ///< Refused before routing.
     virtual void on_dropped_answer() = 0; ///< A late or mismatched response was dropped.
+    /// An attempt at an endpoint did not deliver a response; `result` names the reason.
+    virtual void on_failed_attempt(std::string_view result) = 0;
+    virtual void on_caller_stall() = 0; ///< A caller accepted no more data and was disconnected.
 };
 
 } // namespace mangovane
--- a/test/mangovane/daemon/metric_names.cpp
+++ b/test/mangovane/daemon/metric_names.cpp
@@ -43,6 +43,7 @@
     request_metrics metrics;
     metrics.on_request_end(make_record());
     metrics.on_early_refusal(error_kind::unauthenticated);
+    metrics.on_failed_attempt("broken");
     return metrics.text(true) + fleet_status_provider{core}.metrics_text() +
            traffic_metrics({}, 0) + settings_age_metric(std::nullopt);
 }
--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -454,3 +454,76 @@
         }
     }
 }
+
+TEST_CASE("a failure domain that is cut off")
+{
+    // Judged endpoint by endpoint, each request would pay several connection timeouts.
+    constexpr std::size_t endpoint_count = 24;
+    forward_fleet fleet{6};
+    const auto settings = test::make_settings(10);
+    for (auto& it : fleet.cores)
+    {
+        it->adopt_settings(settings, start);
+        it->catalog().replace(many_entries(endpoint_count), endpoint_count, start);
+        it->refresh(start);
+    }
+    fleet.run(seconds{2});
+    const auto lost = domain_id::of("lekki-b");
+    const auto routes = fleet.cores[0]->state().routes();
+    for (const std::size_t n : {1U, 3U, 5U})
+    {
+        fleet.isolated[n] = true;
+    }
+    fleet.run(domain_reachability::silence_timeout + milliseconds{200});
+
+    std::size_t unreachable = 0;
+    std::size_t most_for_one_request = 0;
+    for (std::uint64_t chat = 1; chat != 101; ++chat)
+    {
+        std::vector<endpoint_id> tried;
+        for (bool reached = false; !reached;)
+        {
+            const auto request = make_request(settings, "review", chat, fleet.now);
+            const auto it = fleet.cores[0]->choose(request, tried, fleet.now);
+            REQUIRE(it);
+            tried.push_back(it->endpoint);
+            reached = routes->find(it->endpoint)->domain != lost;
+            fleet.cores[0]->finish(it->endpoint,
+                                   reached ? health_outcome::answered : health_outcome::unreachable,
+                                   fleet.now);
+        }
+        unreachable += tried.size() - 1;
+        most_for_one_request = std::max(most_for_one_request, tried.size() - 1);
+        fleet.run(milliseconds{50});
+    }
+
+    SUBCASE("costs a request at most one attempt that does not reach its endpoint")
+    {
+        CHECK(most_for_one_request <= 1);
+    }
+    SUBCASE("is tried again by few requests: 100 requests within 5 s")
+    {
+        // After 0.4, 0.8, 1.6 and 3.2 s.
+        CHECK(unreachable >= 2);
+        CHECK(unreachable <= 5);
+    }
+    SUBCASE("gets requests again as soon as one of its endpoints responds")
+    {
+        fleet.run(domain_reachability::longest_suspicion);
+        for (std::size_t n = 0; n != endpoint_count; ++n)
+        {
+            const auto id = endpoint_id::of("engine-" + std::to_string(n));
+            fleet.cores[0]->finish(id, health_outcome::answered, fleet.now);
+        }
+        std::size_t there = 0;
+        for (std::uint64_t chat = 200; chat != 240; ++chat)
+        {
+            const auto request = make_request(settings, "review", chat, fleet.now);
+            const auto it = fleet.cores[0]->choose(request, {}, fleet.now);
+            REQUIRE(it);
+            there += routes->find(it->endpoint)->domain == lost ? 1U : 0U;
+            fleet.cores[0]->finish(it->endpoint, health_outcome::answered, fleet.now);
+        }
+        CHECK(there >= 10);
+    }
+}
