--- a/src/mangovane/store/table_watch.cpp
+++ b/src/mangovane/store/table_watch.cpp
@@ -23,6 +23,11 @@
 /// store.
 constexpr milliseconds batch_delay{300};
 
+/// Delay from a snapshot to the first long poll. An instance that starts usually learns meanwhile
+/// that another one reads the store for it; in a fleet that starts at once, the polls of all would
+/// otherwise be completed by each endpoint that registers.
+constexpr milliseconds snapshot_delay{800};
+
 constexpr milliseconds initial_backoff{100};
 constexpr milliseconds max_backoff{800};
 
@@ -114,7 +119,7 @@
     sink_.on_snapshot(std::exchange(rows_, {}), page->revision);
     revision_ = page->revision;
     backoff_ = initial_backoff;
-    read_changes();
+    schedule_after(snapshot_delay, &table_watch::read_changes);
 }
 
 void table_watch::read_changes()
