--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -114,6 +114,19 @@
     // Implemented in forward_attempt.cpp: attempts at endpoints.
     boost::asio::awaitable<attempt_result> attempt(const send_step& step);
     boost::asio::awaitable<attempt_result> read_answer(const send_step& step);
+    /// Result of an attempt whose connection ended early: the caller disconnected, a timeout, or
+    /// else `fallback`.
+    [[nodiscard]] attempt_result early_end_result(attempt_result fallback) const;
+    [[nodiscard]] std::string upstream_head_text(const send_step& step) const;
+    /// Starts the timer that closes the call.
+    void set_timer(time_point at);
+    /// Starts the timer for the next event of a stream.
+    void set_event_timer(const send_step& step);
+    void on_timer(std::uint64_t generation);
+    void log_dispatch(const send_step& step) const;
+    void log_result(const send_step& step, attempt_result result) const;
+
+    // Implemented in forward_relay.cpp: relay of responses.
     boost::asio::awaitable<attempt_result> read_failure();
     boost::asio::awaitable<attempt_result> relay_buffered();
     boost::asio::awaitable<held_body> hold_body(buffered_response& answer);
@@ -127,17 +140,6 @@
     /// Head of a response that is relayed while it is being read; from then on it can only be
     /// continued.
     [[nodiscard]] std::string begin_response(response_head head, const body_framing& framing);
-    /// Result of an attempt whose connection ended early: the caller disconnected, a timeout, or
-    /// else `fallback`.
-    [[nodiscard]] attempt_result early_end_result(attempt_result fallback) const;
-    [[nodiscard]] std::string upstream_head_text(const send_step& step) const;
-    /// Starts the timer that closes the call.
-    void set_timer(time_point at);
-    /// Starts the timer for the next event of a stream.
-    void set_event_timer(const send_step& step);
-    void on_timer(std::uint64_t generation);
-    void log_dispatch(const send_step& step) const;
-    void log_result(const send_step& step, attempt_result result) const;
 
     boost::beast::tcp_stream stream_;
     forward_services& services_;
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -193,8 +193,8 @@
 
 TEST_CASE("a table watch that is stopped soon after its first snapshot has made one call")
 {
-    // When a large fleet starts, each instance reads the store until it knows that another one does;
-    // a long poll in this time is completed by the next change, and repeated.
+    // When a large fleet starts, each instance reads the store until it knows that another one
+    // does; a long poll in this time is completed by the next change, and repeated.
     standin::fleet_store store;
     store.put("servers", "one", "first");
     test::hosted_server host{[&](const standin::request& req, standin::reply& rep)
