Check the calls that the injected shutdown fault aborts

Cause: the stateful test plants a shutdown that aborts running calls and expects the oracle to find it.

Change: the aborted calls go through check_call_outcome like all others.

--- a/test/stateful/fleet_faults.cpp
+++ b/test/stateful/fleet_faults.cpp
@@ -67,9 +67,11 @@
     {
         for (auto& it : calls_)
         {
-            it.end = it.node == node.index && it.end == call_outcome::pending
-                         ? call_outcome::aborted
-                         : it.end;
+            if (it.node == node.index && it.end == call_outcome::pending)
+            {
+                it.end = call_outcome::aborted;
+                check_call_outcome(it);
+            }
         }
         node.ports.clear();
         node.alive = false;
