--- a/src/mangovane/core/fwd.hpp
+++ b/src/mangovane/core/fwd.hpp
@@ -12,6 +12,7 @@
 
 struct attempt_id;
 struct error_descriptor;
+struct prompt_part;
 enum class error_kind : std::uint8_t;
 
 template <class Key, class Value, std::size_t Shards>
--- a/src/mangovane/forward/forward_request.hpp
+++ b/src/mangovane/forward/forward_request.hpp
@@ -3,24 +3,17 @@
 #define MANGOVANE_FORWARD_FORWARD_REQUEST_HPP
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
 #include "mangovane/core/hash.hpp"
+#include "mangovane/core/prompt_part.hpp"
 #include "mangovane/settings/snapshot.hpp"
 
 namespace mangovane
 {
 
-/// One part of a prompt. Requests whose first parts are equal share a prefix.
-struct prompt_part
-{
-    std::uint64_t id{0};
-    std::uint32_t tokens{0};
-
-    auto operator<=>(const prompt_part&) const = default;
-};
-
 struct forward_request
 {
     std::string request;         ///< Id that the caller gave the request, for logs.
@@ -54,6 +47,12 @@
         return affinity() == 0 || last_shared() == 0 ? 0 : hash_combine(prompt.front().id, 1);
     }
 
+    /// The parts that other requests may share: all but the last one. Empty when there is only one.
+    [[nodiscard]] std::span<const prompt_part> shared_parts() const noexcept
+    {
+        return {prompt.data(), prompt.empty() ? 0 : prompt.size() - 1};
+    }
+
     bool operator==(const forward_request&) const = default;
 
 private:
--- a/src/mangovane/forward/fwd.hpp
+++ b/src/mangovane/forward/fwd.hpp
@@ -6,7 +6,6 @@
 {
 
 struct forward_request;
-struct prompt_part;
 struct dispatch_target;
 struct endpoint_snapshot;
 struct placement_context;
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -186,6 +186,7 @@
                      " attempt=", step.attempt, " endpoint=", step.target.name,
                      " load=", step.target.load, " allowed=", step.target.load_limit, " options=",
                      step.target.eligible_endpoints, " affinity=", absl::Hex(request.affinity()),
+                     " parts=", part_ids_text(request.shared_parts()),
                      " prefix_source=", step.target.prefix_source,
                      " resumes=", step.resumes ? 1 : 0, " settings=", step.target.settings_version),
         clock::now());
@@ -205,6 +206,8 @@
         absl::StrCat("event=attempt_ended request=", current_->flow->request().request,
                      " attempt=", step.attempt, " endpoint=", step.target.name,
                      " result=", absl::string_view{name.data(), name.size()}, " ms=", time.count(),
+                     " answered=", current_->flow->response_started() ? 1 : 0,
+                     " parts=", part_ids_text(current_->flow->request().shared_parts()),
                      " error=", error_text(current_->endpoint_error)),
         now);
 }
--- a/test/platform/dialect.cpp
+++ b/test/platform/dialect.cpp
@@ -85,7 +85,8 @@
         CHECK(it->route->name == "review");
         CHECK(it->account_name == "t1");
         CHECK(it->urgency == 1);
-        CHECK(it->prompt.size() == 3);
+        REQUIRE(it->prompt.size() == 3);
+        CHECK(part_ids_text(it->shared_parts()) == "5c1e07a2,91bd3f06");
         CHECK(it->deadline == now + milliseconds{5000});
     }
     SUBCASE("has the same affinity as others of its chat; the last part of the prompt is ignored")
@@ -96,6 +97,13 @@
         head.set("X-Prefix-Hash", "5c1e07a2:800,bbbb:410,aaaa:10");
         CHECK(dialect.read(head, settings, now)->affinity() != one);
     }
+    SUBCASE("whose prompt's parts are not named by numbers is told apart by them nevertheless")
+    {
+        head.set("X-Prefix-Hash", "first text:800,second text:410,e4402b7d:250");
+        const auto one = dialect.read(head, settings, now);
+        CHECK(one->prompt[0].id != one->prompt[1].id);
+        CHECK(one->prompt[0].id != 0);
+    }
     SUBCASE("with a malformed prompt field is served nevertheless")
     {
         head.set("X-Prefix-Hash", ":,x,1:y,,");
