--- a/src/mangovane/core/error_kind.cpp
+++ b/src/mangovane/core/error_kind.cpp
@@ -29,6 +29,7 @@
     {error_kind::queue_full, "queue_full", 429, true, true, 1},
     {error_kind::overloaded, "overloaded", 503, true, true, 1},
     {error_kind::no_endpoint, "no_endpoint", 503, true, true, 1},
+    {error_kind::prompt_quarantined, "prompt_quarantined", 503, true, true, 30},
     {error_kind::store_unavailable, "store_unavailable", 503, true, true, 2},
     {error_kind::not_ready, "not_ready", 503, true, true, 1},
     {error_kind::deadline_exceeded, "deadline_exceeded", 504, true, true, 0},
--- a/src/mangovane/core/error_kind.hpp
+++ b/src/mangovane/core/error_kind.hpp
@@ -33,6 +33,7 @@
     queue_full,
     overloaded,
     no_endpoint,
+    prompt_quarantined,
     store_unavailable,
     not_ready,
     deadline_exceeded,
--- a/src/mangovane/core/time.hpp
+++ b/src/mangovane/core/time.hpp
@@ -33,6 +33,18 @@
     return now + milliseconds{remaining};
 }
 
+/// Time since a moment in milliseconds; the counterpart of `remaining_ms` for the past.
+[[nodiscard]] constexpr std::uint32_t elapsed_ms(time_point since, time_point now) noexcept
+{
+    return remaining_ms(now, since);
+}
+
+/// Moment from the time since it that was received from another process.
+[[nodiscard]] constexpr time_point moment_from(std::uint32_t elapsed, time_point now) noexcept
+{
+    return now - milliseconds{elapsed};
+}
+
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -15,7 +15,9 @@
 #include <boost/asio/strand.hpp>
 #include <unistd.h>
 
+#include "mangovane/daemon/forward_metrics.hpp"
 #include "mangovane/daemon/process.hpp"
+#include "mangovane/daemon/quarantine_pages.hpp"
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/forward_server.hpp"
 #include "mangovane/net/monitoring_server.hpp"
@@ -88,17 +90,15 @@
                 { core.on_message(from, msg, clock::now()); }},
           core{core_options, peers, adapter.parser, clock::now()}, discovery{core, log},
           services{core, adapter.dialect, log, metrics, leaving, {}}, server{io, services},
-          ready_pages{io, [this](std::string_view) { return ready_page(); }},
-          metric_pages{io,
-                       [this](std::string_view) {
-                           return monitoring_response{200, {}, metrics_text()};
-                       }},
+          ready_pages{io, [this](const monitoring_request&) { return ready_page(); }},
+          metric_pages{io, [this](const monitoring_request& req) { return operator_page(req); }},
           source{adapter.make_source(io, discovery, options)}, stop_signals{io, SIGTERM, SIGINT},
           reload_signals{io, SIGHUP}, ticker{asio::make_strand(io)}, stop_timer{io}
     {}
 
     [[nodiscard]] absl::Status listen();
     [[nodiscard]] monitoring_response ready_page() const;
+    [[nodiscard]] monitoring_response operator_page(const monitoring_request& req);
     [[nodiscard]] std::string metrics_text();
     void tick();
     void log_pause(time_point now);
@@ -165,12 +165,16 @@
 {
     const auto settings = core.settings();
     const auto traffic = peers.traffic();
-    auto text = metrics.text(true);
-    absl::StrAppend(&text, "mangovane_settings_version ", settings ? settings->stamp.version : 0,
-                    "\nmangovane_peer_bytes_sent_total ", traffic.bytes_sent,
-                    "\nmangovane_peer_bytes_received_total ", traffic.bytes_received,
-                    "\nmangovane_log_lines_dropped_total ", log.dropped(), "\n");
-    return describe_metrics(text);
+    const forward_state state{settings ? settings->stamp.version : 0,
+                              core.quarantine().refused(clock::now()).size(), traffic.bytes_sent,
+                              traffic.bytes_received, log.dropped()};
+    return describe_metrics(metrics.text(true) + forward_metrics(state));
+}
+
+monitoring_response forward_router::state::operator_page(const monitoring_request& req)
+{
+    auto page = quarantine_page(core.quarantine(), req, clock::now());
+    return page ? std::move(*page) : monitoring_response{200, {}, metrics_text()};
 }
 
 void forward_router::state::log_pause(time_point now)
@@ -234,6 +238,7 @@
     log_pause(now);
     core.tick(now);
     discovery.tick(now);
+    log_quarantine_changes(core.quarantine(), log, now);
     update_reading(now);
     source->tick(now);
     apply_view(now);
--- a/src/mangovane/forward/endpoint_chooser.hpp
+++ b/src/mangovane/forward/endpoint_chooser.hpp
@@ -5,9 +5,13 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
+#include <variant>
 
+#include "mangovane/core/error_kind.hpp"
 #include "mangovane/forward/endpoint_record.hpp"
 #include "mangovane/forward/forward_request.hpp"
+#include "mangovane/quarantine/part_record.hpp"
 
 namespace mangovane
 {
@@ -16,8 +20,9 @@
 struct dispatch_target
 {
     endpoint_id endpoint;
-    std::string name;    ///< Name of the endpoint; it rejects requests addressed to another name.
-    std::string address; ///< `ip:port`
+    std::string name;     ///< Name of the endpoint; it rejects requests addressed to another name.
+    std::string address;  ///< `ip:port`
+    incarnation epoch{0}; ///< Incarnation of the endpoint that was chosen.
     std::string prefix_source; ///< `ip:port` of an endpoint that should hold the prefix in its
                                ///< cache; empty: none.
     /// Requests in flight at the endpoint when it was chosen, over all instances.
@@ -29,19 +34,67 @@
     bool operator==(const dispatch_target&) const = default;
 };
 
+/// Why no endpoint was chosen.
+struct choice_refusal
+{
+    error_kind kind{error_kind::no_endpoint};
+    time_point retry_at{};               ///< When the caller may try again; zero: unknown.
+    std::optional<part_verdict> verdict; ///< Why, if a part of the prompt is quarantined.
+
+    auto operator<=>(const choice_refusal&) const = default;
+};
+
+/// The chosen endpoint, or why there is none.
+class dispatch_choice
+{
+public:
+    dispatch_choice(dispatch_target target) : result_{std::move(target)} {}
+    dispatch_choice(choice_refusal refusal = {}) : result_{refusal} {}
+
+    [[nodiscard]] bool has_value() const noexcept
+    {
+        return std::holds_alternative<dispatch_target>(result_);
+    }
+    [[nodiscard]] explicit operator bool() const noexcept { return has_value(); }
+
+    /// Only if there is a value.
+    [[nodiscard]] const dispatch_target& operator*() const { return std::get<0>(result_); }
+    [[nodiscard]] const dispatch_target* operator->() const { return &std::get<0>(result_); }
+
+    /// Only if there is no value.
+    [[nodiscard]] const choice_refusal& refusal() const { return std::get<1>(result_); }
+
+    bool operator==(const dispatch_choice&) const = default;
+
+private:
+    std::variant<dispatch_target, choice_refusal> result_;
+};
+
 class endpoint_chooser
 {
 public:
     virtual ~endpoint_chooser() = default;
 
-    /// Chooses an endpoint and counts the attempt as started there; nothing when no endpoint
-    /// accepts the request. Endpoints in `excluded` are not chosen.
-    [[nodiscard]] virtual std::optional<dispatch_target> choose(
-        const forward_request& request, std::span<const endpoint_id> excluded, time_point now) = 0;
+    /// Chooses an endpoint and counts the attempt as started there. Endpoints in `excluded` are not
+    /// chosen.
+    [[nodiscard]] virtual dispatch_choice choose(const forward_request& request,
+                                                 std::span<const endpoint_id> excluded,
+                                                 time_point now) = 0;
 
     /// Records the end of an attempt that `choose` started.
     virtual void finish(endpoint_id endpoint, health_outcome outcome, time_point now) = 0;
 
+    /// Records that an endpoint has begun to answer the request.
+    virtual void on_answer(const forward_request& request, time_point now) = 0;
+
+    /// Records that an endpoint, in the incarnation that was chosen, crashed before it began to
+    /// answer the request. Returns whether the request may be sent again: no part of its prompt is
+    /// suspected of another crash.
+    [[nodiscard]] virtual bool on_crash(const forward_request& request,
+                                        endpoint_id endpoint,
+                                        incarnation epoch,
+                                        time_point now) = 0;
+
     /// Takes one retry from the budget of the service; false when the budget is exhausted.
     [[nodiscard]] virtual bool try_retry(service_id service, time_point now) = 0;
 };
--- a/src/mangovane/forward/endpoint_record.cpp
+++ b/src/mangovane/forward/endpoint_record.cpp
@@ -48,6 +48,7 @@
         ++current_.failures;
         break;
     case health_outcome::unreachable:
+    case health_outcome::crashed:
         ++current_.failures;
         suspend(next_suspension_, now);
         next_suspension_ = std::min<duration>(next_suspension_ * 2, longest_suspension);
--- a/src/mangovane/forward/endpoint_record.hpp
+++ b/src/mangovane/forward/endpoint_record.hpp
@@ -12,8 +12,8 @@
 
 /// Outcome of an attempt as it counts for the health of the endpoint. Of `attempt_result`,
 /// `delivered` counts as `answered`, `not_sent` as `unreachable`, `refused` as `full`,
-/// `misdirected` as `replaced`, `caller_left` and `outdated` as `cancelled`, and all others as
-/// `failed`.
+/// `misdirected` as `replaced`, `crashed` as `crashed`, `caller_left` and `outdated` as
+/// `cancelled`, and all others as `failed`.
 enum class health_outcome : std::uint8_t
 {
     answered,    ///< A usable response.
@@ -21,6 +21,7 @@
     unreachable, ///< The connection could not be established.
     full,        ///< The endpoint rejected the request for lack of capacity.
     replaced,    ///< A different endpoint now uses the address.
+    crashed,     ///< The endpoint's process has ended.
     cancelled,   ///< Ended for a reason that is not the endpoint's fault.
 };
 
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -14,8 +14,9 @@
                            time_point now)
     : options_{std::move(options)}, sink_{sink}, state_{options_.self, options_.timing,
                                                         options_.seed},
-      settings_sync_{state_, std::move(parser), settings_query_interval},
-      feed_{state_, catalog_, now}, retries_{options_.fleet.retries}, fleet_size_{now}
+      settings_sync_{state_, std::move(parser), settings_query_interval}, feed_{state_, catalog_,
+                                                                                now},
+      retries_{options_.fleet.retries}, fleet_size_{now}, quarantine_{options_.seed}
 {}
 
 adopt_result forward_core::adopt_settings(settings_ptr settings, time_point now)
@@ -110,6 +111,14 @@
     {
         send(feed_.on(from, it, now));
     }
+    else if constexpr (std::is_same_v<Message, quarantine_update>)
+    {
+        auto response = quarantine_.on_update(it, now);
+        if (!response.empty())
+        {
+            sink_.send({from, std::move(response)});
+        }
+    }
     // Instances that forward by routes ignore all other messages.
 }
 
@@ -140,6 +149,7 @@
     refresh(now);
     fleet_size_.record(static_cast<std::uint32_t>(view()->members().size()), now);
     send_digest(now);
+    send_quarantine(now);
     {
         const std::lock_guard lock{mutex_};
         if (now < expired_at_ + expire_period)
@@ -178,15 +188,58 @@
         return;
     }
     const auto members = view();
-    for (const auto& it : members->members())
+    for (const auto* it : live_peers(*members))
+    {
+        const bool own_domain = it->domain == options_.self.domain;
+        if (own_domain ? local_due : remote_due)
+        {
+            sink_.send({it->id, digest});
+        }
+    }
+}
+
+std::vector<const member*> forward_core::live_peers(const membership_view& members) const
+{
+    std::vector<const member*> result;
+    for (const auto& it : members.members())
     {
         const bool live = it.state == member_state::alive || it.state == member_state::suspect;
-        const bool own_domain = it.domain == options_.self.domain;
-        if (live && it.id != options_.self.id && (own_domain ? local_due : remote_due))
+        if (live && it.id != options_.self.id)
+        {
+            result.push_back(&it);
+        }
+    }
+    return result;
+}
+
+void forward_core::send_quarantine(time_point now)
+{
+    const auto members = view();
+    const auto news = quarantine_.take_news(now);
+    if (!news.empty())
+    {
+        for (const auto* it : live_peers(*members))
         {
-            sink_.send({it.id, digest});
+            sink_.send({it->id, news});
         }
     }
+    std::uint64_t count = 0;
+    {
+        const std::lock_guard lock{mutex_};
+        if (now < summary_sent_at_ + quarantine_summary_period)
+        {
+            return;
+        }
+        summary_sent_at_ = now;
+        count = ++summary_count_;
+    }
+    const auto summary = quarantine_.summary(now);
+    const auto peers = summary.empty() ? std::vector<const member*>{} : live_peers(*members);
+    for (std::size_t n = 0; n != std::min(quarantine_summary_fanout, peers.size()); ++n)
+    {
+        const auto choice = hash_combine(hash_combine(options_.seed, count), n);
+        sink_.send({peers[choice % peers.size()]->id, summary});
+    }
 }
 
 void forward_core::leave(time_point now)
@@ -204,6 +257,20 @@
     return retries_.try_retry(service, fleet_size_.value(), now);
 }
 
+void forward_core::on_answer(const forward_request& request, time_point now)
+{
+    quarantine_.on_answer(request.shared_parts(), now);
+}
+
+bool forward_core::on_crash(const forward_request& request,
+                            endpoint_id endpoint,
+                            incarnation epoch,
+                            time_point now)
+{
+    const auto crash = hash_combine(endpoint.value(), epoch);
+    return quarantine_.on_crash(crash, request.shared_parts(), now);
+}
+
 void forward_core::finish(endpoint_id endpoint, health_outcome outcome, time_point now)
 {
     tracker_.on_finished(endpoint, outcome, now);
@@ -217,7 +284,7 @@
     {
         domains_.on_unreachable(info->domain, endpoint, now);
     }
-    else if (outcome != health_outcome::failed)
+    else if (outcome != health_outcome::failed && outcome != health_outcome::crashed)
     {
         domains_.on_response(info->domain);
     }
@@ -318,10 +385,15 @@
     return tracker_.try_admit_cold(candidate.endpoint, interval, first_wait, now);
 }
 
-std::optional<dispatch_target> forward_core::choose(const forward_request& request,
-                                                    std::span<const endpoint_id> excluded,
-                                                    time_point now)
+dispatch_choice forward_core::choose(const forward_request& request,
+                                     std::span<const endpoint_id> excluded,
+                                     time_point now)
 {
+    if (const auto verdict = quarantine_.check(request.shared_parts(), now))
+    {
+        return choice_refusal{error_kind::prompt_quarantined, now + prompt_quarantine::retry_delay,
+                              verdict};
+    }
     const auto routes = state_.routes();
     const auto eligible = collect_candidates(*routes, request.service, excluded, now);
     const auto allowed = options_.fleet.bound.allowed(eligible.mean_load);
@@ -333,7 +405,7 @@
                     [&](const placement_candidate& it) { return admit(*routes, it, now); });
     if (!chosen)
     {
-        return std::nullopt;
+        return choice_refusal{};
     }
     const auto& candidate = eligible.candidates[*chosen];
     const auto* endpoint = routes->find(candidate.endpoint);
@@ -349,6 +421,7 @@
     return dispatch_target{candidate.endpoint,
                            endpoint->name,
                            endpoint->address,
+                           endpoint->epoch,
                            std::move(source),
                            candidate.load,
                            allowed,
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -18,6 +18,7 @@
 #include "mangovane/forward/local_retry_budget.hpp"
 #include "mangovane/forward/placement_rule.hpp"
 #include "mangovane/forward/prefix_locations.hpp"
+#include "mangovane/quarantine/prompt_quarantine.hpp"
 #include "mangovane/routing/instance_state.hpp"
 #include "mangovane/routing/message_sink.hpp"
 #include "mangovane/routing/settings_sync.hpp"
@@ -86,13 +87,19 @@
     /// Counts an accepted request; it earns a share of the retry budget.
     void on_accepted(const forward_request& request);
 
-    [[nodiscard]] std::optional<dispatch_target> choose(const forward_request& request,
-                                                        std::span<const endpoint_id> excluded,
-                                                        time_point now) override;
+    [[nodiscard]] dispatch_choice choose(const forward_request& request,
+                                         std::span<const endpoint_id> excluded,
+                                         time_point now) override;
     void finish(endpoint_id endpoint, health_outcome outcome, time_point now) override;
+    void on_answer(const forward_request& request, time_point now) override;
+    [[nodiscard]] bool on_crash(const forward_request& request,
+                                endpoint_id endpoint,
+                                incarnation epoch,
+                                time_point now) override;
     [[nodiscard]] bool try_retry(service_id service, time_point now) override;
 
     [[nodiscard]] instance_state& state() noexcept { return state_; }
+    [[nodiscard]] prompt_quarantine& quarantine() noexcept { return quarantine_; }
     [[nodiscard]] endpoint_tracker& tracker() noexcept { return tracker_; }
     [[nodiscard]] settings_ptr settings() { return state_.settings().current(); }
     [[nodiscard]] view_ptr view() const { return state_.view(); }
@@ -127,6 +134,11 @@
     static constexpr std::size_t full_rate_fleet_size = 30;
     static constexpr milliseconds expire_period{1000};
 
+    /// While there is evidence against prompt parts, all of it is sent this often to as many other
+    /// instances, for those that were started, paused or cut off when it was found.
+    static constexpr milliseconds quarantine_summary_period{500};
+    static constexpr std::size_t quarantine_summary_fanout = 2;
+
     /// Time after the end of its cold period during which an endpoint may lack prefixes that others
     /// still hold.
     static constexpr seconds recently_cold_time{15};
@@ -197,6 +209,10 @@
                                                             time_point now);
     void send(const outgoing_messages& list);
     void send_digest(time_point now);
+    void send_quarantine(time_point now);
+
+    /// The other instances that are alive, as far as this one knows.
+    [[nodiscard]] std::vector<const member*> live_peers(const membership_view& members) const;
 
     /// Whether a digest is due for the own domain, or for the others; if so, counts it as sent.
     [[nodiscard]] bool take_digest_due(bool same_domain, const load_digest& digest, time_point now);
@@ -212,12 +228,15 @@
     prefix_locations prefixes_;
     local_retry_budget retries_;
     fleet_size fleet_size_;
+    prompt_quarantine quarantine_;
     std::mutex mutex_;
     /// End of the cold period of each re-enabled domain. Guarded by `mutex_`.
     absl::flat_hash_map<domain_id, time_point> cold_domains_;
-    sent_digest local_digest_;  ///< Last sent to the own domain. Guarded by `mutex_`.
-    sent_digest remote_digest_; ///< Last sent to other domains. Guarded by `mutex_`.
-    time_point expired_at_{};   ///< Last expiry of the tracker. Guarded by `mutex_`.
+    sent_digest local_digest_;       ///< Last sent to the own domain. Guarded by `mutex_`.
+    sent_digest remote_digest_;      ///< Last sent to other domains. Guarded by `mutex_`.
+    time_point expired_at_{};        ///< Last expiry of the tracker. Guarded by `mutex_`.
+    time_point summary_sent_at_{};   ///< Of the quarantine. Guarded by `mutex_`.
+    std::uint64_t summary_count_{0}; ///< Sent so far. Guarded by `mutex_`.
     std::atomic<std::uint64_t> choice_count_{0}; ///< Gives each choice its own tie-break seed.
 };
 
--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -53,16 +53,16 @@
     {
         return after_timeout(now);
     }
-    auto target = chooser_.choose(request_, excluded_, now);
-    if (!target)
+    const auto choice = chooser_.choose(request_, excluded_, now);
+    if (!choice)
     {
-        return response_started_ ? forward_step{finish_step{false}}
-                                 : refuse(error_kind::no_endpoint);
+        return refuse(choice.refusal(), now);
     }
-    endpoint_ = target->endpoint;
+    endpoint_ = choice->endpoint;
+    epoch_ = choice->epoch;
     excluded_.push_back(endpoint_);
-    send_step step{std::move(*target),   ++attempts_,       resumes,
-                   now + max_choice_age, time_point::max(), milliseconds{0}};
+    send_step step{*choice,           ++attempts_,    resumes, now + max_choice_age,
+                   time_point::max(), milliseconds{0}};
     const bool replaceable =
         request_.route->may_repeat() && possible_runs_ + 1 < request_.route->max_attempts;
     if (replaceable && request_.route->first_byte_goal.count() != 0)
@@ -86,6 +86,7 @@
         {health_outcome::replaced, false, &forward_flow::after_refusal},
         {health_outcome::failed, true, &forward_flow::after_error},
         {health_outcome::failed, true, &forward_flow::after_broken},
+        {health_outcome::crashed, true, &forward_flow::after_crash},
         {health_outcome::failed, true, &forward_flow::after_broken},
         {health_outcome::failed, true, &forward_flow::after_cut},
         {health_outcome::failed, true, &forward_flow::after_timeout},
@@ -123,8 +124,18 @@
     return std::exchange(retry_reserved_, false) || chooser_.try_retry(request_.service, now);
 }
 
-forward_step forward_flow::after_delivered(time_point)
+void forward_flow::on_response_started(time_point now)
 {
+    response_started_ = true;
+    chooser_.on_answer(request_, now);
+}
+
+forward_step forward_flow::after_delivered(time_point now)
+{
+    if (!response_started_)
+    {
+        chooser_.on_answer(request_, now);
+    }
     return finish_step{true};
 }
 
@@ -152,6 +163,14 @@
     return may_run_again(now) ? send(response_started_, now) : refuse(error_kind::endpoint_failed);
 }
 
+forward_step forward_flow::after_crash(time_point now)
+{
+    ++crashes_;
+    const bool may_repeat = chooser_.on_crash(request_, endpoint_, epoch_, now);
+    return may_repeat && crashes_ < max_crashes ? after_broken(now)
+                                                : refuse(error_kind::endpoint_failed);
+}
+
 forward_step forward_flow::after_cut(time_point now)
 {
     const bool resumes = request_.route->may_resume() && may_run_again(now);
@@ -184,8 +203,22 @@
     const auto jitter_ms = hash_bytes(request_.request) % retry_after_jitter_ms;
     const auto resolved = resolve_error(kind);
     const bool retryable = descriptor_of(resolved).retry_after_s != 0;
-    return refuse_step{resolved,
-                       retryable ? retry_after_base + milliseconds{jitter_ms} : milliseconds{0}};
+    return refuse_step{
+        resolved, retryable ? retry_after_base + milliseconds{jitter_ms} : milliseconds{0}, {}};
+}
+
+forward_step forward_flow::refuse(const choice_refusal& refusal, time_point now) const
+{
+    auto result = refuse(refusal.kind);
+    auto* step = std::get_if<refuse_step>(&result);
+    if (step != nullptr)
+    {
+        step->verdict = refusal.verdict;
+        const bool advises = step->retry_after.count() != 0 && refusal.retry_at > now;
+        step->retry_after +=
+            advises ? std::chrono::ceil<milliseconds>(refusal.retry_at - now) : milliseconds{0};
+    }
+    return result;
 }
 
 error_kind forward_flow::resolve_error(error_kind kind) const noexcept
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -24,6 +24,8 @@
                  ///< to another.
     error,       ///< A complete response that reports a failure; it can be relayed.
     broken,      ///< No usable response; the request may have run.
+    crashed,     ///< The endpoint's process ended before it began to answer; the request may have
+                 ///< run, and may have been the cause.
     stalled,     ///< No data in time and the attempt was abandoned; the request may have run.
     cut,         ///< The response broke off after part of it had been sent to the caller.
     timed_out,   ///< The deadline passed.
@@ -31,7 +33,7 @@
     outdated,    ///< Nothing was sent, because too much time had passed since the choice.
 };
 
-inline constexpr std::size_t attempt_result_count = 11;
+inline constexpr std::size_t attempt_result_count = 12;
 
 /// Sends the request to an endpoint.
 struct send_step
@@ -57,7 +59,8 @@
 struct refuse_step
 {
     error_kind kind{error_kind::internal};
-    milliseconds retry_after{0}; ///< Delay advised to the caller; 0: none.
+    milliseconds retry_after{0};         ///< Delay advised to the caller; 0: none.
+    std::optional<part_verdict> verdict; ///< Why, if a part of the prompt is quarantined.
 
     auto operator<=>(const refuse_step&) const = default;
 };
@@ -91,7 +94,7 @@
 
     /// Records that part of the response is sent to the caller: from now on the response can only
     /// be continued, not replaced by an error.
-    void on_response_started() noexcept { response_started_ = true; }
+    void on_response_started(time_point now);
     [[nodiscard]] bool response_started() const noexcept { return response_started_; }
 
     [[nodiscard]] const forward_request& request() const noexcept { return request_; }
@@ -105,6 +108,10 @@
     /// sent when it is exceeded.
     static constexpr std::uint32_t max_not_run_attempts = 3;
 
+    /// A request under which this many endpoints have crashed is not sent again: it may be the
+    /// cause.
+    static constexpr std::uint32_t max_crashes = 2;
+
     /// Time after which the choice of an endpoint may not be used: a process that was paused would
     /// otherwise send to an endpoint that has left or been taken out meanwhile. Longer than the
     /// connection to an endpoint may take.
@@ -119,6 +126,7 @@
     [[nodiscard]] forward_step after_refusal(time_point now);
     [[nodiscard]] forward_step after_error(time_point now);
     [[nodiscard]] forward_step after_broken(time_point now);
+    [[nodiscard]] forward_step after_crash(time_point now);
     [[nodiscard]] forward_step after_cut(time_point now);
     [[nodiscard]] forward_step after_timeout(time_point now);
     [[nodiscard]] forward_step after_caller_left(time_point now);
@@ -129,6 +137,7 @@
 
     /// Refuses with an error, or ends the response if part of it has been sent.
     [[nodiscard]] forward_step refuse(error_kind kind) const;
+    [[nodiscard]] forward_step refuse(const choice_refusal& refusal, time_point now) const;
 
     /// Error to report: replaces a kind that means "not run" when the request may have run.
     [[nodiscard]] error_kind resolve_error(error_kind kind) const noexcept;
@@ -137,10 +146,12 @@
     endpoint_chooser& chooser_;
     std::vector<endpoint_id> excluded_; ///< Endpoints already tried.
     endpoint_id endpoint_;              ///< Endpoint of the current attempt.
+    incarnation epoch_{0};              ///< Its incarnation when it was chosen.
     std::uint32_t attempts_{0};
     std::uint32_t not_run_attempts_{0}; ///< Attempts that were not sent or were rejected.
     /// Endpoints that may have run the request; at most `max_attempts`.
     std::uint32_t possible_runs_{0};
+    std::uint32_t crashes_{0};     ///< Attempts during which the endpoint crashed.
     bool response_started_{false}; ///< Part of the response has been sent to the caller.
     bool retry_reserved_{false};   ///< The retry budget has been charged for the next attempt.
 };
--- a/src/mangovane/message/fwd.hpp
+++ b/src/mangovane/message/fwd.hpp
@@ -31,6 +31,9 @@
 struct endpoint_query;
 struct endpoint_row;
 struct endpoint_update;
+struct crash_evidence;
+struct part_answer;
+struct quarantine_update;
 
 } // namespace mangovane
 
--- a/src/mangovane/message/message.hpp
+++ b/src/mangovane/message/message.hpp
@@ -10,6 +10,7 @@
 #include "mangovane/message/limit.hpp"
 #include "mangovane/message/load.hpp"
 #include "mangovane/message/membership.hpp"
+#include "mangovane/message/quarantine.hpp"
 #include "mangovane/message/settings.hpp"
 #include "mangovane/message/slot.hpp"
 
@@ -39,7 +40,8 @@
                              load_digest,
                              feed_state,
                              endpoint_query,
-                             endpoint_update>;
+                             endpoint_update,
+                             quarantine_update>;
 
 /// A message with its receiver.
 struct outgoing_message
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "mangovane/net/crash_check.hpp"
 #include "mangovane/net/forward_session.hpp"
 
 namespace mangovane
@@ -17,8 +18,8 @@
 {
 
 constexpr std::array<std::string_view, attempt_result_count> result_names{
-    "delivered", "not_sent", "refused",   "misdirected", "error",   "broken",
-    "stalled",   "cut",      "timed_out", "caller_left", "outdated"};
+    "delivered", "not_sent", "refused", "misdirected", "error",       "broken",
+    "crashed",   "stalled",  "cut",     "timed_out",   "caller_left", "outdated"};
 
 /// Category and value of an error, such as `beast.http:9`; "none" for no error.
 std::string error_text(const boost::system::error_code& ec)
@@ -138,7 +139,13 @@
     const auto result = co_await read_answer(step);
     ++timer_generation_;
     call->close();
-    co_return result;
+    if (result != attempt_result::broken || current.flow->response_started())
+    {
+        co_return result;
+    }
+    const bool crashed =
+        co_await refuses_connections(step.target.address, services_.timeouts.crash_check_timeout);
+    co_return crashed ? attempt_result::crashed : result;
 }
 
 asio::awaitable<attempt_result> forward_session::read_answer(const send_step& step)
--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -203,7 +203,7 @@
     remove_hop_by_hop_fields(head);
     current_->status = head.result_int();
     current_->first_byte_at = clock::now();
-    current_->flow->on_response_started();
+    current_->flow->on_response_started(current_->first_byte_at);
     auto out = serialize_head(head, framing, keep_alive());
     keep_alive_ = keep_alive();
     return out;
--- a/src/mangovane/net/forward_services.hpp
+++ b/src/mangovane/net/forward_services.hpp
@@ -19,6 +19,8 @@
     /// To an endpoint; below 1 s, after which TCP retransmits a lost SYN, so that another endpoint
     /// is tried first.
     milliseconds connect_timeout{250};
+    /// To an endpoint that has closed a connection without an answer, to see whether it crashed.
+    milliseconds crash_check_timeout{100};
     /// Time for which a write to a caller may continue after the deadline of its request.
     milliseconds final_write_timeout{400};
     /// A write to a caller that accepts no byte for this long has failed.
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -233,6 +233,7 @@
     }
     else if (const auto* it = std::get_if<refuse_step>(&step))
     {
+        log_quarantine(*it);
         co_await refuse(it->kind,
                         "operators find the reason in the instance's log under this request id",
                         it->retry_after);
@@ -372,6 +373,21 @@
     record_outcome(std::string_view{answer.name});
 }
 
+void forward_session::log_quarantine(const refuse_step& step) const
+{
+    if (!step.verdict)
+    {
+        return;
+    }
+    const auto now = clock::now();
+    services_.log.write(
+        absl::StrCat("event=quarantine_refused request=", current_->flow->request().request,
+                     " part=", absl::Hex(step.verdict->part), " crashes=", step.verdict->crashes,
+                     " first_crash_ms=", elapsed(step.verdict->first_crash, now).count(),
+                     " last_crash_ms=", elapsed(step.verdict->last_crash, now).count()),
+        now);
+}
+
 void forward_session::record_outcome(std::string_view outcome)
 {
     const auto now = clock::now();
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -108,6 +108,8 @@
     void watch_caller();
     void on_caller_disconnected();
     void record_outcome(std::string_view outcome);
+    /// Logs why a request is refused, if a part of its prompt is quarantined.
+    void log_quarantine(const refuse_step& step) const;
     void drain();
     [[nodiscard]] bool keep_alive() const;
 
--- a/src/mangovane/net/monitoring_server.cpp
+++ b/src/mangovane/net/monitoring_server.cpp
@@ -69,7 +69,8 @@
             co_return;
         }
         const auto target = parser.get().target();
-        auto content = handler_({target.data(), target.size()});
+        const auto method = parser.get().method_string();
+        auto content = handler_({{method.data(), method.size()}, {target.data(), target.size()}});
         http::response<http::string_body> reply{http::int_to_status(content.status), 11};
         reply.set(http::field::content_type, content.type);
         reply.body() = std::move(content.body);
--- a/src/mangovane/net/monitoring_server.hpp
+++ b/src/mangovane/net/monitoring_server.hpp
@@ -1,4 +1,4 @@
-// HTTP server for readiness checks and metrics, without authentication.
+// HTTP server for readiness checks, metrics and operators' pages, without authentication.
 #ifndef MANGOVANE_NET_MONITORING_SERVER_HPP
 #define MANGOVANE_NET_MONITORING_SERVER_HPP
 
@@ -14,6 +14,15 @@
 namespace mangovane
 {
 
+/// Method and target of a request.
+struct monitoring_request
+{
+    std::string_view method;
+    std::string_view path;
+
+    auto operator<=>(const monitoring_request&) const = default;
+};
+
 /// Response with its HTTP status and Content-Type.
 struct monitoring_response
 {
@@ -24,10 +33,10 @@
     bool operator==(const monitoring_response&) const = default;
 };
 
-/// Returns the response for a request target. Called from any thread.
-using monitoring_handler = std::function<monitoring_response(std::string_view path)>;
+/// Returns the response for a request. Called from any thread.
+using monitoring_handler = std::function<monitoring_response(const monitoring_request&)>;
 
-/// Answers every request with the response that the handler returns for its target.
+/// Answers every request with the response that the handler returns for it.
 class monitoring_server
 {
 public:
--- a/src/mangovane/wire/body_decode.cpp
+++ b/src/mangovane/wire/body_decode.cpp
@@ -245,6 +245,28 @@
     return result;
 }
 
+message unpack(const wire::QuarantineUpdate& it, time_point now)
+{
+    quarantine_update result;
+    result.is_summary = it.is_summary();
+    // As above, one element above each limit is decoded.
+    const auto crashes = it.crashes() == nullptr ? 0 : it.crashes()->size();
+    for (std::uint32_t k = 0; k != std::min<std::size_t>(crashes, max_update_crashes + 1); ++k)
+    {
+        const auto* entry = it.crashes()->Get(k);
+        result.crashes.push_back({entry->part(), entry->crash(), moment_from(entry->age_ms(), now),
+                                  deadline_from(entry->keep_ms(), now), entry->answered_before(),
+                                  entry->depth()});
+    }
+    const auto answers = it.answers() == nullptr ? 0 : it.answers()->size();
+    for (std::uint32_t k = 0; k != std::min<std::size_t>(answers, max_update_answers + 1); ++k)
+    {
+        const auto* entry = it.answers()->Get(k);
+        result.answers.push_back({entry->part(), moment_from(entry->age_ms(), now)});
+    }
+    return result;
+}
+
 using decoder = message (*)(const void*, time_point);
 
 template <class Table>
@@ -282,7 +304,8 @@
                                         wire::LoadDigest,
                                         wire::FeedState,
                                         wire::EndpointQuery,
-                                        wire::EndpointUpdate>();
+                                        wire::EndpointUpdate,
+                                        wire::QuarantineUpdate>();
 
 static_assert(decoders.size() == std::variant_size_v<message>);
 static_assert(decoders.size() == static_cast<std::size_t>(wire::Body::MAX));
@@ -345,6 +368,11 @@
                std::all_of(it.rows.begin(), it.rows.end(), *this);
     }
 
+    [[nodiscard]] bool operator()(const quarantine_update& it) const
+    {
+        return it.crashes.size() <= max_update_crashes && it.answers.size() <= max_update_answers;
+    }
+
     [[nodiscard]] bool check_updates(const std::vector<member_update>& updates) const
     {
         return updates.size() <= max_updates_per_probe &&
--- a/src/mangovane/wire/body_encode.cpp
+++ b/src/mangovane/wire/body_encode.cpp
@@ -225,6 +225,27 @@
     return wire::CreateEndpointUpdate(buf, it.since, it.through, it.part, it.parts, vector);
 }
 
+auto pack(builder& buf, const quarantine_update& it, time_point now)
+{
+    std::vector<wire::CrashEvidence> crashes;
+    crashes.reserve(it.crashes.size());
+    for (const auto& entry : it.crashes)
+    {
+        crashes.emplace_back(entry.part, entry.crash, elapsed_ms(entry.at, now),
+                             remaining_ms(entry.keep_until, now), entry.answered_before,
+                             entry.depth);
+    }
+    std::vector<wire::PartAnswer> answers;
+    answers.reserve(it.answers.size());
+    for (const auto& entry : it.answers)
+    {
+        answers.emplace_back(entry.part, elapsed_ms(entry.at, now));
+    }
+    const auto crash_vector = buf.CreateVectorOfStructs(crashes);
+    const auto answer_vector = buf.CreateVectorOfStructs(answers);
+    return wire::CreateQuarantineUpdate(buf, crash_vector, answer_vector, it.is_summary);
+}
+
 using encoder = body_offset (*)(builder&, const message&, time_point);
 
 template <std::size_t N>
--- a/src/mangovane/wire/frame_generated.h
+++ b/src/mangovane/wire/frame_generated.h
@@ -99,6 +99,13 @@
 struct EndpointUpdate;
 struct EndpointUpdateBuilder;
 
+struct CrashEvidence;
+
+struct PartAnswer;
+
+struct QuarantineUpdate;
+struct QuarantineUpdateBuilder;
+
 struct Hello;
 struct HelloBuilder;
 
@@ -130,11 +137,12 @@
   FeedState = 21,
   EndpointQuery = 22,
   EndpointUpdate = 23,
+  QuarantineUpdate = 24,
   MIN = NONE,
-  MAX = EndpointUpdate
+  MAX = QuarantineUpdate
 };
 
-inline const Body (&EnumValuesBody())[24] {
+inline const Body (&EnumValuesBody())[25] {
   static const Body values[] = {
     Body::NONE,
     Body::SlotRequest,
@@ -159,13 +167,14 @@
     Body::LoadDigest,
     Body::FeedState,
     Body::EndpointQuery,
-    Body::EndpointUpdate
+    Body::EndpointUpdate,
+    Body::QuarantineUpdate
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[25] = {
+  static const char * const names[26] = {
     "NONE",
     "SlotRequest",
     "SlotGrant",
@@ -190,13 +199,14 @@
     "FeedState",
     "EndpointQuery",
     "EndpointUpdate",
+    "QuarantineUpdate",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::EndpointUpdate)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::QuarantineUpdate)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -297,6 +307,10 @@
   static const Body enum_value = Body::EndpointUpdate;
 };
 
+template<> struct BodyTraits<mangovane::wire::QuarantineUpdate> {
+  static const Body enum_value = Body::QuarantineUpdate;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -430,6 +444,90 @@
 };
 FLATBUFFERS_STRUCT_END(EndpointDigest, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) CrashEvidence FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint64_t crash_;
+  uint32_t age_ms_;
+  uint32_t keep_ms_;
+  uint8_t answered_before_;
+  uint8_t depth_;
+  int16_t padding0__;  int32_t padding1__;
+
+ public:
+  CrashEvidence()
+      : part_(0),
+        crash_(0),
+        age_ms_(0),
+        keep_ms_(0),
+        answered_before_(0),
+        depth_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  CrashEvidence(uint64_t _part, uint64_t _crash, uint32_t _age_ms, uint32_t _keep_ms, bool _answered_before, uint8_t _depth)
+      : part_(flatbuffers::EndianScalar(_part)),
+        crash_(flatbuffers::EndianScalar(_crash)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        keep_ms_(flatbuffers::EndianScalar(_keep_ms)),
+        answered_before_(flatbuffers::EndianScalar(static_cast<uint8_t>(_answered_before))),
+        depth_(flatbuffers::EndianScalar(_depth)),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint64_t crash() const {
+    return flatbuffers::EndianScalar(crash_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint32_t keep_ms() const {
+    return flatbuffers::EndianScalar(keep_ms_);
+  }
+  bool answered_before() const {
+    return flatbuffers::EndianScalar(answered_before_) != 0;
+  }
+  uint8_t depth() const {
+    return flatbuffers::EndianScalar(depth_);
+  }
+};
+FLATBUFFERS_STRUCT_END(CrashEvidence, 32);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartAnswer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  PartAnswer()
+      : part_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PartAnswer(uint64_t _part, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PartAnswer, 16);
+
 struct SlotRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SlotRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2318,6 +2416,83 @@
       rows__);
 }
 
+struct QuarantineUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantineUpdateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CRASHES = 4,
+    VT_ANSWERS = 6,
+    VT_IS_SUMMARY = 8
+  };
+  const flatbuffers::Vector<const mangovane::wire::CrashEvidence *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const mangovane::wire::CrashEvidence *> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<const mangovane::wire::PartAnswer *> *answers() const {
+    return GetPointer<const flatbuffers::Vector<const mangovane::wire::PartAnswer *> *>(VT_ANSWERS);
+  }
+  bool is_summary() const {
+    return GetField<uint8_t>(VT_IS_SUMMARY, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           VerifyOffset(verifier, VT_ANSWERS) &&
+           verifier.VerifyVector(answers()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_SUMMARY, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuarantineUpdateBuilder {
+  typedef QuarantineUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const mangovane::wire::CrashEvidence *>> crashes) {
+    fbb_.AddOffset(QuarantineUpdate::VT_CRASHES, crashes);
+  }
+  void add_answers(flatbuffers::Offset<flatbuffers::Vector<const mangovane::wire::PartAnswer *>> answers) {
+    fbb_.AddOffset(QuarantineUpdate::VT_ANSWERS, answers);
+  }
+  void add_is_summary(bool is_summary) {
+    fbb_.AddElement<uint8_t>(QuarantineUpdate::VT_IS_SUMMARY, static_cast<uint8_t>(is_summary), 0);
+  }
+  explicit QuarantineUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantineUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantineUpdate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantineUpdate> CreateQuarantineUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovane::wire::CrashEvidence *>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovane::wire::PartAnswer *>> answers = 0,
+    bool is_summary = false) {
+  QuarantineUpdateBuilder builder_(_fbb);
+  builder_.add_answers(answers);
+  builder_.add_crashes(crashes);
+  builder_.add_is_summary(is_summary);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuarantineUpdate> CreateQuarantineUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<mangovane::wire::CrashEvidence> *crashes = nullptr,
+    const std::vector<mangovane::wire::PartAnswer> *answers = nullptr,
+    bool is_summary = false) {
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<mangovane::wire::CrashEvidence>(*crashes) : 0;
+  auto answers__ = answers ? _fbb.CreateVectorOfStructs<mangovane::wire::PartAnswer>(*answers) : 0;
+  return mangovane::wire::CreateQuarantineUpdate(
+      _fbb,
+      crashes__,
+      answers__,
+      is_summary);
+}
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2624,6 +2799,10 @@
       auto ptr = reinterpret_cast<const mangovane::wire::EndpointUpdate *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::QuarantineUpdate: {
+      auto ptr = reinterpret_cast<const mangovane::wire::QuarantineUpdate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/test/mangovane/daemon/metric_names.cpp
+++ b/test/mangovane/daemon/metric_names.cpp
@@ -11,6 +11,7 @@
 
 #include "mangovane/daemon/control_metrics.hpp"
 #include "mangovane/daemon/fleet_status_provider.hpp"
+#include "mangovane/daemon/forward_metrics.hpp"
 #include "mangovane/observe/request_metrics.hpp"
 
 using namespace mangovane;
@@ -45,7 +46,7 @@
     metrics.on_early_refusal(error_kind::unauthenticated);
     metrics.on_failed_attempt("broken");
     return metrics.text(true) + fleet_status_provider{core}.metrics_text() +
-           traffic_metrics({}, 0) + settings_age_metric(std::nullopt);
+           traffic_metrics({}, 0) + settings_age_metric(std::nullopt) + forward_metrics({});
 }
 
 std::string page()
--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -161,7 +161,7 @@
             auto it = core.choose(make_request(settings, "review", chat), {}, start);
             REQUIRE(it);
             core.finish(it->endpoint, health_outcome::answered, start);
-            elsewhere = it->endpoint == first->endpoint ? std::nullopt : it;
+            elsewhere = it->endpoint == first->endpoint ? std::nullopt : std::optional{*it};
         }
         REQUIRE(elsewhere);
         CHECK(elsewhere->prefix_source == first->address);
@@ -527,3 +527,82 @@
         CHECK(there >= 10);
     }
 }
+
+TEST_CASE("a prompt part that crashes endpoints, in a fleet")
+{
+    forward_fleet fleet{6};
+    const auto settings = test::make_settings(10);
+    for (auto& it : fleet.cores)
+    {
+        it->adopt_settings(settings, start);
+        it->catalog().replace(many_entries(12), 12, start);
+        it->refresh(start);
+    }
+    fleet.run(seconds{2});
+    constexpr std::uint64_t crashing_chat = 666;
+    const auto crash_at = [&](std::size_t n)
+    {
+        const auto request = make_request(settings, "review", crashing_chat, fleet.now);
+        const auto chosen = fleet.cores[n]->choose(request, {}, fleet.now);
+        REQUIRE(chosen);
+        fleet.cores[n]->finish(chosen->endpoint, health_outcome::crashed, fleet.now);
+        // Each crash is that of another process, also when it had the same name.
+        (void)fleet.cores[n]->on_crash(request, chosen->endpoint, n + 1, fleet.now);
+    };
+    const auto refuses = [&](std::size_t n, std::uint64_t chat)
+    {
+        const auto request = make_request(settings, "review", chat, fleet.now);
+        const auto chosen = fleet.cores[n]->choose(request, {}, fleet.now);
+        if (chosen)
+        {
+            fleet.cores[n]->on_answer(request, fleet.now);
+            fleet.cores[n]->finish(chosen->endpoint, health_outcome::answered, fleet.now);
+        }
+        return !chosen && chosen.refusal().kind == error_kind::prompt_quarantined;
+    };
+    const auto answer_sound = [&]
+    {
+        for (std::size_t n = 0; n != 6; ++n)
+        {
+            CHECK_FALSE(refuses(n, 5 + n));
+        }
+        fleet.run(milliseconds{700});
+    };
+    answer_sound();
+    fleet.isolated[5] = true;
+    for (std::size_t n = 0; n != 3; ++n)
+    {
+        crash_at(n);
+        answer_sound();
+    }
+
+    SUBCASE("is refused at instances that have seen no crash, and sound requests beside it are not")
+    {
+        for (std::size_t n = 0; n != 5; ++n)
+        {
+            CHECK(refuses(n, crashing_chat));
+            CHECK_FALSE(refuses(n, 5 + n));
+        }
+    }
+    SUBCASE("is refused at an instance that was cut off meanwhile, once it is back")
+    {
+        CHECK_FALSE(refuses(5, crashing_chat + 1));
+        fleet.isolated[5] = false;
+        fleet.run(seconds{3});
+        CHECK(refuses(5, crashing_chat));
+    }
+    SUBCASE("costs no messages once nothing is suspected any more")
+    {
+        fleet.isolated[5] = false;
+        fleet.run(prompt_quarantine::evidence_ttl + seconds{2});
+        for (auto& it : fleet.sinks)
+        {
+            it->sent.clear();
+        }
+        for (std::size_t n = 0; n != 6; ++n)
+        {
+            fleet.cores[n]->tick(fleet.now + seconds{1});
+            CHECK(fleet.sinks[n]->of<quarantine_update>().empty());
+        }
+    }
+}
--- a/test/mangovane/forward/forward_flow.cpp
+++ b/test/mangovane/forward/forward_flow.cpp
@@ -20,9 +20,13 @@
 class fake_chooser final : public endpoint_chooser
 {
 public:
-    std::optional<dispatch_target>
+    dispatch_choice
     choose(const forward_request&, std::span<const endpoint_id> excluded, time_point) override
     {
+        if (refusal)
+        {
+            return *refusal;
+        }
         for (const auto& it : endpoints)
         {
             const auto id = endpoint_id::of(it);
@@ -32,12 +36,18 @@
                 return dispatch_target{id, it};
             }
         }
-        return std::nullopt;
+        return choice_refusal{};
     }
     void finish(endpoint_id, health_outcome outcome, time_point) override
     {
         outcomes.push_back(outcome);
     }
+    void on_answer(const forward_request&, time_point) override { ++answers; }
+    bool on_crash(const forward_request&, endpoint_id, incarnation, time_point) override
+    {
+        ++crashes;
+        return !suspected;
+    }
     bool try_retry(service_id, time_point) override
     {
         if (retries == 0)
@@ -52,6 +62,10 @@
     std::vector<health_outcome> outcomes;
     int retries{10};
     int started{0};
+    int answers{0};
+    int crashes{0};
+    bool suspected{false};                 ///< The request is suspected of another crash.
+    std::optional<choice_refusal> refusal; ///< Refuses all requests.
 };
 
 const settings_ptr settings = test::make_settings(1);
@@ -187,7 +201,7 @@
     {
         // Only the events of a stream can be continued; the rest would be joined to a part of
         // another response.
-        flow.on_response_started();
+        flow.on_response_started(start);
         CHECK_FALSE(flow.may_retry_stalled(start + milliseconds{250}));
         step = flow.on_result(attempt_result::cut, start);
         REQUIRE(std::holds_alternative<finish_step>(step));
@@ -212,7 +226,7 @@
         auto step = flow.start(start);
         // A slow stream whose events keep within the objective of 600 ms is not abandoned.
         CHECK(std::get<send_step>(step).event_gap_timeout >= milliseconds{600});
-        flow.on_response_started();
+        flow.on_response_started(start);
         step = flow.on_result(attempt_result::cut, start);
         REQUIRE(sent_to(step) == "two");
         CHECK(std::get<send_step>(step).resumes);
@@ -236,13 +250,78 @@
     {
         forward_flow flow{test::make_request(settings, "review", 5), chooser};
         (void)flow.start(start);
-        flow.on_response_started();
+        flow.on_response_started(start);
         const auto step = flow.on_result(attempt_result::cut, start);
         REQUIRE(std::holds_alternative<finish_step>(step));
         CHECK_FALSE(std::get<finish_step>(step).complete);
     }
 }
 
+TEST_CASE("a request under which an endpoint crashes before it answers")
+{
+    fake_chooser chooser;
+    forward_flow flow{test::make_request(settings, "rights", 5), chooser};
+    auto step = flow.start(start);
+
+    SUBCASE("is sent to another endpoint once")
+    {
+        step = flow.on_result(attempt_result::crashed, start);
+        CHECK(sent_to(step) == "two");
+        step = flow.on_result(attempt_result::crashed, start);
+        CHECK(refused_with(step) == error_kind::endpoint_failed);
+        CHECK(chooser.started == 2);
+        CHECK(chooser.crashes == 2);
+    }
+    SUBCASE(
+        "is not sent again if its prompt is suspected of another crash: it would crash a second")
+    {
+        chooser.suspected = true;
+        step = flow.on_result(attempt_result::crashed, start);
+        CHECK(refused_with(step) == error_kind::endpoint_failed);
+        CHECK(chooser.started == 1);
+    }
+    SUBCASE("is not sent again if its prompt has been quarantined meanwhile, and may have run")
+    {
+        chooser.refusal = choice_refusal{error_kind::prompt_quarantined, start + seconds{30}, {}};
+        step = flow.on_result(attempt_result::crashed, start);
+        CHECK(refused_with(step) == error_kind::endpoint_failed);
+        CHECK(flow.may_have_run());
+    }
+    SUBCASE("is never sent again if it may run only once")
+    {
+        forward_flow single{test::make_request(settings, "review", 5), chooser};
+        (void)single.start(start);
+        step = single.on_result(attempt_result::crashed, start);
+        CHECK(refused_with(step) == error_kind::outcome_unknown);
+    }
+    SUBCASE("counts as unanswered; one whose response has begun counts as answered")
+    {
+        step = flow.on_result(attempt_result::crashed, start);
+        CHECK(chooser.answers == 0);
+        flow.on_response_started(start);
+        CHECK(chooser.answers == 1);
+        (void)flow.on_result(attempt_result::delivered, start);
+        CHECK(chooser.answers == 1);
+    }
+}
+
+TEST_CASE("a request with a quarantined prompt is refused immediately, with the reason")
+{
+    fake_chooser chooser;
+    const part_verdict verdict{5, 3, start - seconds{9}, start - seconds{2}};
+    chooser.refusal = choice_refusal{error_kind::prompt_quarantined, start + seconds{30}, verdict};
+    forward_flow flow{test::make_request(settings, "review", 5), chooser};
+    const auto step = flow.start(start);
+    REQUIRE(std::holds_alternative<refuse_step>(step));
+    const auto& refusal = std::get<refuse_step>(step);
+    CHECK(descriptor_of(refusal.kind).not_run);
+    CHECK(descriptor_of(refusal.kind).http_status == 503);
+    CHECK(refusal.retry_after >= seconds{30});
+    CHECK(refusal.verdict == verdict);
+    CHECK_FALSE(flow.may_have_run());
+    CHECK(chooser.started == 0);
+}
+
 TEST_CASE("a request that no endpoint accepts is refused immediately")
 {
     fake_chooser chooser;
@@ -258,6 +337,7 @@
     fake_chooser chooser;
     const std::vector<std::pair<attempt_result, health_outcome>> expected{
         {attempt_result::delivered, health_outcome::answered},
+        {attempt_result::crashed, health_outcome::crashed},
         {attempt_result::not_sent, health_outcome::unreachable},
         {attempt_result::refused, health_outcome::full},
         {attempt_result::misdirected, health_outcome::replaced},
--- a/test/platform/crashing_prompt.cpp
+++ b/test/platform/crashing_prompt.cpp
@@ -76,16 +76,16 @@
         {
             ++arrivals_;
             // Head first, as engines send it when they begin to process the prompt.
-            co_await rep.raw(absl::StrCat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ",
-                                          std::string{req["X-Attempt-Id"]},
-                                          "\r\nX-Server-Signature: s\r\n\r\n"));
+            co_await rep.raw(
+                absl::StrCat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", std::string{req["X-Attempt-Id"]},
+                             "\r\nX-Server-Signature: s\r\n\r\n"));
             self.crashed = true;
             co_await rep.pause(std::chrono::minutes{10});
             co_return;
         }
-        co_await rep.raw(absl::StrCat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ",
-                                      std::string{req["X-Attempt-Id"]},
-                                      "\r\nX-Server-Signature: s\r\n\r\n"));
+        co_await rep.raw(
+            absl::StrCat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", std::string{req["X-Attempt-Id"]},
+                         "\r\nX-Server-Signature: s\r\n\r\n"));
         co_await rep.pause(milliseconds{5});
         co_await rep.raw("id: 1\ndata: done\n\n");
         co_await rep.close();
@@ -203,8 +203,9 @@
         for (int n = 0; n != 6; ++n)
         {
             std::this_thread::sleep_for(request_interval);
-            CHECK(call_with_prompt(fleet, 1, "review", absl::StrCat("r", n), crashing_part).status ==
-                  503);
+            CHECK(
+                call_with_prompt(fleet, 1, "review", absl::StrCat("r", n), crashing_part).status ==
+                503);
         }
         CHECK(endpoints.arrivals() == before);
     }
