Send nothing to an endpoint that says in its answers that it is leaving

Cause: Server-Leaving was passed on to the caller and not read.

Change: what an endpoint states about itself in the head of a response is read whatever the response means, kept for its incarnation, and excludes it from the choice. A response from another endpoint than the addressed one says nothing.

--- /dev/null
+++ b/src/mangovane/forward/endpoint_notice.hpp
@@ -0,0 +1,18 @@
+// What an endpoint states about itself in the head of a response.
+#ifndef MANGOVANE_FORWARD_ENDPOINT_NOTICE_HPP
+#define MANGOVANE_FORWARD_ENDPOINT_NOTICE_HPP
+
+namespace mangovane
+{
+
+/// Independent of what the response means for its request.
+struct endpoint_notice
+{
+    bool leaving{false}; ///< The endpoint is shutting down and accepts no new requests.
+
+    auto operator<=>(const endpoint_notice&) const = default;
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/forward/endpoint_record.cpp
+++ b/src/mangovane/forward/endpoint_record.cpp
@@ -64,6 +64,19 @@
     }
 }
 
+void endpoint_record::on_notice(const endpoint_notice& notice,
+                                incarnation epoch,
+                                time_point now) noexcept
+{
+    if (epoch != notice_epoch_)
+    {
+        notice_epoch_ = epoch;
+        leaving_ = false;
+    }
+    leaving_ = leaving_ || notice.leaving;
+    notice_kept_until_ = now + notice_ttl;
+}
+
 void endpoint_record::add_peer_digest(const endpoint_digest& digest) noexcept
 {
     peer_in_flight_ += digest.in_flight;
@@ -119,7 +132,8 @@
 bool endpoint_record::is_removable(time_point now) const noexcept
 {
     const bool cold = cold_sent_at_ != time_point::min() && now < cold_sent_at_ + cold_state_ttl;
-    return load() == 0 && counts(now) == attempt_counts{} && !suspended(now) && !cold;
+    return load() == 0 && counts(now) == attempt_counts{} && !suspended(now) && !cold &&
+           now >= notice_kept_until_;
 }
 
 } // namespace mangovane
--- a/src/mangovane/forward/endpoint_record.hpp
+++ b/src/mangovane/forward/endpoint_record.hpp
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 
+#include "mangovane/core/id.hpp"
 #include "mangovane/core/time.hpp"
+#include "mangovane/forward/endpoint_notice.hpp"
 #include "mangovane/message/load.hpp"
 
 namespace mangovane
@@ -54,6 +56,15 @@
     [[nodiscard]] bool
     try_admit_cold(duration interval, duration first_wait, time_point now) noexcept;
 
+    /// Records what the endpoint, in this incarnation, stated about itself to this instance.
+    void on_notice(const endpoint_notice& notice, incarnation epoch, time_point now) noexcept;
+
+    /// Whether the endpoint, in this incarnation, has told this instance that it is leaving.
+    [[nodiscard]] bool leaving(incarnation epoch) const noexcept
+    {
+        return leaving_ && epoch == notice_epoch_;
+    }
+
     /// Requests of this instance.
     [[nodiscard]] std::uint32_t in_flight() const noexcept { return in_flight_; }
 
@@ -71,7 +82,7 @@
 
     /// Whether the record holds nothing that is still needed. The time of the last request to a
     /// cold endpoint is kept for `cold_state_ttl`: without it the next request would be sent too
-    /// soon.
+    /// soon. Notices are kept for `notice_ttl`.
     [[nodiscard]] bool is_removable(time_point now) const noexcept;
 
     auto operator<=>(const endpoint_record&) const = default;
@@ -84,6 +95,9 @@
     static constexpr milliseconds replaced_suspension{3000};
     static constexpr seconds cold_state_ttl{60};
 
+    /// Longer than an endpoint that is leaving stays listed.
+    static constexpr std::chrono::hours notice_ttl{1};
+
     void rotate_period(time_point now) noexcept;
     void suspend(duration time, time_point now) noexcept;
 
@@ -96,6 +110,9 @@
     duration next_suspension_{first_suspension}; ///< Doubles while the endpoint is unreachable.
     time_point suspended_until_{};
     time_point cold_sent_at_{time_point::min()};
+    incarnation notice_epoch_{0}; ///< To which the notice applies.
+    bool leaving_{false};         ///< Never reset in one incarnation.
+    time_point notice_kept_until_{};
 };
 
 } // namespace mangovane
--- a/src/mangovane/forward/endpoint_tracker.cpp
+++ b/src/mangovane/forward/endpoint_tracker.cpp
@@ -72,12 +72,21 @@
         { absl::erase_if(entries, [&](const auto& it) { return it.second.is_removable(now); }); });
 }
 
-endpoint_snapshot endpoint_tracker::snapshot_of(endpoint_id endpoint, time_point now)
+void endpoint_tracker::on_notice(endpoint_id endpoint,
+                                 incarnation epoch,
+                                 const endpoint_notice& notice,
+                                 time_point now)
+{
+    records_.with_entry(endpoint, [&](endpoint_record& it) { it.on_notice(notice, epoch, now); });
+}
+
+endpoint_snapshot
+endpoint_tracker::snapshot_of(endpoint_id endpoint, incarnation epoch, time_point now)
 {
     endpoint_snapshot result;
     records_.find(endpoint,
                   [&](const endpoint_record& it) {
-                      result = {it.load(), it.suspended(now), it.counts(now)};
+                      result = {it.load(), it.suspended(now), it.leaving(epoch), it.counts(now)};
                   });
     return result;
 }
--- a/src/mangovane/forward/endpoint_tracker.hpp
+++ b/src/mangovane/forward/endpoint_tracker.hpp
@@ -19,6 +19,7 @@
     std::uint32_t load{0}; ///< Requests in flight over all instances.
     bool suspended{false}; ///< Avoided by this instance for now: it was recently unreachable, full
                            ///< or replaced.
+    bool leaving{false};   ///< It has told this instance that it is leaving.
     attempt_counts counts; ///< Recent attempts of all instances.
 
     auto operator<=>(const endpoint_snapshot&) const = default;
@@ -40,8 +41,15 @@
     /// needed.
     void expire(time_point now);
 
-    /// Current state of an endpoint; all zero when it has no record.
-    [[nodiscard]] endpoint_snapshot snapshot_of(endpoint_id endpoint, time_point now);
+    /// See `endpoint_record::on_notice`.
+    void on_notice(endpoint_id endpoint,
+                   incarnation epoch,
+                   const endpoint_notice& notice,
+                   time_point now);
+
+    /// Current state of an endpoint, in its current incarnation; all zero when it has no record.
+    [[nodiscard]] endpoint_snapshot
+    snapshot_of(endpoint_id endpoint, incarnation epoch, time_point now);
 
     /// See `endpoint_record::try_admit_cold`.
     [[nodiscard]] bool
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -257,6 +257,13 @@
     return retries_.try_retry(service, fleet_size_.value(), now);
 }
 
+void forward_core::on_notice(const dispatch_target& target,
+                             const endpoint_notice& notice,
+                             time_point now)
+{
+    tracker_.on_notice(target.endpoint, target.epoch, notice, now);
+}
+
 void forward_core::on_answer(const forward_request& request, time_point now)
 {
     quarantine_.on_answer(request.shared_parts(), now);
@@ -307,10 +314,10 @@
     double total = 0;
     for (const auto* it : listed)
     {
-        const auto snapshot = tracker_.snapshot_of(it->id, now);
+        const auto snapshot = tracker_.snapshot_of(it->id, it->epoch, now);
         total += snapshot.load;
         const bool tried = std::find(excluded.begin(), excluded.end(), it->id) != excluded.end();
-        if (!tried && !routes.closed(it->id))
+        if (!tried && !routes.closed(it->id) && !snapshot.leaving)
         {
             const bool avoided = snapshot.suspended || is_suspected(it->domain);
             result.candidates.push_back({it->id, it->domain, snapshot.load, avoided});
@@ -441,7 +448,7 @@
             it->cold_until != time_point{} && now < it->cold_until + recently_cold_time;
         const auto score = rendezvous_score(request.affinity(), it->id.value());
         if (!recently_cold && (best == nullptr || score > best_score) &&
-            !tracker_.snapshot_of(it->id, now).suspended)
+            !tracker_.snapshot_of(it->id, it->epoch, now).suspended)
         {
             best = it;
             best_score = score;
@@ -457,9 +464,10 @@
 {
     const auto last = prefixes_.last_other(prefix, chosen.id, now);
     const auto* caching_endpoint = last ? routes.find(*last) : nullptr;
-    return caching_endpoint != nullptr && tracker_.snapshot_of(caching_endpoint->id, now).suspended
-               ? nullptr
-               : caching_endpoint;
+    const bool is_suspended =
+        caching_endpoint != nullptr &&
+        tracker_.snapshot_of(caching_endpoint->id, caching_endpoint->epoch, now).suspended;
+    return is_suspended ? nullptr : caching_endpoint;
 }
 
 std::string forward_core::prefix_source(const routing_table& routes,
--- a/src/mangovane/forward/fwd.hpp
+++ b/src/mangovane/forward/fwd.hpp
@@ -7,6 +7,7 @@
 
 struct forward_request;
 struct dispatch_target;
+struct endpoint_notice;
 struct endpoint_snapshot;
 struct placement_context;
 class domain_reachability;
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -158,7 +158,13 @@
         co_return early_end_result(attempt_result::broken);
     }
     const auto& request = current.flow->request();
-    switch (services_.dialect.classify(call_->head(), request))
+    const auto meaning = services_.dialect.classify(call_->head(), request);
+    // A response from another endpoint than the one addressed says nothing about the latter.
+    if (meaning != response_class::wrong_endpoint)
+    {
+        note_endpoint(step);
+    }
+    switch (meaning)
     {
     case response_class::no_capacity:
         co_return attempt_result::refused;
@@ -185,6 +191,21 @@
     co_return result;
 }
 
+void forward_session::note_endpoint(const send_step& step)
+{
+    const auto now = clock::now();
+    const auto notice = services_.dialect.notice_of(call_->head());
+    if (notice == endpoint_notice{})
+    {
+        return;
+    }
+    services_.core.on_notice(step.target, notice, now);
+    services_.log.write(
+        absl::StrCat("event=endpoint_notice request=", current_->flow->request().request,
+                     " endpoint=", step.target.name, " leaving=", notice.leaving ? 1 : 0),
+        now);
+}
+
 void forward_session::log_dispatch(const send_step& step) const
 {
     const auto& request = current_->flow->request();
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -116,6 +116,8 @@
     // Implemented in forward_attempt.cpp: attempts at endpoints.
     boost::asio::awaitable<attempt_result> attempt(const send_step& step);
     boost::asio::awaitable<attempt_result> read_answer(const send_step& step);
+    /// Passes on what the endpoint states about itself in the head of its response.
+    void note_endpoint(const send_step& step);
     /// Result of an attempt whose connection ended early: the caller disconnected, a timeout, or
     /// else `fallback`.
     [[nodiscard]] attempt_result early_end_result(attempt_result fallback) const;
--- a/test/mangovane/forward/endpoint_tracker.cpp
+++ b/test/mangovane/forward/endpoint_tracker.cpp
@@ -20,22 +20,22 @@
         tracker.on_started(engine);
         tracker.on_started(engine);
         tracker.on_digest(peer, {{{engine, 5, 0, 0}}}, start);
-        CHECK(tracker.snapshot_of(engine, start).load == 7);
+        CHECK(tracker.snapshot_of(engine, 0, start).load == 7);
 
         SUBCASE("replaces the previous digest of an instance with a new one")
         {
             tracker.on_digest(peer, {{{engine, 1, 0, 0}}}, start);
-            CHECK(tracker.snapshot_of(engine, start).load == 3);
+            CHECK(tracker.snapshot_of(engine, 0, start).load == 3);
             tracker.on_digest(peer, {}, start);
-            CHECK(tracker.snapshot_of(engine, start).load == 2);
+            CHECK(tracker.snapshot_of(engine, 0, start).load == 2);
         }
         SUBCASE("drops the digest of an instance that sends no more digests")
         {
             const auto later = start + endpoint_tracker::digest_ttl;
             tracker.expire(later - milliseconds{1});
-            CHECK(tracker.snapshot_of(engine, later).load == 7);
+            CHECK(tracker.snapshot_of(engine, 0, later).load == 7);
             tracker.expire(later);
-            CHECK(tracker.snapshot_of(engine, later).load == 2);
+            CHECK(tracker.snapshot_of(engine, 0, later).load == 2);
         }
         SUBCASE("does not wrap around when attempts finish that never started")
         {
@@ -43,7 +43,7 @@
             {
                 tracker.on_finished(engine, health_outcome::answered, start);
             }
-            CHECK(tracker.snapshot_of(engine, start).load == 5);
+            CHECK(tracker.snapshot_of(engine, 0, start).load == 5);
         }
     }
     SUBCASE("reports its own requests and their results in a digest")
@@ -69,16 +69,16 @@
             tracker.on_finished(engine, health_outcome::unreachable, now);
         };
         fail(start);
-        CHECK(tracker.snapshot_of(engine, start + milliseconds{399}).suspended);
-        CHECK_FALSE(tracker.snapshot_of(engine, start + milliseconds{400}).suspended);
+        CHECK(tracker.snapshot_of(engine, 0, start + milliseconds{399}).suspended);
+        CHECK_FALSE(tracker.snapshot_of(engine, 0, start + milliseconds{400}).suspended);
         fail(start + seconds{1});
-        CHECK(tracker.snapshot_of(engine, start + milliseconds{1799}).suspended);
+        CHECK(tracker.snapshot_of(engine, 0, start + milliseconds{1799}).suspended);
 
         SUBCASE("until it answers")
         {
             tracker.on_started(engine);
             tracker.on_finished(engine, health_outcome::answered, start + milliseconds{1100});
-            CHECK_FALSE(tracker.snapshot_of(engine, start + milliseconds{1200}).suspended);
+            CHECK_FALSE(tracker.snapshot_of(engine, 0, start + milliseconds{1200}).suspended);
         }
     }
     SUBCASE("spaces requests to a cold endpoint, also after its record expires")
--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -202,6 +202,40 @@
             }
         }
     }
+    SUBCASE("sends nothing to an endpoint that has said in a response that it is leaving")
+    {
+        const auto first = core.choose(make_request(settings, "review", 5), {}, start);
+        core.on_notice(*first, endpoint_notice{true}, start);
+        // Each further response says so again; what it says does not lapse.
+        for (int n = 0; n != 40; ++n)
+        {
+            const auto now = start + seconds{10 * n};
+            core.tick(now);
+            const auto next = core.choose(make_request(settings, "review", 5), {}, now);
+            REQUIRE(next);
+            CHECK(next->endpoint != first->endpoint);
+            core.finish(next->endpoint, health_outcome::answered, now);
+        }
+        SUBCASE("until it has started again under the same name")
+        {
+            auto again = make_entry(first->name, test::model_service, "ikeja-a", 20);
+            again.info->epoch = 77;
+            core.catalog().apply({again}, 20, start);
+            core.refresh(start);
+            const auto next = core.choose(make_request(settings, "review", 5), {}, start);
+            CHECK(next->endpoint == first->endpoint);
+        }
+        SUBCASE("and refuses at once when all others are leaving as well")
+        {
+            const auto listed = core.state().routes();
+            for (const auto& it : listed->endpoints().all())
+            {
+                core.on_notice(dispatch_target{it.id, it.name}, endpoint_notice{true}, start);
+            }
+            CHECK(core.choose(make_request(settings, "review", 5), {}, start).refusal().kind ==
+                  error_kind::no_endpoint);
+        }
+    }
     SUBCASE("keeps an endpoint within the load bound while others have capacity")
     {
         for (int n = 0; n != 60; ++n)
--- a/test/platform/dialect.cpp
+++ b/test/platform/dialect.cpp
@@ -193,6 +193,16 @@
         head.set("Content-Encoding", "gzip");
         CHECK(class_of(head) == response_class::invalid_response);
     }
+    SUBCASE("states that the endpoint is leaving, whatever its status")
+    {
+        for (const unsigned status : {200U, 404U, 500U, 503U})
+        {
+            auto head = make_response(status);
+            CHECK_FALSE(dialect.notice_of(head).leaving);
+            head.set("Server-Leaving", "1");
+            CHECK(dialect.notice_of(head).leaving);
+        }
+    }
     SUBCASE("means that the request was not executed only if the endpoint says so")
     {
         for (const unsigned status : {503U, 429U, 408U})
--- a/test/platform/misbehaving_endpoint.cpp
+++ b/test/platform/misbehaving_endpoint.cpp
@@ -288,6 +288,36 @@
     }
 }
 
+TEST_CASE("an endpoint that says in its answers that it is leaving")
+{
+    router_fleet fleet{1};
+    REQUIRE(fleet.await_ready(0));
+    unsigned status = 200;
+    const scripted_endpoint leaving{
+        [&](const request& req, reply& rep) -> asio::awaitable<void>
+        {
+            co_await rep.raw(head(req, status, "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"));
+            co_await rep.close();
+        }};
+    fleet.write_address("leaving", "ventanilla", leaving.address());
+    std::this_thread::sleep_for(milliseconds{1000});
+
+    // The entry in the store still says that it is ready.
+    for (const unsigned it : {200U, 404U, 500U})
+    {
+        SUBCASE(absl::StrCat("gets no requests after a response with status ", it).c_str())
+        {
+            status = it;
+            CHECK(call_at(fleet, "grant", "first").status == it);
+            for (int n = 0; n != 10; ++n)
+            {
+                CHECK(call_at(fleet, "grant", absl::StrCat("later-", n)).status == 503);
+            }
+            CHECK(leaving.started() == 1);
+        }
+    }
+}
+
 TEST_CASE("a response that breaks off never looks complete")
 {
     router_fleet fleet{1};
