Send nothing to an endpoint for as long as its Retry-After asks

Cause: Retry-After of a 503 was ignored; only a suspension of 100 ms followed, and suspended endpoints are still chosen when there is no other.

Change: the time until which the endpoint wants no requests is kept as a deadline for its incarnation and excludes it from the choice. When all are closed, the caller is refused at once and told when the first opens. Values out of range neither overflow nor count as none.

--- a/src/mangovane/forward/endpoint_record.cpp
+++ b/src/mangovane/forward/endpoint_record.cpp
@@ -72,9 +72,11 @@
     {
         notice_epoch_ = epoch;
         leaving_ = false;
+        closed_until_ = {};
     }
     leaving_ = leaving_ || notice.leaving;
-    notice_kept_until_ = now + notice_ttl;
+    closed_until_ = std::max(closed_until_, notice.closed_until);
+    notice_kept_until_ = std::max<time_point>(now + notice_ttl, closed_until_);
 }
 
 void endpoint_record::add_peer_digest(const endpoint_digest& digest) noexcept
--- a/src/mangovane/forward/endpoint_record.hpp
+++ b/src/mangovane/forward/endpoint_record.hpp
@@ -65,6 +65,13 @@
         return leaving_ && epoch == notice_epoch_;
     }
 
+    /// Until when the endpoint, in this incarnation, accepts no request of this instance; zero if
+    /// it has not said so.
+    [[nodiscard]] time_point closed_until(incarnation epoch) const noexcept
+    {
+        return epoch == notice_epoch_ ? closed_until_ : time_point{};
+    }
+
     /// Requests of this instance.
     [[nodiscard]] std::uint32_t in_flight() const noexcept { return in_flight_; }
 
@@ -95,7 +102,7 @@
     static constexpr milliseconds replaced_suspension{3000};
     static constexpr seconds cold_state_ttl{60};
 
-    /// Longer than an endpoint that is leaving stays listed.
+    /// Longer than an endpoint that is leaving stays listed; the minimum for other notices.
     static constexpr std::chrono::hours notice_ttl{1};
 
     void rotate_period(time_point now) noexcept;
@@ -112,6 +119,7 @@
     time_point cold_sent_at_{time_point::min()};
     incarnation notice_epoch_{0}; ///< To which the notice applies.
     bool leaving_{false};         ///< Never reset in one incarnation.
+    time_point closed_until_{};   ///< Never decreases in one incarnation.
     time_point notice_kept_until_{};
 };
 
--- a/src/mangovane/forward/endpoint_tracker.cpp
+++ b/src/mangovane/forward/endpoint_tracker.cpp
@@ -85,8 +85,10 @@
 {
     endpoint_snapshot result;
     records_.find(endpoint,
-                  [&](const endpoint_record& it) {
-                      result = {it.load(), it.suspended(now), it.leaving(epoch), it.counts(now)};
+                  [&](const endpoint_record& it)
+                  {
+                      result = {it.load(), it.suspended(now), it.leaving(epoch),
+                                it.closed_until(epoch), it.counts(now)};
                   });
     return result;
 }
--- a/src/mangovane/forward/endpoint_tracker.hpp
+++ b/src/mangovane/forward/endpoint_tracker.hpp
@@ -20,7 +20,8 @@
     bool suspended{false}; ///< Avoided by this instance for now: it was recently unreachable, full
                            ///< or replaced.
     bool leaving{false};   ///< It has told this instance that it is leaving.
-    attempt_counts counts; ///< Recent attempts of all instances.
+    time_point closed_until{}; ///< It has told this instance to send nothing until then.
+    attempt_counts counts;     ///< Recent attempts of all instances.
 
     auto operator<=>(const endpoint_snapshot&) const = default;
 };
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -317,7 +317,15 @@
         const auto snapshot = tracker_.snapshot_of(it->id, it->epoch, now);
         total += snapshot.load;
         const bool tried = std::find(excluded.begin(), excluded.end(), it->id) != excluded.end();
-        if (!tried && !routes.closed(it->id) && !snapshot.leaving)
+        if (tried || routes.closed(it->id) || snapshot.leaving)
+        {
+            continue;
+        }
+        if (now < snapshot.closed_until)
+        {
+            result.reopens_at = std::min(result.reopens_at, snapshot.closed_until);
+        }
+        else
         {
             const bool avoided = snapshot.suspended || is_suspected(it->domain);
             result.candidates.push_back({it->id, it->domain, snapshot.load, avoided});
@@ -412,7 +420,10 @@
                     [&](const placement_candidate& it) { return admit(*routes, it, now); });
     if (!chosen)
     {
-        return choice_refusal{};
+        const bool all_closed =
+            eligible.candidates.empty() && eligible.reopens_at != time_point::max();
+        return choice_refusal{
+            error_kind::no_endpoint, all_closed ? eligible.reopens_at : time_point{}, {}};
     }
     const auto& candidate = eligible.candidates[*chosen];
     const auto* endpoint = routes->find(candidate.endpoint);
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -114,6 +114,8 @@
         /// Endpoints that accept new requests and are not excluded.
         std::vector<placement_candidate> candidates;
         double mean_load{0}; ///< Mean number of requests in flight over all listed endpoints.
+        /// When the first of the endpoints that have closed for a time opens again; max: none has.
+        time_point reopens_at{time_point::max()};
     };
 
     /// The last digest sent.
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -194,7 +194,7 @@
 void forward_session::note_endpoint(const send_step& step)
 {
     const auto now = clock::now();
-    const auto notice = services_.dialect.notice_of(call_->head());
+    const auto notice = services_.dialect.notice_of(call_->head(), now);
     if (notice == endpoint_notice{})
     {
         return;
@@ -202,7 +202,8 @@
     services_.core.on_notice(step.target, notice, now);
     services_.log.write(
         absl::StrCat("event=endpoint_notice request=", current_->flow->request().request,
-                     " endpoint=", step.target.name, " leaving=", notice.leaving ? 1 : 0),
+                     " endpoint=", step.target.name, " leaving=", notice.leaving ? 1 : 0,
+                     " closed_ms=", remaining_ms(notice.closed_until, now)),
         now);
 }
 
--- a/src/mangovane/net/http_dialect.hpp
+++ b/src/mangovane/net/http_dialect.hpp
@@ -66,7 +66,8 @@
                                                   const forward_request& request) const = 0;
 
     /// What the endpoint states about itself in the head of a response.
-    [[nodiscard]] virtual endpoint_notice notice_of(const response_head& head) const = 0;
+    [[nodiscard]] virtual endpoint_notice notice_of(const response_head& head,
+                                                    time_point now) const = 0;
 
     /// Version of the model weights that the response names; empty if it names none.
     [[nodiscard]] virtual std::string weights_version_of(const response_head& head) const = 0;
--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -236,6 +236,36 @@
                   error_kind::no_endpoint);
         }
     }
+    SUBCASE("sends nothing to an endpoint for as long as it has asked for when it turned one away")
+    {
+        const auto request = make_request(settings, "review", 5);
+        const auto first = core.choose(request, {}, start);
+        core.on_notice(*first, endpoint_notice{false, start + seconds{90}}, start);
+        core.finish(first->endpoint, health_outcome::full, start);
+        for (int n = 0; n != 90; ++n)
+        {
+            const auto now = start + seconds{n};
+            core.tick(now);
+            CHECK(core.choose(request, {}, now)->endpoint != first->endpoint);
+        }
+        core.tick(start + seconds{90});
+        CHECK(core.choose(request, {}, start + seconds{90})->endpoint == first->endpoint);
+
+        SUBCASE("and when all have, refuses at once and tells the caller when the first opens")
+        {
+            const auto listed = core.state().routes();
+            int wait = 5;
+            for (const auto& it : listed->endpoints().all())
+            {
+                core.on_notice(dispatch_target{it.id, it.name},
+                               endpoint_notice{false, start + seconds{++wait}}, start);
+            }
+            const auto choice = core.choose(request, {}, start);
+            REQUIRE_FALSE(choice);
+            CHECK(choice.refusal().kind == error_kind::no_endpoint);
+            CHECK(choice.refusal().retry_at == start + seconds{6});
+        }
+    }
     SUBCASE("keeps an endpoint within the load bound while others have capacity")
     {
         for (int n = 0; n != 60; ++n)
--- a/test/platform/dialect.cpp
+++ b/test/platform/dialect.cpp
@@ -198,11 +198,31 @@
         for (const unsigned status : {200U, 404U, 500U, 503U})
         {
             auto head = make_response(status);
-            CHECK_FALSE(dialect.notice_of(head).leaving);
+            CHECK_FALSE(dialect.notice_of(head, now).leaving);
             head.set("Server-Leaving", "1");
-            CHECK(dialect.notice_of(head).leaving);
+            CHECK(dialect.notice_of(head, now).leaving);
         }
     }
+    SUBCASE("that turns a request away states for how long the endpoint wants no other")
+    {
+        const auto closed_ms = [&](unsigned status, const std::string& value)
+        {
+            auto head = make_response(status);
+            head.set("Retry-After", value);
+            return remaining_ms(dialect.notice_of(head, now).closed_until, now);
+        };
+        CHECK(closed_ms(503, "3") == 3000);
+        CHECK(closed_ms(503, "0.25") == 250);
+        CHECK(closed_ms(500, "3") == 0);
+        CHECK(closed_ms(200, "3") == 0);
+        for (const auto* value : {"", "-1", "soon", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"})
+        {
+            CAPTURE(value);
+            CHECK(closed_ms(503, value) == 0);
+        }
+        // Numbers out of range neither overflow nor count as none.
+        CHECK(closed_ms(503, "1e300") == 24 * 3600 * 1000);
+    }
     SUBCASE("means that the request was not executed only if the endpoint says so")
     {
         for (const unsigned status : {503U, 429U, 408U})
--- a/test/platform/misbehaving_endpoint.cpp
+++ b/test/platform/misbehaving_endpoint.cpp
@@ -318,6 +318,46 @@
     }
 }
 
+TEST_CASE("an endpoint that turns a request away and says for how long it wants no other")
+{
+    router_fleet fleet{1};
+    REQUIRE(fleet.await_ready(0));
+    const scripted_endpoint closed{
+        [](const request& req, reply& rep) -> asio::awaitable<void>
+        {
+            co_await rep.raw(head(
+                req, 503, "X-Not-Executed: 1\r\nRetry-After: 600\r\nContent-Length: 0\r\n\r\n"));
+            co_await rep.close();
+        }};
+    fleet.write_address("closed", "ventanilla", closed.address());
+    std::this_thread::sleep_for(milliseconds{1000});
+    CHECK(call_at(fleet, "grant", "first").status == 503);
+
+    SUBCASE("gets none, and callers are refused at once and told when to come back")
+    {
+        for (int n = 0; n != 10; ++n)
+        {
+            raw_caller caller{fleet.address(0, 0)};
+            caller.send(request_text("POST", "grant", absl::StrCat("later-", n)));
+            const auto response = caller.read_all(milliseconds{300});
+            CHECK(status_of(response) == 503);
+            CHECK((response.find("Retry-After: 59") != std::string::npos ||
+                   response.find("Retry-After: 60") != std::string::npos));
+        }
+        CHECK(closed.started() == 1);
+    }
+    SUBCASE("does not keep requests from others")
+    {
+        fleet.add_engine("open", "ventanilla");
+        std::this_thread::sleep_for(milliseconds{1000});
+        for (int n = 0; n != 10; ++n)
+        {
+            CHECK(call_at(fleet, "grant", absl::StrCat("other-", n)).status == 200);
+        }
+        CHECK(closed.started() == 1);
+    }
+}
+
 TEST_CASE("a response that breaks off never looks complete")
 {
     router_fleet fleet{1};
