Treat a stream that ends inside an event as broken off

What callers saw: a stream without length or chunks that broke off inside an event ended as if it were complete, with part of an event as its last bytes.

Cause: the end of the connection counted as the end of the response, and the bytes of an incomplete event were sent before the last chunk.

Change: a stream is complete only after an empty line; otherwise it is resumed where its route allows, or its connection is closed without the last chunk.

--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -124,6 +124,7 @@
     }
     const bool watched =
         step.first_byte_deadline != time_point::max() || step.event_gap_timeout.count() != 0;
+    event_boundary boundary;
     std::array<char, read_buffer_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
     while (!call_->done())
     {
@@ -132,6 +133,7 @@
         auto relayed = relayed_events::none;
         if (n != 0)
         {
+            boundary.add({buf.data(), n});
             relayed = co_await relay_events({buf.data(), n});
         }
         if (relayed == relayed_events::failed)
@@ -154,23 +156,18 @@
             set_event_timer(step);
         }
     }
-    const auto result = co_await end_stream();
+    const auto result = co_await end_stream(boundary);
     co_return result;
 }
 
-asio::awaitable<attempt_result> forward_session::end_stream()
+asio::awaitable<attempt_result> forward_session::end_stream(const event_boundary& boundary)
 {
-    const auto& current = *current_;
-    const auto& remaining = current.events.partial_event();
-    const bool started = current.flow->response_started();
-    if (!started && remaining.empty())
+    const bool started = current_->flow->response_started();
+    if (!started || boundary.inside_event())
     {
-        co_return attempt_result::broken;
+        co_return started ? attempt_result::cut : attempt_result::broken;
     }
-    auto out = started ? std::string{} : begin_response(call_->head(), {true, std::nullopt});
-    out += remaining.empty() ? std::string{} : encode_chunk(remaining);
-    out += encode_chunk({});
-    const bool written = co_await write_to_caller(std::move(out));
+    const bool written = co_await write_to_caller(encode_chunk({}));
     co_return written ? attempt_result::delivered : attempt_result::caller_left;
 }
 
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "mangovane/net/event_boundary.hpp"
 #include "mangovane/net/forward_services.hpp"
 #include "mangovane/net/http_serialization.hpp"
 #include "mangovane/net/sse_splitter.hpp"
@@ -138,7 +139,7 @@
     boost::asio::awaitable<attempt_result> relay_oversized(const buffered_response& answer);
     boost::asio::awaitable<attempt_result> relay_stream(const send_step& step);
     boost::asio::awaitable<relayed_events> relay_events(std::string_view bytes);
-    boost::asio::awaitable<attempt_result> end_stream();
+    boost::asio::awaitable<attempt_result> end_stream(const event_boundary& boundary);
     /// Reads a part of the response; records an error for the log.
     boost::asio::awaitable<error_code> read_part(std::span<char> buf, std::size_t& n);
     /// Head of a response that is relayed while it is being read; from then on it can only be
--- a/test/platform/misbehaving_endpoint.cpp
+++ b/test/platform/misbehaving_endpoint.cpp
@@ -358,6 +358,47 @@
     }
 }
 
+TEST_CASE("a stream without a length that ends with its connection")
+{
+    router_fleet fleet{1};
+    REQUIRE(fleet.await_ready(0));
+    const std::string two_events = "id: 1\ndata: x\n\nid: 2\ndata: y\r\n\r\n";
+    std::string body;
+    const scripted_endpoint endpoint{[&](const request& req, reply& rep) -> asio::awaitable<void>
+                                     {
+                                         co_await rep.raw(head(req, 200, "\r\n" + body));
+                                         co_await rep.close();
+                                     }};
+    fleet.write_address("unframed", "dictamen", endpoint.address());
+    std::this_thread::sleep_for(milliseconds{1000});
+
+    SUBCASE("is complete after a whole event")
+    {
+        body = two_events;
+        for (const auto* route : {"review", "rights"})
+        {
+            CAPTURE(route);
+            const auto response = call_at(fleet, route, absl::StrCat("whole-", route));
+            CHECK(response.status == 200);
+            CHECK(response.body == two_events);
+        }
+    }
+    SUBCASE("has broken off inside an event, and does not look complete to the caller")
+    {
+        for (const auto* rest : {"id: 3\n", "id: 3\ndata: z", "id: 3\ndata: z\n", "i"})
+        {
+            body = two_events + rest;
+            for (const auto* route : {"review", "rights"})
+            {
+                CAPTURE(route);
+                CAPTURE(rest);
+                const auto id = absl::StrCat("part-", route, std::string{rest}.size());
+                CHECK(call_at(fleet, route, id).status == 0);
+            }
+        }
+    }
+}
+
 TEST_CASE("a response that breaks off never looks complete")
 {
     router_fleet fleet{1};
@@ -399,9 +440,11 @@
         for (std::size_t n = 0; n != beginnings.size(); ++n)
         {
             chosen = n;
-            const bool complete = !reset && beginnings[n].starts_with("\r\n");
-            for (const auto* route : {"grant", "review"})
+            for (const std::string route : {"grant", "review"})
             {
+                // A stream that ends inside an event is incomplete, however its connection ends.
+                const bool complete =
+                    route == "grant" && !reset && beginnings[n].starts_with("\r\n");
                 const auto id = absl::StrCat("broken-", reset ? 1 : 0, "-", n, "-", route);
                 CAPTURE(id);
                 const auto response = call_at(fleet, route, id);
