Do not continue a stream with an error of the next endpoint

What callers saw: a stream broke off, the endpoint that should have resumed it answered 4xx or 3xx, and the text of that error was sent in the middle of the stream, or the stream ended as if it were complete.

Cause: only statuses from 500 on were kept out of a stream that had begun; all others were relayed as its events.

Change: once a response has begun, only a success continues it. An error on a stream route is relayed as a plain response, held until it is complete.

--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -179,7 +179,14 @@
     case response_class::pass_through:
         break;
     }
-    const bool stream = request.route->kind == route_kind::stream && !head_only;
+    const bool success =
+        http::to_status_class(call_->head().result()) == http::status_class::successful;
+    if (current.flow->response_started() && !success)
+    {
+        // The caller's response is a stream that has begun, and cannot become an error.
+        co_return attempt_result::broken;
+    }
+    const bool stream = request.route->kind == route_kind::stream && !head_only && success;
     // Two statements, because some compilers destroy the awaited object of a conditional expression
     // too early.
     if (stream)
--- a/test/platform/misbehaving_endpoint.cpp
+++ b/test/platform/misbehaving_endpoint.cpp
@@ -358,6 +358,49 @@
     }
 }
 
+TEST_CASE("a stream that broke off and whose next endpoint answers with an error")
+{
+    router_fleet fleet{1};
+    REQUIRE(fleet.await_ready(0));
+    const std::string first_event = "id: 1\ndata: x\n\n";
+    std::string error;
+    const auto run = [&](const request& req, reply& rep) -> asio::awaitable<void>
+    {
+        if (req.count("Last-Event-ID") != 0)
+        {
+            co_await rep.raw(error);
+            co_await rep.close();
+            co_return;
+        }
+        co_await rep.raw(head(req, 200, "\r\n" + first_event + "id: 2\nda"));
+        rep.reset();
+    };
+    const scripted_endpoint one{run};
+    const scripted_endpoint two{run};
+    fleet.write_address("one", "dictamen", one.address());
+    fleet.write_address("two", "dictamen", two.address());
+    std::this_thread::sleep_for(milliseconds{1000});
+
+    for (const unsigned status : {400U, 404U, 409U, 500U, 302U})
+    {
+        // With and without an end that looks like the end of an event.
+        for (const auto* text : {"no such thing", "id: 2\ndata: no such thing\n\n"})
+        {
+            CAPTURE(status);
+            CAPTURE(text);
+            error = absl::StrCat("HTTP/1.1 ", status, " Error\r\nX-Server-Signature: s\r\n",
+                                 "Content-Length: ", std::string{text}.size(), "\r\n\r\n", text);
+            raw_caller caller{fleet.address(0, 0)};
+            caller.send(request_text("POST", "rights", absl::StrCat("resumed-", status)));
+            const auto response = caller.read_all(milliseconds{4000});
+            CHECK(response.find("data: x") != std::string::npos);
+            CHECK(response.find("no such thing") == std::string::npos);
+            CHECK_FALSE(response.ends_with("0\r\n\r\n"));
+        }
+    }
+    CHECK(one.started() + two.started() == 20);
+}
+
 TEST_CASE("a stream without a length that ends with its connection")
 {
     router_fleet fleet{1};
