--- a/test/platform/endpoint_entry.cpp
+++ b/test/platform/endpoint_entry.cpp
@@ -49,3 +49,20 @@
         CHECK_FALSE(parse_endpoint_entry("i-1", text, 9).ok());
     }
 }
+
+TEST_CASE("an entry that could make the instances fail that read it names no endpoint")
+{
+    const std::string deep(200'000, '[');
+    for (const auto& text : {deep, "{\"service\":" + deep, with("64", deep), with("1500", "1e300"),
+                             with("1500", "1e999"), with("1500", "99999999999999999999"),
+                             with("1500", "9007199254740992"), with("1786128280242", "1e300"),
+                             with("1786128280242", "-1"), with("8080", "65536"), with("8080", "0"),
+                             with("8080", "-1"), with("8080", "99999999999999999999")})
+    {
+        CAPTURE(text.substr(0, 200));
+        CHECK_FALSE(parse_endpoint_entry("i-1", text, 9).ok());
+    }
+    // A long but possible warm-up.
+    CHECK(parse_endpoint_entry("i-1", with("1500", "31536000000"), 9)->cold_left ==
+          milliseconds{31'536'000'000});
+}
