Count a request as answered only once a whole event has arrived

What callers would see: an endpoint that sends a few bytes of its first event and then crashes was taken as one that had begun to answer. Such a request was no evidence, and even cleared the part of its prompt that crashed the endpoint: each further request crashed one more.

Cause: the first byte that was relayed counted as the answer.

Change: the first whole event, or the whole response, counts. A connection that ends before is checked for a crash, also if part of an event was relayed; such a stream is resumed once where its route allows, and otherwise ends incomplete.

--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -124,18 +124,18 @@
     return std::exchange(retry_reserved_, false) || chooser_.try_retry(request_.service, now);
 }
 
-void forward_flow::on_response_started(time_point now)
+void forward_flow::on_answer(time_point now)
 {
-    response_started_ = true;
-    chooser_.on_answer(request_, now);
+    if (!answered_)
+    {
+        answered_ = true;
+        chooser_.on_answer(request_, now);
+    }
 }
 
 forward_step forward_flow::after_delivered(time_point now)
 {
-    if (!response_started_)
-    {
-        chooser_.on_answer(request_, now);
-    }
+    on_answer(now);
     return finish_step{true};
 }
 
@@ -167,8 +167,11 @@
 {
     ++crashes_;
     const bool may_repeat = chooser_.on_crash(request_, endpoint_, epoch_, now);
-    return may_repeat && crashes_ < max_crashes ? after_broken(now)
-                                                : refuse(error_kind::endpoint_failed);
+    if (!may_repeat || crashes_ >= max_crashes)
+    {
+        return refuse(error_kind::endpoint_failed);
+    }
+    return response_started_ ? after_cut(now) : after_broken(now);
 }
 
 forward_step forward_flow::after_cut(time_point now)
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -94,9 +94,14 @@
 
     /// Records that part of the response is sent to the caller: from now on the response can only
     /// be continued, not replaced by an error.
-    void on_response_started(time_point now);
+    void on_response_started() noexcept { response_started_ = true; }
     [[nodiscard]] bool response_started() const noexcept { return response_started_; }
 
+    /// Records that a whole event, or the whole response, has been received. An endpoint that
+    /// crashes while it begins to answer may still have sent a few bytes.
+    void on_answer(time_point now);
+    [[nodiscard]] bool answered() const noexcept { return answered_; }
+
     [[nodiscard]] const forward_request& request() const noexcept { return request_; }
     [[nodiscard]] std::uint32_t attempts() const noexcept { return attempts_; }
 
@@ -153,6 +158,7 @@
     std::uint32_t possible_runs_{0};
     std::uint32_t crashes_{0};     ///< Attempts during which the endpoint crashed.
     bool response_started_{false}; ///< Part of the response has been sent to the caller.
+    bool answered_{false};         ///< An endpoint has answered the request, at least in part.
     bool retry_reserved_{false};   ///< The retry budget has been charged for the next attempt.
 };
 
--- a/src/mangovane/net/event_boundary.hpp
+++ b/src/mangovane/net/event_boundary.hpp
@@ -18,6 +18,7 @@
     /// Appends bytes of the stream.
     void add(std::string_view bytes)
     {
+        has_event_ = has_event_ || ends_event_in(end_ + std::string{bytes});
         end_.append(bytes.substr(bytes.size() - std::min(bytes.size(), max_end_bytes)));
         end_.erase(0, end_.size() - std::min(end_.size(), max_end_bytes));
     }
@@ -28,10 +29,20 @@
         return !end_.empty() && !end_.ends_with("\n\n") && !end_.ends_with("\n\r\n");
     }
 
+    /// Whether at least one whole event has arrived.
+    [[nodiscard]] bool has_event() const noexcept { return has_event_; }
+
 private:
+    [[nodiscard]] static bool ends_event_in(std::string_view text) noexcept
+    {
+        return text.find("\n\n") != std::string_view::npos ||
+               text.find("\n\r\n") != std::string_view::npos;
+    }
+
     /// Length of the longest end of an event, "\n\r\n".
     static constexpr std::size_t max_end_bytes = 3;
 
+    bool has_event_{false};
     std::string end_; ///< The last bytes; at most `max_end_bytes`.
 };
 
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -139,7 +139,8 @@
     const auto result = co_await read_answer(step);
     ++timer_generation_;
     call->close();
-    if (result != attempt_result::broken || current.flow->response_started())
+    const bool ended_early = result == attempt_result::broken || result == attempt_result::cut;
+    if (!ended_early || current.flow->answered())
     {
         co_return result;
     }
@@ -242,7 +243,7 @@
         absl::StrCat("event=attempt_ended request=", current_->flow->request().request,
                      " attempt=", step.attempt, " endpoint=", step.target.name,
                      " result=", absl::string_view{name.data(), name.size()}, " ms=", time.count(),
-                     " answered=", current_->flow->response_started() ? 1 : 0,
+                     " answered=", current_->flow->answered() ? 1 : 0,
                      " parts=", part_ids_text(current_->flow->request().shared_parts()),
                      " error=", error_text(current_->endpoint_error)),
         now);
--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -134,6 +134,10 @@
         if (n != 0)
         {
             boundary.add({buf.data(), n});
+            if (boundary.has_event())
+            {
+                current.flow->on_answer(clock::now());
+            }
             relayed = co_await relay_events({buf.data(), n});
         }
         if (relayed == relayed_events::failed)
@@ -200,7 +204,7 @@
     remove_hop_by_hop_fields(head);
     current_->status = head.result_int();
     current_->first_byte_at = clock::now();
-    current_->flow->on_response_started(current_->first_byte_at);
+    current_->flow->on_response_started();
     auto out = serialize_head(head, framing, keep_alive());
     keep_alive_ = keep_alive();
     return out;
--- a/src/mangovane/quarantine/prompt_quarantine.cpp
+++ b/src/mangovane/quarantine/prompt_quarantine.cpp
@@ -97,7 +97,7 @@
     {
         if (find_verdict(*before, it.verdict.part) == nullptr)
         {
-            add_event({quarantine_change::refused, it.verdict.part, 0, it.verdict, now});
+            add_event({quarantine_change::refused, it.verdict.part, 0, it.verdict});
         }
     }
     for (const auto& it : *before)
@@ -106,7 +106,7 @@
         {
             const auto change =
                 now >= it.keep_until ? quarantine_change::expired : quarantine_change::cleared;
-            add_event({change, it.verdict.part, 0, it.verdict, now});
+            add_event({change, it.verdict.part, 0, it.verdict});
         }
     }
 }
@@ -169,7 +169,7 @@
             });
         if (is_new)
         {
-            add_event({quarantine_change::suspected, part, crash, {}, now});
+            add_event({quarantine_change::suspected, part, crash, {}});
             add_pending({part, crash, now, answered_before ? now + answer_wait : now});
         }
     }
--- a/src/mangovane/quarantine/prompt_quarantine.hpp
+++ b/src/mangovane/quarantine/prompt_quarantine.hpp
@@ -42,7 +42,6 @@
     std::uint64_t part{0};
     std::uint64_t crash{0}; ///< Only of `suspected`.
     part_verdict verdict;   ///< Not of `suspected`.
-    time_point at{};
 
     auto operator<=>(const quarantine_event&) const = default;
 };
--- a/test/mangovane/forward/forward_flow.cpp
+++ b/test/mangovane/forward/forward_flow.cpp
@@ -201,7 +201,7 @@
     {
         // Only the events of a stream can be continued; the rest would be joined to a part of
         // another response.
-        flow.on_response_started(start);
+        flow.on_response_started();
         CHECK_FALSE(flow.may_retry_stalled(start + milliseconds{250}));
         step = flow.on_result(attempt_result::cut, start);
         REQUIRE(std::holds_alternative<finish_step>(step));
@@ -226,7 +226,7 @@
         auto step = flow.start(start);
         // A slow stream whose events keep within the objective of 600 ms is not abandoned.
         CHECK(std::get<send_step>(step).event_gap_timeout >= milliseconds{600});
-        flow.on_response_started(start);
+        flow.on_response_started();
         step = flow.on_result(attempt_result::cut, start);
         REQUIRE(sent_to(step) == "two");
         CHECK(std::get<send_step>(step).resumes);
@@ -250,7 +250,7 @@
     {
         forward_flow flow{test::make_request(settings, "review", 5), chooser};
         (void)flow.start(start);
-        flow.on_response_started(start);
+        flow.on_response_started();
         const auto step = flow.on_result(attempt_result::cut, start);
         REQUIRE(std::holds_alternative<finish_step>(step));
         CHECK_FALSE(std::get<finish_step>(step).complete);
@@ -294,11 +294,22 @@
         step = single.on_result(attempt_result::crashed, start);
         CHECK(refused_with(step) == error_kind::outcome_unknown);
     }
-    SUBCASE("counts as unanswered; one whose response has begun counts as answered")
+    SUBCASE("ends incomplete if a part of an event has been sent to the caller")
+    {
+        forward_flow single{test::make_request(settings, "review", 5), chooser};
+        (void)single.start(start);
+        single.on_response_started();
+        step = single.on_result(attempt_result::crashed, start);
+        REQUIRE(std::holds_alternative<finish_step>(step));
+        CHECK_FALSE(std::get<finish_step>(step).complete);
+        CHECK(chooser.crashes == 1);
+    }
+    SUBCASE("counts as unanswered until a whole event has arrived")
     {
         step = flow.on_result(attempt_result::crashed, start);
+        flow.on_response_started();
         CHECK(chooser.answers == 0);
-        flow.on_response_started(start);
+        flow.on_answer(start);
         CHECK(chooser.answers == 1);
         (void)flow.on_result(attempt_result::delivered, start);
         CHECK(chooser.answers == 1);
--- a/test/mangovane/net/event_boundary.cpp
+++ b/test/mangovane/net/event_boundary.cpp
@@ -24,6 +24,16 @@
             CHECK_FALSE(boundary.inside_event());
         }
     }
+    SUBCASE("and knows whether a whole event has arrived")
+    {
+        boundary.add("id: 1\ndata: x\r");
+        CHECK_FALSE(boundary.has_event());
+        boundary.add("\n\r");
+        CHECK_FALSE(boundary.has_event());
+        boundary.add("\nid: 2");
+        CHECK(boundary.has_event());
+        CHECK(boundary.inside_event());
+    }
     SUBCASE("but not after a line of the next one")
     {
         boundary.add("data: x\n\ndata: y\n");
--- a/test/platform/crashing_prompt.cpp
+++ b/test/platform/crashing_prompt.cpp
@@ -58,6 +58,9 @@
 
     [[nodiscard]] int crashes() const { return crashes_; }
 
+    /// Endpoints send a part of their first event before they crash.
+    std::atomic<bool> sends_partial_event{false};
+
     /// Requests with the crashing part that have reached an endpoint.
     [[nodiscard]] int arrivals() const { return arrivals_; }
 
@@ -79,6 +82,10 @@
             co_await rep.raw(
                 absl::StrCat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", std::string{req["X-Attempt-Id"]},
                              "\r\nX-Server-Signature: s\r\n\r\n"));
+            if (sends_partial_event)
+            {
+                co_await rep.raw("id: 1\nda");
+            }
             self.crashed = true;
             co_await rep.pause(std::chrono::minutes{10});
             co_return;
@@ -210,3 +217,17 @@
         CHECK(endpoints.arrivals() == before);
     }
 }
+
+TEST_CASE("requests that crash endpoints after a few bytes of their answers")
+{
+    router_fleet fleet{1};
+    fragile_endpoints endpoints{fleet, 6};
+    endpoints.sends_partial_event = true;
+    REQUIRE(fleet.await_ready(0));
+    for (int n = 0; n != 20; ++n)
+    {
+        std::this_thread::sleep_for(request_interval);
+        (void)call_with_prompt(fleet, 0, "review", absl::StrCat("p", n), crashing_part);
+    }
+    CHECK(endpoints.crashes() <= max_crashes);
+}
