--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -49,7 +49,8 @@
     bool operator==(const forward_options&) const = default;
 };
 
-/// Decisions of an instance that forwards by routes. `coordinator` takes this role at an instance
+/// Decisions of an instance that forwards by routes; the choice of endpoints is in
+/// forward_core_choice.cpp. `coordinator` takes this role at an instance
 /// whose endpoints have owners that grant slots.
 class forward_core final : public endpoint_chooser
 {
--- /dev/null
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -0,0 +1,223 @@
+// Choice of an endpoint by the forward core, and of the endpoint that should hold a prefix.
+#include <algorithm>
+#include <utility>
+
+#include "mangovane/forward/forward_core.hpp"
+
+namespace mangovane
+{
+
+forward_core::candidate_set forward_core::collect_candidates(const routing_table& routes,
+                                                             service_id service,
+                                                             std::span<const endpoint_id> excluded,
+                                                             time_point now)
+{
+    candidate_set result;
+    const auto& listed = routes.endpoints().of_service(service);
+    const auto suspected_domains = domains_.suspected(now);
+    const auto is_suspected = [&](domain_id it)
+    {
+        return std::find(suspected_domains.begin(), suspected_domains.end(), it) !=
+               suspected_domains.end();
+    };
+    std::vector<attempt_counts> counts;
+    double total = 0;
+    for (const auto* it : listed)
+    {
+        const auto snapshot = tracker_.snapshot_of(it->id, it->epoch, now);
+        total += snapshot.load;
+        const bool tried = std::find(excluded.begin(), excluded.end(), it->id) != excluded.end();
+        if (tried || routes.closed(it->id) || snapshot.leaving)
+        {
+            continue;
+        }
+        if (now < snapshot.closed_until)
+        {
+            result.reopens_at = std::min(result.reopens_at, snapshot.closed_until);
+        }
+        else
+        {
+            const bool avoided = snapshot.suspended || is_suspected(it->domain);
+            result.candidates.push_back({it->id, it->domain, snapshot.load, avoided});
+            counts.push_back(snapshot.counts);
+        }
+    }
+    result.mean_load = listed.empty() ? 0 : total / static_cast<double>(listed.size());
+    mark_avoided(result.candidates, counts);
+    return result;
+}
+
+void forward_core::mark_avoided(std::vector<placement_candidate>& candidates,
+                                const std::vector<attempt_counts>& counts)
+{
+    attempt_counts all;
+    for (const auto& it : counts)
+    {
+        all.failures += it.failures;
+        all.successes += it.successes;
+    }
+    const auto failure_rate = [](std::uint32_t failures, std::uint32_t successes)
+    {
+        const auto sum = failures + successes;
+        return sum == 0 ? 0.0 : static_cast<double>(failures) / sum;
+    };
+    for (std::size_t n = 0; n != candidates.size(); ++n)
+    {
+        const auto& own = counts[n];
+        const auto others =
+            failure_rate(all.failures - own.failures, all.successes - own.successes);
+        const auto own_rate = failure_rate(own.failures, own.successes);
+        candidates[n].avoided = candidates[n].avoided ||
+                                (own.failures >= min_failures && own_rate >= min_failure_rate &&
+                                 own_rate >= min_failure_ratio * others);
+    }
+}
+
+bool forward_core::is_cold(const endpoint_info& endpoint, time_point now)
+{
+    if (now < endpoint.cold_until)
+    {
+        return true;
+    }
+    const std::lock_guard lock{mutex_};
+    const auto it = cold_domains_.find(endpoint.domain);
+    return it != cold_domains_.end() && now < it->second;
+}
+
+duration forward_core::cold_request_interval(const service_policy& service) const
+{
+    const auto fleet_rate = service.cold_requests_per_s * options_.fleet.cold_rate_factor +
+                            options_.fleet.cold_rate_extra;
+    const auto seconds_apart = fleet_size_.value() / (cold_safety_factor * fleet_rate);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds_apart});
+}
+
+bool forward_core::admit(const routing_table& routes,
+                         const placement_candidate& candidate,
+                         time_point now)
+{
+    const auto* endpoint = routes.find(candidate.endpoint);
+    const auto* service = routes.settings().find_service(endpoint->service);
+    const bool bounded = service != nullptr && service->cold_requests_per_s > 0;
+    if (!bounded || !is_cold(*endpoint, now))
+    {
+        return true;
+    }
+    const auto interval = cold_request_interval(*service);
+    const auto offset = hash_combine(options_.self.id.value(), candidate.endpoint.value());
+    const duration first_wait{static_cast<duration::rep>(
+        offset % static_cast<std::uint64_t>(std::max<duration::rep>(interval.count(), 1)))};
+    return tracker_.try_admit_cold(candidate.endpoint, interval, first_wait, now);
+}
+
+dispatch_choice forward_core::choose(const forward_request& request,
+                                     std::span<const endpoint_id> excluded,
+                                     time_point now)
+{
+    if (const auto verdict = quarantine_.check(request.shared_parts(), now))
+    {
+        return choice_refusal{error_kind::prompt_quarantined, now + prompt_quarantine::retry_delay,
+                              verdict};
+    }
+    const auto routes = state_.routes();
+    const auto eligible = collect_candidates(*routes, request.service, excluded, now);
+    const auto allowed = options_.fleet.bound.allowed(eligible.mean_load);
+    const auto affinity = request.affinity();
+    const auto& rule = affinity != 0 ? sticky_placement() : least_loaded_placement();
+    const auto tie_break_seed = hash_combine(options_.seed, ++choice_count_);
+    const auto chosen =
+        rule.choose({eligible.candidates, allowed, affinity, tie_break_seed, options_.self.domain},
+                    [&](const placement_candidate& it) { return admit(*routes, it, now); });
+    if (!chosen)
+    {
+        const bool all_closed =
+            eligible.candidates.empty() && eligible.reopens_at != time_point::max();
+        return choice_refusal{
+            error_kind::no_endpoint, all_closed ? eligible.reopens_at : time_point{}, {}};
+    }
+    const auto& candidate = eligible.candidates[*chosen];
+    const auto* endpoint = routes->find(candidate.endpoint);
+    tracker_.on_started(candidate.endpoint);
+    auto source = prefix_source(*routes, request, *endpoint, now);
+    for (const auto prefix : {affinity, request.common_prefix()})
+    {
+        if (prefix != 0)
+        {
+            prefixes_.record(prefix, endpoint->id, endpoint->epoch, now);
+        }
+    }
+    return dispatch_target{candidate.endpoint,
+                           endpoint->name,
+                           endpoint->address,
+                           endpoint->epoch,
+                           std::move(source),
+                           candidate.load,
+                           allowed,
+                           static_cast<std::uint32_t>(eligible.candidates.size()),
+                           routes->settings().stamp.version};
+}
+
+const endpoint_info* forward_core::expected_prefix_endpoint(const routing_table& routes,
+                                                            const forward_request& request,
+                                                            time_point now)
+{
+    const endpoint_info* best = nullptr;
+    std::uint64_t best_score = 0;
+    for (const auto* it : routes.endpoints().of_service(request.service))
+    {
+        const bool recently_cold =
+            it->cold_until != time_point{} && now < it->cold_until + recently_cold_time;
+        const auto score = rendezvous_score(request.affinity(), it->id.value());
+        if (!recently_cold && (best == nullptr || score > best_score) &&
+            !tracker_.snapshot_of(it->id, it->epoch, now).suspended)
+        {
+            best = it;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+const endpoint_info* forward_core::last_prefix_endpoint(const routing_table& routes,
+                                                        std::uint64_t prefix,
+                                                        const endpoint_info& chosen,
+                                                        time_point now)
+{
+    const auto last = prefixes_.last_other(prefix, chosen.id, now);
+    const auto* caching_endpoint = last ? routes.find(*last) : nullptr;
+    const bool is_suspended =
+        caching_endpoint != nullptr &&
+        tracker_.snapshot_of(caching_endpoint->id, caching_endpoint->epoch, now).suspended;
+    return is_suspended ? nullptr : caching_endpoint;
+}
+
+std::string forward_core::prefix_source(const routing_table& routes,
+                                        const forward_request& request,
+                                        const endpoint_info& chosen,
+                                        time_point now)
+{
+    const auto affinity = request.affinity();
+    if (affinity == 0 || prefixes_.holds(affinity, chosen.id, chosen.epoch, now))
+    {
+        return {};
+    }
+    const auto* caching_endpoint = last_prefix_endpoint(routes, affinity, chosen, now);
+    if (caching_endpoint == nullptr)
+    {
+        caching_endpoint = expected_prefix_endpoint(routes, request, now);
+    }
+    if (caching_endpoint != nullptr && caching_endpoint->id != chosen.id)
+    {
+        return caching_endpoint->address;
+    }
+    // No other endpoint is expected to hold the whole prefix; one may hold its first part.
+    const auto common = request.common_prefix();
+    if (common == 0 || prefixes_.holds(common, chosen.id, chosen.epoch, now))
+    {
+        return {};
+    }
+    caching_endpoint = last_prefix_endpoint(routes, common, chosen, now);
+    return caching_endpoint == nullptr ? std::string{} : caching_endpoint->address;
+}
+
+} // namespace mangovane
