Keep summaries of crash evidence within the budget for control traffic

Cause: a summary could have 256 entries; at four a second an instance would have received 33 KB/s (computed), over the users' 21 KB/s at the size of two years.

Change: at most 96 entries, the most suspect parts first: 12 KB/s (computed). The clock is no longer read for each piece of a stream that was answered.

Measured: the test that fills all records now demands the lower bound and that the refused part is among the entries; it passes.

--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -134,7 +134,7 @@
         if (n != 0)
         {
             boundary.add({buf.data(), n});
-            if (boundary.has_event())
+            if (!current.flow->answered() && boundary.has_event())
             {
                 current.flow->on_answer(clock::now());
             }
--- a/src/mangovane/quarantine/prompt_quarantine.cpp
+++ b/src/mangovane/quarantine/prompt_quarantine.cpp
@@ -342,7 +342,7 @@
     result.is_summary = true;
     for (const auto& list : found)
     {
-        const auto room = max_update_crashes - result.crashes.size();
+        const auto room = max_summary_crashes - result.crashes.size();
         const auto n = static_cast<std::ptrdiff_t>(std::min(room, list.size()));
         result.crashes.insert(result.crashes.end(), list.begin(), list.begin() + n);
     }
--- a/src/mangovane/quarantine/prompt_quarantine.hpp
+++ b/src/mangovane/quarantine/prompt_quarantine.hpp
@@ -85,7 +85,8 @@
     /// What this instance has found out and must now tell all others. Drops expired records.
     [[nodiscard]] quarantine_update take_news(time_point now);
 
-    /// All evidence, for an instance that may have missed some. Empty when there is none.
+    /// The evidence, for an instance that may have missed some: that against the most suspect
+    /// parts, at most `max_summary_crashes`. Empty when there is none.
     [[nodiscard]] quarantine_update summary(time_point now);
 
     /// The changes since the last call; at most `max_events`.
@@ -106,6 +107,10 @@
     /// Delay after which a refused caller may try again.
     static constexpr seconds retry_delay{30};
 
+    /// Evidence in a summary. An instance receives four a second in the mean; of this size they use
+    /// about half of what it may spend on messages between instances.
+    static constexpr std::size_t max_summary_crashes = 96;
+
     static constexpr std::size_t capacity = 2048; ///< Records.
     static constexpr std::size_t max_events = 64;
 
--- a/test/mangovane/quarantine/prompt_quarantine.cpp
+++ b/test/mangovane/quarantine/prompt_quarantine.cpp
@@ -256,7 +256,10 @@
         }
         CHECK(one.size() <= prompt_quarantine::capacity);
         CHECK(one.check(crashing, now));
-        CHECK(one.summary(now).crashes.size() <= max_update_crashes);
+        const auto summary = one.summary(now);
+        CHECK(summary.crashes.size() <= prompt_quarantine::max_summary_crashes);
+        CHECK(std::count_if(summary.crashes.begin(), summary.crashes.end(),
+                            [](const auto& it) { return it.part == 666; }) == 3);
         CHECK(one.take_events().size() <= prompt_quarantine::max_events);
     }
 }
