Remove an accessor that the check of stream ends made dead

Cause: the end of a stream is now judged by event_boundary, so nothing calls sse_splitter::partial_event() any more. The comment of prompt_part::id had been wrapped between the name and its initialiser.

No behaviour changes.

--- a/src/mangovane/core/prompt_part.hpp
+++ b/src/mangovane/core/prompt_part.hpp
@@ -13,8 +13,8 @@
 /// One part of a prompt. Requests whose first parts are equal share a prefix.
 struct prompt_part
 {
-    std::uint64_t id{
-        0}; ///< As the caller names it, where that is a number of 64 bits; or its hash.
+    /// As the caller names it, where that is a number of 64 bits; otherwise the hash of the name.
+    std::uint64_t id{0};
     std::uint32_t tokens{0};
 
     auto operator<=>(const prompt_part&) const = default;
--- a/src/mangovane/net/sse_splitter.hpp
+++ b/src/mangovane/net/sse_splitter.hpp
@@ -25,9 +25,6 @@
     /// the last event.
     void restart_after_last_event();
 
-    /// Bytes of the incomplete event at the end of the stream.
-    [[nodiscard]] const std::string& partial_event() const noexcept { return partial_event_; }
-
     /// Id of the last event that was returned; empty before the first event with an id.
     [[nodiscard]] std::optional<std::uint64_t> last_id() const noexcept { return last_id_; }
 
