--- a/review/stage/crashing_part.cpp
+++ b/review/stage/crashing_part.cpp
@@ -10,8 +10,6 @@
 #include <algorithm>
 #include <random>
 
-#include <unistd.h>
-
 #include "stage.hpp"
 
 namespace
@@ -149,8 +147,7 @@
         if (!fleet.await_ready(n, 20000))
         {
             std::cout << "router " << n << " is not ready\n";
-            fleet.stop_all();
-            _exit(2);
+            stage::finish(fleet, folder, 2);
         }
     }
     stage::sleep_ms(2000);
@@ -259,5 +256,5 @@
                       std::to_string(cut) + "; BUDGET " + (budget ? "broken" : "held") + ", LOST " + (lost ? "broken" : "held");
     out.line(text);
     std::cout << text << std::endl;
-    _exit(budget || lost ? 1 : 0);
+    stage::finish(fleet, folder, budget || lost ? 1 : 0);
 }
--- a/review/stage/malformed_request.cpp
+++ b/review/stage/malformed_request.cpp
@@ -4,9 +4,6 @@
 #include <csignal>
 #include <iostream>
 
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include "stage.hpp"
 
 namespace
@@ -103,8 +100,7 @@
         if (!fleet.await_ready(n, 20000))
         {
             std::cout << "router " << n << " is not ready\n";
-            fleet.stop_all();
-            _exit(2);
+            stage::finish(fleet, folder, 2);
         }
     }
     stage::sleep_ms(3500); // All routers are in touch from here on.
@@ -191,5 +187,5 @@
                       std::to_string(cut) + " (allowed " + std::to_string(allowed) + "); hidden requests run: " + std::to_string(smuggled);
     out.line(text);
     std::cout << text << std::endl;
-    _exit(cut > allowed || smuggled != 0 ? 1 : 0);
+    stage::finish(fleet, folder, cut > allowed || smuggled != 0 ? 1 : 0);
 }
--- a/review/stage/slow_stream.cpp
+++ b/review/stage/slow_stream.cpp
@@ -6,8 +6,6 @@
 #include <iostream>
 #include <set>
 
-#include <unistd.h>
-
 #include "stage.hpp"
 
 namespace
@@ -133,8 +131,7 @@
         if (!fleet.await_ready(n, 20000))
         {
             std::cout << "router " << n << " is not ready\n";
-            fleet.stop_all();
-            _exit(2);
+            stage::finish(fleet, folder, 2);
         }
     }
     stage::sleep_ms(4000);
@@ -200,5 +197,5 @@
                       std::to_string(broken);
     out.line(text);
     std::cout << text << std::endl;
-    _exit(broken != 0 ? 1 : 0);
+    stage::finish(fleet, folder, broken != 0 ? 1 : 0);
 }
--- a/review/stage/stage.cpp
+++ b/review/stage/stage.cpp
@@ -19,6 +19,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -899,6 +900,7 @@
     pid_ = ::fork();
     if (pid_ == 0)
     {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No process outlives the script.
         ::dup2(out, 1);
         ::dup2(out, 2);
         ::execve(argv[0], argv.data(), envp.data());
@@ -1156,6 +1158,15 @@
     return name;
 }
 
+void finish(deployment& fleet, const std::string& folder, int code)
+{
+    fleet.stop_all();
+    std::error_code ec;
+    std::filesystem::remove_all(folder, ec);
+    std::cout.flush();
+    ::_exit(code); // Threads of the stand-ins still run.
+}
+
 std::string unique_id()
 {
     static std::atomic<std::uint64_t> count{0};
--- a/review/stage/stage.hpp
+++ b/review/stage/stage.hpp
@@ -292,6 +292,9 @@
 std::string temporary_folder();
 std::string unique_id();
 
+/// Ends all processes, removes the folder and ends the program.
+[[noreturn]] void finish(deployment& fleet, const std::string& folder, int code);
+
 } // namespace stage
 
 #endif
--- a/review/stage/stale_endpoint.cpp
+++ b/review/stage/stale_endpoint.cpp
@@ -3,8 +3,6 @@
 #include <csignal>
 #include <iostream>
 
-#include <unistd.h>
-
 #include "stage.hpp"
 
 namespace
@@ -80,8 +78,7 @@
         if (!fleet.await_ready(n, 20000))
         {
             std::cout << "router " << n << " is not ready\n";
-            fleet.stop_all();
-            _exit(2);
+            stage::finish(fleet, folder, 2);
         }
     }
     stage::sleep_ms(6000); // One router of each zone has taken over the reading of the store.
@@ -98,8 +95,7 @@
     if (readers != 1 || reader == bystander)
     {
         std::cout << "the zone has " << readers << " readers\n";
-        fleet.stop_all();
-        _exit(2);
+        stage::finish(fleet, folder, 2);
     }
     std::mutex mutex;
     std::map<std::string, std::size_t> sent;
@@ -166,6 +162,5 @@
                       std::to_string(cut) + " of them were not answered with success; the engine ended " + std::to_string(static_cast<int>(ended - acknowledged)) + " ms after the ack";
     out.line(text);
     std::cout << text << std::endl;
-    fleet.stop_all();
-    _exit(late != 0 ? 1 : 0);
+    stage::finish(fleet, folder, late != 0 ? 1 : 0);
 }
