Vouch for removals only from the first full list on

Callers saw: after a restart of other routers, a router to which nothing had happened sent to an endpoint that had left, until the endpoint ended (DRAIN).

Cause: a process that has just started takes the whole endpoint list and has no tombstones of earlier removals, yet answered a query for the changes since an older revision as if it had seen them all. The asker counted its list as complete and never asked again. The same holds for a first list that came from another instance, and for a removal of an entry that the asked instance never had: it left no tombstone.

Fix: the revision from which tombstones are complete is raised by each full list; a query from before it is answered with the full list. Removals of unknown entries leave a tombstone.

--- a/src/mangovane/membership/endpoint_catalog.cpp
+++ b/src/mangovane/membership/endpoint_catalog.cpp
@@ -23,7 +23,7 @@
         listed.insert(it.name);
     }
     remove_unlisted(listed, revision, now);
-    revision_ = revision;
+    on_full_list(revision);
 }
 
 void endpoint_catalog::apply(const std::vector<endpoint_change>& changes,
@@ -69,6 +69,23 @@
     {
         remove(found->second, change.revision, removal_effective_at(now));
     }
+    else
+    {
+        add_tombstone(change.name, change.revision, now);
+    }
+}
+
+void endpoint_catalog::add_tombstone(const std::string& name,
+                                     std::uint64_t revision,
+                                     time_point now)
+{
+    entries_.insert_or_assign(name, entry{{}, revision, true, now, false});
+}
+
+void endpoint_catalog::on_full_list(std::uint64_t revision)
+{
+    revision_ = revision;
+    tombstones_complete_from_ = revision;
 }
 
 void endpoint_catalog::remove(entry& it, std::uint64_t revision, time_point keep_until)
@@ -129,7 +146,7 @@
                                                              time_point now) const
 {
     const std::lock_guard lock{mutex_};
-    const bool full = known_revision == 0 || known_revision < tombstones_dropped_through_;
+    const bool full = known_revision == 0 || known_revision < tombstones_complete_from_;
     std::vector<endpoint_row> rows;
     for (const auto& [name, it] : entries_)
     {
@@ -183,6 +200,10 @@
     {
         remove(found->second, row.revision, now);
     }
+    else
+    {
+        add_tombstone(row.name, row.revision, now);
+    }
 }
 
 bool endpoint_catalog::on_update(const endpoint_update& update, time_point now)
@@ -220,6 +241,7 @@
     if (full)
     {
         remove_unlisted(partial_names_, update.through, now);
+        on_full_list(update.through);
     }
     partial_names_.clear();
     revision_ = update.through;
@@ -290,7 +312,7 @@
         entry.listed = !lapsed;
         if (lapsed && now >= entry.keep_until + tombstone_retention)
         {
-            tombstones_dropped_through_ = std::max(tombstones_dropped_through_, entry.revision);
+            tombstones_complete_from_ = std::max(tombstones_complete_from_, entry.revision);
             it = entries_.erase(it);
             continue;
         }
--- a/src/mangovane/membership/endpoint_catalog.hpp
+++ b/src/mangovane/membership/endpoint_catalog.hpp
@@ -47,7 +47,7 @@
     bool on_update(const endpoint_update& update, time_point now);
 
     /// Updates, split into parts, for an instance that has the list up to `known_revision`. The
-    /// full list when that is 0 or older than a removal of which no tombstone is left.
+    /// full list when that is 0, or when this instance may lack the tombstone of a later removal.
     [[nodiscard]] std::vector<endpoint_update> updates_since(std::uint64_t known_revision,
                                                              time_point now) const;
 
@@ -107,6 +107,10 @@
     cold_until_of(const endpoint_info& info, milliseconds left, time_point now) const;
 
     void remove(entry& it, std::uint64_t revision, time_point keep_until);
+    /// Keeps the removal of an entry that this instance never had, for instances that have it.
+    void add_tombstone(const std::string& name, std::uint64_t revision, time_point now);
+    /// The list is complete up to the revision, without removals before it.
+    void on_full_list(std::uint64_t revision);
     void remove_unlisted(const absl::flat_hash_set<std::string>& listed,
                          std::uint64_t revision,
                          time_point now);
@@ -121,8 +125,9 @@
     mutable std::mutex mutex_;                    ///< Guards all members below.
     absl::btree_map<std::string, entry> entries_; ///< By name.
     std::uint64_t revision_{0};                   ///< Never decreases.
-    /// Newest revision of a removed entry whose tombstone was dropped.
-    std::uint64_t tombstones_dropped_through_{0};
+    /// There is an entry or a tombstone for each change after this revision. A full list says
+    /// nothing about removals before it, so it raises this revision to its own.
+    std::uint64_t tombstones_complete_from_{0};
     std::optional<time_point> outage_since_;
     std::optional<time_point> last_contact_;
     /// Start of the other instances' current series of contacts with the registry.
--- a/test/mangovane/membership/endpoint_catalog.cpp
+++ b/test/mangovane/membership/endpoint_catalog.cpp
@@ -223,6 +223,69 @@
             }
             CHECK(other_view.count(later) == 1);
         }
+        SUBCASE("receives a removal from an instance that has started after it")
+        {
+            // The asked instance had no tombstone, and answered with a part of the changes as if it
+            // had seen all of them: requests reached an endpoint that had left until it ended.
+            const std::vector<endpoint_change> rest{
+                make_entry("two", test::model_service, "lekki-b", 2)};
+            endpoint_catalog started;
+
+            SUBCASE("and read the whole list from the registry")
+            {
+                started.replace(rest, 5, start);
+            }
+            SUBCASE("and received the whole list from another one")
+            {
+                catalog.replace(rest, 5, start);
+                for (const auto& it : catalog.updates_since(0, start))
+                {
+                    REQUIRE(started.on_update(it, start));
+                }
+            }
+            for (const auto& it : started.updates_since(other.revision(), start))
+            {
+                CHECK(other.on_update(it, start));
+            }
+            CHECK(other.revision() == 5);
+            CHECK(other_view.count(start) == 1);
+        }
+        SUBCASE("receives a removal from an instance that never had the entry")
+        {
+            // A removal without an entry to remove left no tombstone.
+            endpoint_catalog asked;
+            for (const auto& it : catalog.updates_since(0, start))
+            {
+                REQUIRE(asked.on_update(it, start));
+            }
+            catalog.apply({make_entry("three", test::model_service, "ikeja-a", 3)}, 3, start);
+            for (const auto& it : catalog.updates_since(2, start))
+            {
+                REQUIRE(other.on_update(it, start));
+            }
+            REQUIRE(other_view.count(start) == 3);
+            const auto removed = removal("three", 4);
+
+            SUBCASE("and reads the registry's changes")
+            {
+                asked.apply({removed}, 4, start);
+            }
+            SUBCASE("and receives the changes of another one")
+            {
+                catalog.apply({removed}, 4, start);
+                for (const auto& it : catalog.updates_since(2, start))
+                {
+                    REQUIRE(asked.on_update(it, start));
+                }
+            }
+            list_reader asked_view{asked};
+            CHECK(asked_view.count(start) == 2);
+            for (const auto& it : asked.updates_since(3, start))
+            {
+                CHECK(other.on_update(it, start));
+            }
+            CHECK(other_view.count(start) == 2);
+        }
         SUBCASE("receives a long list in parts, and takes it only when no part is missing")
         {
             std::vector<endpoint_change> many;
