Resume changes of a table from the revision of its first page

Callers could see: requests at an endpoint that has left, for good, if its entry was removed while a table of several pages was read: the whole table was taken to be of the last page's revision, so the removal was in neither the pages nor the changes.

Fix: the revision of the first page counts. Rows of later pages may be newer, which the catalog and the operators' state accept; what was removed meanwhile comes with the changes.

--- a/src/mangovane/store/table_watch.cpp
+++ b/src/mangovane/store/table_watch.cpp
@@ -90,6 +90,7 @@
     if (from.empty())
     {
         rows_.clear();
+        table_revision_.reset();
     }
     call_pending_ = true;
     reader_.list(
@@ -110,14 +111,15 @@
         return;
     }
     rows_.insert(rows_.end(), page->rows.begin(), page->rows.end());
+    table_revision_ = table_revision_.value_or(page->revision);
     if (page->more && !page->rows.empty())
     {
         read_table(page->rows.back().key);
         return;
     }
     sink_.on_response();
-    sink_.on_snapshot(std::exchange(rows_, {}), page->revision);
-    revision_ = page->revision;
+    sink_.on_snapshot(std::exchange(rows_, {}), *table_revision_);
+    revision_ = *table_revision_;
     backoff_ = initial_backoff;
     schedule_after(snapshot_delay, &table_watch::read_changes);
 }
--- a/src/mangovane/store/table_watch.hpp
+++ b/src/mangovane/store/table_watch.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,7 +24,7 @@
 public:
     virtual ~table_sink() = default;
 
-    /// The whole table at a revision.
+    /// The whole table at a revision; some rows may be newer.
     virtual void on_snapshot(const std::vector<store_row>& rows, std::uint64_t revision) = 0;
 
     /// Changed and removed rows up to a revision.
@@ -76,8 +77,11 @@
     table_sink& sink_;
     boost::asio::steady_timer timer_;
     std::vector<store_row> rows_; ///< Rows of the pages read so far.
-    std::uint64_t revision_{0};   ///< Revision up to which the table is known; 0: unknown.
-    milliseconds backoff_{0};     ///< Delay after the next failure.
+    /// Of the first page. Later pages are newer, but do not show what was removed from earlier
+    /// ones.
+    std::optional<std::uint64_t> table_revision_;
+    std::uint64_t revision_{0}; ///< Revision up to which the table is known; 0: unknown.
+    milliseconds backoff_{0};   ///< Delay after the next failure.
     bool reading_{false};
     bool call_pending_{false}; ///< A call or a delay is pending.
 };
