Take and set the endpoint list under one lock

Callers could see: requests at an endpoint that has left, until the next change of the list. Two threads that apply changes take the list in one step and put it in force in another, so the older list could be set last. Found by the review by reading; the test has four threads that change the list and compares the list in force with the last one after each round.

Fix: one lock orders both steps. Readers of the list don't take it.

--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -51,11 +51,18 @@
 
 void forward_core::refresh(time_point now)
 {
+    apply_endpoints(now);
+    send(feed_.tick(now));
+}
+
+void forward_core::apply_endpoints(time_point now)
+{
+    // One lock for both steps: of two threads, the one with the older list could set it last.
+    const std::lock_guard lock{endpoints_mutex_};
     if (auto endpoints = catalog_.take_changed(now))
     {
         state_.set_endpoints(std::move(endpoints));
     }
-    send(feed_.tick(now));
 }
 
 void forward_core::on_instance_list(const std::vector<listed_instance>& instances, time_point now)
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -213,6 +213,8 @@
                                                             std::uint64_t prefix,
                                                             const endpoint_info& chosen,
                                                             time_point now);
+    /// Puts the catalog's current list in force.
+    void apply_endpoints(time_point now);
     void send(const outgoing_messages& list);
     void send_digest(time_point now);
     void send_quarantine(time_point now);
@@ -235,6 +237,7 @@
     local_retry_budget retries_;
     fleet_size fleet_size_;
     prompt_quarantine quarantine_;
+    std::mutex endpoints_mutex_; ///< Orders the changes of the list in force.
     std::mutex mutex_;
     /// End of the cold period of each re-enabled domain. Guarded by `mutex_`.
     absl::flat_hash_map<domain_id, time_point> cold_domains_;
--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -4,12 +4,16 @@
 #include "mangovane/forward/forward_core.hpp"
 
 #include <algorithm>
+#include <atomic>
+#include <barrier>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <thread>
 #include <utility>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -331,6 +335,45 @@
     }
 }
 
+TEST_CASE("an instance whose endpoint list is changed by several threads at once")
+{
+    // A thread that had taken the older list could put it in force after the newer one; requests
+    // then reached an endpoint that had left, until the next change.
+    constexpr std::uint64_t rounds = 3000;
+    constexpr std::uint64_t threads = 4;
+    test::recording_sink sink;
+    forward_core core{test::make_options("router-1", "ikeja-a"), sink, &read_settings, start};
+    std::uint64_t stale = 0;
+    std::atomic<std::uint64_t> revision{0};
+    std::barrier round{threads, [&]() noexcept
+                       {
+                           const auto listed = core.state().routes()->endpoints().all().size();
+                           stale += listed == revision ? 0 : 1;
+                       }};
+    const auto change_list = [&]
+    {
+        for (std::uint64_t n = 0; n != rounds / threads; ++n)
+        {
+            const auto own = ++revision;
+            const auto name = "engine-" + std::to_string(own);
+            core.catalog().apply({make_entry(name, test::model_service, "ikeja-a", own)}, own,
+                                 start);
+            core.refresh(start);
+            round.arrive_and_wait();
+        }
+    };
+    std::vector<std::thread> running;
+    for (std::uint64_t n = 0; n != threads; ++n)
+    {
+        running.emplace_back(change_list);
+    }
+    for (auto& it : running)
+    {
+        it.join();
+    }
+    CHECK(stale == 0);
+}
+
 TEST_CASE("a large fleet with requests for one cold endpoint")
 {
     // Guards against a burst at the start of the cold period: when each of 105 instances sent its
