--- a/test/platform/store_source.cpp
+++ b/test/platform/store_source.cpp
@@ -8,6 +8,7 @@
 #include <doctest/doctest.h>
 
 #include "mangovane/forward/forward_fixture.hpp"
+#include "platform/store_text.hpp"
 #include "process/child_process.hpp"
 #include "standin/fleet_store.hpp"
 #include "standin/hosted_server.hpp"
@@ -100,3 +101,83 @@
         CHECK(it.calls_of_tick(now + seconds{120}) == 0);
     }
 }
+
+namespace
+{
+
+constexpr std::uint64_t manifest_revision = 5;
+constexpr std::uint64_t evacuation_revision = 9;
+constexpr std::uint64_t read_revision = 20; ///< Of the store, after the evacuation was removed.
+
+std::string manifest()
+{
+    return test::configuration_text({});
+}
+
+store_row manifest_row()
+{
+    return {"config", manifest(), manifest_revision, false};
+}
+
+settings_ptr evacuating_settings()
+{
+    const operator_state state{manifest(), {"ikeja-a"}};
+    return *decode_settings(encode_operator_state(state), evacuation_revision);
+}
+
+} // namespace
+
+TEST_CASE("a removed evacuation that only an instance that has just started has seen")
+{
+    // The first snapshot after a removal has no row of it. Its version was that of the older row,
+    // so that all instances kept the domain out until the operators' next change.
+    test::recording_sink sink;
+    forward_core core{test::make_options("127.0.0.1", "ikeja-a"), sink, &decode_settings,
+                      test::start};
+    no_output output;
+    event_log log{output, log_limits{}, clock::now()};
+    discovery_sink discovery{core, log};
+    operator_sink operators{discovery};
+    const auto domains_out = [&] { return core.settings()->domains_out.size(); };
+    operators.on_response();
+    operators.on_snapshot({manifest_row()}, read_revision);
+    REQUIRE(domains_out() == 0);
+
+    SUBCASE("replaces the evacuation that other instances still report, with a higher version")
+    {
+        core.adopt_settings(evacuating_settings(), clock::now());
+        REQUIRE(domains_out() == 1);
+        operators.on_response();
+        CHECK(domains_out() == 0);
+        CHECK(core.settings()->stamp.version == read_revision);
+
+        SUBCASE("once")
+        {
+            operators.on_response();
+            CHECK(core.settings()->stamp.version == read_revision);
+        }
+    }
+    SUBCASE("also if the instance resumes its reading later")
+    {
+        core.adopt_settings(evacuating_settings(), clock::now());
+        CHECK(operators.resume_revision() == read_revision);
+        CHECK(domains_out() == 0);
+    }
+    SUBCASE("gives way to an evacuation that was written after the snapshot")
+    {
+        const operator_state state{manifest(), {"ikeja-a"}};
+        core.adopt_settings(*decode_settings(encode_operator_state(state), read_revision + 1),
+                            clock::now());
+        operators.on_response();
+        CHECK(domains_out() == 1);
+        CHECK(operators.resume_revision() == read_revision + 1);
+    }
+    SUBCASE("does not raise the version of equal settings")
+    {
+        const operator_state state{manifest(), {}};
+        core.adopt_settings(*decode_settings(encode_operator_state(state), evacuation_revision),
+                            clock::now());
+        operators.on_response();
+        CHECK(core.settings()->stamp.version == evacuation_revision);
+    }
+}
