Choose a replacement before a stalled attempt is given up

Callers saw: a sound stream that paused for longer than its route's gap was cut although no other endpoint could take over (LOST); at a sole endpoint an idempotent request of 300 ms got a 502, and so did one whose body was on its way for 400 ms.

Cause: the session closed the attempt as soon as the route, the attempts and the retry budget allowed another; only then was an endpoint looked for.

Fix: `prepare_replacement` chooses an endpoint that isn't avoided and is below its load bound, then charges the retry budget, and only then is the attempt closed; without one the attempt goes on and is asked about again later. The choice ages from when it was made and is freed if it isn't used. If the replacement turns the request away and there is no other, the request may go back to the slow one. On the same path: an endpoint's complete error response is passed on when no other endpoint can be chosen, and bytes of a body that is on its way count as progress.

--- a/src/mangovane/forward/endpoint_chooser.hpp
+++ b/src/mangovane/forward/endpoint_chooser.hpp
@@ -70,6 +70,15 @@
     std::variant<dispatch_target, choice_refusal> result_;
 };
 
+/// What an endpoint is chosen for.
+enum class choice_purpose : std::uint8_t
+{
+    dispatch, ///< The request is at no endpoint.
+    /// To replace a running attempt that makes no progress: only an endpoint that can be expected
+    /// to start the request at once.
+    replacement,
+};
+
 class endpoint_chooser
 {
 public:
@@ -79,6 +88,7 @@
     /// chosen.
     [[nodiscard]] virtual dispatch_choice choose(const forward_request& request,
                                                  std::span<const endpoint_id> excluded,
+                                                 choice_purpose purpose,
                                                  time_point now) = 0;
 
     /// Records the end of an attempt that `choose` started.
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -90,6 +90,7 @@
 
     [[nodiscard]] dispatch_choice choose(const forward_request& request,
                                          std::span<const endpoint_id> excluded,
+                                         choice_purpose purpose,
                                          time_point now) override;
     void finish(endpoint_id endpoint, health_outcome outcome, time_point now) override;
     /// Records what an endpoint, in the incarnation that was chosen, stated about itself.
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -112,6 +112,7 @@
 
 dispatch_choice forward_core::choose(const forward_request& request,
                                      std::span<const endpoint_id> excluded,
+                                     choice_purpose purpose,
                                      time_point now)
 {
     if (const auto verdict = quarantine_.check(request.shared_parts(), now))
@@ -120,8 +121,13 @@
                               verdict};
     }
     const auto routes = state_.routes();
-    const auto eligible = collect_candidates(*routes, request.service, excluded, now);
+    auto eligible = collect_candidates(*routes, request.service, excluded, now);
     const auto allowed = options_.fleet.bound.allowed(eligible.mean_load);
+    if (purpose == choice_purpose::replacement)
+    {
+        std::erase_if(eligible.candidates, [&](const placement_candidate& it)
+                      { return it.avoided || it.load >= allowed; });
+    }
     const auto affinity = request.affinity();
     const auto& rule = affinity != 0 ? sticky_placement() : least_loaded_placement();
     const auto tie_break_seed = hash_combine(options_.seed, ++choice_count_);
--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -47,32 +47,50 @@
     return send(false, now);
 }
 
+dispatch_choice forward_flow::choose(choice_purpose purpose, time_point now)
+{
+    auto choice = chooser_.choose(request_, excluded_, purpose, now);
+    if (!choice && abandoned_)
+    {
+        std::erase(excluded_, *std::exchange(abandoned_, std::nullopt));
+        choice = chooser_.choose(request_, excluded_, purpose, now);
+    }
+    return choice;
+}
+
 forward_step forward_flow::send(bool resumes, time_point now)
 {
     if (now >= request_.deadline)
     {
         return after_timeout(now);
     }
-    const auto choice = chooser_.choose(request_, excluded_, now);
-    if (!choice)
+    if (!prepared_)
     {
-        return refuse(choice.refusal(), now);
+        const auto choice = choose(choice_purpose::dispatch, now);
+        if (!choice)
+        {
+            return refuse(choice.refusal(), now);
+        }
+        prepared_ = prepared_choice{*choice, now};
     }
-    endpoint_ = choice->endpoint;
-    epoch_ = choice->epoch;
+    auto [target, chosen_at] = *std::exchange(prepared_, std::nullopt);
+    endpoint_ = target.endpoint;
+    epoch_ = target.epoch;
     excluded_.push_back(endpoint_);
-    send_step step{*choice,           ++attempts_,    resumes, now + max_choice_age,
-                   time_point::max(), milliseconds{0}};
-    const bool replaceable =
-        request_.route->may_repeat() && possible_runs_ + 1 < request_.route->max_attempts;
-    if (replaceable && request_.route->first_byte_goal.count() != 0)
+    send_step step{std::move(target),          ++attempts_,       resumes,
+                   chosen_at + max_choice_age, time_point::max(), milliseconds{0}};
+    const auto& route = *request_.route;
+    const bool replaceable = route.may_repeat() && possible_runs_ + 1 < route.max_attempts;
+    if (replaceable && route.first_byte_goal.count() != 0)
     {
-        step.first_byte_deadline = now + stall_timeout(request_.route->first_byte_goal);
+        const auto timeout = stall_timeout(route.first_byte_goal);
+        step.first_byte_deadline = now + timeout;
+        step.progress_timeout = route.kind == route_kind::stream ? milliseconds{0} : timeout;
     }
-    if (replaceable && request_.route->event_gap_goal.count() != 0)
+    if (replaceable && route.event_gap_goal.count() != 0)
     {
         // A stream whose events keep within the objective is sound, however slow it is.
-        step.event_gap_timeout = std::max(request_.route->event_gap_goal, min_stall_timeout);
+        step.progress_timeout = std::max(route.event_gap_goal, min_stall_timeout);
     }
     return step;
 }
@@ -95,33 +113,54 @@
     }};
     const auto& rule = table[static_cast<std::size_t>(result)];
     chooser_.finish(endpoint_, rule.outcome, now);
+    abandoned_ = prepared_ ? std::optional{endpoint_} : abandoned_;
     possible_runs_ += rule.may_have_run ? 1 : 0;
     not_run_attempts_ += rule.may_have_run ? 0 : 1;
-    return (this->*rule.next)(now);
+    auto next = (this->*rule.next)(now);
+    release_prepared(now);
+    return next;
 }
 
-bool forward_flow::may_retry_stalled(time_point now)
+bool forward_flow::may_run_again(std::uint32_t runs, time_point now) const noexcept
 {
-    const bool repeatable =
-        response_started_ ? request_.route->may_resume() : request_.route->may_repeat();
+    return request_.route->may_repeat() && runs < request_.route->max_attempts &&
+           now < request_.deadline;
+}
+
+bool forward_flow::prepare_replacement(time_point now)
+{
+    const bool continuable = !response_started_ || request_.route->may_resume();
     // `possible_runs_` does not include the current attempt yet.
-    if (!repeatable || possible_runs_ + 1 >= request_.route->max_attempts ||
-        now >= request_.deadline)
+    return continuable && may_run_again(possible_runs_ + 1, now) &&
+           !prepare_retry(choice_purpose::replacement, now);
+}
+
+std::optional<choice_refusal> forward_flow::prepare_retry(choice_purpose purpose, time_point now)
+{
+    if (prepared_)
+    {
+        return std::nullopt;
+    }
+    const auto choice = choose(purpose, now);
+    if (!choice)
+    {
+        return choice.refusal();
+    }
+    prepared_ = prepared_choice{*choice, now};
+    if (!chooser_.try_retry(request_.service, now))
     {
-        return false;
+        release_prepared(now);
+        return choice_refusal{error_kind::endpoint_failed};
     }
-    retry_reserved_ = retry_reserved_ || chooser_.try_retry(request_.service, now);
-    return retry_reserved_;
+    return std::nullopt;
 }
 
-bool forward_flow::may_run_again(time_point now)
+void forward_flow::release_prepared(time_point now)
 {
-    if (!request_.route->may_repeat() || possible_runs_ >= request_.route->max_attempts ||
-        now >= request_.deadline)
+    if (const auto unused = std::exchange(prepared_, std::nullopt))
     {
-        return false;
+        chooser_.finish(unused->target.endpoint, health_outcome::cancelled, now);
     }
-    return std::exchange(retry_reserved_, false) || chooser_.try_retry(request_.service, now);
 }
 
 void forward_flow::on_answer(time_point now)
@@ -155,12 +194,19 @@
 
 forward_step forward_flow::after_error(time_point now)
 {
-    return may_run_again(now) ? send(false, now) : forward_step{relay_error_step{}};
+    const bool again =
+        may_run_again(possible_runs_, now) && !prepare_retry(choice_purpose::dispatch, now);
+    return again ? send(false, now) : forward_step{relay_error_step{}};
 }
 
 forward_step forward_flow::after_broken(time_point now)
 {
-    return may_run_again(now) ? send(response_started_, now) : refuse(error_kind::endpoint_failed);
+    if (!may_run_again(possible_runs_, now))
+    {
+        return refuse(error_kind::endpoint_failed);
+    }
+    const auto refusal = prepare_retry(choice_purpose::dispatch, now);
+    return refusal ? refuse(*refusal, now) : send(response_started_, now);
 }
 
 forward_step forward_flow::after_crash(time_point now)
@@ -176,7 +222,8 @@
 
 forward_step forward_flow::after_cut(time_point now)
 {
-    const bool resumes = request_.route->may_resume() && may_run_again(now);
+    const bool resumes = request_.route->may_resume() && may_run_again(possible_runs_, now) &&
+                         !prepare_retry(choice_purpose::dispatch, now);
     return resumes ? send(true, now) : forward_step{finish_step{false}};
 }
 
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -43,8 +43,9 @@
     bool resumes{false};            ///< The response continues after the last event received.
     time_point send_deadline;       ///< Report `outdated` instead of sending the request later.
     time_point first_byte_deadline; ///< Report `stalled` when no byte has arrived by then.
-    /// Report `stalled` after a longer gap between events; 0: never.
-    milliseconds event_gap_timeout{0};
+    /// Report `stalled` after a longer gap between events, or between the bytes of a response that
+    /// is no stream; 0: never.
+    milliseconds progress_timeout{0};
 
     bool operator==(const send_step&) const = default;
 };
@@ -89,8 +90,10 @@
     /// Returns the step after an attempt has ended.
     [[nodiscard]] forward_step on_result(attempt_result result, time_point now);
 
-    /// Whether a stalled attempt may be abandoned for another one; reserves a retry if so.
-    [[nodiscard]] bool may_retry_stalled(time_point now);
+    /// Whether a stalled attempt may be abandoned: the request may run again, and another endpoint
+    /// was found that can start it. The next attempt goes there. A slow attempt is better than
+    /// none, so call again later if this is false.
+    [[nodiscard]] bool prepare_replacement(time_point now);
 
     /// Records that part of the response is sent to the caller: from now on the response can only
     /// be continued, not replaced by an error.
@@ -137,8 +140,23 @@
     [[nodiscard]] forward_step after_caller_left(time_point now);
     [[nodiscard]] forward_step after_outdated(time_point now);
 
-    /// Whether the request may be sent again after it may have run; charges the retry budget.
-    [[nodiscard]] bool may_run_again(time_point now);
+    /// The endpoint of the next attempt, with the time of its choice.
+    struct prepared_choice
+    {
+        dispatch_target target;
+        time_point chosen_at;
+    };
+
+    /// Whether the request may be sent again after it has run `runs` times.
+    [[nodiscard]] bool may_run_again(std::uint32_t runs, time_point now) const noexcept;
+
+    /// Chooses the endpoint of the next attempt and then charges the retry budget; the reason if
+    /// either fails.
+    [[nodiscard]] std::optional<choice_refusal> prepare_retry(choice_purpose purpose,
+                                                              time_point now);
+    [[nodiscard]] dispatch_choice choose(choice_purpose purpose, time_point now);
+    /// Returns the prepared endpoint to the chooser if no attempt has used it.
+    void release_prepared(time_point now);
 
     /// Refuses with an error, or ends the response if part of it has been sent.
     [[nodiscard]] forward_step refuse(error_kind kind) const;
@@ -159,7 +177,10 @@
     std::uint32_t crashes_{0};     ///< Attempts during which the endpoint crashed.
     bool response_started_{false}; ///< Part of the response has been sent to the caller.
     bool answered_{false};         ///< An endpoint has answered the request, at least in part.
-    bool retry_reserved_{false};   ///< The retry budget has been charged for the next attempt.
+    std::optional<prepared_choice> prepared_; ///< Its retry has been charged.
+    /// Endpoint of an attempt that was abandoned because it stalled. It may be chosen again if no
+    /// other can be: it is slow, not broken.
+    std::optional<endpoint_id> abandoned_;
 };
 
 } // namespace mangovane
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -27,6 +27,9 @@
     return ec ? absl::StrCat(ec.category().name(), ":", ec.value()) : std::string{"none"};
 }
 
+/// Time until another endpoint is looked for again for an attempt that has stalled.
+constexpr milliseconds stall_check_interval{200};
+
 bool may_have_body(http::verb method)
 {
     return method != http::verb::get && method != http::verb::head && method != http::verb::delete_;
@@ -48,11 +51,11 @@
         });
 }
 
-void forward_session::set_event_timer(const send_step& step)
+void forward_session::set_progress_timer(const send_step& step)
 {
     const auto deadline = current_->flow->request().deadline;
-    const auto gap = step.event_gap_timeout;
-    set_timer(gap.count() == 0 ? deadline : std::min(deadline, clock::now() + gap));
+    const auto timeout = step.progress_timeout;
+    set_timer(timeout.count() == 0 ? deadline : std::min(deadline, clock::now() + timeout));
 }
 
 void forward_session::on_timer(std::uint64_t generation)
@@ -63,9 +66,10 @@
     }
     const auto now = clock::now();
     auto& flow = *current_->flow;
-    if (now < flow.request().deadline && !flow.may_retry_stalled(now))
+    const auto deadline = flow.request().deadline;
+    if (now < deadline && !flow.prepare_replacement(now))
     {
-        set_timer(flow.request().deadline);
+        set_timer(std::min<time_point>(deadline, now + stall_check_interval));
         return;
     }
     timed_out_ = true;
@@ -140,7 +144,7 @@
     ++timer_generation_;
     call->close();
     const bool ended_early = result == attempt_result::broken || result == attempt_result::cut;
-    if (!ended_early || current.flow->answered())
+    if (!ended_early || timed_out_ || current.flow->answered())
     {
         co_return result;
     }
@@ -195,7 +199,7 @@
         const auto result = co_await relay_stream(step);
         co_return result;
     }
-    const auto result = co_await relay_buffered();
+    const auto result = co_await relay_buffered(step);
     co_return result;
 }
 
--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -28,11 +28,16 @@
     co_return ec;
 }
 
-asio::awaitable<forward_session::held_body> forward_session::hold_body(buffered_response& answer)
+asio::awaitable<forward_session::held_body> forward_session::hold_body(buffered_response& answer,
+                                                                       const send_step* step)
 {
     std::array<char, read_buffer_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
     while (!call_->done())
     {
+        if (step != nullptr)
+        {
+            set_progress_timer(*step);
+        }
         std::size_t n = 0;
         const auto ec = co_await read_part(buf, n);
         answer.body.append(buf.data(), n);
@@ -63,10 +68,10 @@
     co_return current.flow->response_started() ? attempt_result::broken : attempt_result::error;
 }
 
-asio::awaitable<attempt_result> forward_session::relay_buffered()
+asio::awaitable<attempt_result> forward_session::relay_buffered(const send_step& step)
 {
     buffered_response answer{call_->head(), byte_reservation{services_.held_responses}, {}};
-    const auto held = co_await hold_body(answer);
+    const auto held = co_await hold_body(answer, &step);
     if (held == held_body::broken)
     {
         co_return early_end_result(attempt_result::broken);
@@ -123,7 +128,7 @@
         current.weights_version = services_.dialect.weights_version_of(call_->head());
     }
     const bool watched =
-        step.first_byte_deadline != time_point::max() || step.event_gap_timeout.count() != 0;
+        step.first_byte_deadline != time_point::max() || step.progress_timeout.count() != 0;
     event_boundary boundary;
     std::array<char, read_buffer_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
     while (!call_->done())
@@ -157,7 +162,7 @@
         // Only events count as progress, not the bytes of an event that never ends.
         if (relayed == relayed_events::some && watched)
         {
-            set_event_timer(step);
+            set_progress_timer(step);
         }
     }
     const auto result = co_await end_stream(boundary);
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -125,16 +125,18 @@
     [[nodiscard]] std::string upstream_head_text(const send_step& step) const;
     /// Starts the timer that closes the call.
     void set_timer(time_point at);
-    /// Starts the timer for the next event of a stream.
-    void set_event_timer(const send_step& step);
+    /// Starts the timer for the next event of a stream, or the next bytes of another response.
+    void set_progress_timer(const send_step& step);
     void on_timer(std::uint64_t generation);
     void log_dispatch(const send_step& step) const;
     void log_result(const send_step& step, attempt_result result) const;
 
     // Implemented in forward_relay.cpp: relay of responses.
     boost::asio::awaitable<attempt_result> read_failure();
-    boost::asio::awaitable<attempt_result> relay_buffered();
-    boost::asio::awaitable<held_body> hold_body(buffered_response& answer);
+    boost::asio::awaitable<attempt_result> relay_buffered(const send_step& step);
+    /// Reads the body into memory. With `step`, each part extends the time for the next one.
+    boost::asio::awaitable<held_body> hold_body(buffered_response& answer,
+                                                const send_step* step = nullptr);
     /// Relays a response that is too large to hold, whose first part has been read.
     boost::asio::awaitable<attempt_result> relay_oversized(const buffered_response& answer);
     boost::asio::awaitable<attempt_result> relay_stream(const send_step& step);
