Clear a prompt only when an endpoint has survived it

Cause: the first whole event counted as proof that a prompt is harmless. It voided all evidence against its parts, and a crash after it was not even looked for.

Fix: a prompt is cleared by a complete response, or one that still brings events 2 s after its first. An endpoint that ends before that is evidence against the prompts that it was answering. Parts of sound requests that were in progress are cleared by the next answers as before, only later.

--- a/src/mangovane/forward/endpoint_chooser.hpp
+++ b/src/mangovane/forward/endpoint_chooser.hpp
@@ -94,11 +94,11 @@
     /// Records the end of an attempt that `choose` started.
     virtual void finish(endpoint_id endpoint, health_outcome outcome, time_point now) = 0;
 
-    /// Records that an endpoint has begun to answer the request.
-    virtual void on_answer(const forward_request& request, time_point now) = 0;
+    /// Records that an endpoint has survived the request.
+    virtual void on_survived(const forward_request& request, time_point now) = 0;
 
-    /// Records that an endpoint, in the incarnation that was chosen, crashed before it began to
-    /// answer the request. Returns whether the request may be sent again: no part of its prompt is
+    /// Records that an endpoint, in the incarnation that was chosen, crashed before it had survived
+    /// the request. Returns whether the request may be sent again: no part of its prompt is
     /// suspected of another crash.
     [[nodiscard]] virtual bool on_crash(const forward_request& request,
                                         endpoint_id endpoint,
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -271,9 +271,9 @@
     tracker_.on_notice(target.endpoint, target.epoch, notice, now);
 }
 
-void forward_core::on_answer(const forward_request& request, time_point now)
+void forward_core::on_survived(const forward_request& request, time_point now)
 {
-    quarantine_.on_answer(request.shared_parts(), now);
+    quarantine_.on_survived(request.shared_parts(), now);
 }
 
 bool forward_core::on_crash(const forward_request& request,
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -96,7 +96,7 @@
     /// Records what an endpoint, in the incarnation that was chosen, stated about itself.
     void on_notice(const dispatch_target& target, const endpoint_notice& notice, time_point now);
 
-    void on_answer(const forward_request& request, time_point now) override;
+    void on_survived(const forward_request& request, time_point now) override;
     [[nodiscard]] bool on_crash(const forward_request& request,
                                 endpoint_id endpoint,
                                 incarnation epoch,
--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -77,6 +77,8 @@
     endpoint_ = target.endpoint;
     epoch_ = target.epoch;
     excluded_.push_back(endpoint_);
+    answering_since_.reset();
+    survived_ = false;
     send_step step{std::move(target),          ++attempts_,       resumes,
                    chosen_at + max_choice_age, time_point::max(), milliseconds{0}};
     const auto& route = *request_.route;
@@ -163,18 +165,29 @@
     }
 }
 
-void forward_flow::on_answer(time_point now)
+void forward_flow::on_event(time_point now)
 {
-    if (!answered_)
+    if (!answering_since_)
     {
-        answered_ = true;
-        chooser_.on_answer(request_, now);
+        answering_since_ = now;
+    }
+    else if (now >= *answering_since_ + survival_time)
+    {
+        on_survived(now);
+    }
+}
+
+void forward_flow::on_survived(time_point now)
+{
+    if (!std::exchange(survived_, true))
+    {
+        chooser_.on_survived(request_, now);
     }
 }
 
 forward_step forward_flow::after_delivered(time_point now)
 {
-    on_answer(now);
+    on_survived(now);
     return finish_step{true};
 }
 
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -24,11 +24,11 @@
                  ///< to another.
     error,       ///< A complete response that reports a failure; it can be relayed.
     broken,      ///< No usable response; the request may have run.
-    crashed,     ///< The endpoint's process ended before it began to answer; the request may have
-                 ///< run, and may have been the cause.
-    stalled,     ///< No data in time and the attempt was abandoned; the request may have run.
-    cut,         ///< The response broke off after part of it had been sent to the caller.
-    timed_out,   ///< The deadline passed.
+    crashed,   ///< The endpoint's process ended before it had survived the request, which may have
+               ///< run, and may have been the cause.
+    stalled,   ///< No data in time and the attempt was abandoned; the request may have run.
+    cut,       ///< The response broke off after part of it had been sent to the caller.
+    timed_out, ///< The deadline passed.
     caller_left, ///< The caller closed its connection, or accepts no more data.
     outdated,    ///< Nothing was sent, because too much time had passed since the choice.
 };
@@ -100,10 +100,15 @@
     void on_response_started() noexcept { response_started_ = true; }
     [[nodiscard]] bool response_started() const noexcept { return response_started_; }
 
-    /// Records that a whole event, or the whole response, has been received. An endpoint that
-    /// crashes while it begins to answer may still have sent a few bytes.
-    void on_answer(time_point now);
-    [[nodiscard]] bool answered() const noexcept { return answered_; }
+    /// Records that a whole event of the current attempt's response has been received.
+    void on_event(time_point now);
+
+    /// Whether the current attempt has brought at least one whole event.
+    [[nodiscard]] bool answered() const noexcept { return answering_since_.has_value(); }
+
+    /// Whether the endpoint has survived the request: its response is complete, or has gone on for
+    /// `survival_time` after its first event. An endpoint may send its first events and then crash.
+    [[nodiscard]] bool survived() const noexcept { return survived_; }
 
     [[nodiscard]] const forward_request& request() const noexcept { return request_; }
     [[nodiscard]] std::uint32_t attempts() const noexcept { return attempts_; }
@@ -120,6 +125,10 @@
     /// cause.
     static constexpr std::uint32_t max_crashes = 2;
 
+    /// A response that still brings events this long after its first one shows that the request
+    /// does not crash the endpoint.
+    static constexpr milliseconds survival_time{2000};
+
     /// Time after which the choice of an endpoint may not be used: a process that was paused would
     /// otherwise send to an endpoint that has left or been taken out meanwhile. Longer than the
     /// connection to an endpoint may take.
@@ -129,6 +138,7 @@
     struct result_rule;
 
     [[nodiscard]] forward_step send(bool resumes, time_point now);
+    void on_survived(time_point now);
     [[nodiscard]] forward_step after_delivered(time_point now);
     [[nodiscard]] forward_step after_not_sent(time_point now);
     [[nodiscard]] forward_step after_refusal(time_point now);
@@ -176,8 +186,9 @@
     std::uint32_t possible_runs_{0};
     std::uint32_t crashes_{0};     ///< Attempts during which the endpoint crashed.
     bool response_started_{false}; ///< Part of the response has been sent to the caller.
-    bool answered_{false};         ///< An endpoint has answered the request, at least in part.
-    std::optional<prepared_choice> prepared_; ///< Its retry has been charged.
+    std::optional<time_point> answering_since_; ///< First event of the current attempt.
+    bool survived_{false};                      ///< See `survived`; of the current attempt.
+    std::optional<prepared_choice> prepared_;   ///< Its retry has been charged.
     /// Endpoint of an attempt that was abandoned because it stalled. It may be chosen again if no
     /// other can be: it is slow, not broken.
     std::optional<endpoint_id> abandoned_;
--- a/src/mangovane/message/quarantine.hpp
+++ b/src/mangovane/message/quarantine.hpp
@@ -11,21 +11,21 @@
 namespace mangovane
 {
 
-/// An endpoint crashed while a request with the part waited there for its first output.
+/// An endpoint crashed before it had survived a request with the part.
 struct crash_evidence
 {
     std::uint64_t part{0};
     std::uint64_t crash{0}; ///< Hash of the process that crashed; all instances compute the same.
     time_point at{};        ///< Of the crash, as far as the sender knows.
     time_point keep_until{};
-    /// Requests with the part had been answered shortly before the crash, so it is less suspect.
+    /// Endpoints had survived requests with the part shortly before, so it is less suspect.
     bool answered_before{false};
     std::uint8_t depth{0}; ///< Position of the part in the prompt, from 0.
 
     auto operator<=>(const crash_evidence&) const = default;
 };
 
-/// An endpoint has begun to answer a request with the part: earlier evidence against it is void.
+/// An endpoint has survived a request with the part: earlier evidence against it is void.
 struct part_answer
 {
     std::uint64_t part{0};
--- a/src/mangovane/net/event_boundary.hpp
+++ b/src/mangovane/net/event_boundary.hpp
@@ -15,12 +15,13 @@
 class event_boundary
 {
 public:
-    /// Appends bytes of the stream.
-    void add(std::string_view bytes)
+    /// Appends bytes of the stream; returns whether an event ends in them.
+    bool add(std::string_view bytes)
     {
-        has_event_ = has_event_ || ends_event_in(end_ + std::string{bytes});
+        const bool ended = ends_event_after(end_ + std::string{bytes}, end_.size());
         end_.append(bytes.substr(bytes.size() - std::min(bytes.size(), max_end_bytes)));
         end_.erase(0, end_.size() - std::min(end_.size(), max_end_bytes));
+        return ended;
     }
 
     /// Whether the last event is incomplete: the stream does not end with an empty line.
@@ -29,20 +30,24 @@
         return !end_.empty() && !end_.ends_with("\n\n") && !end_.ends_with("\n\r\n");
     }
 
-    /// Whether at least one whole event has arrived.
-    [[nodiscard]] bool has_event() const noexcept { return has_event_; }
-
 private:
-    [[nodiscard]] static bool ends_event_in(std::string_view text) noexcept
+    /// Whether an event ends in the text after its first `begin` bytes.
+    [[nodiscard]] static bool ends_event_after(std::string_view text, std::size_t begin) noexcept
     {
-        return text.find("\n\n") != std::string_view::npos ||
-               text.find("\n\r\n") != std::string_view::npos;
+        for (const std::string_view end : {"\n\n", "\n\r\n"})
+        {
+            const auto from = begin - std::min(begin, end.size() - 1);
+            if (text.find(end, from) != std::string_view::npos)
+            {
+                return true;
+            }
+        }
+        return false;
     }
 
     /// Length of the longest end of an event, "\n\r\n".
     static constexpr std::size_t max_end_bytes = 3;
 
-    bool has_event_{false};
     std::string end_; ///< The last bytes; at most `max_end_bytes`.
 };
 
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -144,7 +144,7 @@
     ++timer_generation_;
     call->close();
     const bool ended_early = result == attempt_result::broken || result == attempt_result::cut;
-    if (!ended_early || timed_out_ || current.flow->answered())
+    if (!ended_early || timed_out_ || current.flow->survived())
     {
         co_return result;
     }
--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -138,10 +138,10 @@
         auto relayed = relayed_events::none;
         if (n != 0)
         {
-            boundary.add({buf.data(), n});
-            if (!current.flow->answered() && boundary.has_event())
+            const bool event_ended = boundary.add({buf.data(), n});
+            if (event_ended)
             {
-                current.flow->on_answer(clock::now());
+                current.flow->on_event(clock::now());
             }
             relayed = co_await relay_events({buf.data(), n});
         }
--- a/src/mangovane/quarantine/answer_log.hpp
+++ b/src/mangovane/quarantine/answer_log.hpp
@@ -1,4 +1,4 @@
-// Remembers when endpoints last answered requests with each prompt part, in bounded memory.
+// Remembers when endpoints last survived requests with each prompt part, in bounded memory.
 #ifndef MANGOVANE_QUARANTINE_ANSWER_LOG_HPP
 #define MANGOVANE_QUARANTINE_ANSWER_LOG_HPP
 
@@ -20,7 +20,7 @@
 class answer_log
 {
 public:
-    /// Records that an endpoint has begun to answer a request with the part.
+    /// Records that an endpoint has survived a request with the part.
     void record(std::uint64_t part, time_point now);
 
     /// When a request with the part was last answered; empty if that is unknown or longer ago than
--- a/src/mangovane/quarantine/part_record.hpp
+++ b/src/mangovane/quarantine/part_record.hpp
@@ -35,7 +35,7 @@
     /// Adds evidence; returns whether it is new and counts against the part.
     bool add(const crash_evidence& evidence);
 
-    /// An endpoint began to answer a request with the part; returns whether this voids evidence.
+    /// An endpoint survived a request with the part; returns whether this voids evidence.
     bool on_answer(time_point at);
 
     /// Extends the lifetime of the record.
--- a/src/mangovane/quarantine/prompt_quarantine.cpp
+++ b/src/mangovane/quarantine/prompt_quarantine.cpp
@@ -133,7 +133,7 @@
     }
 }
 
-void prompt_quarantine::on_answer(std::span<const prompt_part> parts, time_point now)
+void prompt_quarantine::on_survived(std::span<const prompt_part> parts, time_point now)
 {
     for (const auto& [part, tokens] : parts)
     {
--- a/src/mangovane/quarantine/prompt_quarantine.hpp
+++ b/src/mangovane/quarantine/prompt_quarantine.hpp
@@ -1,10 +1,11 @@
 // Finds prompt parts that crash every endpoint that processes them ("queries of death"), and says
 // which requests are refused because of them.
 //
-// Each request that waits at an endpoint when the endpoint crashes is suspect, and with it each
-// part that it shares with others. Instances exchange this evidence. An answer to any request with
-// a part clears the part, since a part that crashes endpoints never gets one. Of the parts that
-// remain after a few crashes, one that explains the crashes of another clears that one too.
+// Each request that an endpoint has not survived when it crashes is suspect, and with it each part
+// that it shares with others. Instances exchange this evidence. A part is cleared when an endpoint
+// survives any request with it (in short: an answer): a part that crashes endpoints may get some
+// events of an answer, but no such answer. Of the parts that remain after a few crashes, one that
+// explains the crashes of another clears that one too.
 #ifndef MANGOVANE_QUARANTINE_PROMPT_QUARANTINE_HPP
 #define MANGOVANE_QUARANTINE_PROMPT_QUARANTINE_HPP
 
@@ -62,10 +63,10 @@
     /// `seed` differs between instances and spreads their announcements of the same answer.
     explicit prompt_quarantine(std::uint64_t seed) : seed_{seed} {}
 
-    /// An endpoint has begun to answer a request with these parts.
-    void on_answer(std::span<const prompt_part> parts, time_point now);
+    /// An endpoint has survived a request with these parts.
+    void on_survived(std::span<const prompt_part> parts, time_point now);
 
-    /// An endpoint crashed while a request with these parts waited there for its first output.
+    /// An endpoint crashed before it had survived a request with these parts.
     /// Returns whether the request may be sent again: no part of it is suspected of another crash.
     [[nodiscard]] bool
     on_crash(std::uint64_t crash, std::span<const prompt_part> parts, time_point now);
--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -695,7 +695,7 @@
             fleet.cores[n]->choose(request, {}, choice_purpose::dispatch, fleet.now);
         if (chosen)
         {
-            fleet.cores[n]->on_answer(request, fleet.now);
+            fleet.cores[n]->on_survived(request, fleet.now);
             fleet.cores[n]->finish(chosen->endpoint, health_outcome::answered, fleet.now);
         }
         return !chosen && chosen.refusal().kind == error_kind::prompt_quarantined;
--- a/test/mangovane/forward/forward_flow.cpp
+++ b/test/mangovane/forward/forward_flow.cpp
@@ -46,7 +46,7 @@
     {
         outcomes.push_back(outcome);
     }
-    void on_answer(const forward_request&, time_point) override { ++answers; }
+    void on_survived(const forward_request&, time_point) override { ++survivals; }
     bool on_crash(const forward_request&, endpoint_id, incarnation, time_point) override
     {
         ++crashes;
@@ -67,7 +67,7 @@
     std::vector<health_outcome> outcomes;
     int retries{10};
     int started{0};
-    int answers{0};
+    int survivals{0};
     int crashes{0};
     bool suspected{false};                 ///< The request is suspected of another crash.
     std::optional<choice_refusal> refusal; ///< Refuses all requests.
@@ -385,15 +385,35 @@
         CHECK_FALSE(std::get<finish_step>(step).complete);
         CHECK(chooser.crashes == 1);
     }
-    SUBCASE("counts as unanswered until a whole event has arrived")
+    SUBCASE("counts as harmless only once an endpoint has survived it")
     {
-        step = flow.on_result(attempt_result::crashed, start);
+        // One event was taken as proof: prompts that crash endpoints after it were never held back.
         flow.on_response_started();
-        CHECK(chooser.answers == 0);
-        flow.on_answer(start);
-        CHECK(chooser.answers == 1);
-        (void)flow.on_result(attempt_result::delivered, start);
-        CHECK(chooser.answers == 1);
+        flow.on_event(start);
+        flow.on_event(start + milliseconds{500});
+        CHECK(flow.answered());
+        CHECK_FALSE(flow.survived());
+        CHECK(chooser.survivals == 0);
+
+        SUBCASE("which is when its response has gone on for some time")
+        {
+            flow.on_event(start + forward_flow::survival_time);
+            flow.on_event(start + forward_flow::survival_time * 2);
+            CHECK(flow.survived());
+            CHECK(chooser.survivals == 1);
+        }
+        SUBCASE("or is complete")
+        {
+            (void)flow.on_result(attempt_result::delivered, start + milliseconds{600});
+            CHECK(chooser.survivals == 1);
+        }
+        SUBCASE("and not if the next endpoint has only just begun")
+        {
+            step = flow.on_result(attempt_result::cut, start + milliseconds{600});
+            REQUIRE(sent_to(step) == "two");
+            flow.on_event(start + forward_flow::survival_time);
+            CHECK_FALSE(flow.survived());
+        }
     }
 }
 
--- a/test/mangovane/net/event_boundary.cpp
+++ b/test/mangovane/net/event_boundary.cpp
@@ -24,15 +24,21 @@
             CHECK_FALSE(boundary.inside_event());
         }
     }
-    SUBCASE("and knows whether a whole event has arrived")
+    SUBCASE("and tells when an event has ended")
     {
-        boundary.add("id: 1\ndata: x\r");
-        CHECK_FALSE(boundary.has_event());
-        boundary.add("\n\r");
-        CHECK_FALSE(boundary.has_event());
-        boundary.add("\nid: 2");
-        CHECK(boundary.has_event());
+        CHECK_FALSE(boundary.add("id: 1\ndata: x\r"));
+        CHECK_FALSE(boundary.add("\n\r"));
+        CHECK(boundary.add("\nid: 2"));
         CHECK(boundary.inside_event());
+
+        SUBCASE("but not twice, and not for bytes of the next one")
+        {
+            CHECK_FALSE(boundary.add("\n"));
+            CHECK(boundary.add("\n"));
+            CHECK_FALSE(boundary.add("i"));
+            CHECK_FALSE(boundary.add("d: 3\nda"));
+            CHECK(boundary.add("ta: x\n\nid: 4\ndata: y\n\n"));
+        }
     }
     SUBCASE("but not after a line of the next one")
     {
--- a/test/mangovane/quarantine/prompt_quarantine.cpp
+++ b/test/mangovane/quarantine/prompt_quarantine.cpp
@@ -174,7 +174,7 @@
         {
             (void)fleet.instances[n % 4]->on_crash(100 + n, sound, fleet.now);
             fleet.run(milliseconds{200});
-            fleet.instances[(n + 1) % 4]->on_answer(sound, fleet.now);
+            fleet.instances[(n + 1) % 4]->on_survived(sound, fleet.now);
             fleet.run(milliseconds{200});
             CHECK(fleet.refusing(sound) == 0);
         }
@@ -183,7 +183,7 @@
     {
         const auto crashed_at = fleet.now;
         fleet.now += milliseconds{50};
-        fleet.instances[1]->on_answer(sound, fleet.now);
+        fleet.instances[1]->on_survived(sound, fleet.now);
         (void)fleet.instances[0]->on_crash(100, sound, crashed_at);
         fleet.run(milliseconds{600});
         for (const auto& it : fleet.instances)
@@ -193,10 +193,10 @@
     }
     SUBCASE("is told to the others only if it is not answered soon")
     {
-        fleet.instances[0]->on_answer(sound, fleet.now);
+        fleet.instances[0]->on_survived(sound, fleet.now);
         (void)fleet.instances[0]->on_crash(100, sound, fleet.now);
         fleet.now += milliseconds{50};
-        fleet.instances[0]->on_answer(sound, fleet.now);
+        fleet.instances[0]->on_survived(sound, fleet.now);
         const auto news = fleet.instances[0]->take_news(fleet.now + seconds{1});
         CHECK(news.crashes.empty());
     }
@@ -205,7 +205,7 @@
         (void)fleet.instances[0]->on_crash(100, sound, fleet.now);
         const auto stale = fleet.instances[0]->summary(fleet.now);
         fleet.now += milliseconds{50};
-        fleet.instances[1]->on_answer(sound, fleet.now);
+        fleet.instances[1]->on_survived(sound, fleet.now);
         const auto response = fleet.instances[1]->on_update(stale, fleet.now);
         CHECK_FALSE(response.answers.empty());
         (void)fleet.instances[0]->on_update(response, fleet.now);
@@ -224,7 +224,7 @@
         fleet.now += milliseconds{20};
         for (std::size_t n = 1; n != 300; ++n)
         {
-            fleet.instances[n]->on_answer(sound, fleet.now);
+            fleet.instances[n]->on_survived(sound, fleet.now);
         }
         fleet.broadcast(0, news);
         fleet.messages = 0;
--- a/test/platform/crashing_prompt.cpp
+++ b/test/platform/crashing_prompt.cpp
@@ -58,8 +58,8 @@
 
     [[nodiscard]] int crashes() const { return crashes_; }
 
-    /// Endpoints send a part of their first event before they crash.
-    std::atomic<bool> sends_partial_event{false};
+    /// What endpoints send of the answer before they crash.
+    void send_before_crash(std::string events) { before_crash_ = std::move(events); }
 
     /// Requests with the crashing part that have reached an endpoint.
     [[nodiscard]] int arrivals() const { return arrivals_; }
@@ -82,9 +82,10 @@
             co_await rep.raw(
                 absl::StrCat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", std::string{req["X-Attempt-Id"]},
                              "\r\nX-Server-Signature: s\r\n\r\n"));
-            if (sends_partial_event)
+            if (!before_crash_.empty())
             {
-                co_await rep.raw("id: 1\nda");
+                co_await rep.raw(before_crash_);
+                co_await rep.pause(delay_after_events);
             }
             self.crashed = true;
             co_await rep.pause(std::chrono::minutes{10});
@@ -128,7 +129,11 @@
         }
     }
 
+    /// From the first bytes of an answer until the crash.
+    static constexpr milliseconds delay_after_events{20};
+
     router_fleet& fleet_;
+    std::string before_crash_; ///< Set before the first request.
     std::atomic<int> crashes_{0};
     std::atomic<int> arrivals_{0};
     std::atomic<bool> stopping_{false};
@@ -218,16 +223,37 @@
     }
 }
 
-TEST_CASE("requests that crash endpoints after a few bytes of their answers")
+TEST_CASE("requests that crash endpoints when they have begun to answer")
 {
-    router_fleet fleet{1};
-    fragile_endpoints endpoints{fleet, 6};
-    endpoints.sends_partial_event = true;
-    REQUIRE(fleet.await_ready(0));
-    for (int n = 0; n != 20; ++n)
+    // One whole event was taken as proof that the prompt was harmless, and endpoints crashed as
+    // long as such requests came.
+    struct beginning
     {
-        std::this_thread::sleep_for(request_interval);
-        (void)call_with_prompt(fleet, 0, "review", absl::StrCat("p", n), crashing_part);
+        const char* name;
+        const char* events;
+    };
+    for (const auto& [name, events] :
+         {beginning{"a few bytes", "id: 1\nda"}, beginning{"an event", "id: 1\ndata: x\n\n"},
+          beginning{"an event and a half", "id: 1\ndata: x\n\nid: 2\n"},
+          beginning{"three events", "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"}})
+    {
+        for (const std::string route : {"review", "rights"})
+        {
+            SUBCASE(absl::StrCat("on ", route, " after ", name).c_str())
+            {
+                router_fleet fleet{1};
+                fragile_endpoints endpoints{fleet, 6};
+                endpoints.send_before_crash(events);
+                REQUIRE(fleet.await_ready(0));
+                for (int n = 0; n != 20; ++n)
+                {
+                    std::this_thread::sleep_for(request_interval);
+                    (void)call_with_prompt(fleet, 0, route, absl::StrCat("e", n), crashing_part);
+                    CHECK(call_with_prompt(fleet, 0, "review", absl::StrCat("f", n), "b1").status ==
+                          200);
+                }
+                CHECK(endpoints.crashes() <= max_crashes);
+            }
+        }
     }
-    CHECK(endpoints.crashes() <= max_crashes);
 }
