Don't take the end of a process for the end of a response

A response without a length that ends with its connection looks complete also when the endpoint's process has ended between two events.

The caller's response stays as it is: an endpoint that leaves ends its last response in the same way. But if the endpoint refuses connections right afterwards, the prompt is not cleared and the crash counts.

--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -18,8 +18,8 @@
 {
 
 constexpr std::array<std::string_view, attempt_result_count> result_names{
-    "delivered", "not_sent", "refused", "misdirected", "error",       "broken",
-    "crashed",   "stalled",  "cut",     "timed_out",   "caller_left", "outdated"};
+    "delivered", "not_sent", "refused",   "misdirected", "error",    "broken", "crashed",
+    "stalled",   "cut",      "timed_out", "caller_left", "outdated", "ended"};
 
 /// Category and value of an error, such as `beast.http:9`; "none" for no error.
 std::string error_text(const boost::system::error_code& ec)
@@ -143,14 +143,19 @@
     const auto result = co_await read_answer(step);
     ++timer_generation_;
     call->close();
+    const bool unclear_end = result == attempt_result::delivered && call->ends_with_connection();
     const bool ended_early = result == attempt_result::broken || result == attempt_result::cut;
-    if (!ended_early || timed_out_ || current.flow->survived())
+    if ((!ended_early && !unclear_end) || timed_out_ || current.flow->survived())
     {
         co_return result;
     }
     const bool crashed =
         co_await refuses_connections(step.target.address, services_.timeouts.crash_check_timeout);
-    co_return crashed ? attempt_result::crashed : result;
+    if (!crashed)
+    {
+        co_return result;
+    }
+    co_return unclear_end ? attempt_result::ended : attempt_result::crashed;
 }
 
 asio::awaitable<attempt_result> forward_session::read_answer(const send_step& step)
--- a/src/mangovane/net/upstream_call.hpp
+++ b/src/mangovane/net/upstream_call.hpp
@@ -48,6 +48,9 @@
     /// Whether the response has been read completely.
     [[nodiscard]] bool done() const { return parser_->is_done(); }
 
+    /// Whether only the end of the connection tells the end of the response.
+    [[nodiscard]] bool ends_with_connection() const { return parser_->need_eof(); }
+
     /// Length of the body in bytes; empty if the response does not state it.
     [[nodiscard]] std::optional<std::uint64_t> content_length() const
     {
--- a/test/mangovane/forward/forward_flow.cpp
+++ b/test/mangovane/forward/forward_flow.cpp
@@ -407,6 +407,15 @@
             (void)flow.on_result(attempt_result::delivered, start + milliseconds{600});
             CHECK(chooser.survivals == 1);
         }
+        SUBCASE(
+            "but not if its process ended with the response, whose end may be that of the process")
+        {
+            step = flow.on_result(attempt_result::ended, start + milliseconds{600});
+            REQUIRE(std::holds_alternative<finish_step>(step));
+            CHECK(std::get<finish_step>(step).complete);
+            CHECK(chooser.survivals == 0);
+            CHECK(chooser.crashes == 1);
+        }
         SUBCASE("and not if the next endpoint has only just begun")
         {
             step = flow.on_result(attempt_result::cut, start + milliseconds{600});
