Drop an unfinished event before each attempt

Cause: the start of an event that had not ended was dropped only when a stream was resumed. After an attempt that broke off inside its first event nothing had been sent to the caller, so the next attempt didn't count as resuming, and its first bytes were appended to what the last one had left. Besides, a stream that had begun with an event without a readable id was sent again without the id of the last event, and began anew in the same response.

Fix: each attempt begins with nothing left from the last. A stream with an event that has data but no readable id isn't resumed: it ends incomplete.

--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -132,9 +132,8 @@
 
 bool forward_flow::prepare_replacement(time_point now)
 {
-    const bool continuable = !response_started_ || request_.route->may_resume();
     // `possible_runs_` does not include the current attempt yet.
-    return continuable && may_run_again(possible_runs_ + 1, now) &&
+    return is_continuable() && may_run_again(possible_runs_ + 1, now) &&
            !prepare_retry(choice_purpose::replacement, now);
 }
 
@@ -236,7 +235,7 @@
 
 forward_step forward_flow::after_cut(time_point now)
 {
-    const bool resumes = request_.route->may_resume() && may_run_again(possible_runs_, now) &&
+    const bool resumes = is_continuable() && may_run_again(possible_runs_, now) &&
                          !prepare_retry(choice_purpose::dispatch, now);
     return resumes ? send(true, now) : forward_step{finish_step{false}};
 }
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -102,6 +102,9 @@
     void on_response_started() noexcept { response_started_ = true; }
     [[nodiscard]] bool response_started() const noexcept { return response_started_; }
 
+    /// Records that a part of the response is sent after which no endpoint can go on.
+    void on_not_resumable() noexcept { resumable_ = false; }
+
     /// Records that a whole event of the current attempt's response has been received.
     void on_event(time_point now);
 
@@ -167,6 +170,12 @@
     /// either fails.
     [[nodiscard]] std::optional<choice_refusal> prepare_retry(choice_purpose purpose,
                                                               time_point now);
+    /// Whether another attempt can go on where the response to the caller ends.
+    [[nodiscard]] bool is_continuable() const noexcept
+    {
+        return !response_started_ || (resumable_ && request_.route->may_resume());
+    }
+
     [[nodiscard]] dispatch_choice choose(choice_purpose purpose, time_point now);
     /// Returns the prepared endpoint to the chooser if no attempt has used it.
     void release_prepared(time_point now);
@@ -189,6 +198,7 @@
     std::uint32_t possible_runs_{0};
     std::uint32_t crashes_{0};     ///< Attempts during which the endpoint crashed.
     bool response_started_{false}; ///< Part of the response has been sent to the caller.
+    bool resumable_{true};         ///< See `on_not_resumable`.
     std::optional<time_point> answering_since_; ///< First event of the current attempt.
     bool survived_{false};                      ///< See `survived`; of the current attempt.
     std::optional<prepared_choice> prepared_;   ///< Its retry has been charged.
--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -119,11 +119,8 @@
 asio::awaitable<attempt_result> forward_session::relay_stream(const send_step& step)
 {
     auto& current = *current_;
-    if (step.resumes)
-    {
-        current.events.restart_after_last_event();
-    }
-    else
+    current.events.begin_attempt();
+    if (!step.resumes)
     {
         current.weights_version = services_.dialect.weights_version_of(call_->head());
     }
@@ -194,6 +191,10 @@
     {
         co_return relayed_events::none;
     }
+    if (current.events.has_unnumbered_event())
+    {
+        current.flow->on_not_resumable();
+    }
     std::string out;
     if (!current.flow->response_started())
     {
--- a/src/mangovane/net/sse_splitter.cpp
+++ b/src/mangovane/net/sse_splitter.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr std::string_view id_field = "id:";
+constexpr std::string_view data_field = "data:";
+constexpr std::string_view data_line = "\ndata:";
 
 /// An event ends with a line break and an empty line, at most "\n\r\n": the search for it continues
 /// this many bytes before the end of the bytes searched last.
@@ -35,6 +37,12 @@
     return std::string_view::npos;
 }
 
+/// Whether the event has content; a comment, for instance to keep a connection open, has none.
+bool has_data(std::string_view event)
+{
+    return event.starts_with(data_field) || event.find(data_line) != std::string_view::npos;
+}
+
 std::optional<std::uint64_t> id_in(std::string_view event)
 {
     while (!event.empty())
@@ -48,9 +56,11 @@
         }
         line.remove_prefix(id_field.size());
         line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+        line.remove_suffix(line.ends_with('\r') ? 1 : 0);
         std::uint64_t id = 0;
-        const auto [remaining, ec] = std::from_chars(line.data(), line.data() + line.size(), id);
-        return ec == std::errc{} ? std::optional{id} : std::nullopt;
+        const auto* const line_end = line.data() + line.size();
+        const auto [remaining, ec] = std::from_chars(line.data(), line_end, id);
+        return ec == std::errc{} && remaining == line_end ? std::optional{id} : std::nullopt;
     }
     return std::nullopt;
 }
@@ -76,7 +86,7 @@
     return out;
 }
 
-void sse_splitter::restart_after_last_event()
+void sse_splitter::begin_attempt()
 {
     partial_event_.clear();
     searched_ = 0;
@@ -97,6 +107,7 @@
     if (!has_gap_)
     {
         last_id_ = id ? id : last_id_;
+        has_unnumbered_event_ = has_unnumbered_event_ || (!id && has_data(event));
         out.append(event);
     }
 }
--- a/src/mangovane/net/sse_splitter.hpp
+++ b/src/mangovane/net/sse_splitter.hpp
@@ -21,13 +21,17 @@
     /// Returns no events after a gap or an oversized event.
     [[nodiscard]] std::string parse(std::string_view bytes);
 
-    /// Drops an incomplete event, and a gap. Call when another endpoint resumes the stream after
-    /// the last event.
-    void restart_after_last_event();
+    /// Drops an incomplete event, and a gap. Call before the bytes of each attempt: its first event
+    /// must not be joined to what the last one left, whether it resumes the stream or begins it.
+    void begin_attempt();
 
     /// Id of the last event that was returned; empty before the first event with an id.
     [[nodiscard]] std::optional<std::uint64_t> last_id() const noexcept { return last_id_; }
 
+    /// Whether an event without a readable id was returned. The stream cannot be resumed then: no id
+    /// tells the next endpoint where to go on.
+    [[nodiscard]] bool has_unnumbered_event() const noexcept { return has_unnumbered_event_; }
+
     /// Whether an event id was skipped.
     [[nodiscard]] bool has_gap() const noexcept { return has_gap_; }
 
@@ -47,6 +51,7 @@
     std::size_t searched_{0};              ///< Bytes of `partial_event_` in which no event ends.
     std::optional<std::uint64_t> last_id_; ///< Never decreases.
     bool has_gap_{false};
+    bool has_unnumbered_event_{false}; ///< Never reset.
 };
 
 } // namespace mangovane
--- a/test/mangovane/forward/forward_flow.cpp
+++ b/test/mangovane/forward/forward_flow.cpp
@@ -327,6 +327,19 @@
             CHECK_FALSE(std::get<finish_step>(step).complete);
         }
     }
+    SUBCASE("that is resumable but has an event without an id ends where it broke off")
+    {
+        // It was sent again without the id of the last event, and began anew in the same response.
+        forward_flow flow{test::make_request(settings, "rights", 5), chooser};
+        (void)flow.start(start);
+        flow.on_response_started();
+        flow.on_not_resumable();
+        CHECK_FALSE(flow.prepare_replacement(start + milliseconds{700}));
+        const auto step = flow.on_result(attempt_result::cut, start);
+        REQUIRE(std::holds_alternative<finish_step>(step));
+        CHECK_FALSE(std::get<finish_step>(step).complete);
+        CHECK(chooser.started == 1);
+    }
     SUBCASE("that is not resumable ends where it broke off")
     {
         forward_flow flow{test::make_request(settings, "review", 5), chooser};
--- a/test/mangovane/net/sse_splitter.cpp
+++ b/test/mangovane/net/sse_splitter.cpp
@@ -37,7 +37,7 @@
     {
         auto out = splitter.parse(event(1) + event(2) + "id: 3\nda");
         CHECK(out == event(1) + event(2));
-        splitter.restart_after_last_event();
+        splitter.begin_attempt();
 
         SUBCASE("contains the broken event once and complete")
         {
@@ -57,12 +57,48 @@
             SUBCASE("and is resumed after the last event before it")
             {
                 CHECK(splitter.last_id() == 2);
-                splitter.restart_after_last_event();
+                splitter.begin_attempt();
                 CHECK_FALSE(splitter.has_gap());
                 CHECK(splitter.parse(event(3)) == event(3));
             }
         }
     }
+    SUBCASE("that breaks inside its first event and begins anew at another endpoint")
+    {
+        // The second beginning was appended to the first one, and the joined event was passed on.
+        for (std::size_t n = 0; n != event(0).size(); ++n)
+        {
+            CAPTURE(n);
+            sse_splitter cut;
+            CHECK(cut.parse(event(0).substr(0, n)).empty());
+            cut.begin_attempt();
+            CHECK(cut.parse(event(0) + event(1)) == event(0) + event(1));
+            CHECK(cut.last_id() == 1);
+        }
+    }
+    SUBCASE("can be resumed only while the ids of its events are readable")
+    {
+        CHECK(splitter.parse(event(1) + ": a comment\n\n") == event(1) + ": a comment\n\n");
+        CHECK_FALSE(splitter.has_unnumbered_event());
+
+        SUBCASE("which a missing one is not")
+        {
+            (void)splitter.parse("data: x\n\n");
+            CHECK(splitter.has_unnumbered_event());
+        }
+        SUBCASE("nor one with other characters")
+        {
+            (void)splitter.parse("id: 2x\ndata: x\n\n");
+            CHECK(splitter.has_unnumbered_event());
+            CHECK(splitter.last_id() == 1);
+        }
+        SUBCASE("but one before CRLF is")
+        {
+            (void)splitter.parse("id: 2\r\ndata: x\r\n\r\n");
+            CHECK_FALSE(splitter.has_unnumbered_event());
+            CHECK(splitter.last_id() == 2);
+        }
+    }
     SUBCASE("does not hold an event without end")
     {
         // Bytes without end would otherwise fill the memory of the instance.
@@ -75,7 +111,7 @@
         }
         CHECK(splitter.is_oversized());
         CHECK(n <= sse_splitter::max_event_bytes + piece.size());
-        splitter.restart_after_last_event();
+        splitter.begin_attempt();
         CHECK_FALSE(splitter.is_oversized());
         CHECK(splitter.parse(event(1)) == event(1));
     }
--- a/test/platform/router_fleet.cpp
+++ b/test/platform/router_fleet.cpp
@@ -69,7 +69,7 @@
                                  "--seeds",
                                  address(0, 2),
                                  "--retry-slack",
-                                 "100",
+                                 std::to_string(params_.retry_slack),
                                  "--drain-delay-ms",
                                  std::to_string(params_.drain_delay.count()),
                                  "--grace-ms",
--- a/test/platform/router_fleet.hpp
+++ b/test/platform/router_fleet.hpp
@@ -34,6 +34,7 @@
     std::string log_folder;        ///< Each router writes `router-<n>.log` there; empty: none.
     milliseconds drain_delay{300}; ///< From the stop signal until connections are refused.
     milliseconds grace_period{5000};
+    std::uint32_t retry_slack{100}; ///< Retries per window beside those that requests earn.
 };
 
 class router_fleet
