Keep evidence of crashes for whole prompts too

Cause: evidence was kept for the parts that other requests share. Sound requests share them with the deadly one and clear them; what tells it from them was not recorded.

Fix: a whole prompt is one more part, behind all others, with the same limits. It is recorded only when an endpoint crashes under it and never in the log of answers, so prompts that come once cost nothing. It is the hash of all parts, not the last part: a request that only shares its last part with a deadly one is not refused.

--- a/src/mangovane/core/prompt_part.hpp
+++ b/src/mangovane/core/prompt_part.hpp
@@ -20,6 +20,15 @@
     auto operator<=>(const prompt_part&) const = default;
 };
 
+/// What a prompt has in common with those of other requests.
+struct prompt_identity
+{
+    /// The parts that other requests may share. Valid as long as the request.
+    std::span<const prompt_part> shared;
+    /// Hash of all parts, which only the same request has when it comes again; 0: no prompt.
+    std::uint64_t whole{0};
+};
+
 /// Ids of parts in hexadecimal, separated by commas, for logs; "none" when there are none.
 [[nodiscard]] std::string part_ids_text(std::span<const prompt_part> parts);
 
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -273,7 +273,7 @@
 
 void forward_core::on_survived(const forward_request& request, time_point now)
 {
-    quarantine_.on_survived(request.shared_parts(), now);
+    quarantine_.on_survived(request.identity(), now);
 }
 
 bool forward_core::on_crash(const forward_request& request,
@@ -282,7 +282,7 @@
                             time_point now)
 {
     const auto crash = hash_combine(endpoint.value(), epoch);
-    return quarantine_.on_crash(crash, request.shared_parts(), now);
+    return quarantine_.on_crash(crash, request.identity(), now);
 }
 
 void forward_core::finish(endpoint_id endpoint, health_outcome outcome, time_point now)
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -115,7 +115,7 @@
                                      choice_purpose purpose,
                                      time_point now)
 {
-    if (const auto verdict = quarantine_.check(request.shared_parts(), now))
+    if (const auto verdict = quarantine_.check(request.identity(), now))
     {
         return choice_refusal{error_kind::prompt_quarantined, now + prompt_quarantine::retry_delay,
                               verdict};
--- a/src/mangovane/forward/forward_request.hpp
+++ b/src/mangovane/forward/forward_request.hpp
@@ -53,6 +53,16 @@
         return {prompt.data(), prompt.empty() ? 0 : prompt.size() - 1};
     }
 
+    [[nodiscard]] prompt_identity identity() const noexcept
+    {
+        std::uint64_t whole = 0;
+        for (const auto& it : prompt)
+        {
+            whole = hash_combine(whole, it.id);
+        }
+        return {shared_parts(), whole};
+    }
+
     bool operator==(const forward_request&) const = default;
 
 private:
--- a/src/mangovane/quarantine/prompt_quarantine.cpp
+++ b/src/mangovane/quarantine/prompt_quarantine.cpp
@@ -133,45 +133,65 @@
     }
 }
 
-void prompt_quarantine::on_survived(std::span<const prompt_part> parts, time_point now)
+void prompt_quarantine::on_survived(const prompt_identity& prompt, time_point now)
 {
-    for (const auto& [part, tokens] : parts)
+    for (const auto& [part, tokens] : prompt.shared)
     {
         answers_.record(part, now);
-        bool is_suspected = false;
-        records_.find(part, [&](const part_record& it) { is_suspected = !it.evidence().empty(); });
-        if (is_suspected)
-        {
-            update_record(part, now, [&](part_record& it) { it.on_answer(now); });
-            add_pending({part, 0, now, now});
-        }
+        clear(part, now);
+    }
+    // Not in the log of answers: prompts that come once would displace the parts that are shared.
+    clear(prompt.whole, now);
+}
+
+bool prompt_quarantine::clear(std::uint64_t part, time_point now)
+{
+    bool is_suspected = false;
+    records_.find(part, [&](const part_record& it) { is_suspected = !it.evidence().empty(); });
+    if (is_suspected)
+    {
+        update_record(part, now, [&](part_record& it) { it.on_answer(now); });
+        add_pending({part, 0, now, now});
+    }
+    return is_suspected;
+}
+
+bool prompt_quarantine::add_crash(const crash_evidence& evidence, time_point now)
+{
+    bool is_new = false;
+    bool suspected_before = false;
+    update_record(evidence.part, now,
+                  [&](part_record& it)
+                  {
+                      is_new = it.add(evidence);
+                      suspected_before = it.is_suspected_besides(evidence.crash);
+                  });
+    if (is_new)
+    {
+        add_event({quarantine_change::suspected, evidence.part, evidence.crash, {}});
+        add_pending({evidence.part, evidence.crash, now,
+                     evidence.answered_before ? now + answer_wait : now});
     }
+    return suspected_before;
 }
 
-bool prompt_quarantine::on_crash(std::uint64_t crash,
-                                 std::span<const prompt_part> parts,
-                                 time_point now)
+bool prompt_quarantine::on_crash(std::uint64_t crash, const prompt_identity& prompt, time_point now)
 {
     bool suspected_before = false;
-    for (std::size_t n = 0; n != parts.size(); ++n)
+    crash_evidence evidence{0, crash, now, now + evidence_ttl, false, 0};
+    for (const auto& [part, tokens] : prompt.shared)
     {
-        const auto part = parts[n].id;
-        const auto depth = static_cast<std::uint8_t>(std::min<std::size_t>(n, UINT8_MAX));
         const auto answered = answers_.last(part);
-        const bool answered_before = answered && now < *answered + recent_answer;
-        bool is_new = false;
-        update_record(
-            part, now,
-            [&](part_record& it)
-            {
-                is_new = it.add({part, crash, now, now + evidence_ttl, answered_before, depth});
-                suspected_before = suspected_before || it.is_suspected_besides(crash);
-            });
-        if (is_new)
-        {
-            add_event({quarantine_change::suspected, part, crash, {}});
-            add_pending({part, crash, now, answered_before ? now + answer_wait : now});
-        }
+        evidence.part = part;
+        evidence.answered_before = answered && now < *answered + recent_answer;
+        suspected_before = add_crash(evidence, now) || suspected_before;
+        evidence.depth = static_cast<std::uint8_t>(std::min(evidence.depth + 1, UINT8_MAX));
+    }
+    if (prompt.whole != 0)
+    {
+        evidence.part = prompt.whole;
+        evidence.answered_before = false;
+        suspected_before = add_crash(evidence, now) || suspected_before;
     }
     return !suspected_before;
 }
@@ -220,8 +240,7 @@
     return response;
 }
 
-std::optional<part_verdict> prompt_quarantine::check(std::span<const prompt_part> parts,
-                                                     time_point now)
+std::optional<part_verdict> prompt_quarantine::check(const prompt_identity& prompt, time_point now)
 {
     const auto current = verdicts();
     if (current->empty())
@@ -229,14 +248,19 @@
         return std::nullopt;
     }
     std::optional<part_verdict> result;
-    for (const auto& [part, tokens] : parts)
+    const auto check_part = [&](std::uint64_t part)
     {
         if (const auto* found = find_verdict(*current, part))
         {
             result = found->verdict;
             records_.find(part, [&](part_record& it) { it.keep(now + refusal_hold); });
         }
+    };
+    for (const auto& [part, tokens] : prompt.shared)
+    {
+        check_part(part);
     }
+    check_part(prompt.whole);
     return result;
 }
 
--- a/src/mangovane/quarantine/prompt_quarantine.hpp
+++ b/src/mangovane/quarantine/prompt_quarantine.hpp
@@ -2,10 +2,11 @@
 // which requests are refused because of them.
 //
 // Each request that an endpoint has not survived when it crashes is suspect, and with it each part
-// that it shares with others. Instances exchange this evidence. A part is cleared when an endpoint
-// survives any request with it (in short: an answer): a part that crashes endpoints may get some
-// events of an answer, but no such answer. Of the parts that remain after a few crashes, one that
-// explains the crashes of another clears that one too.
+// that it shares with others; and the prompt as a whole, in case the same request comes again. In
+// the record, a whole prompt is one more part, behind all others. Instances exchange this evidence.
+// A part is cleared when an endpoint survives any request with it (in short: an answer): a part
+// that crashes endpoints may get some events of an answer, but no such answer. Of the parts that
+// remain after a few crashes, one that explains the crashes of another clears that one too.
 #ifndef MANGOVANE_QUARANTINE_PROMPT_QUARANTINE_HPP
 #define MANGOVANE_QUARANTINE_PROMPT_QUARANTINE_HPP
 
@@ -63,21 +64,19 @@
     /// `seed` differs between instances and spreads their announcements of the same answer.
     explicit prompt_quarantine(std::uint64_t seed) : seed_{seed} {}
 
-    /// An endpoint has survived a request with these parts.
-    void on_survived(std::span<const prompt_part> parts, time_point now);
+    /// An endpoint has survived a request with this prompt.
+    void on_survived(const prompt_identity& prompt, time_point now);
 
-    /// An endpoint crashed before it had survived a request with these parts.
+    /// An endpoint crashed before it had survived a request with this prompt.
     /// Returns whether the request may be sent again: no part of it is suspected of another crash.
-    [[nodiscard]] bool
-    on_crash(std::uint64_t crash, std::span<const prompt_part> parts, time_point now);
+    [[nodiscard]] bool on_crash(std::uint64_t crash, const prompt_identity& prompt, time_point now);
 
     /// Merges what another instance knows; returns answers that the sender lacks.
     [[nodiscard]] quarantine_update on_update(const quarantine_update& update, time_point now);
 
-    /// Why a request with these parts is refused; empty if it is not. Requests that are refused
+    /// Why a request with this prompt is refused; empty if it is not. Requests that are refused
     /// extend the quarantine: it ends only when no more of them come.
-    [[nodiscard]] std::optional<part_verdict> check(std::span<const prompt_part> parts,
-                                                    time_point now);
+    [[nodiscard]] std::optional<part_verdict> check(const prompt_identity& prompt, time_point now);
 
     /// Ends the quarantine of a part, at all instances once they are told; only crashes from now on
     /// count, also against the parts whose crashes it explained. Returns whether it was refused.
@@ -158,6 +157,13 @@
     /// The part, and those whose crashes it explains.
     [[nodiscard]] std::vector<std::uint64_t> explained_by(std::uint64_t part);
 
+    /// Clears a part that is suspected; returns whether it was.
+    bool clear(std::uint64_t part, time_point now);
+
+    /// Adds evidence of a crash that this instance has seen; returns whether the part is suspected
+    /// of another one.
+    [[nodiscard]] bool add_crash(const crash_evidence& evidence, time_point now);
+
     void add_pending(pending_news news);
     void add_event(quarantine_event event);
     void expire(time_point now);
--- a/test/mangovane/daemon/quarantine_pages.cpp
+++ b/test/mangovane/daemon/quarantine_pages.cpp
@@ -31,7 +31,7 @@
     const std::vector<prompt_part> prompt{{0x5c1e07a2, 500}};
     for (int n = 0; n != 3; ++n)
     {
-        (void)quarantine.on_crash(static_cast<std::uint64_t>(n) + 1, prompt, start + seconds{n});
+        (void)quarantine.on_crash(static_cast<std::uint64_t>(n) + 1, {prompt}, start + seconds{n});
     }
     const auto now = start + seconds{10};
 
@@ -47,7 +47,7 @@
     {
         CHECK(quarantine_page(quarantine, {"POST", "/quarantine/lift/5c1e07a2"}, now)->status ==
               200);
-        CHECK_FALSE(quarantine.check(prompt, now));
+        CHECK_FALSE(quarantine.check({prompt}, now));
         CHECK(quarantine_page(quarantine, {"GET", "/quarantine"}, now)->body ==
               "{\"refused\":[]}\n");
         CHECK(quarantine_page(quarantine, {"POST", "/quarantine/lift/5c1e07a2"}, now)->status ==
@@ -68,6 +68,6 @@
         CHECK_FALSE(quarantine_page(quarantine, {"GET", "/quarantine/lift/5c1e07a2"}, now));
         CHECK(quarantine_page(quarantine, {"POST", "/quarantine/lift/xyz"}, now)->status == 400);
         CHECK_FALSE(quarantine_page(quarantine, {"GET", "/metrics"}, now));
-        CHECK(quarantine.check(prompt, now));
+        CHECK(quarantine.check({prompt}, now));
     }
 }
