--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -254,6 +254,7 @@
                      " result=", absl::string_view{name.data(), name.size()}, " ms=", time.count(),
                      " answered=", current_->flow->answered() ? 1 : 0,
                      " parts=", part_ids_text(current_->flow->request().shared_parts()),
+                     " prompt=", absl::Hex(current_->flow->request().identity().whole),
                      " error=", error_text(current_->endpoint_error)),
         now);
 }
