Let soak callers send malformed requests, and responses break off at any byte

It now also reports a router whose process ends by itself. The new fault is drawn by a generator of its own, so the plans of the seeds that once failed stay as they are. Not added: prompts that crash endpoints (the proxy before an endpoint accepts a connection before it resets it, which is no refused one), and stops late in the grace period.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -2,6 +2,7 @@
 #include "soak/caller.hpp"
 
 #include <array>
+#include <string_view>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -39,6 +41,18 @@
 constexpr std::size_t abandoned_call_interval = 25;
 constexpr std::size_t max_abandon_delay_ms = 150;
 
+/// One call in this many is replaced by bytes that are no acceptable request. The process of the
+/// router must not end with them.
+constexpr std::size_t malformed_call_interval = 60;
+
+constexpr std::array<std::string_view, 5> malformed_requests{
+    "POST /grant/7 HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+    "POST /grant/7 HTTP/1.1\r\nHost: a\r\nHost: b\r\nContent-Length: 0\r\n\r\n",
+    "POST /grant/7 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /grant/7 HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    "these bytes are not HTTP\r\n\r\n"};
+
 http::request<http::string_body> message_of(const call_record& record, std::size_t chat)
 {
     const auto body = body_of(record.request);
@@ -116,6 +130,11 @@
         }
         for (std::size_t n = 0; open && !stopping_ && n != calls_per_connection; ++n)
         {
+            if (!options_.probed_router && pick(malformed_call_interval) == 0)
+            {
+                co_await send_malformed(conn);
+                break;
+            }
             call_record record;
             record.kind = options_.probed_router ? call_kind::probe : pick_kind();
             record.version = options_.probed_router ? fleet_.version() : 0;
@@ -135,6 +154,17 @@
     ended_ = true;
 }
 
+asio::awaitable<void> caller::send_malformed(stream& conn)
+{
+    const auto& text = malformed_requests[pick(malformed_requests.size())];
+    conn.expires_after(response_timeout);
+    beast::error_code ec;
+    co_await asio::async_write(conn, asio::buffer(text),
+                               asio::redirect_error(asio::use_awaitable, ec));
+    http::response_parser<http::string_body> p;
+    co_await http::async_read(conn, buffer_, p, asio::redirect_error(asio::use_awaitable, ec));
+}
+
 asio::awaitable<bool> caller::call(stream& conn, call_record record)
 {
     const bool abandons = !options_.probed_router && pick(abandoned_call_interval) == 0;
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -53,6 +53,8 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> connect(stream& conn, std::size_t router);
     boost::asio::awaitable<bool> call(stream& conn, call_record record);
+    /// Sends bytes that are no acceptable request, and reads the response.
+    boost::asio::awaitable<void> send_malformed(stream& conn);
     boost::asio::awaitable<bool> read_response(stream& conn, call_record& record);
     boost::asio::awaitable<void> pause(milliseconds time);
     [[nodiscard]] call_kind pick_kind();
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr std::uint32_t failing_requests = 4;
+constexpr std::uint32_t broken_off_responses = 12;
 
 /// A drain is skipped if it would leave fewer endpoints in the service.
 constexpr int min_endpoints = 2;
@@ -62,6 +63,7 @@
     {&fault_injector::add_cold_endpoint, &fault_injector::end_outage},
     {&fault_injector::drain_endpoint, &fault_injector::remove_endpoint},
     {&fault_injector::take_domain_out, &fault_injector::take_domain_back},
+    {&fault_injector::endpoint_breaks_off, &fault_injector::restore_endpoint},
 }};
 
 fault_injector::fault_injector(deployment& fleet, observation_recorder& recorder, fault_plan plan)
@@ -93,6 +95,7 @@
         active_faults_.push_back(it);
     }
     advance_restarts();
+    check_processes();
     return next_ != plan_.events.size() || !active_faults_.empty() || !restarts_.empty();
 }
 
@@ -205,6 +208,19 @@
     return true;
 }
 
+void fault_injector::check_processes()
+{
+    for (std::size_t n = 0; n != faulted_routers_.size(); ++n)
+    {
+        const auto code = fleet_.routers()[n]->process->wait(milliseconds{0});
+        if (code && !faulted_routers_[n])
+        {
+            faulted_routers_[n] = true; // It takes no further faults.
+            unexpected_exits_.push_back({n, *code});
+        }
+    }
+}
+
 // Links.
 
 void fault_injector::cut_store(active_fault& it)
@@ -304,6 +320,12 @@
     it.target->engine.set_fault(engine_fault_of(it.event.random_value), failing_requests);
 }
 
+void fault_injector::endpoint_breaks_off(active_fault& it)
+{
+    begin_endpoint_fault(it);
+    it.target->engine.set_fault(standin::engine_fault::break_off, broken_off_responses);
+}
+
 void fault_injector::endpoint_crashes(active_fault& it)
 {
     begin_endpoint_fault(it);
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -20,6 +20,19 @@
     /// Begins and ends the faults that are due. Returns false when all have ended.
     bool advance(time_point now, time_point start);
 
+    /// A router's process that ended by itself.
+    struct unexpected_exit
+    {
+        std::size_t router{0};
+        int code{0};
+
+        auto operator<=>(const unexpected_exit&) const = default;
+    };
+    [[nodiscard]] const std::vector<unexpected_exit>& unexpected_exits() const noexcept
+    {
+        return unexpected_exits_;
+    }
+
 private:
     /// A fault that has begun.
     struct active_fault
@@ -68,6 +81,7 @@
     void store_forgets(active_fault& it);
     void restore_store(active_fault& it);
     void endpoint_fails(active_fault& it);
+    void endpoint_breaks_off(active_fault& it);
     void endpoint_crashes(active_fault& it);
     void endpoint_slow(active_fault& it);
     void endpoint_silent(active_fault& it);
@@ -79,6 +93,9 @@
     void take_domain_out(active_fault& it);
     void take_domain_back(active_fault& it);
 
+    /// Looks for routers whose process has ended without a signal of this object.
+    void check_processes();
+
     void begin_router_fault(active_fault& it, bool planned);
     void begin_store_fault(active_fault& it, standin::store_faults faults);
     void begin_endpoint_fault(active_fault& it);
@@ -93,6 +110,7 @@
     std::vector<pending_restart> restarts_;
     std::size_t next_{0};               ///< Index of the first event that has not begun.
     std::vector<bool> faulted_routers_; ///< Routers with an active fault.
+    std::vector<unexpected_exit> unexpected_exits_;
     bool store_faulted_{false};
     bool domain_out_{false};
 };
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -15,6 +15,14 @@
 constexpr milliseconds first_fault{500};
 constexpr std::uint64_t fault_window_ms =
     9000; ///< Faults start within this time after `first_fault`.
+/// Kinds that are drawn at random; `endpoint_breaks_off` is added by a generator of its own, so
+/// that the plans of the seeds that once failed stay as they are.
+constexpr std::size_t drawn_kind_count = 22;
+
+/// One response fault is added for this many drawn faults.
+constexpr std::size_t faults_per_break_off = 4;
+constexpr std::uint64_t break_off_seed = 0x6272656b;
+
 constexpr std::uint64_t min_fault_ms = 300;
 constexpr std::uint64_t max_fault_ms = 4000;
 
@@ -33,9 +41,8 @@
     return low + random() % (high - low);
 }
 
-fault_event draw(std::mt19937_64& random)
+fault_event draw(fault_kind kind, std::mt19937_64& random)
 {
-    const auto kind = static_cast<fault_kind>(random() % fault_kind_count);
     const auto from = first_fault + milliseconds{between(random, 0, fault_window_ms)};
     const auto length = milliseconds{between(random, min_fault_ms, max_fault_ms)};
     return {kind, from, from + length, random()};
@@ -46,12 +53,12 @@
 std::string_view name_of(fault_kind kind)
 {
     static constexpr std::array<std::string_view, fault_kind_count> names{
-        "kill_router",    "pause_router",     "cut_store",     "cut_peers",
-        "delay_peers",    "reset_links",      "silence_links", "store_down",
-        "store_silent",   "store_slow",       "store_loses",   "store_forgets",
-        "endpoint_fails", "endpoint_crashes", "endpoint_slow", "endpoint_silent",
-        "stop_router",    "hang_up",          "configure",     "add_cold_endpoint",
-        "drain_endpoint", "take_domain_out"};
+        "kill_router",    "pause_router",     "cut_store",          "cut_peers",
+        "delay_peers",    "reset_links",      "silence_links",      "store_down",
+        "store_silent",   "store_slow",       "store_loses",        "store_forgets",
+        "endpoint_fails", "endpoint_crashes", "endpoint_slow",      "endpoint_silent",
+        "stop_router",    "hang_up",          "configure",          "add_cold_endpoint",
+        "drain_endpoint", "take_domain_out",  "endpoint_breaks_off"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -61,7 +68,13 @@
     fault_plan result;
     for (std::size_t n = 0; n != fault_count; ++n)
     {
-        result.events.push_back(draw(random));
+        const auto kind = static_cast<fault_kind>(random() % drawn_kind_count);
+        result.events.push_back(draw(kind, random));
+    }
+    std::mt19937_64 break_off_random{seed ^ break_off_seed};
+    for (std::size_t n = 0; n < fault_count; n += faults_per_break_off)
+    {
+        result.events.push_back(draw(fault_kind::endpoint_breaks_off, break_off_random));
     }
     auto at = undisturbed_start;
     for (const auto kind : brief ? std::span<const fault_kind>{} : std::span{undisturbed_changes})
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -14,7 +14,7 @@
 namespace mangovane::soak
 {
 
-/// Faults and, from `stop_router` on, planned changes.
+/// Faults and, from `stop_router` to `take_domain_out`, planned changes.
 enum class fault_kind : std::uint8_t
 {
     kill_router,   ///< SIGKILL; restarted at the end.
@@ -39,9 +39,10 @@
     add_cold_endpoint,
     drain_endpoint,
     take_domain_out,
+    endpoint_breaks_off, ///< Responses end at any byte.
 };
 
-inline constexpr std::size_t fault_kind_count = 22;
+inline constexpr std::size_t fault_kind_count = 23;
 inline constexpr std::size_t first_planned_kind = static_cast<std::size_t>(fault_kind::stop_router);
 
 [[nodiscard]] std::string_view name_of(fault_kind kind);
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -93,6 +93,7 @@
             return result();
         }
         run_plan();
+        check_exits();
         check_recovery();
         stop_callers();
         check_now();
@@ -156,6 +157,15 @@
         timed_checks_ = it.timed_checks();
     }
 
+    void check_exits()
+    {
+        for (const auto& [router, code] : faults_.unexpected_exits())
+        {
+            violations_.insert({"process_end", absl::StrCat("router ", router,
+                                                            " ended by itself with code ", code)});
+        }
+    }
+
     /// Checks that calls are served again after all faults have ended.
     void check_recovery()
     {
--- a/src/standin/fleet_engine.cpp
+++ b/src/standin/fleet_engine.cpp
@@ -5,6 +5,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "mangovane/core/hash.hpp"
+
 namespace mangovane::standin
 {
 
@@ -24,6 +26,11 @@
     return text.empty() ? 0 : static_cast<std::uint32_t>(std::stoul(text));
 }
 
+std::string event_text(const std::string& request, std::uint32_t number)
+{
+    return absl::StrCat("id: ", number, "\ndata: ", request, "-", number, "\n\n");
+}
+
 /// Prefix of the control path `/standin/fault/KIND/COUNT`.
 constexpr std::string_view fault_path = "/standin/fault/";
 
@@ -69,8 +76,7 @@
     const auto first = number(field(req, "Last-Event-ID")) + 1;
     for (auto n = first; n <= behaviour_.events && rep.open(); ++n)
     {
-        const auto event =
-            absl::StrCat("id: ", n, "\ndata: ", field(req, "X-Attempt-Id"), "-", n, "\n\n");
+        const auto event = event_text(field(req, "X-Attempt-Id"), n);
         if (cut && n == first + 2)
         {
             co_await rep.chunk(event.substr(0, event.size() / 2));
@@ -87,6 +93,39 @@
     }
 }
 
+asio::awaitable<void> fleet_engine::break_off(const request& req, reply& rep)
+{
+    const auto id = field(req, "X-Attempt-Id");
+    std::string events;
+    for (auto n = number(field(req, "Last-Event-ID")) + 1; n <= behaviour_.events; ++n)
+    {
+        events += event_text(id, n);
+    }
+    const auto choice = hash_bytes(id);
+    events.resize(choice % (events.size() + 1));
+    co_await rep.start_chunks(200, "text/event-stream", {});
+    if (!events.empty())
+    {
+        co_await rep.chunk(events);
+    }
+    co_await rep.pause(behaviour_.event_interval);
+    // Between two events, an end that looks complete cannot be told from the real one.
+    const bool inside_event = !events.empty() && !events.ends_with("\n\n");
+    const auto kind = choice / 1024 % 3;
+    if (kind == 0 && inside_event && req.count("X-Prefix-Hash") != 0)
+    {
+        co_await rep.end_chunks();
+    }
+    else if (kind == 1)
+    {
+        co_await rep.close();
+    }
+    else
+    {
+        rep.reset();
+    }
+}
+
 asio::awaitable<void> fleet_engine::apply_fault(engine_fault fault, const request& req, reply& rep)
 {
     switch (fault)
@@ -107,6 +146,9 @@
     case engine_fault::ambiguous:
         co_await rep.send(503, "vague");
         break;
+    case engine_fault::break_off:
+        co_await break_off(req, rep);
+        break;
     default:
         co_await stream(req, rep, true);
         break;
--- a/src/standin/fleet_engine.hpp
+++ b/src/standin/fleet_engine.hpp
@@ -27,6 +27,8 @@
     wrong_attempt_id, ///< Responds with the attempt id of another request.
     unsigned_answer,  ///< Responds without `X-Server-Signature`.
     ambiguous,        ///< Runs the request and responds 503 without `X-Not-Executed`.
+    break_off, ///< Ends the response at some byte of its events, which depends on the request id:
+               ///< resets or closes the connection, or ends a stream as if it were complete.
 };
 
 struct fleet_engine_behaviour
@@ -71,6 +73,7 @@
     void record(const request& req);
     void add_signature(engine_fault fault, const request& req, reply& rep) const;
     boost::asio::awaitable<void> stream(const request& req, reply& rep, bool cut);
+    boost::asio::awaitable<void> break_off(const request& req, reply& rep);
     boost::asio::awaitable<void> apply_fault(engine_fault fault, const request& req, reply& rep);
     boost::asio::awaitable<void> control(const request& req, reply& rep);
 
--- a/test/platform/cut_stream.cpp
+++ b/test/platform/cut_stream.cpp
@@ -136,6 +136,49 @@
 
 } // namespace
 
+TEST_CASE("a response that breaks off in its head")
+{
+    // Callers of other systems got a 200 with an empty or short body, framed as whole.
+    router_fleet fleet{1};
+    REQUIRE(fleet.await_ready(0));
+    std::size_t cut_at = 0;
+    bool resets = false;
+    std::size_t size = 2;
+    const scripted_endpoint cutting{[&](const request& req, reply& rep) -> asio::awaitable<void>
+                                    {
+                                        const auto head =
+                                            response_head(req, 200, "Content-Length: 4\r\n\r\n");
+                                        size = head.size();
+                                        co_await rep.raw(head.substr(0, cut_at));
+                                        if (resets)
+                                        {
+                                            rep.reset();
+                                            co_return;
+                                        }
+                                        co_await rep.close();
+                                    }};
+    fleet.write_address("plain", "ventanilla", cutting.address());
+    fleet.write_address("model", "dictamen", cutting.address());
+    std::this_thread::sleep_for(milliseconds{1000});
+    for (const bool reset : {false, true})
+    {
+        resets = reset;
+        for (const std::string route : {"grant", "status", "review", "rights"})
+        {
+            for (std::size_t n = 1; n < size; ++n)
+            {
+                cut_at = n;
+                const auto id = absl::StrCat("head-", reset ? 1 : 0, "-", n);
+                const auto response = fleet.call(0, route == "status" ? "GET" : "POST", route, id);
+                CAPTURE(route);
+                CAPTURE(n);
+                CHECK(response.status >= 500);
+                CHECK(response.status != 503);
+            }
+        }
+    }
+}
+
 TEST_CASE("a stream whose first run breaks off")
 {
     fleet_params params;
