--- a/src/mangovane/net/sse_splitter.hpp
+++ b/src/mangovane/net/sse_splitter.hpp
@@ -28,8 +28,8 @@
     /// Id of the last event that was returned; empty before the first event with an id.
     [[nodiscard]] std::optional<std::uint64_t> last_id() const noexcept { return last_id_; }
 
-    /// Whether an event without a readable id was returned. The stream cannot be resumed then: no id
-    /// tells the next endpoint where to go on.
+    /// Whether an event without a readable id was returned. The stream cannot be resumed then: no
+    /// id tells the next endpoint where to go on.
     [[nodiscard]] bool has_unnumbered_event() const noexcept { return has_unnumbered_event_; }
 
     /// Whether an event id was skipped.
