--- a/src/mangovane/membership/endpoint_catalog.cpp
+++ b/src/mangovane/membership/endpoint_catalog.cpp
@@ -243,8 +243,11 @@
         remove_unlisted(partial_names_, update.through, now);
         on_full_list(update.through);
     }
+    else
+    {
+        revision_ = update.through;
+    }
     partial_names_.clear();
-    revision_ = update.through;
     return true;
 }
 
--- a/src/mangovane/quarantine/prompt_quarantine.cpp
+++ b/src/mangovane/quarantine/prompt_quarantine.cpp
@@ -144,7 +144,7 @@
     clear(prompt.whole, now);
 }
 
-bool prompt_quarantine::clear(std::uint64_t part, time_point now)
+void prompt_quarantine::clear(std::uint64_t part, time_point now)
 {
     bool is_suspected = false;
     records_.find(part, [&](const part_record& it) { is_suspected = !it.evidence().empty(); });
@@ -153,7 +153,6 @@
         update_record(part, now, [&](part_record& it) { it.on_answer(now); });
         add_pending({part, 0, now, now});
     }
-    return is_suspected;
 }
 
 bool prompt_quarantine::add_crash(const crash_evidence& evidence, time_point now)
--- a/src/mangovane/quarantine/prompt_quarantine.hpp
+++ b/src/mangovane/quarantine/prompt_quarantine.hpp
@@ -157,8 +157,8 @@
     /// The part, and those whose crashes it explains.
     [[nodiscard]] std::vector<std::uint64_t> explained_by(std::uint64_t part);
 
-    /// Clears a part that is suspected; returns whether it was.
-    bool clear(std::uint64_t part, time_point now);
+    /// Clears a part if it is suspected.
+    void clear(std::uint64_t part, time_point now);
 
     /// Adds evidence of a crash that this instance has seen; returns whether the part is suspected
     /// of another one.
