Log who ended a connection, and report tasks that an exception ends

A session that ended by a timer, an exception or a closed connection wrote no line, and `outcome=cut` did not say who ended the request: none of the hypotheses could be told from another, or from a caller that left.

- Every connection of a caller ends with a reason: counted in mangovane_session_ends_total, and logged (`session_ended`) if it did not end in order or if bytes of the caller were not read.
`answered` names it too (`ended_by`).
- `spawn` replaces co_spawn with handlers that dropped the exception: the task monitor of the I/O context logs `task_failed` and counts mangovane_failed_tasks_total.
Calls to the store, whose caller got an error without a cause, are reported too.
- `dispatch` and `attempt_ended` name the last event that the caller has and the bytes of an unfinished event that were dropped, which tell joined pieces from other faults.

--- a/src/mangovane/daemon/control_metrics.cpp
+++ b/src/mangovane/daemon/control_metrics.cpp
@@ -25,4 +25,9 @@
                         age ? static_cast<double>(age->count()) / 1000.0 : -1.0, "\n");
 }
 
+std::string failed_tasks_metric(std::uint64_t failures)
+{
+    return absl::StrCat("mangovane_failed_tasks_total ", failures, "\n");
+}
+
 } // namespace mangovane
--- a/src/mangovane/daemon/control_metrics.hpp
+++ b/src/mangovane/daemon/control_metrics.hpp
@@ -19,6 +19,9 @@
 /// before the first read.
 [[nodiscard]] std::string settings_age_metric(std::optional<milliseconds> age);
 
+/// Sample of the number of tasks that an exception has ended.
+[[nodiscard]] std::string failed_tasks_metric(std::uint64_t failures);
+
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/strand.hpp>
 #include <unistd.h>
 
+#include "mangovane/daemon/control_metrics.hpp"
 #include "mangovane/daemon/forward_metrics.hpp"
 #include "mangovane/daemon/process.hpp"
 #include "mangovane/daemon/quarantine_pages.hpp"
@@ -22,6 +23,7 @@
 #include "mangovane/net/forward_server.hpp"
 #include "mangovane/net/monitoring_server.hpp"
 #include "mangovane/net/peer_network.hpp"
+#include "mangovane/net/task_monitor.hpp"
 #include "mangovane/observe/metric_table.hpp"
 #include "mangovane/observe/request_metrics.hpp"
 
@@ -83,7 +85,8 @@
 struct forward_router::state
 {
     state(forward_router_options opts, forward_adapter adapter)
-        : options{std::move(opts)}, io{static_cast<int>(options.threads)}, output{STDOUT_FILENO},
+        : options{std::move(opts)}, io{static_cast<int>(options.threads)},
+          tasks{task_monitor_of(io)}, output{STDOUT_FILENO},
           log{output, log_limits{}, clock::now()}, core_options{make_core_options(options)},
           peers{io, make_peer_options(core_options.self, options.cluster_key),
                 [this](instance_id from, const message& msg)
@@ -94,7 +97,16 @@
           metric_pages{io, [this](const monitoring_request& req) { return operator_page(req); }},
           source{adapter.make_source(io, discovery, options)}, stop_signals{io, SIGTERM, SIGINT},
           reload_signals{io, SIGHUP}, ticker{asio::make_strand(io)}, stop_timer{io}
-    {}
+    {
+        tasks.on_failure(
+            [this](std::string_view task, std::string_view reason)
+            {
+                log.write(absl::StrCat("event=task_failed task=",
+                                       absl::string_view{task.data(), task.size()}, " reason=\"",
+                                       absl::string_view{reason.data(), reason.size()}, "\""),
+                          clock::now());
+            });
+    }
 
     [[nodiscard]] absl::Status listen();
     [[nodiscard]] monitoring_response ready_page() const;
@@ -114,6 +126,7 @@
 
     forward_router_options options;
     asio::io_context io;
+    task_monitor& tasks; ///< Of `io`.
     fd_log_output output;
     event_log log;
     forward_options core_options;
@@ -168,7 +181,8 @@
     const forward_state state{settings ? settings->stamp.version : 0,
                               core.quarantine().refused(clock::now()).size(), traffic.bytes_sent,
                               traffic.bytes_received, log.dropped()};
-    return describe_metrics(metrics.text(true) + forward_metrics(state));
+    return describe_metrics(metrics.text(true) + forward_metrics(state) +
+                            failed_tasks_metric(tasks.failures()));
 }
 
 monitoring_response forward_router::state::operator_page(const monitoring_request& req)
--- a/src/mangovane/daemon/request_log.hpp
+++ b/src/mangovane/daemon/request_log.hpp
@@ -24,6 +24,7 @@
     void on_dropped_answer() override { next_.on_dropped_answer(); }
     void on_failed_attempt(std::string_view result) override { next_.on_failed_attempt(result); }
     void on_caller_stall() override { next_.on_caller_stall(); }
+    void on_session_end(std::string_view reason) override { next_.on_session_end(reason); }
 
 private:
     request_observer& next_;
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -28,6 +28,7 @@
 #include "mangovane/net/native_server.hpp"
 #include "mangovane/net/operator_server.hpp"
 #include "mangovane/net/peer_network.hpp"
+#include "mangovane/net/task_monitor.hpp"
 #include "mangovane/observe/metric_table.hpp"
 #include "mangovane/observe/request_metrics.hpp"
 #include "mangovane/settings/parse.hpp"
@@ -66,7 +67,7 @@
 {
     explicit state(router_options opts)
         : options{std::move(opts)}, io{static_cast<int>(options.threads)},
-          core_options{make_coordinator_options(options)},
+          tasks{task_monitor_of(io)}, core_options{make_coordinator_options(options)},
           peers{io, make_peer_options(core_options.self, options.cluster_key),
                 [this](instance_id from, const message& msg)
                 { core.on_message(from, msg, clock::now()); }},
@@ -85,6 +86,9 @@
         {
             platform_sync.emplace(*platform, core);
         }
+        tasks.on_failure(
+            [](std::string_view task, std::string_view reason)
+            { LOG(ERROR) << "event=task_failed task=" << task << " reason=\"" << reason << "\""; });
     }
 
     [[nodiscard]] absl::Status load_static();
@@ -102,6 +106,7 @@
 
     router_options options;
     asio::io_context io;
+    task_monitor& tasks; ///< Of `io`.
     coordinator_options core_options;
     peer_network peers;
     coordinator core;
@@ -173,7 +178,8 @@
                                    settings_age_metric(age));
     if (for_operators)
     {
-        out += traffic_metrics(peers.traffic(), poller.bytes_transferred());
+        out += traffic_metrics(peers.traffic(), poller.bytes_transferred()) +
+               failed_tasks_metric(tasks.failures());
     }
     return describe_metrics(out);
 }
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,6 +14,7 @@
 
 #include "mangovane/net/caller_connection.hpp"
 #include "mangovane/net/peek.hpp"
+#include "mangovane/net/spawn.hpp"
 
 namespace mangovane
 {
@@ -195,7 +194,7 @@
     exchange_ = std::make_shared<request_exchange>(stream_.get_executor(), services_);
     auto ex = exchange_;
     ex->begin(request_->routed);
-    asio::co_spawn(stream_.get_executor(), watch_caller(ex), asio::detached);
+    spawn(stream_.get_executor(), "caller_watch", watch_caller(ex));
     for (bool open = true; open;)
     {
         const auto action = co_await ex->next();
@@ -279,19 +278,17 @@
     auto attempt = std::make_shared<endpoint_attempt>(stream_.get_executor(), std::move(params),
                                                       *this, services_.limits);
     attempt_ = attempt;
-    asio::co_spawn(
-        stream_.get_executor(),
-        [](std::shared_ptr<caller_session> self, std::shared_ptr<request_exchange> ex,
-           std::shared_ptr<endpoint_attempt> attempt) -> asio::awaitable<void>
-        {
-            const auto ended = co_await attempt->run();
-            if (attempt->attempt_mismatch() || self->attempt_ != attempt)
-            {
-                self->services_.observer.on_dropped_answer();
-            }
-            ex->report(ended);
-        }(shared_from_this(), exchange_, attempt),
-        asio::detached);
+    spawn(stream_.get_executor(), "endpoint_attempt",
+          [](std::shared_ptr<caller_session> self, std::shared_ptr<request_exchange> ex,
+             std::shared_ptr<endpoint_attempt> attempt) -> asio::awaitable<void>
+          {
+              const auto ended = co_await attempt->run();
+              if (attempt->attempt_mismatch() || self->attempt_ != attempt)
+              {
+                  self->services_.observer.on_dropped_answer();
+              }
+              ex->report(ended);
+          }(shared_from_this(), exchange_, attempt));
 }
 
 bool caller_session::is_current(const attempt_id& attempt) const
--- a/src/mangovane/net/endpoint_poller.cpp
+++ b/src/mangovane/net/endpoint_poller.cpp
@@ -3,8 +3,6 @@
 
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -17,6 +15,7 @@
 
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/load_report.hpp"
+#include "mangovane/net/spawn.hpp"
 
 namespace mangovane
 {
@@ -44,7 +43,7 @@
 
 void endpoint_poller::start()
 {
-    asio::co_spawn(timer_.get_executor(), run(), asio::detached);
+    spawn(timer_.get_executor(), "poll_endpoints", run());
 }
 
 void endpoint_poller::stop()
@@ -63,7 +62,7 @@
             const auto* info = routes->find(endpoint);
             if (info != nullptr)
             {
-                asio::co_spawn(asio::make_strand(io_), poll(*info), asio::detached);
+                spawn(asio::make_strand(io_), "endpoint_poll", poll(*info));
             }
         }
         boost::system::error_code ec;
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -27,6 +27,12 @@
     return ec ? absl::StrCat(ec.category().name(), ":", ec.value()) : std::string{"none"};
 }
 
+/// Id of the last event that the caller has received; "none" before the first one.
+std::string event_text(std::optional<std::uint64_t> id)
+{
+    return id ? absl::StrCat(*id) : std::string{"none"};
+}
+
 /// Time until another endpoint is looked for again for an attempt that has stalled.
 constexpr milliseconds stall_check_interval{200};
 
@@ -228,13 +234,15 @@
 {
     const auto& request = current_->flow->request();
     services_.log.write(
-        absl::StrCat("event=dispatch request=", request.request, " route=", request.route->name,
-                     " attempt=", step.attempt, " endpoint=", step.target.name,
-                     " load=", step.target.load, " allowed=", step.target.load_limit, " options=",
-                     step.target.eligible_endpoints, " affinity=", absl::Hex(request.affinity()),
-                     " parts=", part_ids_text(request.shared_parts()),
-                     " prefix_source=", step.target.prefix_source,
-                     " resumes=", step.resumes ? 1 : 0, " settings=", step.target.settings_version),
+        absl::StrCat(
+            "event=dispatch request=", request.request, " route=", request.route->name,
+            " attempt=", step.attempt, " endpoint=", step.target.name, " load=", step.target.load,
+            " allowed=", step.target.load_limit, " options=", step.target.eligible_endpoints,
+            " affinity=", absl::Hex(request.affinity()),
+            " parts=", part_ids_text(request.shared_parts()),
+            " prefix_source=", step.target.prefix_source, " resumes=", step.resumes ? 1 : 0,
+            " last_event=", event_text(current_->events.last_id()),
+            " settings=", step.target.settings_version),
         clock::now());
 }
 
@@ -253,6 +261,8 @@
                      " attempt=", step.attempt, " endpoint=", step.target.name,
                      " result=", absl::string_view{name.data(), name.size()}, " ms=", time.count(),
                      " answered=", current_->flow->answered() ? 1 : 0,
+                     " last_event=", event_text(current_->events.last_id()),
+                     " unfinished=", current_->events.unfinished_bytes(),
                      " parts=", part_ids_text(current_->flow->request().shared_parts()),
                      " prompt=", absl::Hex(current_->flow->request().identity().whole),
                      " error=", error_text(current_->endpoint_error)),
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -30,6 +30,14 @@
 constexpr std::string_view ambiguous_framing =
     "the message framing or the Host header is ambiguous";
 
+/// Field of a log line that names the cause of the end; empty while the connection goes on.
+std::string cause_text(const std::optional<session_end>& end)
+{
+    const auto name = end ? descriptor_of(*end).name : std::string_view{};
+    return end ? absl::StrCat(" ended_by=", absl::string_view{name.data(), name.size()})
+               : std::string{};
+}
+
 milliseconds elapsed(time_point from, time_point to)
 {
     return std::chrono::duration_cast<milliseconds>(to - from);
@@ -51,6 +59,16 @@
     return bad && !connection ? std::optional{error_kind::malformed_request} : std::nullopt;
 }
 
+/// Why a connection ends whose request was not read; `begun`: bytes of it had arrived.
+session_end end_of_read(const beast::error_code& ec, bool begun)
+{
+    if (ec == beast::error::timeout)
+    {
+        return session_end::request_timeout;
+    }
+    return begun ? session_end::read_failed : session_end::caller_closed;
+}
+
 /// Whether two HTTP parsers could disagree on the end of the body or on the host. Forwarding such a
 /// request would allow request smuggling.
 bool is_ambiguous(const http::request_header<>& head)
@@ -79,14 +97,35 @@
         {
             break;
         }
-        served_ = true;
+        ++requests_;
         co_await serve();
         current_.reset();
     }
+    note_end(session_end::after_response);
+    report_end();
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     stream_.close();
 }
 
+void forward_session::note_end(session_end end)
+{
+    end_ = end_.value_or(end);
+}
+
+void forward_session::report_end()
+{
+    const auto& end = descriptor_of(*end_);
+    services_.observer.on_session_end(end.name);
+    const bool unread = buffer_.size() != 0 || peek(stream_.socket()) == peek_result::data;
+    if (end.logged || unread)
+    {
+        services_.log.write(absl::StrCat("event=session_ended reason=",
+                                         absl::string_view{end.name.data(), end.name.size()},
+                                         " requests=", requests_, " unread=", unread ? 1 : 0),
+                            clock::now());
+    }
+}
+
 void forward_session::request_drain()
 {
     asio::post(stream_.get_executor(), [self = shared_from_this()] { self->drain(); });
@@ -98,7 +137,7 @@
     const bool idle = !current_ && buffer_.size() == 0;
     if (idle && peek(stream_.socket()) != peek_result::data)
     {
-        set_idle_timer(served_ ? milliseconds{0} : first_request_wait);
+        set_idle_timer(requests_ != 0 ? milliseconds{0} : first_request_wait);
     }
 }
 
@@ -131,6 +170,7 @@
         {
             if (!ec && generation == self->timer_generation_)
             {
+                self->note_end(self->draining_ ? session_end::stopped : session_end::idle);
                 self->stream_.cancel();
             }
         });
@@ -169,12 +209,14 @@
     const auto bad = !ec && ambiguous ? error_kind::malformed_request : kind_of_bad_input(ec);
     if (bad)
     {
+        note_end(session_end::rejected);
         keep_alive_ = false;
         std::string reason = ec ? ec.message() : std::string{ambiguous_framing};
         co_await refuse(*bad, std::move(reason), {});
     }
     if (ec || bad)
     {
+        note_end(end_of_read(ec, buffer_.size() != 0 || p.got_some()));
         co_return false;
     }
     current_->message = p.release();
@@ -245,6 +287,10 @@
     else if (const auto* it = std::get_if<finish_step>(&step))
     {
         keep_alive_ = keep_alive_ && it->complete;
+        if (!it->complete)
+        {
+            note_end(session_end::response_cut);
+        }
         record_outcome(it->complete ? "ok" : "cut");
     }
     co_return false;
@@ -273,6 +319,7 @@
 
 void forward_session::on_caller_disconnected()
 {
+    note_end(session_end::caller_left);
     caller_disconnected_ = true;
     if (call_)
     {
@@ -299,6 +346,10 @@
             ec = co_await await_writable(write_deadline);
         }
     }
+    if (ec)
+    {
+        note_end(session_end::write_failed);
+    }
     caller_disconnected_ = caller_disconnected_ || ec;
     keep_alive_ = keep_alive_ && !ec;
     co_return !ec;
@@ -325,6 +376,7 @@
     ++timer_generation_;
     if (ec && clock::now() >= give_up_at)
     {
+        note_end(session_end::write_timeout);
         services_.observer.on_caller_stall();
         services_.log.write(absl::StrCat("event=caller_stalled request=",
                                          services_.dialect.request_id(current_->message),
@@ -427,7 +479,7 @@
                      " status=", current.status, " attempts=", record.attempts,
                      " ms=", record.total.count(), " first_ms=", record.first_token.count(),
                      " may_have_run=", current.flow->may_have_run() ? 1 : 0,
-                     " settings=", request.settings->stamp.version),
+                     " settings=", request.settings->stamp.version, cause_text(end_)),
         now);
 }
 
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -17,6 +17,7 @@
 #include "mangovane/net/event_boundary.hpp"
 #include "mangovane/net/forward_services.hpp"
 #include "mangovane/net/http_serialization.hpp"
+#include "mangovane/net/session_end.hpp"
 #include "mangovane/net/sse_splitter.hpp"
 #include "mangovane/net/upstream_call.hpp"
 
@@ -109,6 +110,11 @@
     void watch_caller();
     void on_caller_disconnected();
     void record_outcome(std::string_view outcome);
+    /// Records why the connection ends; the first cause counts.
+    void note_end(session_end end);
+    /// Counts the end of the connection, and logs it if it was not in order or if bytes of the
+    /// caller were not read.
+    void report_end();
     /// Logs why a request is refused, if a part of its prompt is quarantined.
     void log_quarantine(const refuse_step& step) const;
     void drain();
@@ -156,7 +162,8 @@
     std::optional<current_request> current_; ///< Empty between requests.
     std::uint64_t timer_generation_{0};      ///< Of the running timer; older expiries are ignored.
     time_point call_timeout_at_{};           ///< When the timer of the call expires.
-    bool served_{false};                     ///< A request has been read.
+    std::optional<session_end> end_;         ///< Why the connection ends; empty while it goes on.
+    std::uint32_t requests_{0};              ///< Requests that have been read.
     bool timed_out_{false};                  ///< The timer has closed the call.
     bool caller_disconnected_{false};
     bool keep_alive_{true};
--- a/src/mangovane/net/fwd.hpp
+++ b/src/mangovane/net/fwd.hpp
@@ -11,6 +11,7 @@
 class endpoint_attempt;
 class claim_store;
 class operator_server;
+class task_monitor;
 class status_source;
 struct operator_services;
 class peer_network;
--- a/src/mangovane/net/monitoring_server.cpp
+++ b/src/mangovane/net/monitoring_server.cpp
@@ -3,8 +3,6 @@
 
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -12,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "mangovane/core/time.hpp"
+#include "mangovane/net/spawn.hpp"
 #include "mangovane/net/tcp_acceptor.hpp"
 
 namespace mangovane
@@ -44,10 +43,10 @@
     const auto on_socket = [this](asio::ip::tcp::socket it)
     {
         const auto executor = it.get_executor();
-        asio::co_spawn(executor, serve(std::move(it)), asio::detached);
+        spawn(executor, "monitoring_session", serve(std::move(it)));
     };
-    asio::co_spawn(acceptor_.get_executor(), accept_connections(acceptor_, io_, on_socket),
-                   asio::detached);
+    spawn(acceptor_.get_executor(), "accept_monitoring",
+          accept_connections(acceptor_, io_, on_socket));
     return absl::OkStatus();
 }
 
--- a/src/mangovane/net/operator_server.cpp
+++ b/src/mangovane/net/operator_server.cpp
@@ -5,8 +5,6 @@
 #include <utility>
 
 #include <absl/strings/str_cat.h>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/strand.hpp>
@@ -15,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include "mangovane/core/time.hpp"
+#include "mangovane/net/spawn.hpp"
 #include "mangovane/net/status_json.hpp"
 #include "mangovane/net/tcp_acceptor.hpp"
 #include "mangovane/settings/digest.hpp"
@@ -122,8 +121,8 @@
     }
     port_ = acceptor_.local_endpoint().port();
     const auto on_socket = [this](asio::ip::tcp::socket it) { start_session(std::move(it)); };
-    asio::co_spawn(acceptor_.get_executor(), accept_connections(acceptor_, io_, on_socket),
-                   asio::detached);
+    spawn(acceptor_.get_executor(), "accept_operators",
+          accept_connections(acceptor_, io_, on_socket));
     return absl::OkStatus();
 }
 
@@ -146,8 +145,8 @@
     }
     ++open_connections_;
     const auto executor = socket.get_executor();
-    asio::co_spawn(executor, serve(std::move(socket)),
-                   [this](std::exception_ptr) { --open_connections_; });
+    spawn(executor, "operator_session", serve(std::move(socket)),
+          [this](bool) { --open_connections_; });
 }
 
 asio::awaitable<void> operator_server::serve(asio::ip::tcp::socket socket)
--- a/src/mangovane/net/peer_link.cpp
+++ b/src/mangovane/net/peer_link.cpp
@@ -5,8 +5,6 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/strand.hpp>
@@ -16,6 +14,7 @@
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/hello_mac.hpp"
 #include "mangovane/net/socket_options.hpp"
+#include "mangovane/net/spawn.hpp"
 
 namespace mangovane::internal
 {
@@ -93,7 +92,7 @@
             return;
         }
     }
-    asio::co_spawn(strand_, run(shared_from_this()), asio::detached);
+    spawn(strand_, "peer_link", run(shared_from_this()));
 }
 
 void peer_link::set_address(const std::string& address)
--- a/src/mangovane/net/peer_network.cpp
+++ b/src/mangovane/net/peer_network.cpp
@@ -4,13 +4,12 @@
 #include <utility>
 
 #include <absl/strings/str_cat.h>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 
 #include "mangovane/net/peer_link.hpp"
 #include "mangovane/net/peer_session.hpp"
+#include "mangovane/net/spawn.hpp"
 #include "mangovane/net/tcp_acceptor.hpp"
 
 namespace mangovane
@@ -46,8 +45,7 @@
         context_->options.address = absl::StrCat(local.address().to_string(), ":", port_);
     }
     const auto on_socket = [this](asio::ip::tcp::socket it) { serve(std::move(it)); };
-    asio::co_spawn(acceptor_.get_executor(), accept_connections(acceptor_, io_, on_socket),
-                   asio::detached);
+    spawn(acceptor_.get_executor(), "accept_peers", accept_connections(acceptor_, io_, on_socket));
     return absl::OkStatus();
 }
 
@@ -59,12 +57,12 @@
         const std::lock_guard lock{mutex_};
         sessions_.insert(session);
     }
-    asio::co_spawn(executor, internal::peer_session::run(session),
-                   [this, session](std::exception_ptr)
-                   {
-                       const std::lock_guard lock{mutex_};
-                       sessions_.erase(session);
-                   });
+    spawn(executor, "peer_session", internal::peer_session::run(session),
+          [this, session](bool)
+          {
+              const std::lock_guard lock{mutex_};
+              sessions_.erase(session);
+          });
 }
 
 std::shared_ptr<internal::peer_link> peer_network::link_to(instance_id peer)
--- a/src/mangovane/net/session_server.hpp
+++ b/src/mangovane/net/session_server.hpp
@@ -3,7 +3,6 @@
 #define MANGOVANE_NET_SESSION_SERVER_HPP
 
 #include <cstddef>
-#include <exception>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -11,13 +10,12 @@
 
 #include <absl/container/flat_hash_set.h>
 #include <absl/status/status.h>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 
+#include "mangovane/net/spawn.hpp"
 #include "mangovane/net/tcp_acceptor.hpp"
 
 namespace mangovane
@@ -42,8 +40,8 @@
         }
         port_ = acceptor_.local_endpoint().port();
         const auto on_socket = [this](boost::asio::ip::tcp::socket it) { serve(std::move(it)); };
-        boost::asio::co_spawn(acceptor_.get_executor(),
-                              accept_connections(acceptor_, io_, on_socket), boost::asio::detached);
+        spawn(acceptor_.get_executor(), "accept_callers",
+              accept_connections(acceptor_, io_, on_socket));
         return absl::OkStatus();
     }
 
@@ -84,12 +82,12 @@
                 session->request_drain();
             }
         }
-        boost::asio::co_spawn(executor, session->run(),
-                              [this, session](std::exception_ptr)
-                              {
-                                  const std::lock_guard lock{mutex_};
-                                  sessions_.erase(session);
-                              });
+        spawn(executor, "caller_session", session->run(),
+              [this, session](bool)
+              {
+                  const std::lock_guard lock{mutex_};
+                  sessions_.erase(session);
+              });
     }
 
     void drain_acceptor()
--- a/src/mangovane/net/sse_splitter.hpp
+++ b/src/mangovane/net/sse_splitter.hpp
@@ -42,6 +42,9 @@
         return partial_event_.size() > max_event_bytes;
     }
 
+    /// Bytes of the event that has not ended yet.
+    [[nodiscard]] std::size_t unfinished_bytes() const noexcept { return partial_event_.size(); }
+
     static constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 
 private:
--- a/src/mangovane/observe/request_metrics.cpp
+++ b/src/mangovane/observe/request_metrics.cpp
@@ -52,6 +52,12 @@
     ++failed_attempts_[to_std(result)];
 }
 
+void request_metrics::on_session_end(std::string_view reason)
+{
+    const std::lock_guard lock{mutex_};
+    ++session_ends_[to_std(reason)];
+}
+
 void request_metrics::rotate_labels()
 {
     const std::lock_guard lock{mutex_};
@@ -104,6 +110,10 @@
     {
         absl::StrAppend(&out, "mangovane_failed_attempts_total{result=\"", result, "\"} ", n, "\n");
     }
+    for (const auto& [reason, n] : session_ends_)
+    {
+        absl::StrAppend(&out, "mangovane_session_ends_total{reason=\"", reason, "\"} ", n, "\n");
+    }
     absl::StrAppend(&out, "mangovane_dropped_answers_total ", dropped_answers_.load(), "\n");
     absl::StrAppend(&out, "mangovane_caller_stalls_total ", caller_stalls_.load(), "\n");
     absl::StrAppend(&out, "mangovane_affinity_requests_total ", affinity_requests_, "\n");
--- a/src/mangovane/observe/request_metrics.hpp
+++ b/src/mangovane/observe/request_metrics.hpp
@@ -36,6 +36,7 @@
     void on_dropped_answer() override { ++dropped_answers_; }
     void on_failed_attempt(std::string_view result) override;
     void on_caller_stall() override { ++caller_stalls_; }
+    void on_session_end(std::string_view reason) override;
 
     /// Assigns the labels to approximately the busiest accounts since the last call. Call once per
     /// minute.
@@ -77,6 +78,7 @@
     class_histograms all_;                          ///< Every account. Guarded by `mutex_`.
     std::map<std::string, std::uint64_t> outcomes_; ///< Requests by outcome. Guarded by `mutex_`.
     std::map<std::string, std::uint64_t> failed_attempts_; ///< By result. Guarded by `mutex_`.
+    std::map<std::string, std::uint64_t> session_ends_;    ///< By reason. Guarded by `mutex_`.
     std::uint64_t affinity_requests_{0};                   ///< Guarded by `mutex_`.
     std::uint64_t affinity_kept_{0};                       ///< Guarded by `mutex_`.
     std::array<std::atomic<std::uint64_t>, error_kind_count> early_refusals_{}; ///< By kind.
--- a/src/mangovane/observe/request_record.hpp
+++ b/src/mangovane/observe/request_record.hpp
@@ -42,6 +42,8 @@
     /// An attempt at an endpoint did not deliver a response; `result` names the reason.
     virtual void on_failed_attempt(std::string_view result) = 0;
     virtual void on_caller_stall() = 0; ///< A caller accepted no more data and was disconnected.
+    /// The connection of a caller has ended; `reason` names the cause.
+    virtual void on_session_end(std::string_view reason) = 0;
 };
 
 } // namespace mangovane
--- a/src/mangovane/store/http_pool.cpp
+++ b/src/mangovane/store/http_pool.cpp
@@ -17,6 +17,7 @@
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/peek.hpp"
 #include "mangovane/net/socket_options.hpp"
+#include "mangovane/net/spawn.hpp"
 
 namespace mangovane
 {
@@ -67,6 +68,7 @@
                    {
                        if (error)
                        {
+                           monitor_of(self->strand_).report("store_call", error);
                            response = absl::InternalError("the call to the platform failed");
                        }
                        asio::post(self->strand_.get_inner_executor(),
--- a/test/mangovane/daemon/metric_names.cpp
+++ b/test/mangovane/daemon/metric_names.cpp
@@ -45,8 +45,10 @@
     metrics.on_request_end(make_record());
     metrics.on_early_refusal(error_kind::unauthenticated);
     metrics.on_failed_attempt("broken");
+    metrics.on_session_end("idle");
     return metrics.text(true) + fleet_status_provider{core}.metrics_text() +
-           traffic_metrics({}, 0) + settings_age_metric(std::nullopt) + forward_metrics({});
+           traffic_metrics({}, 0) + settings_age_metric(std::nullopt) + forward_metrics({}) +
+           failed_tasks_metric(0);
 }
 
 std::string page()
