Look at the socket before believing a deadline that expired

What callers saw: a request on a kept connection got no answer, because the router closed the connection although the request lay in it; a stream was sent to a second endpoint although the first had answered in time.

Cause: after a pause of the process, or a wait for a core, all expired timers run before the sockets are read, as soon as any timer has expired before the data arrived. The timers of an idle connection, of a request's head and body, of a caller that reads, and of an attempt were believed without a look at the socket.

Fix: socket_deadline asks whether what the operation waits for has arrived, and puts the expiry off so that the operation can complete. A write is tried once more after its deadline. The session has one deadline for each purpose in place of one timer for four.

--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -43,30 +43,29 @@
 
 } // namespace
 
-void forward_session::set_timer(time_point at)
+void forward_session::start_call_deadline(time_point at)
 {
     call_timeout_at_ = at;
-    timer_.expires_at(at);
-    timer_.async_wait(
-        [self = shared_from_this(), generation = ++timer_generation_](error_code ec)
-        {
-            if (!ec)
-            {
-                self->on_timer(generation);
-            }
-        });
+    call_deadline_.start(
+        at, [call = call_] { return call->has_arrived(); },
+        [self = shared_from_this()] { self->on_call_deadline(); });
 }
 
-void forward_session::set_progress_timer(const send_step& step)
+void forward_session::start_progress_deadline(const send_step& step)
 {
     const auto deadline = current_->flow->request().deadline;
     const auto timeout = step.progress_timeout;
-    set_timer(timeout.count() == 0 ? deadline : std::min(deadline, clock::now() + timeout));
+    const auto at = timeout.count() == 0 ? deadline : std::min(deadline, clock::now() + timeout);
+    // The deadline of the request is put off only once, however often data arrives.
+    if (at != call_timeout_at_)
+    {
+        start_call_deadline(at);
+    }
 }
 
-void forward_session::on_timer(std::uint64_t generation)
+void forward_session::on_call_deadline()
 {
-    if (generation != timer_generation_ || !call_)
+    if (!call_)
     {
         return;
     }
@@ -75,7 +74,7 @@
     const auto deadline = flow.request().deadline;
     if (now < deadline && !flow.prepare_replacement(now))
     {
-        set_timer(std::min<time_point>(deadline, now + stall_check_interval));
+        start_call_deadline(std::min<time_point>(deadline, now + stall_check_interval));
         return;
     }
     timed_out_ = true;
@@ -120,20 +119,15 @@
     current.error_response.reset();
     current.endpoint_error = {};
     timed_out_ = false;
-    auto call = std::make_shared<upstream_call>(stream_.get_executor());
+    auto call = std::make_shared<upstream_call>(socket_.get_executor());
     call_ = call;
     // Closing the connection on this timeout is safe to retry: nothing has been sent yet.
-    timer_.expires_at(std::min(deadline, now + services_.timeouts.connect_timeout));
-    timer_.async_wait(
-        [call, self = shared_from_this(), generation = ++timer_generation_](error_code ec)
-        {
-            if (!ec && generation == self->timer_generation_)
-            {
-                call->close();
-            }
-        });
+    call_deadline_.start(
+        std::min(deadline, now + services_.timeouts.connect_timeout),
+        [call] { return call->is_connected(); },
+        [call, self = shared_from_this()] { call->close(); });
     const bool connected = co_await call->connect(step.target.address);
-    ++timer_generation_;
+    call_deadline_.stop();
     if (!connected || caller_disconnected_)
     {
         call->close();
@@ -145,9 +139,9 @@
         co_return attempt_result::outdated;
     }
     call->send(upstream_head_text(step), current.body);
-    set_timer(std::min(deadline, step.first_byte_deadline));
+    start_call_deadline(std::min(deadline, step.first_byte_deadline));
     const auto result = co_await read_answer(step);
-    ++timer_generation_;
+    call_deadline_.stop();
     call->close();
     const bool unclear_end = result == attempt_result::delivered && call->ends_with_connection();
     const bool ended_early = result == attempt_result::broken || result == attempt_result::cut;
--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -36,7 +36,7 @@
     {
         if (step != nullptr)
         {
-            set_progress_timer(*step);
+            start_progress_deadline(*step);
         }
         std::size_t n = 0;
         const auto ec = co_await read_part(buf, n);
@@ -93,7 +93,7 @@
     const bool chunked = !length;
     const auto framed = [&](std::string_view bytes)
     { return chunked ? encode_chunk(bytes) : std::string{bytes}; };
-    set_timer(current_->flow->request().deadline);
+    start_call_deadline(current_->flow->request().deadline);
     auto out = begin_response(answer.head, {chunked, length}) + framed(answer.body);
     std::array<char, read_buffer_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
     while (!call_->done())
@@ -159,7 +159,7 @@
         // Only events count as progress, not the bytes of an event that never ends.
         if (relayed == relayed_events::some && watched)
         {
-            set_progress_timer(step);
+            start_progress_deadline(step);
         }
     }
     const auto result = co_await end_stream(boundary);
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -12,7 +12,6 @@
 
 #include "mangovane/net/caller_connection.hpp"
 #include "mangovane/net/caller_request.hpp"
-#include "mangovane/net/peek.hpp"
 
 namespace mangovane
 {
@@ -59,16 +58,6 @@
     return bad && !connection ? std::optional{error_kind::malformed_request} : std::nullopt;
 }
 
-/// Why a connection ends whose request was not read; `begun`: bytes of it had arrived.
-session_end end_of_read(const beast::error_code& ec, bool begun)
-{
-    if (ec == beast::error::timeout)
-    {
-        return session_end::request_timeout;
-    }
-    return begun ? session_end::read_failed : session_end::caller_closed;
-}
-
 /// Whether two HTTP parsers could disagree on the end of the body or on the host. Forwarding such a
 /// request would allow request smuggling.
 bool is_ambiguous(const http::request_header<>& head)
@@ -82,14 +71,15 @@
 } // namespace
 
 forward_session::forward_session(asio::ip::tcp::socket socket, forward_services& services)
-    : stream_{std::move(socket)}, services_{services}, timer_{stream_.get_executor()}
+    : socket_{std::move(socket)}, services_{services}, read_deadline_{socket_.get_executor()},
+      write_deadline_{socket_.get_executor()}, call_deadline_{socket_.get_executor()}
 {}
 
 asio::awaitable<void> forward_session::run()
 {
     error_code ec;
-    stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ec);
-    stream_.socket().non_blocking(true, ec);
+    socket_.set_option(asio::ip::tcp::no_delay{true}, ec);
+    socket_.non_blocking(true, ec);
     while (keep_alive_)
     {
         const bool read = co_await read_request();
@@ -103,8 +93,8 @@
     }
     note_end(session_end::after_response);
     report_end();
-    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-    stream_.close();
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    socket_.close(ec);
 }
 
 void forward_session::note_end(session_end end)
@@ -116,7 +106,7 @@
 {
     const auto& end = descriptor_of(*end_);
     services_.observer.on_session_end(end.name);
-    const bool unread = buffer_.size() != 0 || peek(stream_.socket()) == peek_result::data;
+    const bool unread = buffer_.size() != 0 || peek(socket_) == peek_result::data;
     if (end.logged || unread)
     {
         services_.log.write(absl::StrCat("event=session_ended reason=",
@@ -128,16 +118,16 @@
 
 void forward_session::request_drain()
 {
-    asio::post(stream_.get_executor(), [self = shared_from_this()] { self->drain(); });
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->drain(); });
 }
 
 void forward_session::drain()
 {
     draining_ = true;
     const bool idle = !current_ && buffer_.size() == 0;
-    if (idle && peek(stream_.socket()) != peek_result::data)
+    if (idle && !end_ && peek(socket_) != peek_result::data)
     {
-        set_idle_timer(requests_ != 0 ? milliseconds{0} : first_request_wait);
+        start_idle_deadline(clock::now() + (requests_ != 0 ? milliseconds{0} : first_request_wait));
     }
 }
 
@@ -154,25 +144,36 @@
     }
     // Idle connections hold no buffer memory.
     buffer_.shrink_to_fit();
-    set_idle_timer(draining_ ? first_request_wait : limits.idle_timeout);
+    start_idle_deadline(clock::now() + (draining_ ? first_request_wait : limits.idle_timeout));
     error_code ec;
-    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
-                                         asio::redirect_error(asio::use_awaitable, ec));
-    ++timer_generation_;
+    co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                                asio::redirect_error(asio::use_awaitable, ec));
+    read_deadline_.stop();
     co_return !ec;
 }
 
-void forward_session::set_idle_timer(milliseconds wait)
+void forward_session::start_idle_deadline(time_point at)
 {
-    timer_.expires_after(wait);
-    timer_.async_wait(
-        [self = shared_from_this(), generation = ++timer_generation_](error_code ec)
+    read_deadline_.start(
+        at, [self = shared_from_this()] { return self->has_arrived(); },
+        [self = shared_from_this()]
         {
-            if (!ec && generation == self->timer_generation_)
-            {
-                self->note_end(self->draining_ ? session_end::stopped : session_end::idle);
-                self->stream_.cancel();
-            }
+            self->note_end(self->draining_ ? session_end::stopped : session_end::idle);
+            error_code ec;
+            self->socket_.cancel(ec);
+        });
+}
+
+void forward_session::start_request_deadline(time_point at)
+{
+    read_deadline_.start(
+        at, [self = shared_from_this()] { return self->has_arrived(); },
+        [self = shared_from_this()]
+        {
+            self->note_end(session_end::request_timeout);
+            // A cancelled read could go on with the next one; one of a closed socket cannot.
+            error_code ec;
+            self->socket_.close(ec);
         });
 }
 
@@ -191,8 +192,8 @@
     p.body_limit(limits.body_bytes);
     buffer_.max_size(std::max<std::size_t>(limits.header_bytes, min_read_buffer_bytes));
     error_code ec;
-    stream_.expires_after(limits.header_timeout);
-    co_await http::async_read_header(stream_, buffer_, p,
+    start_request_deadline(clock::now() + limits.header_timeout);
+    co_await http::async_read_header(socket_, buffer_, p,
                                      asio::redirect_error(asio::use_awaitable, ec));
     if (!ec && beast::iequals(p.get()[http::field::expect], "100-continue"))
     {
@@ -201,10 +202,10 @@
     }
     if (!ec && !p.is_done())
     {
-        co_await http::async_read(stream_, buffer_, p,
+        co_await http::async_read(socket_, buffer_, p,
                                   asio::redirect_error(asio::use_awaitable, ec));
     }
-    stream_.expires_never();
+    read_deadline_.stop();
     const bool ambiguous = is_ambiguous(p.get().base());
     const auto bad = !ec && ambiguous ? error_kind::malformed_request : kind_of_bad_input(ec);
     if (bad)
@@ -216,7 +217,8 @@
     }
     if (ec || bad)
     {
-        note_end(end_of_read(ec, buffer_.size() != 0 || p.got_some()));
+        const bool begun = buffer_.size() != 0 || p.got_some();
+        note_end(begun ? session_end::read_failed : session_end::caller_closed);
         co_return false;
     }
     current_->message = p.release();
@@ -254,10 +256,8 @@
         step = std::move(next);
     }
     // Ends `watch_caller`; no other operation is pending on the socket.
-    ++timer_generation_;
-    timer_.cancel();
     error_code ec;
-    stream_.socket().cancel(ec);
+    socket_.cancel(ec);
 }
 
 asio::awaitable<bool> forward_session::execute_step(const forward_step& step, forward_step& next)
@@ -298,23 +298,23 @@
 
 void forward_session::watch_caller()
 {
-    stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
-                                [self = shared_from_this()](error_code ec)
-                                {
-                                    if (ec == asio::error::operation_aborted || !self->current_)
-                                    {
-                                        return;
-                                    }
-                                    const auto socket_state = peek(self->stream_.socket());
-                                    if (socket_state == peek_result::no_data)
-                                    {
-                                        self->watch_caller();
-                                    }
-                                    else if (socket_state == peek_result::closed)
-                                    {
-                                        self->on_caller_disconnected();
-                                    }
-                                });
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](error_code ec)
+                       {
+                           if (ec == asio::error::operation_aborted || !self->current_)
+                           {
+                               return;
+                           }
+                           const auto socket_state = peek(self->socket_);
+                           if (socket_state == peek_result::no_data)
+                           {
+                               self->watch_caller();
+                           }
+                           else if (socket_state == peek_result::closed)
+                           {
+                               self->on_caller_disconnected();
+                           }
+                       });
 }
 
 void forward_session::on_caller_disconnected()
@@ -337,14 +337,28 @@
                : started_at + services_.timeouts.caller_stall_timeout;
     error_code ec = caller_disconnected_ ? asio::error::broken_pipe : error_code{};
     asio::const_buffer remaining = asio::buffer(bytes);
+    auto progress_at = started_at;
+    bool writable = true;
     while (!ec && remaining.size() != 0)
     {
         // Most writes fit into the buffer of the socket and need neither a timer nor a suspension.
-        remaining += stream_.socket().write_some(remaining, ec);
-        if (ec == asio::error::would_block)
+        const auto n = socket_.write_some(remaining, ec);
+        remaining += n;
+        if (n != 0)
         {
-            ec = co_await await_writable(write_deadline);
+            progress_at = clock::now();
+            writable = true;
         }
+        // After an expired deadline one more write shows whether the caller has read meanwhile.
+        if (ec == asio::error::would_block && writable)
+        {
+            ec = {};
+            writable = co_await await_writable(write_deadline);
+        }
+    }
+    if (ec == asio::error::would_block)
+    {
+        on_caller_stall(progress_at);
     }
     if (ec)
     {
@@ -355,39 +369,44 @@
     co_return !ec;
 }
 
-asio::awaitable<forward_session::error_code>
-forward_session::await_writable(time_point write_deadline)
+asio::awaitable<bool> forward_session::await_writable(time_point write_deadline)
 {
-    const auto now = clock::now();
-    const auto give_up_at = std::min(write_deadline, now + services_.timeouts.caller_stall_timeout);
-    // The timer of the call pauses: the endpoint is not to blame for a caller that reads slowly.
-    timer_.expires_at(give_up_at);
-    timer_.async_wait(
-        [self = shared_from_this(), generation = ++timer_generation_](error_code ec)
+    const auto never = [] { return false; };
+    write_expired_ = false;
+    write_deadline_.start(
+        std::min(write_deadline, clock::now() + services_.timeouts.caller_stall_timeout), never,
+        [self = shared_from_this()]
         {
-            if (!ec && generation == self->timer_generation_)
-            {
-                self->stream_.socket().cancel(ec);
-            }
+            self->write_expired_ = true;
+            error_code ec;
+            self->socket_.cancel(ec);
         });
+    // The endpoint is not to blame for a caller that reads slowly.
+    call_deadline_.stop();
     error_code ec;
-    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_write,
-                                         asio::redirect_error(asio::use_awaitable, ec));
-    ++timer_generation_;
-    if (ec && clock::now() >= give_up_at)
+    co_await socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                                asio::redirect_error(asio::use_awaitable, ec));
+    write_deadline_.stop();
+    if (call_)
     {
-        note_end(session_end::write_timeout);
-        services_.observer.on_caller_stall();
-        services_.log.write(absl::StrCat("event=caller_stalled request=",
-                                         services_.dialect.request_id(current_->message),
-                                         " ms=", elapsed(now, give_up_at).count()),
-                            clock::now());
+        start_call_deadline(call_timeout_at_);
     }
-    if (!ec && call_)
+    if (write_expired_ && current_->flow)
     {
-        set_timer(call_timeout_at_);
+        watch_caller(); // The expiry has ended the watch too.
     }
-    co_return ec;
+    co_return !write_expired_;
+}
+
+void forward_session::on_caller_stall(time_point since)
+{
+    const auto now = clock::now();
+    note_end(session_end::write_timeout);
+    services_.observer.on_caller_stall();
+    services_.log.write(absl::StrCat("event=caller_stalled request=",
+                                     services_.dialect.request_id(current_->message),
+                                     " ms=", elapsed(since, now).count()),
+                        now);
 }
 
 asio::awaitable<bool> forward_session::write_buffered(const buffered_response& answer)
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -8,16 +8,16 @@
 #include <span>
 #include <string>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "mangovane/net/event_boundary.hpp"
 #include "mangovane/net/forward_services.hpp"
 #include "mangovane/net/http_serialization.hpp"
+#include "mangovane/net/peek.hpp"
 #include "mangovane/net/session_end.hpp"
+#include "mangovane/net/socket_deadline.hpp"
 #include "mangovane/net/sse_splitter.hpp"
 #include "mangovane/net/upstream_call.hpp"
 
@@ -96,16 +96,21 @@
     // Implemented in forward_session.cpp: requests and responses.
     boost::asio::awaitable<bool> read_request();
     boost::asio::awaitable<bool> await_first_byte(const http_limits& limits);
-    /// Starts the timer that closes the connection while it waits for a request.
-    void set_idle_timer(milliseconds wait);
+    /// Starts the deadline for the first byte of a request.
+    void start_idle_deadline(time_point at);
+    /// Starts the deadline for a whole request.
+    void start_request_deadline(time_point at);
+    /// Whether bytes of the caller, or the end of its connection, have arrived and were not read.
+    [[nodiscard]] bool has_arrived() { return peek(socket_) != peek_result::no_data; }
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<bool> execute_step(const forward_step& step, forward_step& next);
     boost::asio::awaitable<void>
     refuse(error_kind kind, std::string message, milliseconds retry_after);
     boost::asio::awaitable<bool> write_to_caller(std::string bytes);
-    /// Waits until the caller accepts more data. Error: it has disconnected, or has accepted
-    /// nothing until the write deadline.
-    boost::asio::awaitable<error_code> await_writable(time_point write_deadline);
+    /// Waits until the caller accepts more data or has disconnected. Returns false if neither
+    /// happened until the deadline.
+    boost::asio::awaitable<bool> await_writable(time_point write_deadline);
+    void on_caller_stall(time_point since);
     boost::asio::awaitable<bool> write_buffered(const buffered_response& answer);
     void watch_caller();
     void on_caller_disconnected();
@@ -129,11 +134,11 @@
     /// else `fallback`.
     [[nodiscard]] attempt_result early_end_result(attempt_result fallback) const;
     [[nodiscard]] std::string upstream_head_text(const send_step& step) const;
-    /// Starts the timer that closes the call.
-    void set_timer(time_point at);
-    /// Starts the timer for the next event of a stream, or the next bytes of another response.
-    void set_progress_timer(const send_step& step);
-    void on_timer(std::uint64_t generation);
+    /// Starts the deadline after which the call is closed or replaced.
+    void start_call_deadline(time_point at);
+    /// Starts the deadline for the next event of a stream, or the next bytes of another response.
+    void start_progress_deadline(const send_step& step);
+    void on_call_deadline();
     void log_dispatch(const send_step& step) const;
     void log_result(const send_step& step, attempt_result result) const;
 
@@ -154,17 +159,19 @@
     /// continued.
     [[nodiscard]] std::string begin_response(response_head head, const body_framing& framing);
 
-    boost::beast::tcp_stream stream_;
+    boost::asio::ip::tcp::socket socket_;
     forward_services& services_;
     boost::beast::flat_buffer buffer_;
-    boost::asio::steady_timer timer_;
+    socket_deadline read_deadline_;          ///< For a request of the caller.
+    socket_deadline write_deadline_;         ///< For data that the caller has to accept.
+    socket_deadline call_deadline_;          ///< For the current attempt.
     std::shared_ptr<upstream_call> call_;    ///< Null between attempts.
     std::optional<current_request> current_; ///< Empty between requests.
-    std::uint64_t timer_generation_{0};      ///< Of the running timer; older expiries are ignored.
-    time_point call_timeout_at_{};           ///< When the timer of the call expires.
+    time_point call_timeout_at_{};           ///< When `call_deadline_` expires.
     std::optional<session_end> end_;         ///< Why the connection ends; empty while it goes on.
     std::uint32_t requests_{0};              ///< Requests that have been read.
-    bool timed_out_{false};                  ///< The timer has closed the call.
+    bool timed_out_{false};                  ///< `call_deadline_` has closed the call.
+    bool write_expired_{false};              ///< `write_deadline_` has ended the last wait.
     bool caller_disconnected_{false};
     bool keep_alive_{true};
     bool draining_{false};
--- a/src/mangovane/net/upstream_call.cpp
+++ b/src/mangovane/net/upstream_call.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include "mangovane/net/address.hpp"
+#include "mangovane/net/peek.hpp"
 
 namespace mangovane
 {
@@ -63,6 +64,18 @@
     co_return ec == http::error::need_buffer ? error_code{} : ec;
 }
 
+bool upstream_call::is_connected() const
+{
+    error_code ec;
+    (void)socket_.remote_endpoint(ec);
+    return !ec;
+}
+
+bool upstream_call::has_arrived()
+{
+    return peek(socket_) != peek_result::no_data;
+}
+
 void upstream_call::close()
 {
     closed_ = true;
--- a/src/mangovane/net/upstream_call.hpp
+++ b/src/mangovane/net/upstream_call.hpp
@@ -58,6 +58,12 @@
         return length ? std::optional<std::uint64_t>{*length} : std::nullopt;
     }
 
+    /// Whether the connection is established, even if `connect` has not returned yet.
+    [[nodiscard]] bool is_connected() const;
+
+    /// Whether bytes of the response, or the end of the connection, have arrived and were not read.
+    [[nodiscard]] bool has_arrived();
+
     /// Closes the connection and cancels pending operations.
     void close();
 
--- a/test/platform/raw_caller.cpp
+++ b/test/platform/raw_caller.cpp
@@ -15,16 +15,26 @@
 
 namespace asio = boost::asio;
 
-std::string request_text(const std::string& method, const std::string& route, const std::string& id)
+std::string request_text(const std::string& method,
+                         const std::string& route,
+                         const std::string& id,
+                         const std::string& fields)
 {
-    return absl::StrCat(
-        method, " /", route, "/7 HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: ", id,
-        "\r\nX-Deadline-Ms: 2500\r\nAuthorization: Bearer key-1\r\n", "Content-Length: 0\r\n\r\n");
+    return absl::StrCat(method, " /", route,
+                        "/7 HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: ", id,
+                        "\r\nX-Deadline-Ms: 2500\r\nAuthorization: Bearer key-1\r\n", fields,
+                        "Content-Length: 0\r\n\r\n");
 }
 
-raw_caller::raw_caller(const std::string& address)
+raw_caller::raw_caller(const std::string& address, int receive_bytes)
 {
-    socket_.connect(*parse_address(address));
+    const auto endpoint = *parse_address(address);
+    socket_.open(endpoint.protocol());
+    if (receive_bytes != 0)
+    {
+        socket_.set_option(asio::socket_base::receive_buffer_size{receive_bytes});
+    }
+    socket_.connect(endpoint);
 }
 
 void raw_caller::send(std::string_view bytes)
--- a/test/platform/raw_caller.hpp
+++ b/test/platform/raw_caller.hpp
@@ -14,15 +14,19 @@
 namespace mangovane::test
 {
 
-/// Head of a request with an empty body on a route of the tests' configuration.
-[[nodiscard]] std::string
-request_text(const std::string& method, const std::string& route, const std::string& id);
+/// Head of a request with an empty body on a route of the tests' configuration. `fields` holds
+/// further header fields, each with its line end.
+[[nodiscard]] std::string request_text(const std::string& method,
+                                       const std::string& route,
+                                       const std::string& id,
+                                       const std::string& fields = {});
 
 class raw_caller
 {
 public:
-    /// Connects; the connection is complete even if the server does not accept it yet.
-    explicit raw_caller(const std::string& address);
+    /// Connects; the connection is complete even if the server does not accept it yet. With
+    /// `receive_bytes`, the kernel buffers about as many bytes that were not read.
+    explicit raw_caller(const std::string& address, int receive_bytes = 0);
 
     /// Writes the bytes, which must fit into the buffer of the socket.
     void send(std::string_view bytes);
