Read what a caller still sends before its connection is closed

What callers saw: the end of a whole response was missing, or a refusal of a large body never arrived and the connection was reset.

Cause: the router closed sockets with unread bytes (a request behind the last one, the rest of a refused body). The kernel then resets the connection and drops what the peer has not received.

Fix: graceful_close ends the sending side, reads until the caller closes, and gives up after 500 ms or 1 MB. Connections that end while idle are closed at once as before: a request that crosses the close stays unread, so that its caller may send it again.

--- a/src/mangovane/net/forward_services.hpp
+++ b/src/mangovane/net/forward_services.hpp
@@ -25,6 +25,8 @@
     milliseconds final_write_timeout{400};
     /// A write to a caller that accepts no byte for this long has failed.
     milliseconds caller_stall_timeout{5000};
+    /// Time in which a caller may close its side after the instance has closed its own.
+    milliseconds close_timeout{500};
 
     auto operator<=>(const forward_timeouts&) const = default;
 };
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -12,6 +12,7 @@
 
 #include "mangovane/net/caller_connection.hpp"
 #include "mangovane/net/caller_request.hpp"
+#include "mangovane/net/graceful_close.hpp"
 
 namespace mangovane
 {
@@ -93,6 +94,11 @@
     }
     note_end(session_end::after_response);
     report_end();
+    if (descriptor_of(*end_).graceful)
+    {
+        const auto give_up_at = clock::now() + services_.timeouts.close_timeout;
+        co_await graceful_close(socket_, write_deadline_, give_up_at, shared_from_this());
+    }
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     socket_.close(ec);
 }
--- /dev/null
+++ b/src/mangovane/net/graceful_close.hpp
@@ -0,0 +1,30 @@
+// Closes a connection without losing the end of what was written to it.
+#ifndef MANGOVANE_NET_GRACEFUL_CLOSE_HPP
+#define MANGOVANE_NET_GRACEFUL_CLOSE_HPP
+
+#include <cstddef>
+#include <memory>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "mangovane/net/socket_deadline.hpp"
+
+namespace mangovane
+{
+
+/// Most bytes of the peer that are read and dropped before the connection is closed all the same.
+inline constexpr std::size_t max_dropped_bytes = std::size_t{1024} * 1024;
+
+/// Ends the sending side, then reads and drops what the peer still sends until it closes its side,
+/// but not after `give_up_at`. Closing a socket with unread bytes makes the kernel reset the
+/// connection, and the peer could lose the end of a response. `owner` keeps the socket and the
+/// deadline alive.
+boost::asio::awaitable<void> graceful_close(boost::asio::ip::tcp::socket& socket,
+                                            socket_deadline& deadline,
+                                            time_point give_up_at,
+                                            std::shared_ptr<void> owner);
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/net/session_end.hpp
+++ b/src/mangovane/net/session_end.hpp
@@ -29,30 +29,32 @@
 
 inline constexpr std::size_t session_end_count = 12;
 
-/// Name in logs and metrics, and whether the end of such a connection is logged. The others are
-/// part of normal operation and only counted.
+/// How a connection that ends for a reason is reported and closed.
 struct session_end_descriptor
 {
     session_end end;
-    std::string_view name;
-    bool logged;
+    std::string_view name; ///< In logs and metrics.
+    bool logged;           ///< The others are part of normal operation and only counted.
+    /// Something was just sent that the caller may not have received: what it still sends is read,
+    /// so that the connection is not reset. A request that crosses another end stays unread.
+    bool graceful;
 
     auto operator<=>(const session_end_descriptor&) const = default;
 };
 
 inline constexpr std::array<session_end_descriptor, session_end_count> session_end_table{{
-    {session_end::after_response, "after_response", false},
-    {session_end::caller_closed, "caller_closed", false},
-    {session_end::idle, "idle", false},
-    {session_end::stopped, "stopped", false},
-    {session_end::request_timeout, "request_timeout", true},
-    {session_end::read_failed, "read_failed", true},
-    {session_end::rejected, "rejected", true},
-    {session_end::caller_left, "caller_left", true},
-    {session_end::write_failed, "write_failed", true},
-    {session_end::write_timeout, "write_timeout", true},
-    {session_end::response_cut, "response_cut", true},
-    {session_end::failed, "failed", true},
+    {session_end::after_response, "after_response", false, true},
+    {session_end::caller_closed, "caller_closed", false, false},
+    {session_end::idle, "idle", false, false},
+    {session_end::stopped, "stopped", false, false},
+    {session_end::request_timeout, "request_timeout", true, false},
+    {session_end::read_failed, "read_failed", true, false},
+    {session_end::rejected, "rejected", true, true},
+    {session_end::caller_left, "caller_left", true, false},
+    {session_end::write_failed, "write_failed", true, false},
+    {session_end::write_timeout, "write_timeout", true, false},
+    {session_end::response_cut, "response_cut", true, true},
+    {session_end::failed, "failed", true, true},
 }};
 
 [[nodiscard]] constexpr bool
