Answer a request whose session an exception ends

What callers would see: a connection that closes without an answer, after the request was passed on, and no line of log. Nothing tells such a case from a caller that left. No place that throws by itself is known; the fault was shown by injection only.

Cause: the exception left the session's coroutine, and the handler dropped it. The attempt was never reported to the flow, so the endpoint kept a request in its load for good.

Fix: the session reports the failure, returns the endpoint's capacity and answers 500, which promises nothing, or ends the response if part of it was sent. Accept loop, link and pool go on.

Not tested: the accept loop, the link and the pool.

--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -13,6 +13,7 @@
 #include "mangovane/net/caller_connection.hpp"
 #include "mangovane/net/caller_request.hpp"
 #include "mangovane/net/graceful_close.hpp"
+#include "mangovane/net/spawn.hpp"
 
 namespace mangovane
 {
@@ -81,6 +82,32 @@
     error_code ec;
     socket_.set_option(asio::ip::tcp::no_delay{true}, ec);
     socket_.non_blocking(true, ec);
+    std::exception_ptr failure;
+    try
+    {
+        co_await serve_requests();
+    }
+    catch (...)
+    {
+        failure = std::current_exception();
+    }
+    if (failure)
+    {
+        co_await on_failure(failure);
+    }
+    note_end(session_end::after_response);
+    report_end();
+    if (descriptor_of(*end_).graceful)
+    {
+        const auto give_up_at = clock::now() + services_.timeouts.close_timeout;
+        co_await graceful_close(socket_, write_deadline_, give_up_at, shared_from_this());
+    }
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    socket_.close(ec);
+}
+
+asio::awaitable<void> forward_session::serve_requests()
+{
     while (keep_alive_)
     {
         const bool read = co_await read_request();
@@ -92,15 +119,32 @@
         co_await serve();
         current_.reset();
     }
-    note_end(session_end::after_response);
-    report_end();
-    if (descriptor_of(*end_).graceful)
+}
+
+asio::awaitable<void> forward_session::on_failure(std::exception_ptr error)
+{
+    monitor_of(socket_.get_executor()).report("caller_request", error);
+    note_end(session_end::failed);
+    keep_alive_ = false;
+    read_deadline_.stop();
+    call_deadline_.stop();
+    if (!current_)
     {
-        const auto give_up_at = clock::now() + services_.timeouts.close_timeout;
-        co_await graceful_close(socket_, write_deadline_, give_up_at, shared_from_this());
+        co_return;
     }
-    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-    socket_.close(ec);
+    if (const auto call = std::exchange(call_, nullptr))
+    {
+        call->close();
+        // Returns the endpoint's capacity; the step that follows is not executed.
+        (void)current_->flow->on_result(attempt_result::caller_left, clock::now());
+    }
+    if (current_->status != 0)
+    {
+        record_outcome("cut");
+        co_return;
+    }
+    // Promises nothing about the request, which may have run.
+    co_await refuse(error_kind::internal, "the request could not be completed", {});
 }
 
 void forward_session::note_end(session_end end)
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -3,6 +3,7 @@
 #define MANGOVANE_NET_FORWARD_SESSION_HPP
 
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <span>
@@ -94,6 +95,9 @@
     using relayed_events = internal::relayed_events;
 
     // Implemented in forward_session.cpp: requests and responses.
+    boost::asio::awaitable<void> serve_requests();
+    /// Reports the failure, ends the attempt, and answers the request if nothing has been sent.
+    boost::asio::awaitable<void> on_failure(std::exception_ptr error);
     boost::asio::awaitable<bool> read_request();
     boost::asio::awaitable<bool> await_first_byte(const http_limits& limits);
     /// Starts the deadline for the first byte of a request.
--- a/src/mangovane/net/peer_link.cpp
+++ b/src/mangovane/net/peer_link.cpp
@@ -92,7 +92,14 @@
             return;
         }
     }
-    spawn(strand_, "peer_link", run(shared_from_this()));
+    spawn(strand_, "peer_link", run(shared_from_this()),
+          [self = shared_from_this()](bool failed)
+          {
+              if (failed)
+              {
+                  self->on_run_failed();
+              }
+          });
 }
 
 void peer_link::set_address(const std::string& address)
@@ -328,6 +335,14 @@
     encode({middle, combined.messages.end()}, out);
 }
 
+void peer_link::on_run_failed()
+{
+    error_code ec;
+    socket_.close(ec);
+    const std::lock_guard lock{mutex_};
+    sending_ = false;
+}
+
 bool peer_link::stop_if_idle()
 {
     const std::lock_guard lock{mutex_};
--- a/src/mangovane/net/peer_link.hpp
+++ b/src/mangovane/net/peer_link.hpp
@@ -68,6 +68,8 @@
     [[nodiscard]] std::vector<std::string> take_frames();
     /// Appends the messages as one frame, or as several if one would be too large.
     void encode(std::vector<message> batch, std::vector<std::string>& out);
+    /// Lets the next message start `run` again after an exception has ended it.
+    void on_run_failed();
     [[nodiscard]] bool stop_if_idle();
     [[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> peer_endpoint();
     void count_dropped(std::size_t count);
--- a/src/mangovane/net/tcp_acceptor.cpp
+++ b/src/mangovane/net/tcp_acceptor.cpp
@@ -11,6 +11,7 @@
 
 #include "mangovane/core/time.hpp"
 #include "mangovane/net/address.hpp"
+#include "mangovane/net/spawn.hpp"
 
 namespace mangovane
 {
@@ -23,6 +24,22 @@
 /// Wait after a failed accept, for example when the process is out of file descriptors.
 constexpr milliseconds accept_retry_delay{50};
 
+/// Passes a connection on. A failure, for example for lack of memory, ends the connection but not
+/// the accept loop: the instance would be reachable and never accept again.
+void try_serve(const asio::any_io_executor& executor,
+               const std::function<void(asio::ip::tcp::socket)>& serve,
+               asio::ip::tcp::socket socket)
+{
+    try
+    {
+        serve(std::move(socket));
+    }
+    catch (...)
+    {
+        monitor_of(executor).report("accept", std::current_exception());
+    }
+}
+
 } // namespace
 
 absl::Status open_acceptor(asio::ip::tcp::acceptor& acceptor, const std::string& address)
@@ -62,7 +79,7 @@
                                                      asio::redirect_error(asio::use_awaitable, ec));
         if (!ec)
         {
-            serve(std::move(socket));
+            try_serve(acceptor.get_executor(), serve, std::move(socket));
         }
         else if (acceptor.is_open())
         {
--- a/src/mangovane/store/http_pool.cpp
+++ b/src/mangovane/store/http_pool.cpp
@@ -88,8 +88,8 @@
     {
         co_return acquired;
     }
+    const connection_slot slot{*this};
     auto response = co_await exchange(req, deadline);
-    release();
     co_return response;
 }
 
--- a/src/mangovane/store/http_pool.hpp
+++ b/src/mangovane/store/http_pool.hpp
@@ -67,6 +67,19 @@
     boost::asio::awaitable<absl::StatusOr<http_response>> exchange(request& req,
                                                                    time_point deadline);
     boost::asio::awaitable<absl::Status> connect(connection& conn, time_point deadline);
+    /// Returns the connection to the pool at the end of a call, also if an exception ends it.
+    class connection_slot
+    {
+    public:
+        explicit connection_slot(http_pool& pool) : pool_{pool} {}
+        ~connection_slot() { pool_.release(); }
+        connection_slot(const connection_slot&) = delete;
+        connection_slot& operator=(const connection_slot&) = delete;
+
+    private:
+        http_pool& pool_;
+    };
+
     connection take_idle();
     void release();
 
