Send no body with the refusal of a HEAD request

What callers saw: on a kept connection the bytes of the body stood where the next response begins, so that it could not be read.

Cause: refuse() appended the body whatever the method was. Responses of endpoints were written without it.

--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -491,10 +491,12 @@
         head.set(http::field::retry_after, std::string{absl::StrCat(seconds_after)});
     }
     current_->status = answer.http_status;
+    const bool bodiless = current_->message.method() == http::verb::head;
     const auto body = error_body(kind, message);
     auto bytes = serialize_head(head, {false, body.size()}, keep_alive());
     keep_alive_ = keep_alive();
-    co_await write_to_caller(std::move(bytes) + body);
+    bytes += bodiless ? std::string{} : body;
+    co_await write_to_caller(std::move(bytes));
     record_outcome(std::string_view{answer.name});
 }
 
--- a/test/platform/closing_connection.cpp
+++ b/test/platform/closing_connection.cpp
@@ -55,6 +55,13 @@
         CHECK(text.size() > large_body_bytes);
         CHECK(large.started() == 1);
     }
+    SUBCASE("carries no body in the refusal of a HEAD request")
+    {
+        caller.send(request_text("HEAD", "unknown", "head", "Connection: close\r\n"));
+        const auto text = caller.read_all(read_timeout);
+        CHECK(status_of(text) == 404);
+        CHECK(text.ends_with("\r\n\r\n"));
+    }
     SUBCASE("delivers the refusal of a large body while the caller still sends it")
     {
         const std::string part(std::size_t{100} * 1024, 'y');
