Pass the end of a response on only if its endpoint still listens

Callers got the first events of a stream, or half a body, as a complete success when the endpoint's process was killed: the kernel closes its connections in order, and a response with neither a length nor chunks ends with its connection. Streams that may be resumed weren't resumed.

Cause: the attempt asked whether the endpoint refuses connections only after the end had been passed on (result `ended`), as evidence of a crash, and not at all once the endpoint had survived the request. Besides, it asked at once, while the kernel may close the listener of a killed process after its connections.

The endpoint is now asked before the end is passed on, once per attempt, 20 ms after the end. If it refuses, a stream is `cut` (resumed, or ended incomplete), a held body `broken` (sent again where it may run again, otherwise 502), also that of an endpoint's failure, and an oversized body `cut`. The crash check of the attempt uses the same result, so such an end is evidence of a crash as before, now also when the listener closes late.

`ended` and its rule are gone, as nothing produces them.

Not covered: a whole response whose process ends within 20 ms of it counts as broken off, and a process that is replaced at its address within that time isn't noticed.

--- a/src/mangovane/forward/endpoint_record.hpp
+++ b/src/mangovane/forward/endpoint_record.hpp
@@ -14,7 +14,7 @@
 
 /// Outcome of an attempt as it counts for the health of the endpoint. Of `attempt_result`,
 /// `delivered` counts as `answered`, `not_sent` as `unreachable`, `refused` as `full`,
-/// `misdirected` as `replaced`, `crashed` and `ended` as `crashed`, `caller_left` and `outdated` as
+/// `misdirected` as `replaced`, `crashed` as `crashed`, `caller_left` and `outdated` as
 /// `cancelled`, and all others as `failed`.
 enum class health_outcome : std::uint8_t
 {
--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -113,7 +113,6 @@
         {health_outcome::failed, true, &forward_flow::after_timeout},
         {health_outcome::cancelled, true, &forward_flow::after_caller_left},
         {health_outcome::cancelled, false, &forward_flow::after_outdated},
-        {health_outcome::crashed, true, &forward_flow::after_ended},
     }};
     const auto& rule = table[static_cast<std::size_t>(result)];
     attempt_open_ = false;
@@ -268,13 +267,6 @@
     return after_not_sent(now);
 }
 
-forward_step forward_flow::after_ended(time_point now)
-{
-    // The caller has the response; only the evidence counts.
-    (void)chooser_.on_crash(request_, endpoint_, epoch_, now);
-    return finish_step{true};
-}
-
 forward_step forward_flow::refuse(error_kind kind) const
 {
     if (response_started_)
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -31,11 +31,9 @@
     timed_out, ///< The deadline passed.
     caller_left, ///< The caller closed its connection, or accepts no more data.
     outdated,    ///< Nothing was sent, because too much time had passed since the choice.
-    ended,       ///< As `delivered`, but the response ended with the connection and the endpoint's
-                 ///< process with it, so the end of the response may be that of the process.
 };
 
-inline constexpr std::size_t attempt_result_count = 13;
+inline constexpr std::size_t attempt_result_count = 12;
 
 /// Sends the request to an endpoint.
 struct send_step
@@ -158,7 +156,6 @@
     [[nodiscard]] forward_step after_timeout(time_point now);
     [[nodiscard]] forward_step after_caller_left(time_point now);
     [[nodiscard]] forward_step after_outdated(time_point now);
-    [[nodiscard]] forward_step after_ended(time_point now);
 
     /// The endpoint of the next attempt, with the time of its choice.
     struct prepared_choice
--- a/src/mangovane/net/crash_check.cpp
+++ b/src/mangovane/net/crash_check.cpp
@@ -16,7 +16,8 @@
 
 namespace asio = boost::asio;
 
-asio::awaitable<bool> refuses_connections(const std::string& address, milliseconds timeout)
+asio::awaitable<bool>
+refuses_connections(const std::string& address, milliseconds delay, milliseconds timeout)
 {
     const auto endpoint = parse_address(address);
     if (!endpoint)
@@ -24,17 +25,20 @@
         co_return false;
     }
     const auto executor = co_await asio::this_coro::executor;
+    boost::system::error_code ec;
+    asio::steady_timer timer{executor, delay};
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     const auto socket = std::make_shared<asio::ip::tcp::socket>(executor);
-    asio::steady_timer timer{executor, timeout};
+    timer.expires_after(timeout);
     timer.async_wait(
-        [socket](boost::system::error_code ec)
+        [socket](boost::system::error_code wait_error)
         {
-            if (!ec)
+            if (!wait_error)
             {
-                socket->close(ec);
+                boost::system::error_code ignored;
+                socket->close(ignored);
             }
         });
-    boost::system::error_code ec;
     co_await socket->async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, ec));
     co_return ec == asio::error::connection_refused;
 }
--- a/src/mangovane/net/crash_check.hpp
+++ b/src/mangovane/net/crash_check.hpp
@@ -13,8 +13,9 @@
 
 /// Whether connections to `ip:port` are refused: the host responds, but no process listens there
 /// any more. False if a connection is accepted, or if nothing responds within the timeout, as in a
-/// network partition.
-boost::asio::awaitable<bool> refuses_connections(const std::string& address, milliseconds timeout);
+/// network partition. Connects after `delay`.
+boost::asio::awaitable<bool>
+refuses_connections(const std::string& address, milliseconds delay, milliseconds timeout);
 
 } // namespace mangovane
 
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -18,8 +18,8 @@
 {
 
 constexpr std::array<std::string_view, attempt_result_count> result_names{
-    "delivered", "not_sent", "refused",   "misdirected", "error",    "broken", "crashed",
-    "stalled",   "cut",      "timed_out", "caller_left", "outdated", "ended"};
+    "delivered", "not_sent", "refused", "misdirected", "error",       "broken",
+    "crashed",   "stalled",  "cut",     "timed_out",   "caller_left", "outdated"};
 
 /// Category and value of an error, such as `beast.http:9`; "none" for no error.
 std::string error_text(const boost::system::error_code& ec)
@@ -130,6 +130,7 @@
     current.error_response.reset();
     current.endpoint_error = {};
     timed_out_ = false;
+    endpoint_refuses_.reset();
     auto call = std::make_shared<upstream_call>(socket_.get_executor());
     call_ = call;
     // Closing the connection on this timeout is safe to retry: nothing has been sent yet.
@@ -154,19 +155,25 @@
     const auto result = co_await read_answer(step);
     call_deadline_.stop();
     call->close();
-    const bool unclear_end = result == attempt_result::delivered && call->ends_with_connection();
     const bool ended_early = result == attempt_result::broken || result == attempt_result::cut;
-    if ((!ended_early && !unclear_end) || timed_out_ || current.flow->survived())
+    if (!ended_early || timed_out_ || current.flow->survived())
     {
         co_return result;
     }
-    const bool crashed =
-        co_await refuses_connections(step.target.address, services_.timeouts.crash_check_timeout);
-    if (!crashed)
+    const bool crashed = co_await endpoint_refuses();
+    co_return crashed ? attempt_result::crashed : result;
+}
+
+asio::awaitable<bool> forward_session::endpoint_refuses()
+{
+    if (!endpoint_refuses_)
     {
-        co_return result;
+        const auto& timeouts = services_.timeouts;
+        const bool refuses = co_await refuses_connections(
+            call_->address(), timeouts.crash_check_delay, timeouts.crash_check_timeout);
+        endpoint_refuses_ = refuses;
     }
-    co_return unclear_end ? attempt_result::ended : attempt_result::crashed;
+    co_return *endpoint_refuses_;
 }
 
 asio::awaitable<attempt_result> forward_session::read_answer(const send_step& step)
--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -50,7 +50,20 @@
             co_return held_body::oversized;
         }
     }
-    co_return held_body::complete;
+    const bool complete = co_await is_complete();
+    co_return complete ? held_body::complete : held_body::broken;
+}
+
+asio::awaitable<bool> forward_session::is_complete()
+{
+    // The response has been read; the time that was left for it does not limit the check.
+    call_deadline_.stop();
+    if (!call_->ends_with_connection())
+    {
+        co_return true;
+    }
+    const bool refuses = co_await endpoint_refuses();
+    co_return !refuses;
 }
 
 asio::awaitable<attempt_result> forward_session::read_failure()
@@ -111,6 +124,11 @@
         }
         out = n == 0 ? std::string{} : framed({buf.data(), n});
     }
+    const bool complete = co_await is_complete();
+    if (!complete)
+    {
+        co_return early_end_result(attempt_result::cut);
+    }
     out += chunked ? encode_chunk({}) : std::string{};
     const bool written = co_await write_to_caller(std::move(out));
     co_return written ? attempt_result::delivered : attempt_result::caller_left;
@@ -169,9 +187,15 @@
 asio::awaitable<attempt_result> forward_session::end_stream(const event_boundary& boundary)
 {
     const bool started = current_->flow->response_started();
+    const auto incomplete = started ? attempt_result::cut : attempt_result::broken;
     if (!started || boundary.inside_event())
     {
-        co_return started ? attempt_result::cut : attempt_result::broken;
+        co_return incomplete;
+    }
+    const bool complete = co_await is_complete();
+    if (!complete)
+    {
+        co_return early_end_result(incomplete);
     }
     const bool written = co_await write_to_caller(encode_chunk({}));
     co_return written ? attempt_result::delivered : attempt_result::caller_left;
--- a/src/mangovane/net/forward_services.hpp
+++ b/src/mangovane/net/forward_services.hpp
@@ -19,7 +19,11 @@
     /// To an endpoint; below 1 s, after which TCP retransmits a lost SYN, so that another endpoint
     /// is tried first.
     milliseconds connect_timeout{250};
-    /// To an endpoint that has closed a connection without an answer, to see whether it crashed.
+    /// From the end of a connection until its endpoint is asked whether it still listens. The
+    /// kernel closes the listener of a killed process up to some milliseconds after its
+    /// connections.
+    milliseconds crash_check_delay{20};
+    /// To an endpoint that has ended a connection, to see whether its process has ended too.
     milliseconds crash_check_timeout{100};
     /// Time for which a write to a caller may continue after the deadline of its request.
     milliseconds final_write_timeout{400};
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -131,6 +131,8 @@
 
     // Implemented in forward_attempt.cpp: attempts at endpoints.
     boost::asio::awaitable<attempt_result> attempt(const send_step& step);
+    /// Whether the endpoint of the current attempt refuses connections. Asks it once per attempt.
+    boost::asio::awaitable<bool> endpoint_refuses();
     boost::asio::awaitable<attempt_result> read_answer(const send_step& step);
     /// Passes on what the endpoint states about itself in the head of its response.
     void note_endpoint(const send_step& step);
@@ -151,6 +153,10 @@
     // Implemented in forward_relay.cpp: relay of responses.
     boost::asio::awaitable<attempt_result> read_failure();
     boost::asio::awaitable<attempt_result> relay_buffered(const send_step& step);
+    /// Whether a response that has been read to its end is complete. The kernel closes the
+    /// connections of a process that ends in the same way as the process does after a response, so
+    /// an end that only the connection tells counts only if the endpoint still listens.
+    boost::asio::awaitable<bool> is_complete();
     /// Reads the body into memory. With `step`, each part extends the time for the next one.
     boost::asio::awaitable<held_body> hold_body(buffered_response& answer,
                                                 const send_step* step = nullptr);
@@ -173,6 +179,7 @@
     socket_deadline call_deadline_;          ///< For the current attempt.
     std::shared_ptr<upstream_call> call_;    ///< Null between attempts.
     std::optional<current_request> current_; ///< Empty between requests.
+    std::optional<bool> endpoint_refuses_;   ///< See `endpoint_refuses`; empty: not asked yet.
     time_point call_timeout_at_{};           ///< When `call_deadline_` expires.
     std::optional<session_end> end_;         ///< Why the connection ends; empty while it goes on.
     std::uint32_t requests_{0};              ///< Requests that have been read.
--- a/src/mangovane/net/upstream_call.cpp
+++ b/src/mangovane/net/upstream_call.cpp
@@ -19,6 +19,7 @@
 
 asio::awaitable<bool> upstream_call::connect(const std::string& address)
 {
+    address_ = address;
     const auto endpoint = parse_address(address);
     if (!endpoint || closed_)
     {
--- a/src/mangovane/net/upstream_call.hpp
+++ b/src/mangovane/net/upstream_call.hpp
@@ -31,6 +31,9 @@
     /// Connects to `ip:port`. Returns false on failure; nothing has been sent in that case.
     boost::asio::awaitable<bool> connect(const std::string& address);
 
+    /// Address given to `connect`.
+    [[nodiscard]] const std::string& address() const { return address_; }
+
     /// Starts to write the request. The endpoint may run it from here on.
     void send(std::string head, std::shared_ptr<const std::string> body);
 
@@ -69,6 +72,7 @@
 
 private:
     boost::asio::ip::tcp::socket socket_;
+    std::string address_;
     boost::beast::flat_buffer buffer_{max_response_section_bytes};
     std::optional<endpoint_response_parser> parser_;
     std::string request_head_;                        ///< Alive until written.
