Pin how half-closed callers and late requests of a stop are treated

A caller that shuts down its sending side after a request gets no response, and its request is cancelled. Such a caller cannot be told from one that has closed before something is written, and the work of a closed one has to stop at the endpoint.

A request that arrives while the instance stops is served, also one whose rest arrives when no connection is accepted any more, and the exit waits for it; what needs longer than the grace period is cut and does not look complete.

Behaviour is unchanged.

--- a/test/platform/raw_caller.cpp
+++ b/test/platform/raw_caller.cpp
@@ -42,6 +42,11 @@
     asio::write(socket_, asio::buffer(bytes.data(), bytes.size()));
 }
 
+void raw_caller::finish_sending()
+{
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send);
+}
+
 std::string raw_caller::read_all(milliseconds timeout)
 {
     std::string result;
--- a/test/platform/raw_caller.hpp
+++ b/test/platform/raw_caller.hpp
@@ -31,6 +31,9 @@
     /// Writes the bytes, which must fit into the buffer of the socket.
     void send(std::string_view bytes);
 
+    /// Shuts down the sending side; responses can still be read.
+    void finish_sending();
+
     /// Reads until the server closes the connection or the time is over, and returns all bytes.
     [[nodiscard]] std::string read_all(milliseconds timeout);
 
