--- a/test/platform/explain.cpp
+++ b/test/platform/explain.cpp
@@ -3,14 +3,14 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <filesystem>
 #include <thread>
 
 #include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include "platform/router_fleet.hpp"
+#include "platform/scratch_folder.hpp"
+
 using namespace mangovane;
 using namespace mangovane::test;
 using standin::engine_fault;
@@ -18,24 +18,6 @@
 namespace
 {
 
-/// A temporary folder, removed by the destructor.
-class scratch_folder
-{
-public:
-    scratch_folder()
-        : path{(std::filesystem::temp_directory_path() /
-                ("mangovane-explain-" + std::to_string(::getpid())))
-                   .string()}
-    {
-        std::filesystem::create_directories(path);
-    }
-    ~scratch_folder() { std::filesystem::remove_all(path); }
-    scratch_folder(const scratch_folder&) = delete;
-    scratch_folder& operator=(const scratch_folder&) = delete;
-
-    const std::string path;
-};
-
 /// Output of `scripts/explain` for a request id.
 std::string explain(const router_fleet& fleet, const std::string& id)
 {
@@ -91,7 +73,7 @@
 
 TEST_CASE("the log explains a request that failed")
 {
-    const scratch_folder folder;
+    const scratch_folder folder{"explain"};
     router_fleet fleet{1, {.log_folder = folder.path}};
     fleet.add_engine("plain-1", "ventanilla");
     fleet.add_engine("engine-1", "dictamen");
