Serve requests that arrived on native connections during a pause

Callers saw their connection closed without an answer: a request, or the rest of one, had arrived while the process was paused past the idle or the header timeout.

Cause: beast::tcp_stream closes the socket when its timer expires, without a look at what has arrived. With more ready connections than one poll of the reactor returns (128), the timers run before the remaining reads.

The session uses a plain socket with `socket_deadline`, which puts an expiry off once when bytes have arrived; for a write, when the socket accepts bytes. The response of an attempt is written by the session, which owns the deadline, so the sink hands out no stream. The idle timeout now ends with the first byte of a request; its head has the same time again, its body has the header timeout as before. The native front end counts the causes of the ends of its sessions as the forwarding one does.

--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -7,13 +7,12 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include "mangovane/net/caller_connection.hpp"
-#include "mangovane/net/peek.hpp"
+#include "mangovane/net/http_serialization.hpp"
 #include "mangovane/net/spawn.hpp"
 
 namespace mangovane
@@ -54,13 +53,23 @@
 } // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket, frontend_services& services)
-    : stream_{std::move(socket)}, services_{services}
+    : socket_{std::move(socket)}, services_{services}, read_deadline_{socket_.get_executor()},
+      write_deadline_{socket_.get_executor()}
 {}
 
 asio::awaitable<void> caller_session::run()
 {
     beast::error_code ec;
-    stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ec);
+    socket_.set_option(asio::ip::tcp::no_delay{true}, ec);
+    co_await serve_requests();
+    note_end(session_end::after_response);
+    services_.observer.on_session_end(descriptor_of(*end_).name);
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    socket_.close(ec);
+}
+
+asio::awaitable<void> caller_session::serve_requests()
+{
     while (keep_alive_)
     {
         auto req = co_await read_request();
@@ -75,29 +84,60 @@
         co_await serve(*req);
         idle_ = true;
     }
-    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-    stream_.close();
 }
 
 void caller_session::request_drain()
 {
-    boost::asio::post(stream_.get_executor(), [self = shared_from_this()] { self->drain(); });
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->drain(); });
 }
 
 void caller_session::drain()
 {
     draining_ = true;
-    const auto wait = served_ ? milliseconds{0} : first_request_wait;
-    auto timer = std::make_shared<asio::steady_timer>(stream_.get_executor(), wait);
-    timer->async_wait(
-        [self = shared_from_this(), timer](beast::error_code)
+    // A request that has arrived, even in part, is served.
+    if (idle_ && !end_ && buffer_.size() == 0 && peek(socket_) != peek_result::data)
+    {
+        start_idle_deadline(clock::now() + (served_ ? milliseconds{0} : first_request_wait));
+    }
+}
+
+asio::awaitable<bool> caller_session::await_first_byte()
+{
+    if (buffer_.size() != 0)
+    {
+        co_return true;
+    }
+    start_idle_deadline(clock::now() +
+                        (draining_ ? first_request_wait : services_.limits.callers.idle_timeout));
+    beast::error_code ec;
+    co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                                asio::redirect_error(asio::use_awaitable, ec));
+    read_deadline_.stop();
+    co_return !ec;
+}
+
+void caller_session::start_idle_deadline(time_point at)
+{
+    read_deadline_.start(
+        at, [self = shared_from_this()] { return self->has_arrived(); },
+        [self = shared_from_this()]
         {
-            // A request that has arrived, even in part, is served.
-            if (self->idle_ && self->buffer_.size() == 0 &&
-                peek(self->stream_.socket()) != peek_result::data)
-            {
-                self->stream_.cancel();
-            }
+            self->note_end(self->draining_ ? session_end::stopped : session_end::idle);
+            beast::error_code ec;
+            self->socket_.cancel(ec);
+        });
+}
+
+void caller_session::start_request_deadline(time_point at)
+{
+    read_deadline_.start(
+        at, [self = shared_from_this()] { return self->has_arrived(); },
+        [self = shared_from_this()]
+        {
+            self->note_end(session_end::request_timeout);
+            // A cancelled read could go on with the next one; one of a closed socket cannot.
+            beast::error_code ec;
+            self->socket_.close(ec);
         });
 }
 
@@ -108,27 +148,35 @@
     p.body_limit(services_.limits.callers.body_bytes);
     buffer_.max_size(
         std::max<std::size_t>(services_.limits.callers.header_bytes, min_read_buffer_bytes));
+    const bool begun = co_await await_first_byte();
+    if (!begun)
+    {
+        co_return std::nullopt;
+    }
+    idle_ = false;
     beast::error_code ec;
-    stream_.expires_after(draining_ ? first_request_wait : services_.limits.callers.idle_timeout);
-    co_await http::async_read_header(stream_, buffer_, p,
+    start_request_deadline(clock::now() + services_.limits.callers.idle_timeout);
+    co_await http::async_read_header(socket_, buffer_, p,
                                      asio::redirect_error(asio::use_awaitable, ec));
     if (!ec)
     {
-        idle_ = false;
-        stream_.expires_after(services_.limits.callers.header_timeout);
-        co_await http::async_read(stream_, buffer_, p,
+        start_request_deadline(clock::now() + services_.limits.callers.header_timeout);
+        co_await http::async_read(socket_, buffer_, p,
                                   asio::redirect_error(asio::use_awaitable, ec));
     }
+    read_deadline_.stop();
     if (!ec)
     {
         co_return p.release();
     }
     if (is_bad_input(ec))
     {
+        note_end(session_end::rejected);
         keep_alive_ = false;
         std::string reason = ec.message();
         co_await refuse_early(kind_of_read_error(ec), std::move(reason));
     }
+    note_end(p.got_some() ? session_end::read_failed : session_end::caller_closed);
     co_return std::nullopt;
 }
 
@@ -191,10 +239,10 @@
     record_.has_affinity = !req.routed.hint.empty();
     caller_disconnected_ = false;
     request_ = std::move(req);
-    exchange_ = std::make_shared<request_exchange>(stream_.get_executor(), services_);
+    exchange_ = std::make_shared<request_exchange>(socket_.get_executor(), services_);
     auto ex = exchange_;
     ex->begin(request_->routed);
-    spawn(stream_.get_executor(), "caller_watch", watch_caller(ex));
+    spawn(socket_.get_executor(), "caller_watch", watch_caller(ex));
     for (bool open = true; open;)
     {
         const auto action = co_await ex->next();
@@ -225,6 +273,10 @@
         else if (const auto* it = std::get_if<end_request>(&action))
         {
             record_outcome(it->complete ? "ok" : "cut");
+            if (!it->complete)
+            {
+                note_end(session_end::response_cut);
+            }
             keep_alive_ = keep_alive_ && it->complete && !caller_disconnected_;
             open = false;
         }
@@ -234,7 +286,7 @@
     attempt_.reset();
     // Ends `watch_caller`; no other operation is pending on the socket.
     beast::error_code ec;
-    stream_.socket().cancel(ec);
+    socket_.cancel(ec);
 }
 
 asio::awaitable<void> caller_session::watch_caller(std::shared_ptr<request_exchange> ex)
@@ -244,13 +296,13 @@
     while (socket_state == peek_result::no_data)
     {
         beast::error_code ec;
-        co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
-                                             asio::redirect_error(asio::use_awaitable, ec));
+        co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                                    asio::redirect_error(asio::use_awaitable, ec));
         if (ec || exchange_ != ex)
         {
             co_return;
         }
-        socket_state = peek(stream_.socket());
+        socket_state = peek(socket_);
     }
     if (socket_state == peek_result::closed)
     {
@@ -275,10 +327,10 @@
     record_.queue_wait = elapsed_since(accepted_at_);
     ++record_.attempts;
     record_.affinity_kept = action.endpoint == request_->routed.hint.endpoints.front();
-    auto attempt = std::make_shared<endpoint_attempt>(stream_.get_executor(), std::move(params),
+    auto attempt = std::make_shared<endpoint_attempt>(socket_.get_executor(), std::move(params),
                                                       *this, services_.limits);
     attempt_ = attempt;
-    spawn(stream_.get_executor(), "endpoint_attempt",
+    spawn(socket_.get_executor(), "endpoint_attempt",
           [](std::shared_ptr<caller_session> self, std::shared_ptr<request_exchange> ex,
              std::shared_ptr<endpoint_attempt> attempt) -> asio::awaitable<void>
           {
@@ -302,13 +354,36 @@
     exchange_->report(attempt_answered{attempt});
 }
 
-beast::tcp_stream* caller_session::caller_stream()
+asio::awaitable<bool> caller_session::write_to_caller(asio::const_buffer buf)
 {
-    return caller_disconnected_ ? nullptr : &stream_;
+    if (caller_disconnected_)
+    {
+        co_return false;
+    }
+    write_deadline_.start(
+        clock::now() + services_.limits.write_timeout,
+        [self = shared_from_this()] { return is_writable(self->socket_); },
+        [self = shared_from_this()]
+        {
+            self->note_end(session_end::write_timeout);
+            beast::error_code ec;
+            self->socket_.close(ec);
+        });
+    beast::error_code ec;
+    co_await asio::async_write(socket_, buf, asio::redirect_error(asio::use_awaitable, ec));
+    write_deadline_.stop();
+    if (ec)
+    {
+        note_end(session_end::write_failed);
+        keep_alive_ = false;
+        on_caller_disconnected();
+    }
+    co_return !ec;
 }
 
 void caller_session::on_caller_disconnected()
 {
+    note_end(session_end::caller_left);
     if (!std::exchange(caller_disconnected_, true) && exchange_)
     {
         exchange_->report(caller_left{});
@@ -340,24 +415,21 @@
                                                    std::string body,
                                                    std::uint32_t retry_after_s)
 {
-    http::response<http::string_body> res{http::int_to_status(status), 11};
-    res.set(http::field::content_type, type);
+    http::response_header<> head;
+    head.version(11);
+    head.result(status);
+    head.set(http::field::content_type, type);
     if (retry_after_s != 0)
     {
-        res.set(http::field::retry_after, std::to_string(retry_after_s));
+        head.set(http::field::retry_after, std::to_string(retry_after_s));
     }
     keep_alive_ = keep_alive_ && !draining_ && !caller_disconnected_;
-    res.keep_alive(keep_alive_);
-    res.body() = std::move(body);
-    res.prepare_payload();
-    if (is_head_request_)
-    {
-        res.body().clear();
-    }
-    beast::error_code ec;
-    stream_.expires_after(services_.limits.write_timeout);
-    co_await http::async_write(stream_, res, asio::redirect_error(asio::use_awaitable, ec));
-    keep_alive_ = keep_alive_ && !ec;
+    const bool has_length =
+        head.result() != http::status::no_content && head.result() != http::status::not_modified;
+    const auto length = has_length ? std::optional<std::uint64_t>{body.size()} : std::nullopt;
+    auto text = serialize_head(head, {false, length}, keep_alive_);
+    text += is_head_request_ ? std::string{} : body;
+    co_await write_to_caller(asio::buffer(text));
 }
 
 } // namespace mangovane
--- a/src/mangovane/net/endpoint_attempt.cpp
+++ b/src/mangovane/net/endpoint_attempt.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -185,19 +184,12 @@
 
 asio::awaitable<bool> endpoint_attempt::write_to_caller(asio::const_buffer buf)
 {
-    auto* caller = sink_.caller_stream();
-    if (caller == nullptr || !sink_.is_current(params_.action.attempt))
+    if (!sink_.is_current(params_.action.attempt))
     {
         co_return false;
     }
-    beast::error_code ec;
-    caller->expires_after(limits_.write_timeout);
-    co_await asio::async_write(*caller, buf, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec)
-    {
-        sink_.on_caller_disconnected();
-    }
-    co_return !ec;
+    const bool written = co_await sink_.write_to_caller(buf);
+    co_return written;
 }
 
 void endpoint_attempt::append_to_stored(const char* data, std::size_t n)
--- a/src/mangovane/net/endpoint_attempt.hpp
+++ b/src/mangovane/net/endpoint_attempt.hpp
@@ -25,10 +25,8 @@
     [[nodiscard]] virtual bool is_current(const attempt_id& attempt) const = 0;
     /// Called before the first byte is sent to the caller.
     virtual void on_answer_started(const attempt_id& attempt) = 0;
-    /// Connection to the caller; null once the caller has disconnected.
-    [[nodiscard]] virtual boost::beast::tcp_stream* caller_stream() = 0;
-    /// Called when a write to the caller fails.
-    virtual void on_caller_disconnected() = 0;
+    /// Sends a part of the response; false if the caller has disconnected.
+    virtual boost::asio::awaitable<bool> write_to_caller(boost::asio::const_buffer buf) = 0;
 };
 
 /// Request of an attempt and how its response is handled.
--- a/src/mangovane/net/peek.cpp
+++ b/src/mangovane/net/peek.cpp
@@ -1,6 +1,8 @@
 // Non-blocking peek at a socket.
 #include "mangovane/net/peek.hpp"
 
+#include <poll.h>
+
 #include <boost/asio/buffer.hpp>
 
 namespace mangovane
@@ -21,4 +23,10 @@
     return ec ? peek_result::closed : peek_result::data;
 }
 
+bool is_writable(asio::ip::tcp::socket& socket)
+{
+    pollfd state{socket.native_handle(), POLLOUT, 0};
+    return ::poll(&state, 1, 0) == 1;
+}
+
 } // namespace mangovane
