Close native connections without a reset over unread bytes

A caller whose request was refused before all of it was read, such as a body that is too large, got a reset: its next write failed with a broken pipe, and it could lose the refusal.

Cause: the kernel resets a connection that is closed with unread bytes.

--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include "mangovane/net/caller_connection.hpp"
+#include "mangovane/net/graceful_close.hpp"
 #include "mangovane/net/http_serialization.hpp"
 #include "mangovane/net/spawn.hpp"
 
@@ -64,6 +65,11 @@
     co_await serve_requests();
     note_end(session_end::after_response);
     services_.observer.on_session_end(descriptor_of(*end_).name);
+    if (descriptor_of(*end_).graceful)
+    {
+        const auto give_up_at = clock::now() + services_.limits.close_timeout;
+        co_await graceful_close(socket_, read_deadline_, give_up_at, shared_from_this());
+    }
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     socket_.close(ec);
 }
--- a/src/mangovane/net/frontend_services.hpp
+++ b/src/mangovane/net/frontend_services.hpp
@@ -37,6 +37,8 @@
     http_limits callers;
     milliseconds write_timeout{60000};  ///< For each write to a caller.
     milliseconds connect_timeout{1000}; ///< To an endpoint.
+    /// How long what a caller still sends is read when its connection is closed.
+    milliseconds close_timeout{500};
 
     auto operator<=>(const frontend_limits&) const = default;
 };
--- a/test/mangovane/net/native_server.cpp
+++ b/test/mangovane/net/native_server.cpp
@@ -1,5 +1,6 @@
 // Tests of the native front end over loopback connections. Guards against requests without an
-// answer: of a process that was paused past a deadline.
+// answer: of a process that was paused past a deadline, and of a connection that is closed with
+// unread bytes.
 #include "mangovane/net/native_server.hpp"
 
 #include <chrono>
@@ -196,3 +197,17 @@
     CHECK(clock::now() - started_at >= idle_timeout);
     CHECK(clock::now() - started_at < idle_timeout * 5);
 }
+
+TEST_CASE("a native server that refuses a request without reading all of it")
+{
+    // Closing with unread bytes resets the connection: the caller can lose the refusal, and gets an
+    // error when it sends the rest.
+    server_fixture target;
+    test_caller caller{target};
+    caller.send("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" +
+                std::string(50000, 'x'));
+    std::this_thread::sleep_for(milliseconds{100});
+    CHECK_NOTHROW(caller.send(std::string(50000, 'x')));
+    CHECK(caller.read_all().starts_with("HTTP/1.1 413"));
+    CHECK(caller.end == asio::error::eof);
+}
