Answer native requests whose session an exception ends

The caller saw its connection closed without an answer.

Cause: the exception ended the coroutine of the session before anything was written.

The session reports the exception, tells the flow that the caller has left, which returns the endpoint's capacity, aborts an attempt that may be repeated, and answers 500 unless a response has begun. An attempt that an exception ends is reported to its flow, which otherwise waits until the deadline; no test covers this part.

--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -62,7 +62,19 @@
 {
     beast::error_code ec;
     socket_.set_option(asio::ip::tcp::no_delay{true}, ec);
-    co_await serve_requests();
+    std::exception_ptr failure;
+    try
+    {
+        co_await serve_requests();
+    }
+    catch (...)
+    {
+        failure = std::current_exception();
+    }
+    if (failure)
+    {
+        co_await on_failure(failure);
+    }
     note_end(session_end::after_response);
     services_.observer.on_session_end(descriptor_of(*end_).name);
     if (descriptor_of(*end_).graceful)
@@ -92,6 +104,36 @@
     }
 }
 
+asio::awaitable<void> caller_session::on_failure(std::exception_ptr error)
+{
+    monitor_of(socket_.get_executor()).report("caller_request", error);
+    note_end(session_end::failed);
+    keep_alive_ = false;
+    read_deadline_.stop();
+    const auto attempt = std::exchange(attempt_, nullptr);
+    const bool unrecorded = exchange_ && record_.outcome.empty();
+    if (const auto ex = std::exchange(exchange_, nullptr))
+    {
+        // Returns the endpoint's capacity. An attempt that must not be repeated goes on, so that
+        // its outcome can be stored; its response is dropped.
+        ex->report(caller_left{});
+        if (attempt && request_->routed.idempotent)
+        {
+            attempt->abort();
+        }
+    }
+    const bool answers = !idle_ && !response_started_;
+    if (answers)
+    {
+        // Promises nothing about the request, which may have run.
+        co_await write_error(error_kind::internal, "the request could not be completed");
+    }
+    if (unrecorded)
+    {
+        record_outcome(answers ? std::string{descriptor_of(error_kind::internal).name} : "cut");
+    }
+}
+
 void caller_session::request_drain()
 {
     boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->drain(); });
@@ -160,6 +202,7 @@
         co_return std::nullopt;
     }
     idle_ = false;
+    response_started_ = false;
     beast::error_code ec;
     start_request_deadline(clock::now() + services_.limits.callers.idle_timeout);
     co_await http::async_read_header(socket_, buffer_, p,
@@ -336,17 +379,26 @@
     auto attempt = std::make_shared<endpoint_attempt>(socket_.get_executor(), std::move(params),
                                                       *this, services_.limits);
     attempt_ = attempt;
-    spawn(socket_.get_executor(), "endpoint_attempt",
-          [](std::shared_ptr<caller_session> self, std::shared_ptr<request_exchange> ex,
-             std::shared_ptr<endpoint_attempt> attempt) -> asio::awaitable<void>
-          {
-              const auto ended = co_await attempt->run();
-              if (attempt->attempt_mismatch() || self->attempt_ != attempt)
-              {
-                  self->services_.observer.on_dropped_answer();
-              }
-              ex->report(ended);
-          }(shared_from_this(), exchange_, attempt));
+    spawn(
+        socket_.get_executor(), "endpoint_attempt",
+        [](std::shared_ptr<caller_session> self, std::shared_ptr<request_exchange> ex,
+           std::shared_ptr<endpoint_attempt> attempt) -> asio::awaitable<void>
+        {
+            const auto ended = co_await attempt->run();
+            if (attempt->attempt_mismatch() || self->attempt_ != attempt)
+            {
+                self->services_.observer.on_dropped_answer();
+            }
+            ex->report(ended);
+        }(shared_from_this(), exchange_, attempt),
+        [ex = exchange_, attempt](bool failed)
+        {
+            if (failed)
+            {
+                attempt->abort();
+                ex->report(attempt->result());
+            }
+        });
 }
 
 bool caller_session::is_current(const attempt_id& attempt) const
@@ -366,6 +418,7 @@
     {
         co_return false;
     }
+    response_started_ = true;
     write_deadline_.start(
         clock::now() + services_.limits.write_timeout,
         [self = shared_from_this()] { return is_writable(self->socket_); },
--- a/src/mangovane/net/caller_session.hpp
+++ b/src/mangovane/net/caller_session.hpp
@@ -3,6 +3,7 @@
 #ifndef MANGOVANE_NET_CALLER_SESSION_HPP
 #define MANGOVANE_NET_CALLER_SESSION_HPP
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +42,8 @@
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     boost::asio::awaitable<void> serve_requests();
+    /// Reports the failure, ends the attempt, and answers the request if nothing has been sent.
+    boost::asio::awaitable<void> on_failure(std::exception_ptr error);
     boost::asio::awaitable<bool> await_first_byte();
     boost::asio::awaitable<std::optional<http_request>> read_request();
     /// Starts the deadline for the first byte of a request.
@@ -81,6 +84,7 @@
     bool is_head_request_{false};  ///< The current request has the method HEAD.
     bool idle_{true};              ///< Between two requests.
     bool served_{false};           ///< A request has been read.
+    bool response_started_{false}; ///< Bytes of the current response may have been sent.
     bool draining_{false};
     bool caller_disconnected_{false};
     std::optional<session_end> end_; ///< Empty while the connection goes on.
--- a/src/mangovane/net/endpoint_attempt.hpp
+++ b/src/mangovane/net/endpoint_attempt.hpp
@@ -58,6 +58,9 @@
 
     [[nodiscard]] const attempt_id& id() const noexcept { return params_.action.attempt; }
 
+    /// What is known of the attempt so far.
+    [[nodiscard]] const attempt_ended& result() const noexcept { return result_; }
+
     /// Whether the response carried the id of another attempt.
     [[nodiscard]] bool attempt_mismatch() const noexcept { return attempt_mismatch_; }
 
--- a/test/mangovane/net/native_server.cpp
+++ b/test/mangovane/net/native_server.cpp
@@ -1,10 +1,11 @@
 // Tests of the native front end over loopback connections. Guards against requests without an
-// answer: of a process that was paused past a deadline, and of a connection that is closed with
-// unread bytes.
+// answer: of a process that was paused past a deadline, of a connection that is closed with unread
+// bytes, and of a session that an exception ends.
 #include "mangovane/net/native_server.hpp"
 
 #include <chrono>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -49,15 +50,23 @@
     void settle(claim, time_point, claim_writer::settle_handler) override {}
 };
 
-class no_observer final : public request_observer
+class failing_observer final : public request_observer
 {
 public:
     void on_request_end(const request_record&) override {}
-    void on_early_refusal(error_kind) override {}
+    void on_early_refusal(error_kind) override
+    {
+        if (fails)
+        {
+            throw std::runtime_error{"no memory for a label"};
+        }
+    }
     void on_dropped_answer() override {}
     void on_failed_attempt(std::string_view) override {}
     void on_caller_stall() override {}
     void on_session_end(std::string_view) override {}
+
+    std::atomic<bool> fails{false};
 };
 
 struct server_fixture
@@ -88,7 +97,7 @@
     discarding_sink sink;
     coordinator core{coordinator_options{}, sink, clock::now()};
     no_claims claims;
-    no_observer observer;
+    failing_observer observer;
     std::atomic<bool> ready{true};
     frontend_services services{core, claims, observer, ready, [] { return std::string{}; }, {}};
     native_server server{io, services};
@@ -211,3 +220,20 @@
     CHECK(caller.read_all().starts_with("HTTP/1.1 413"));
     CHECK(caller.end == asio::error::eof);
 }
+
+TEST_CASE("a native server whose work on a request ends by an exception")
+{
+    server_fixture target;
+    std::atomic<int> reports{0};
+    task_monitor_of(target.io).on_failure([&](std::string_view, std::string_view) { ++reports; });
+    target.observer.fails = true;
+    test_caller caller{target};
+    caller.send("GET /services/ventanilla/status HTTP/1.1\r\nHost: a\r\n\r\n");
+
+    SUBCASE("answers it, reports the exception and closes the connection in order")
+    {
+        CHECK(caller.read_all().starts_with("HTTP/1.1 500"));
+        CHECK(caller.end == asio::error::eof);
+        CHECK(reports == 1);
+    }
+}
