Soak: check requests that ran and lost their connection, and add long pauses, bursts and busy cores

`graceful_stop` only covered planned stops. The new invariant `unanswered` reports each such request beyond three in a run, the bound of the rule. Excuses: the caller gave up, the deadline had passed, an endpoint or its link had a fault, or a signal of the soak ended the process. A pause of the router, the store and a busy machine excuse none. A response that was cut after its header is also excused if another router was disturbed, since a peer may carry it. Each run also prints, without a bound, the requests that were sent in time and whose connection a running router closed unread.

Callers also write some requests in pieces and leave some connections idle.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -2,6 +2,7 @@
 #include "soak/caller.hpp"
 
 #include <array>
+#include <sstream>
 #include <string_view>
 
 #include <boost/asio/co_spawn.hpp>
@@ -30,13 +31,22 @@
 {
 
 constexpr milliseconds connect_timeout{1000};
-constexpr milliseconds response_timeout{6000}; ///< Exceeds the deadline of 2.5 s in the request.
+constexpr milliseconds response_timeout{6000}; ///< Exceeds the `request_deadline`.
 constexpr milliseconds probe_period{150};
 constexpr milliseconds pause_after_failure{100};
 constexpr std::size_t max_pause_ms = 120;
-constexpr std::size_t calls_per_connection = 25;
 constexpr std::size_t chat_count = 40;
 
+/// Longest time for which a caller leaves a connection idle: four fifths of the idle timeout of 5
+/// s.
+constexpr std::size_t max_idle_ms = 4000;
+
+/// One call in this many is written in pieces. The waits add up to four fifths of
+/// `header_timeout` at most.
+constexpr std::size_t split_call_interval = 15;
+constexpr std::array<std::size_t, 3> piece_ends{7, 30, 90};
+constexpr std::size_t max_piece_wait_ms = 266;
+
 /// One call in this many is abandoned by its caller after a short delay.
 constexpr std::size_t abandoned_call_interval = 25;
 constexpr std::size_t max_abandon_delay_ms = 150;
@@ -60,7 +70,7 @@
                                             target_of(record.request), 11};
     result.set(http::field::host, "desk.example");
     result.set("X-Attempt-Id", record.request);
-    result.set("X-Deadline-Ms", "2500");
+    result.set("X-Deadline-Ms", std::to_string(request_deadline.count()));
     result.set("X-Tenant", "forged");
     result.set(http::field::authorization, "Bearer key-1");
     if (record.kind == call_kind::plain_stream || record.kind == call_kind::resumable_stream)
@@ -96,6 +106,16 @@
     return kinds[pick(kinds.size())];
 }
 
+milliseconds caller::pick_wait()
+{
+    if (options_.probed_router)
+    {
+        return probe_period;
+    }
+    const bool idles = pick(100) < options_.idle_percent;
+    return milliseconds{pick(idles ? max_idle_ms : max_pause_ms)};
+}
+
 asio::awaitable<void> caller::pause(milliseconds time)
 {
     asio::steady_timer timer{co_await asio::this_coro::executor, time};
@@ -115,7 +135,8 @@
 asio::awaitable<void> caller::run()
 {
     const auto self = shared_from_this();
-    while (!stopping_)
+    co_await pause(options_.start_delay);
+    for (std::size_t made = 0; !stopping_ && made != options_.max_connections; ++made)
     {
         const auto router = options_.probed_router.value_or(pick(fleet_.routers().size()));
         const auto process_number = fleet_.routers()[router]->process_number.load();
@@ -128,7 +149,7 @@
         {
             co_await pause(pause_after_failure);
         }
-        for (std::size_t n = 0; open && !stopping_ && n != calls_per_connection; ++n)
+        for (std::size_t n = 0; open && !stopping_ && n != options_.calls_per_connection; ++n)
         {
             if (!options_.probed_router && pick(malformed_call_interval) == 0)
             {
@@ -146,9 +167,7 @@
                     make_request_id(record.kind, record.version, options_.number, ++calls_);
                 open = co_await call(conn, std::move(record));
             }
-            const auto wait =
-                options_.probed_router ? probe_period : milliseconds{pick(max_pause_ms)};
-            co_await pause(wait);
+            co_await pause(pick_wait());
         }
     }
     ended_ = true;
@@ -171,8 +190,19 @@
     conn.expires_after(abandons ? milliseconds{pick(max_abandon_delay_ms) + 1} : response_timeout);
     auto message = message_of(record, pick(chat_count));
     beast::error_code ec;
-    co_await http::async_write(conn, message, asio::redirect_error(asio::use_awaitable, ec));
+    const auto begun_at = clock::now();
+    if (!abandons && !options_.probed_router && pick(split_call_interval) == 0)
+    {
+        std::ostringstream text;
+        text << message;
+        ec = co_await write_in_pieces(conn, text.str());
+    }
+    else
+    {
+        co_await http::async_write(conn, message, asio::redirect_error(asio::use_awaitable, ec));
+    }
     record.written_at = clock::now();
+    record.sent_in_time = !ec && record.written_at < begun_at + header_timeout;
     bool open = false;
     if (!ec)
     {
@@ -184,6 +214,26 @@
     co_return open;
 }
 
+asio::awaitable<beast::error_code> caller::write_in_pieces(stream& conn, const std::string& text)
+{
+    beast::error_code ec;
+    std::size_t begin = 0;
+    for (const auto end : piece_ends)
+    {
+        co_await asio::async_write(conn, asio::buffer(text.substr(begin, end - begin)),
+                                   asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+        {
+            co_return ec;
+        }
+        begin = end;
+        co_await pause(milliseconds{pick(max_piece_wait_ms)});
+    }
+    co_await asio::async_write(conn, asio::buffer(text.substr(begin)),
+                               asio::redirect_error(asio::use_awaitable, ec));
+    co_return ec;
+}
+
 asio::awaitable<bool> caller::read_response(stream& conn, call_record& record)
 {
     http::response_parser<http::string_body> p;
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -24,6 +24,11 @@
     std::uint64_t seed{1};
     /// If set, the caller only probes the configuration of this router.
     std::optional<std::size_t> probed_router;
+    milliseconds start_delay{0};
+    /// Connections to make; empty: until the run stops.
+    std::optional<std::size_t> max_connections{};
+    std::size_t calls_per_connection{25};
+    std::size_t idle_percent{0}; ///< Share of waits in which the connection is idle for longer.
 
     auto operator<=>(const caller_options&) const = default;
 };
@@ -55,9 +60,14 @@
     boost::asio::awaitable<bool> call(stream& conn, call_record record);
     /// Sends bytes that are no acceptable request, and reads the response.
     boost::asio::awaitable<void> send_malformed(stream& conn);
+    /// Writes a request in pieces that end within its header, with a wait after each.
+    boost::asio::awaitable<boost::beast::error_code> write_in_pieces(stream& conn,
+                                                                     const std::string& text);
     boost::asio::awaitable<bool> read_response(stream& conn, call_record& record);
     boost::asio::awaitable<void> pause(milliseconds time);
     [[nodiscard]] call_kind pick_kind();
+    /// Time between two calls of a connection.
+    [[nodiscard]] milliseconds pick_wait();
     [[nodiscard]] std::size_t pick(std::size_t count);
 
     boost::asio::io_context& io_;
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -14,6 +14,9 @@
 constexpr std::uint32_t failing_requests = 4;
 constexpr std::uint32_t broken_off_responses = 12;
 
+/// Half of the cores of the machines that run the soak.
+constexpr std::size_t busy_thread_count = 4;
+
 /// A drain is skipped if it would leave fewer endpoints in the service.
 constexpr int min_endpoints = 2;
 
@@ -64,6 +67,9 @@
     {&fault_injector::drain_endpoint, &fault_injector::remove_endpoint},
     {&fault_injector::take_domain_out, &fault_injector::take_domain_back},
     {&fault_injector::endpoint_breaks_off, &fault_injector::restore_endpoint},
+    {&fault_injector::pause_router, &fault_injector::continue_router},
+    {&fault_injector::busy_cores, &fault_injector::free_cores},
+    {&fault_injector::call_burst, &fault_injector::end_outage},
 }};
 
 fault_injector::fault_injector(deployment& fleet, observation_recorder& recorder, fault_plan plan)
@@ -145,10 +151,17 @@
     begin_router_fault(it, false);
     if (!it.skipped)
     {
-        fleet_.routers()[it.router]->process->signal(SIGKILL);
+        end_process(it.router, SIGKILL);
     }
 }
 
+void fault_injector::end_process(std::size_t router, int signal)
+{
+    const auto& it = *fleet_.routers()[router];
+    recorder_.add(process_end{router, it.process_number, clock::now()});
+    it.process->signal(signal);
+}
+
 void fault_injector::pause_router(active_fault& it)
 {
     begin_router_fault(it, false);
@@ -170,7 +183,7 @@
     begin_router_fault(it, true);
     if (!it.skipped)
     {
-        fleet_.routers()[it.router]->process->signal(SIGTERM);
+        end_process(it.router, SIGTERM);
     }
 }
 
@@ -352,6 +365,30 @@
     end_outage(it);
 }
 
+// The machine and the callers.
+
+void fault_injector::busy_cores(active_fault& it)
+{
+    it.skipped = busy_.has_value();
+    if (!it.skipped)
+    {
+        it.outage = recorder_.begin(machine_component, false);
+        busy_.emplace(busy_thread_count);
+    }
+}
+
+void fault_injector::free_cores(active_fault& it)
+{
+    busy_.reset();
+    end_outage(it);
+}
+
+void fault_injector::call_burst(active_fault& it)
+{
+    // The callers of the burst start by themselves; the load bounds don't hold meanwhile.
+    it.outage = recorder_.begin(machine_component, false);
+}
+
 // Planned changes.
 
 void fault_injector::configure(active_fault& /*it*/)
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "soak/busy_threads.hpp"
 #include "soak/deployment.hpp"
 #include "soak/fault_plan.hpp"
 
@@ -86,6 +87,9 @@
     void endpoint_slow(active_fault& it);
     void endpoint_silent(active_fault& it);
     void restore_endpoint(active_fault& it);
+    void busy_cores(active_fault& it);
+    void free_cores(active_fault& it);
+    void call_burst(active_fault& it);
     void configure(active_fault& it);
     void add_cold_endpoint(active_fault& it);
     void drain_endpoint(active_fault& it);
@@ -96,6 +100,8 @@
     /// Looks for routers whose process has ended without a signal of this object.
     void check_processes();
 
+    /// Sends a signal that ends the process, and records it.
+    void end_process(std::size_t router, int signal);
     void begin_router_fault(active_fault& it, bool planned);
     void begin_store_fault(active_fault& it, standin::store_faults faults);
     void begin_endpoint_fault(active_fault& it);
@@ -111,6 +117,7 @@
     std::size_t next_{0};               ///< Index of the first event that has not begun.
     std::vector<bool> faulted_routers_; ///< Routers with an active fault.
     std::vector<unexpected_exit> unexpected_exits_;
+    std::optional<busy_threads> busy_;
     bool store_faulted_{false};
     bool domain_out_{false};
 };
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -23,6 +23,20 @@
 constexpr std::size_t faults_per_break_off = 4;
 constexpr std::uint64_t break_off_seed = 0x6272656b;
 
+/// A burst, a long pause and busy cores are added for this many drawn faults, by a generator of
+/// their own.
+constexpr std::size_t faults_per_added_kind = 8;
+constexpr std::uint64_t added_kinds_seed = 0x69646c65;
+
+/// Longer than the idle timeout of 5 s, and shorter than the 6 s for which callers wait.
+constexpr std::uint64_t min_idle_pause_ms = 5200;
+constexpr std::uint64_t max_idle_pause_ms = 5800;
+/// Bursts before long pauses start in this window, so that the pauses end before the undisturbed
+/// phase.
+constexpr std::uint64_t idle_pause_window_ms = 6500;
+constexpr milliseconds burst_before_pause{1000};
+constexpr milliseconds burst_duration{3000};
+
 constexpr std::uint64_t min_fault_ms = 300;
 constexpr std::uint64_t max_fault_ms = 4000;
 
@@ -48,17 +62,29 @@
     return {kind, from, from + length, random()};
 }
 
+/// Draws a long pause and a burst of calls before it, so that many connections are idle when the
+/// pause begins and are used again during it.
+void add_idle_pause(fault_plan& plan, std::mt19937_64& random)
+{
+    const auto burst = first_fault + milliseconds{between(random, 0, idle_pause_window_ms)};
+    const auto pause = burst + burst_before_pause;
+    const auto length = milliseconds{between(random, min_idle_pause_ms, max_idle_pause_ms)};
+    plan.events.push_back({fault_kind::call_burst, burst, burst + burst_duration, random()});
+    plan.events.push_back({fault_kind::pause_past_idle, pause, pause + length, random()});
+}
+
 } // namespace
 
 std::string_view name_of(fault_kind kind)
 {
     static constexpr std::array<std::string_view, fault_kind_count> names{
-        "kill_router",    "pause_router",     "cut_store",          "cut_peers",
-        "delay_peers",    "reset_links",      "silence_links",      "store_down",
-        "store_silent",   "store_slow",       "store_loses",        "store_forgets",
-        "endpoint_fails", "endpoint_crashes", "endpoint_slow",      "endpoint_silent",
-        "stop_router",    "hang_up",          "configure",          "add_cold_endpoint",
-        "drain_endpoint", "take_domain_out",  "endpoint_breaks_off"};
+        "kill_router",    "pause_router",     "cut_store",           "cut_peers",
+        "delay_peers",    "reset_links",      "silence_links",       "store_down",
+        "store_silent",   "store_slow",       "store_loses",         "store_forgets",
+        "endpoint_fails", "endpoint_crashes", "endpoint_slow",       "endpoint_silent",
+        "stop_router",    "hang_up",          "configure",           "add_cold_endpoint",
+        "drain_endpoint", "take_domain_out",  "endpoint_breaks_off", "pause_past_idle",
+        "busy_cores",     "call_burst"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -76,6 +102,12 @@
     {
         result.events.push_back(draw(fault_kind::endpoint_breaks_off, break_off_random));
     }
+    std::mt19937_64 added_random{seed ^ added_kinds_seed};
+    for (std::size_t n = 0; n < fault_count; n += faults_per_added_kind)
+    {
+        add_idle_pause(result, added_random);
+        result.events.push_back(draw(fault_kind::busy_cores, added_random));
+    }
     auto at = undisturbed_start;
     for (const auto kind : brief ? std::span<const fault_kind>{} : std::span{undisturbed_changes})
     {
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -40,9 +40,12 @@
     drain_endpoint,
     take_domain_out,
     endpoint_breaks_off, ///< Responses end at any byte.
+    pause_past_idle,     ///< SIGSTOP for longer than the idle timeout of connections.
+    busy_cores,          ///< Threads that compute take cores from the routers.
+    call_burst,          ///< Several hundred connections are opened at once.
 };
 
-inline constexpr std::size_t fault_kind_count = 23;
+inline constexpr std::size_t fault_kind_count = 26;
 inline constexpr std::size_t first_planned_kind = static_cast<std::size_t>(fault_kind::stop_router);
 
 [[nodiscard]] std::string_view name_of(fault_kind kind);
--- a/soak/fwd.hpp
+++ b/soak/fwd.hpp
@@ -13,8 +13,10 @@
 struct fault_plan;
 struct operator_change;
 struct execution_record;
+struct process_end;
 struct soak_options;
 
+class busy_threads;
 class caller;
 class deployment;
 class fault_injector;
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -60,7 +60,7 @@
         &invariant_checker::check_drains,        &invariant_checker::check_domains_out,
         &invariant_checker::check_configuration, &invariant_checker::check_load,
         &invariant_checker::check_versions_rise, &invariant_checker::check_cold,
-        &invariant_checker::check_stops,
+        &invariant_checker::check_stops,         &invariant_checker::check_unanswered,
     };
     std::vector<violation> result;
     for (const auto check : checks)
@@ -354,4 +354,56 @@
     }
 }
 
+bool invariant_checker::ended_by_running_router(const call_record& it) const
+{
+    const bool answered = it.status != 0 && it.complete;
+    const bool process_ended =
+        std::any_of(observed_.process_ends.begin(), observed_.process_ends.end(),
+                    [&](const process_end& known)
+                    {
+                        return known.router == it.router &&
+                               known.process_number == it.process_number && known.at <= it.ended_at;
+                    });
+    return !answered && !it.abandoned && !process_ended;
+}
+
+std::size_t invariant_checker::closed_unread() const
+{
+    return static_cast<std::size_t>(std::count_if(observed_.calls.begin(), observed_.calls.end(),
+                                                  [this](const call_record& it)
+                                                  {
+                                                      return it.status == 0 && it.sent_in_time &&
+                                                             ended_by_running_router(it) &&
+                                                             !runs_.contains(it.request);
+                                                  }));
+}
+
+void invariant_checker::check_unanswered(std::vector<violation>& out) const
+{
+    std::size_t count = 0;
+    for (const auto& it : observed_.calls)
+    {
+        const auto from = it.written_at - outage_log::settle_margin;
+        // Before the response header, a router can answer any failure except that of its own
+        // process. Later, it has to break off the response if a peer on the way fails.
+        const bool excused =
+            it.ended_at >= it.written_at + request_deadline ||
+            !observed_.outages.sound(endpoints_component, from, it.ended_at) ||
+            (it.status != 0 && !observed_.outages.others_sound(it.router, from, it.ended_at));
+        if (excused || !runs_.contains(it.request) || !ended_by_running_router(it))
+        {
+            continue;
+        }
+        ++count;
+        if (count > bounds_.max_unanswered)
+        {
+            out.push_back(
+                {"unanswered",
+                 absl::StrCat(it.request, " ran and was cut by router ", it.router, " with status ",
+                              it.status, " after ", ms_between(it.written_at, it.ended_at),
+                              " ms, number ", count, " of the run")});
+        }
+    }
+}
+
 } // namespace mangovane::soak
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -42,6 +42,8 @@
     double cold_overshoot{1.5};    ///< Multiple of the rate that is tolerated.
     double cold_tolerance{5};      ///< Requests added to the bound of a window of one second.
     std::size_t max_endpoints{2};  ///< Endpoints that may run the same request.
+    /// Requests of a run that may be forwarded and end without a complete response.
+    std::size_t max_unanswered{3};
 
     auto operator<=>(const invariant_bounds&) const = default;
 };
@@ -59,6 +61,10 @@
     /// most of the run was disturbed and the time bounds are hardly covered.
     [[nodiscard]] std::size_t timed_checks() const noexcept { return timed_checks_; }
 
+    /// Number of requests that were sent in time and whose connection a running router closed
+    /// without forwarding them. A few may cross the close of an idle connection.
+    [[nodiscard]] std::size_t closed_unread() const;
+
 private:
     void check_single_run(std::vector<violation>& out) const;
     void check_refusals(std::vector<violation>& out) const;
@@ -73,6 +79,11 @@
     void check_load(std::vector<violation>& out) const;
     void check_cold(std::vector<violation>& out) const;
     void check_stops(std::vector<violation>& out) const;
+    void check_unanswered(std::vector<violation>& out) const;
+
+    /// Whether the caller waited until its connection ended without a complete response, while no
+    /// signal ended the process of the router.
+    [[nodiscard]] bool ended_by_running_router(const call_record& it) const;
 
     /// Reports runs that satisfy `matches` and arrived later than `bound` after the change and
     /// before `until`.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -100,7 +100,8 @@
     const bool passed = found.violations.empty();
     std::cout << "seed " << seed << (passed ? " passed: " : " FAILED: ") << found.calls
               << " calls, " << found.served << " served, " << found.runs << " runs, "
-              << found.timed_checks << " checks in time\n";
+              << found.timed_checks << " checks in time, " << found.closed_unread
+              << " closed unread\n";
     for (const auto& it : found.violations)
     {
         std::cout << "  " << it.invariant << ": " << it.detail << '\n';
--- a/soak/outage_log.hpp
+++ b/soak/outage_log.hpp
@@ -61,6 +61,30 @@
                             });
     }
 
+    /// Whether the component itself had no unplanned outage in the time span. Outages of the whole
+    /// machine delay a component but don't end its connections, so they are left out.
+    [[nodiscard]] bool sound(disturbed_component affected, time_point from, time_point until) const
+    {
+        return std::none_of(outages_.begin(), outages_.end(),
+                            [&](const outage& it) {
+                                return it.affected == affected && !it.planned && it.from <= until &&
+                                       it.until >= from;
+                            });
+    }
+
+    /// Whether nothing but the component and the store had an unplanned outage in the time span.
+    [[nodiscard]] bool
+    others_sound(disturbed_component affected, time_point from, time_point until) const
+    {
+        return std::none_of(outages_.begin(), outages_.end(),
+                            [&](const outage& it)
+                            {
+                                const bool other =
+                                    it.affected != affected && it.affected != store_component;
+                                return other && !it.planned && it.from <= until && it.until >= from;
+                            });
+    }
+
     /// Whether no outage overlaps the time span.
     [[nodiscard]] bool all_undisturbed(time_point from, time_point until) const
     {
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -34,6 +34,14 @@
 constexpr double min_recovered_ratio = 0.25;
 constexpr milliseconds recovery_window{3000};
 
+/// One caller in this many leaves its connections idle in some of its waits.
+constexpr std::size_t idle_caller_interval = 3;
+constexpr std::size_t idle_percent = 33;
+
+/// Connections of a burst, and calls on each.
+constexpr std::size_t burst_connections = 300;
+constexpr std::size_t burst_calls = 3;
+
 /// Threads that run the proxies and callers.
 class io_threads
 {
@@ -71,6 +79,7 @@
         : fleet_{threads_.io, options.deployment, recorder_},
           faults_{fleet_, recorder_, make_plan(seed, options.faults, options.brief)}
     {
+        const auto plan = make_plan(seed, options.faults, options.brief);
         for (auto* it : fleet_.endpoints())
         {
             it->link().set(options.injected);
@@ -79,9 +88,14 @@
         for (std::size_t n = 0; n != options.callers + routers; ++n)
         {
             const auto probed_router = n < routers ? std::optional{n} : std::nullopt;
-            callers_.push_back(std::make_shared<caller>(
-                threads_.io, caller_options{n, seed * 1000 + n, probed_router}, fleet_, recorder_,
-                stopping_));
+            caller_options its{n, seed * 1000 + n, probed_router};
+            its.idle_percent = n % idle_caller_interval == 0 ? idle_percent : 0;
+            callers_.push_back(
+                std::make_shared<caller>(threads_.io, its, fleet_, recorder_, stopping_));
+        }
+        for (const auto& it : plan.events)
+        {
+            add_burst(it, seed);
         }
     }
 
@@ -102,6 +116,21 @@
     }
 
 private:
+    /// Adds the callers of a burst, which wait for its begin.
+    void add_burst(const fault_event& event, std::uint64_t seed)
+    {
+        for (std::size_t n = 0; event.kind == fault_kind::call_burst && n != burst_connections; ++n)
+        {
+            caller_options options{callers_.size(), seed * 1000 + callers_.size(), std::nullopt};
+            options.start_delay = event.from;
+            options.max_connections = 1;
+            options.calls_per_connection = burst_calls;
+            options.idle_percent = 100;
+            callers_.push_back(
+                std::make_shared<caller>(threads_.io, options, fleet_, recorder_, stopping_));
+        }
+    }
+
     bool start()
     {
         const bool ready = test::eventually([this] { return all_ready(); }, start_timeout);
@@ -155,6 +184,7 @@
             violations_.insert(std::move(found));
         }
         timed_checks_ = it.timed_checks();
+        closed_unread_ = it.closed_unread();
     }
 
     void check_exits()
@@ -236,6 +266,7 @@
                           [](const call_record& it) { return it.status == 200 && it.complete; }));
         out.runs = fleet_.executions().size();
         out.timed_checks = timed_checks_;
+        out.closed_unread = closed_unread_;
         return out;
     }
 
@@ -247,6 +278,7 @@
     std::vector<std::shared_ptr<caller>> callers_;
     std::set<violation> violations_;
     std::size_t timed_checks_{0};
+    std::size_t closed_unread_{0};
 };
 
 } // namespace
--- a/soak/run.hpp
+++ b/soak/run.hpp
@@ -30,6 +30,7 @@
     std::size_t served{0};
     std::size_t runs{0};
     std::size_t timed_checks{0};
+    std::size_t closed_unread{0}; ///< Requests whose connection closed without forwarding them.
 
     auto operator<=>(const soak_result&) const = default;
 };
--- a/soak/run_observations.hpp
+++ b/soak/run_observations.hpp
@@ -13,6 +13,12 @@
 namespace mangovane::soak
 {
 
+/// Deadline that callers send with each request.
+inline constexpr milliseconds request_deadline{2500};
+
+/// Time that the configuration allows for the header of a request.
+inline constexpr milliseconds header_timeout{1000};
+
 /// Kinds of requests; each has its own route.
 enum class call_kind : std::uint8_t
 {
@@ -37,6 +43,8 @@
     std::size_t router{0};
     std::uint32_t process_number{0}; ///< Counts the starts of the router, from 1.
     time_point written_at{};
+    /// The whole request was written, within the time that routers allow for its header.
+    bool sent_in_time{false};
     time_point ended_at{};
     unsigned status{0};   ///< HTTP status; 0: no response header was received.
     bool complete{false}; ///< The response was complete by its framing.
@@ -92,6 +100,16 @@
     auto operator<=>(const operator_change&) const = default;
 };
 
+/// A signal that ends the process of a router: SIGKILL or SIGTERM.
+struct process_end
+{
+    std::size_t router{0};
+    std::uint32_t process_number{0};
+    time_point at{};
+
+    auto operator<=>(const process_end&) const = default;
+};
+
 struct run_observations
 {
     std::vector<call_record> calls; ///< Ordered by end.
@@ -99,6 +117,7 @@
     std::vector<arrival> arrivals;
     std::vector<operator_change> changes;
     outage_log outages;
+    std::vector<process_end> process_ends;
 };
 
 } // namespace mangovane::soak
--- a/test/soak/invariant_checker.cpp
+++ b/test/soak/invariant_checker.cpp
@@ -18,6 +18,7 @@
     result.request = id;
     result.kind = kind;
     result.written_at = start;
+    result.sent_in_time = true;
     result.ended_at = start + milliseconds{50};
     result.status = status;
     result.complete = status != 0;
@@ -221,4 +222,104 @@
             CHECK(names(observed) == none);
         }
     }
+    SUBCASE("with requests that ran and whose connections ended without a response")
+    {
+        for (const auto* id : {"a", "b", "c"})
+        {
+            observed.calls.push_back(make_call(id, call_kind::single_run, 0));
+            observed.executions.push_back(make_run(id));
+        }
+
+        SUBCASE("accepts three of a run")
+        {
+            CHECK(names(observed) == none);
+        }
+        SUBCASE("reports each further one")
+        {
+            observed.calls.push_back(make_call("d", call_kind::idempotent, 0));
+            observed.executions.push_back(make_run("d"));
+            CHECK(names(observed) == only("unanswered"));
+            observed.calls.push_back(make_call("e", call_kind::single_run, 0));
+            observed.executions.push_back(make_run("e"));
+            CHECK(names(observed) == std::vector<std::string>{"unanswered", "unanswered"});
+
+            SUBCASE("also if the router was paused, the store was down or the machine stalled")
+            {
+                (void)observed.outages.begin(0, false, start);
+                (void)observed.outages.begin(store_component, false, start);
+                (void)observed.outages.begin(machine_component, false, start);
+                CHECK(names(observed).size() == 2);
+            }
+            SUBCASE("also if another router was killed")
+            {
+                observed.process_ends = {{1, 0, start + milliseconds{5}}};
+                (void)observed.outages.begin(1, false, start);
+                CHECK(names(observed).size() == 2);
+            }
+            SUBCASE("but not if the router itself was killed")
+            {
+                observed.process_ends = {{0, 0, start + milliseconds{5}}};
+                CHECK(names(observed) == none);
+                observed.process_ends = {{0, 1, start + milliseconds{5}}};
+                CHECK(names(observed).size() == 2);
+            }
+            SUBCASE("and not if the endpoints were disturbed shortly before")
+            {
+                const auto number =
+                    observed.outages.begin(endpoints_component, false, start - seconds{4});
+                observed.outages.end(number, start - seconds{2});
+                CHECK(names(observed) == none);
+            }
+        }
+        SUBCASE("and a fourth one that is excused by its own fate")
+        {
+            auto fourth = make_call("d", call_kind::plain_stream, 0);
+            observed.executions.push_back(make_run("d"));
+
+            SUBCASE("accepts one whose caller gave up")
+            {
+                fourth.abandoned = true;
+            }
+            SUBCASE("accepts one that ended after its deadline")
+            {
+                fourth.ended_at = fourth.written_at + request_deadline;
+            }
+            SUBCASE("accepts one that was not forwarded")
+            {
+                observed.executions.pop_back();
+            }
+            SUBCASE("accepts a truncated stream if another router was disturbed")
+            {
+                fourth.status = 200;
+                (void)observed.outages.begin(1, false, start);
+            }
+            observed.calls.push_back(fourth);
+            CHECK(names(observed) == none);
+        }
+        SUBCASE("reports a stream that was truncated while only its router was disturbed")
+        {
+            auto fourth = make_call("d", call_kind::plain_stream, 200);
+            fourth.complete = false;
+            observed.calls.push_back(fourth);
+            observed.executions.push_back(make_run("d"));
+            (void)observed.outages.begin(0, false, start);
+            CHECK(names(observed) == only("unanswered"));
+        }
+    }
+    SUBCASE("counts requests that a running router did not read before it closed the connection")
+    {
+        observed.calls = {make_call("a", call_kind::single_run, 0),
+                          make_call("b", call_kind::single_run, 0),
+                          make_call("c", call_kind::single_run)};
+        observed.executions = {make_run("b"), make_run("c")};
+        CHECK(invariant_checker{observed}.closed_unread() == 1);
+
+        SUBCASE("but not one that its caller wrote too slowly")
+        {
+            observed.calls.front().sent_in_time = false;
+            CHECK(invariant_checker{observed}.closed_unread() == 0);
+        }
+        observed.process_ends = {{0, 0, start}};
+        CHECK(invariant_checker{observed}.closed_unread() == 0);
+    }
 }
