--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -161,7 +161,13 @@
     co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
                                 asio::redirect_error(asio::use_awaitable, ec));
     read_deadline_.stop();
-    co_return !ec;
+    // Bytes may have arrived between the last look at the socket and the end of the wait.
+    const bool begun = !ec || peek(socket_) == peek_result::data;
+    if (!begun)
+    {
+        note_end(draining_ ? session_end::stopped : session_end::idle);
+    }
+    co_return begun;
 }
 
 void caller_session::start_idle_deadline(time_point at)
@@ -170,7 +176,6 @@
         at, [self = shared_from_this()] { return self->has_arrived(); },
         [self = shared_from_this()]
         {
-            self->note_end(self->draining_ ? session_end::stopped : session_end::idle);
             beast::error_code ec;
             self->socket_.cancel(ec);
         });
@@ -182,10 +187,10 @@
         at, [self = shared_from_this()] { return self->has_arrived(); },
         [self = shared_from_this()]
         {
-            self->note_end(session_end::request_timeout);
-            // A cancelled read could go on with the next one; one of a closed socket cannot.
             beast::error_code ec;
-            self->socket_.close(ec);
+            self->socket_.cancel(ec);
+            // The read may have completed just before and go on with the next one.
+            self->start_request_deadline(clock::now() + arrival_grace);
         });
 }
 
@@ -225,7 +230,9 @@
         std::string reason = ec.message();
         co_await refuse_early(kind_of_read_error(ec), std::move(reason));
     }
-    note_end(p.got_some() ? session_end::read_failed : session_end::caller_closed);
+    const bool expired = ec == asio::error::operation_aborted;
+    const auto broken = p.got_some() ? session_end::read_failed : session_end::caller_closed;
+    note_end(expired ? session_end::request_timeout : broken);
     co_return std::nullopt;
 }
 
