Log each request that the end of a stop cuts

Callers saw streams around SIGTERM that ended without a whole answer, and no log could say why: requests that the end of the grace period cuts had no line, only event=stopped sessions=N counted their connections.

Each now has a line, request_cut, with its endpoint, the status sent, when it had been read relative to the signal, how long it ran and what was left until its deadline; stopping and stopped tell the moments of the stop and what it cut. The moments are one value, stop_schedule, shared by the daemon and its sessions. A burst of lines larger than the log's buffer (some 140 lines) was dropped although the reader accepted it: the buffer is offered to the output first, without waiting. No decision changes.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -92,7 +92,7 @@
                 [this](instance_id from, const message& msg)
                 { core.on_message(from, msg, clock::now()); }},
           core{core_options, peers, adapter.parser, clock::now()}, discovery{core, log},
-          services{core, adapter.dialect, log, metrics, leaving, {}}, server{io, services},
+          services{core, adapter.dialect, log, metrics, {}}, server{io, services},
           ready_pages{io, [this](const monitoring_request&) { return ready_page(); }},
           metric_pages{io, [this](const monitoring_request& req) { return operator_page(req); }},
           source{adapter.make_source(io, discovery, options)}, stop_signals{io, SIGTERM, SIGINT},
@@ -123,6 +123,7 @@
     void refuse_connections();
     void await_last_session();
     void stop();
+    void exit();
 
     forward_router_options options;
     asio::io_context io;
@@ -135,7 +136,6 @@
     forward_core core;
     discovery_sink discovery;
     std::atomic<bool> ready{false};
-    std::atomic<bool> leaving{false};
     forward_services services;
     forward_server server;
     monitoring_server ready_pages;
@@ -145,7 +145,6 @@
     asio::signal_set reload_signals;
     asio::steady_timer ticker;
     asio::steady_timer stop_timer;
-    time_point stop_at{};
     time_point ticked_at{};
     milliseconds boot_time_at_tick{0};
     time_point labels_rotated_at{};
@@ -237,7 +236,7 @@
 void forward_router::state::update_readiness(time_point now)
 {
     // A ready instance stays ready during an outage of the store and serves with the data it has.
-    if (!leaving && !ready && discovery.has_initial_state())
+    if (!services.stop.stopping() && !ready && discovery.has_initial_state())
     {
         ready = true;
         log.write(absl::StrCat("event=ready settings=", core.settings()->stamp.version,
@@ -303,11 +302,15 @@
 void forward_router::state::begin_shutdown()
 {
     const auto now = clock::now();
-    leaving = true;
+    const auto schedule =
+        make_stop_schedule(now, options.drain_delay, options.grace_period - stop_margin);
+    services.stop.begin(schedule);
     ready = false;
-    stop_at = now + options.grace_period - stop_margin;
-    log.write(absl::StrCat("event=stopping sessions=", server.open_sessions()), now);
-    stop_timer.expires_at(now + std::min(options.drain_delay, options.grace_period - stop_margin));
+    log.write(absl::StrCat("event=stopping sessions=", server.open_sessions(),
+                           " accept_ms=", remaining_ms(schedule.accept_until, now),
+                           " cut_ms=", remaining_ms(schedule.cut_at, now)),
+              now);
+    stop_timer.expires_at(schedule.accept_until);
     stop_timer.async_wait(
         [this](boost::system::error_code ec)
         {
@@ -327,7 +330,7 @@
 void forward_router::state::await_last_session()
 {
     const auto now = clock::now();
-    if (server.drained() || now >= stop_at)
+    if (server.drained() || now >= services.stop.schedule()->cut_at)
     {
         stop();
         return;
@@ -345,13 +348,21 @@
 
 void forward_router::state::stop()
 {
-    const auto now = clock::now();
-    core.leave(now);
+    core.leave(clock::now());
     source->stop();
-    log.write(absl::StrCat("event=stopped sessions=", server.open_sessions()), now);
-    log.flush(now);
+    server.report_cut();
     stop_timer.expires_after(tick_period);
-    stop_timer.async_wait([this](boost::system::error_code) { io.stop(); });
+    stop_timer.async_wait([this](boost::system::error_code) { exit(); });
+}
+
+void forward_router::state::exit()
+{
+    const auto now = clock::now();
+    log.write(absl::StrCat("event=stopped sessions=", server.open_sessions(),
+                           " cut=", services.stop.summary().cut),
+              now);
+    log.flush(now);
+    io.stop();
 }
 
 forward_router::forward_router(forward_router_options options, forward_adapter adapter)
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -127,6 +127,7 @@
     const auto now = clock::now();
     const auto deadline = current.flow->request().deadline;
     current.dispatched_at = now;
+    current.endpoint_name = step.target.name;
     current.error_response.reset();
     current.endpoint_error = {};
     timed_out_ = false;
--- a/src/mangovane/net/forward_services.hpp
+++ b/src/mangovane/net/forward_services.hpp
@@ -2,13 +2,12 @@
 #ifndef MANGOVANE_NET_FORWARD_SERVICES_HPP
 #define MANGOVANE_NET_FORWARD_SERVICES_HPP
 
-#include <atomic>
-
 #include "mangovane/forward/forward_core.hpp"
 #include "mangovane/net/byte_budget.hpp"
 #include "mangovane/net/http_dialect.hpp"
 #include "mangovane/observe/event_log.hpp"
 #include "mangovane/observe/request_record.hpp"
+#include "mangovane/shutdown/stop_state.hpp"
 
 namespace mangovane
 {
@@ -46,9 +45,9 @@
     const http_dialect& dialect;
     event_log& log;
     request_observer& observer;
-    const std::atomic<bool>& leaving; ///< Shutting down: responses close the connection.
     forward_timeouts timeouts;
     byte_budget held_responses{max_held_response_bytes};
+    stop_state stop; ///< While the instance stops, responses close the connection.
 };
 
 } // namespace mangovane
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -14,6 +14,7 @@
 #include "mangovane/net/caller_request.hpp"
 #include "mangovane/net/graceful_close.hpp"
 #include "mangovane/net/spawn.hpp"
+#include "mangovane/shutdown/cut_request.hpp"
 
 namespace mangovane
 {
@@ -183,9 +184,32 @@
     }
 }
 
+void forward_session::request_cut_report()
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->report_cut(); });
+}
+
+void forward_session::report_cut()
+{
+    const auto schedule = services_.stop.schedule();
+    if (!schedule || end_ || !current_ || !current_->flow)
+    {
+        return;
+    }
+    const auto now = clock::now();
+    const auto& request = current_->flow->request();
+    services_.stop.count_cut();
+    services_.log.write(
+        log_line({request.request, request.route->name, current_->endpoint_name,
+                  current_->flow->attempts(), current_->status,
+                  elapsed(schedule->began_at, request.accepted_at),
+                  elapsed(request.accepted_at, now), elapsed(now, request.deadline)}),
+        now);
+}
+
 bool forward_session::keep_alive() const
 {
-    return keep_alive_ && !draining_ && !caller_disconnected_ && !services_.leaving.load();
+    return keep_alive_ && !draining_ && !caller_disconnected_ && !services_.stop.stopping();
 }
 
 asio::awaitable<bool> forward_session::await_first_byte(const http_limits& limits)
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -59,6 +59,7 @@
     std::shared_ptr<const std::string> body;
     std::optional<forward_flow> flow;
     std::optional<buffered_response> error_response; ///< Error response of the last attempt.
+    std::string endpoint_name;                       ///< Endpoint of the last attempt.
     boost::system::error_code endpoint_error;        ///< Why the last attempt's connection failed.
     sse_splitter events;
     std::string weights_version; ///< Version of the model weights that began the stream.
@@ -84,6 +85,9 @@
     /// A request that has arrived is served. Thread-safe.
     void request_drain();
 
+    /// Reports the current request, if any, as cut by the stop of the instance. Thread-safe.
+    void request_cut_report();
+
 private:
     using request_type = boost::beast::http::request<boost::beast::http::string_body>;
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -127,6 +131,7 @@
     /// Logs why a request is refused, if a part of its prompt is quarantined.
     void log_quarantine(const refuse_step& step) const;
     void drain();
+    void report_cut();
     [[nodiscard]] bool keep_alive() const;
 
     // Implemented in forward_attempt.cpp: attempts at endpoints.
--- a/src/mangovane/net/session_server.hpp
+++ b/src/mangovane/net/session_server.hpp
@@ -21,7 +21,8 @@
 namespace mangovane
 {
 
-/// `Session` is constructible from a socket and the services, and has `run` and `request_drain`.
+/// `Session` is constructible from a socket and the services, and has `run`,
+/// `request_drain` and `request_cut_report`.
 template <class Session, class Services>
 class session_server
 {
@@ -55,6 +56,16 @@
         boost::asio::post(acceptor_.get_executor(), [this] { drain_acceptor(); });
     }
 
+    /// Lets each session report the request that it serves, if any, as cut.
+    void report_cut()
+    {
+        const std::lock_guard lock{mutex_};
+        for (const auto& it : sessions_)
+        {
+            it->request_cut_report();
+        }
+    }
+
     /// Whether `drain` has taken effect and all sessions have ended.
     [[nodiscard]] bool drained() const
     {
--- a/src/mangovane/observe/event_log.cpp
+++ b/src/mangovane/observe/event_log.cpp
@@ -70,6 +70,10 @@
 void event_log::write(std::string_view text, time_point now)
 {
     const std::lock_guard lock{mutex_};
+    if (buffer_.size() + text.size() > limits_.buffer_bytes)
+    {
+        buffer_.erase(0, output_.write(buffer_));
+    }
     if (buffer_.size() + text.size() > limits_.buffer_bytes || !take_token(now))
     {
         ++dropped_;
--- a/src/mangovane/observe/event_log.hpp
+++ b/src/mangovane/observe/event_log.hpp
@@ -49,7 +49,8 @@
     /// The output must outlive the log.
     event_log(log_output& output, log_limits limits, time_point now);
 
-    /// Appends a line `time=<Unix ms> <text>`; drops it when a limit is reached.
+    /// Appends a line `time=<Unix ms> <text>`; drops it when a limit is reached. A full buffer is
+    /// offered to the output first.
     void write(std::string_view text, time_point now);
 
     /// Writes buffered lines to the output, and reports newly dropped lines. Call a few times per
--- a/test/mangovane/observe/event_log.cpp
+++ b/test/mangovane/observe/event_log.cpp
@@ -64,6 +64,16 @@
         CHECK(log.dropped() >= 10000 - (50 + 10 * 100 + 1));
         CHECK(output.text.find("event=log_dropped lines=") != std::string::npos);
     }
+    SUBCASE("keeps a burst that exceeds its buffer while the reader accepts it")
+    {
+        for (int n = 0; n != 40; ++n)
+        {
+            log.write(std::string(1000, 'x'), start);
+        }
+        log.flush(start);
+        CHECK(lines_in(output.text) == 40);
+        CHECK(log.dropped() == 0);
+    }
     SUBCASE("buffers a bounded amount while the reader is stopped, and continues afterwards")
     {
         output.room = 10;
--- a/test/platform/failing_session.cpp
+++ b/test/platform/failing_session.cpp
@@ -118,7 +118,7 @@
     served_routes()
         : core_{{}, sink_, &platform::decode_settings, clock::now()}, log_{output_, log_limits{},
                                                                            clock::now()},
-          services_{core_, dialect, log_, metrics, leaving_, {}}, server_{io_, services_}
+          services_{core_, dialect, log_, metrics, {}}, server_{io_, services_}
     {
         const auto text = platform::encode_operator_state({configuration_text({}), {}});
         core_.adopt_settings(*platform::decode_settings(text, 1), clock::now());
@@ -173,7 +173,6 @@
     discarding_output output_;
     forward_core core_;
     event_log log_;
-    std::atomic<bool> leaving_{false};
     asio::io_context io_{1};
     forward_services services_;
     forward_server server_;
--- a/test/platform/planned_stop.cpp
+++ b/test/platform/planned_stop.cpp
@@ -2,6 +2,7 @@
 // for it, has accepted them: requests on connections that wait to be accepted, and heads that have
 // arrived in part.
 #include <csignal>
+#include <fstream>
 #include <thread>
 
 #include <absl/strings/str_cat.h>
@@ -9,6 +10,7 @@
 
 #include "platform/raw_caller.hpp"
 #include "platform/router_fleet.hpp"
+#include "platform/scratch_folder.hpp"
 #include "platform/scripted_endpoint.hpp"
 
 using namespace mangovane;
@@ -44,6 +46,20 @@
     };
 }
 
+/// First line of the file that has the text; empty if none has.
+std::string line_with(const std::string& file, const std::string& text)
+{
+    std::ifstream in{file};
+    for (std::string line; std::getline(in, line);)
+    {
+        if (line.find(text) != std::string::npos)
+        {
+            return line;
+        }
+    }
+    return {};
+}
+
 std::string stream_request(const std::string& id)
 {
     return request_text("POST", "review", id, "X-Prefix-Hash: aa:100\r\n");
@@ -167,6 +183,44 @@
     CHECK(fleet.processes[0]->wait(grace_period) == 0);
 }
 
+TEST_CASE("a router whose stop cuts requests")
+{
+    constexpr milliseconds grace_period{2000};
+    constexpr std::size_t caller_count = 200;
+    const scratch_folder folder{"planned-stop"};
+    router_fleet fleet{1, {.log_folder = folder.path, .grace_period = grace_period}};
+    const scripted_endpoint endpoint{stream_for(grace_period * 3)};
+    fleet.write_address("stream", "dictamen", endpoint.address());
+    REQUIRE(fleet.await_ready(0));
+    std::this_thread::sleep_for(time_to_register);
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (std::size_t n = 0; n != caller_count; ++n)
+    {
+        callers.push_back(std::make_unique<raw_caller>(fleet.address(0, 0)));
+        callers.back()->send(stream_request(absl::StrCat("long-", n)));
+    }
+    const auto all_started = [&] { return endpoint.started() == static_cast<int>(caller_count); };
+    REQUIRE(eventually(all_started, milliseconds{4000}));
+    fleet.processes[0]->signal(SIGTERM);
+    CHECK(fleet.processes[0]->wait(grace_period * 2) == 0);
+
+    SUBCASE("names each of them in its log, with its endpoint and when it was read")
+    {
+        std::size_t named = 0;
+        for (std::size_t n = 0; n != caller_count; ++n)
+        {
+            const auto line = line_with(fleet.log_file(0),
+                                        absl::StrCat("event=request_cut request=long-", n, " "));
+            const bool whole = line.find(" endpoint=stream ") != std::string::npos &&
+                               line.find(" read_after_ms=-") != std::string::npos;
+            named += whole ? 1U : 0U;
+        }
+        CHECK(named == caller_count);
+        CHECK(line_with(fleet.log_file(0), "event=stopped ")
+                  .ends_with(absl::StrCat(" cut=", caller_count)));
+    }
+}
+
 TEST_CASE("a router that is paused while its time to take connections ends")
 {
     constexpr milliseconds drain_delay{500};
