Read callers' connections by one part in both front ends

forward_session and caller_session each had the waits for a request, the two read deadlines, the drain and the classification of a failed read. No behaviour changes, but that the native front end, too, counts bytes that were read ahead as a begun request when it names the end of a connection.

--- /dev/null
+++ b/src/mangovane/net/caller_reader.cpp
@@ -0,0 +1,95 @@
+// Implementation of the reading side of a caller's connection.
+#include "mangovane/net/caller_reader.hpp"
+
+#include <utility>
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "mangovane/net/caller_connection.hpp"
+
+namespace mangovane
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+asio::awaitable<bool> caller_reader::await_first_byte(time_point idle_deadline, owner_ptr owner)
+{
+    if (buffer_.size() != 0)
+    {
+        co_return true;
+    }
+    const auto deadline = draining_ ? clock::now() + first_request_wait : idle_deadline;
+    start_idle_deadline(deadline, std::move(owner));
+    waiting_ = true;
+    boost::system::error_code ec;
+    co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                                asio::redirect_error(asio::use_awaitable, ec));
+    waiting_ = false;
+    deadline_.stop();
+    // Bytes may have arrived between the last look at the socket and the end of the wait.
+    co_return !ec || peek(socket_) == peek_result::data;
+}
+
+void caller_reader::start_idle_deadline(time_point at, owner_ptr owner)
+{
+    deadline_.start(
+        at, [this, owner] { return has_arrived(); }, [this, owner] { cancel(); });
+}
+
+void caller_reader::start_deadline(time_point at, owner_ptr owner)
+{
+    deadline_.start(
+        at, [this, owner] { return has_arrived(); },
+        [this, owner]
+        {
+            cancel();
+            // The read may have completed just before and go on with the next one.
+            start_deadline(clock::now() + arrival_grace, owner);
+        });
+}
+
+void caller_reader::drain(const owner_ptr& owner)
+{
+    draining_ = true;
+    if (waiting_ && peek(socket_) != peek_result::data)
+    {
+        const auto wait = requests_ != 0 ? milliseconds{0} : first_request_wait;
+        start_idle_deadline(clock::now() + wait, owner);
+    }
+}
+
+void caller_reader::cancel()
+{
+    boost::system::error_code ec;
+    socket_.cancel(ec);
+}
+
+std::optional<error_kind> kind_of_bad_input(const boost::system::error_code& ec)
+{
+    if (ec == http::error::body_limit)
+    {
+        return error_kind::body_too_large;
+    }
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+    {
+        return error_kind::header_too_large;
+    }
+    const bool connection = ec == http::error::end_of_stream || ec == http::error::partial_message;
+    const bool bad = ec.category() == http::make_error_code(http::error::bad_method).category();
+    return bad && !connection ? std::optional{error_kind::malformed_request} : std::nullopt;
+}
+
+session_end end_of_failed_read(const boost::system::error_code& ec, bool begun)
+{
+    if (ec == asio::error::operation_aborted)
+    {
+        return session_end::request_timeout;
+    }
+    return begun ? session_end::read_failed : session_end::caller_closed;
+}
+
+} // namespace mangovane
--- /dev/null
+++ b/src/mangovane/net/caller_reader.hpp
@@ -0,0 +1,85 @@
+// Reading side of a caller's connection: waits for requests, and ends the waits in time.
+#ifndef MANGOVANE_NET_CALLER_READER_HPP
+#define MANGOVANE_NET_CALLER_READER_HPP
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "mangovane/core/error_kind.hpp"
+#include "mangovane/net/peek.hpp"
+#include "mangovane/net/session_end.hpp"
+#include "mangovane/net/socket_deadline.hpp"
+
+namespace mangovane
+{
+
+/// Used by the sessions of both front ends. All functions are called on the socket's executor,
+/// which must be a strand. `owner` keeps the session, and with it the socket and the reader, alive
+/// while an operation is pending.
+class caller_reader
+{
+public:
+    using owner_ptr = std::shared_ptr<void>;
+
+    /// The socket outlives the reader.
+    explicit caller_reader(boost::asio::ip::tcp::socket& socket)
+        : socket_{socket}, deadline_{socket.get_executor()}
+    {}
+
+    /// Bytes that were read ahead.
+    [[nodiscard]] boost::beast::flat_buffer& buffer() noexcept { return buffer_; }
+
+    /// Waits for the first byte of the next request. False if none arrived until the idle deadline,
+    /// or for `first_request_wait` while the instance stops.
+    boost::asio::awaitable<bool> await_first_byte(time_point idle_deadline, owner_ptr owner);
+
+    /// Starts the deadline for the next part of a request; the pending read then fails with
+    /// `operation_aborted`.
+    void start_deadline(time_point at, owner_ptr owner);
+    void stop_deadline() { deadline_.stop(); }
+
+    /// Records that a request has been read.
+    void on_request_read() noexcept { ++requests_; }
+    [[nodiscard]] std::uint32_t requests() const noexcept { return requests_; }
+
+    /// The instance stops: an idle connection ends, one that was never used after
+    /// `first_request_wait`. A request that has arrived, even in part, is read.
+    void drain(const owner_ptr& owner);
+    [[nodiscard]] bool draining() const noexcept { return draining_; }
+
+    /// Ends the pending wait or read.
+    void cancel();
+
+    /// Whether bytes of the caller were not read.
+    [[nodiscard]] bool has_unread_bytes()
+    {
+        return buffer_.size() != 0 || peek(socket_) == peek_result::data;
+    }
+
+private:
+    void start_idle_deadline(time_point at, owner_ptr owner);
+    /// Whether bytes of the caller, or the end of its connection, have arrived and were not read.
+    [[nodiscard]] bool has_arrived() { return peek(socket_) != peek_result::no_data; }
+
+    boost::asio::ip::tcp::socket& socket_;
+    socket_deadline deadline_;
+    boost::beast::flat_buffer buffer_;
+    std::uint32_t requests_{0};
+    bool waiting_{false}; ///< `await_first_byte` is pending; `buffer_` is empty.
+    bool draining_{false};
+};
+
+/// Error for bytes that are not an acceptable request; empty if the connection failed.
+[[nodiscard]] std::optional<error_kind> kind_of_bad_input(const boost::system::error_code& ec);
+
+/// Why the connection ends after a failed read; `begun`: a part of a request had been read.
+[[nodiscard]] session_end end_of_failed_read(const boost::system::error_code& ec, bool begun);
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -31,31 +31,11 @@
     return std::chrono::duration_cast<milliseconds>(clock::now() - start);
 }
 
-error_kind kind_of_read_error(const beast::error_code& ec)
-{
-    if (ec == http::error::body_limit)
-    {
-        return error_kind::body_too_large;
-    }
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
-    {
-        return error_kind::header_too_large;
-    }
-    return error_kind::malformed_request;
-}
-
-/// Whether the error is caused by the bytes received, not by a failed connection.
-bool is_bad_input(const beast::error_code& ec)
-{
-    return ec.category() == http::make_error_code(http::error::bad_method).category() &&
-           ec != http::error::end_of_stream && ec != http::error::partial_message;
-}
-
 } // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket, frontend_services& services)
-    : socket_{std::move(socket)}, services_{services}, read_deadline_{socket_.get_executor()},
-      write_deadline_{socket_.get_executor()}
+    : socket_{std::move(socket)}, services_{services}, reader_{socket_}, write_deadline_{
+                                                                             socket_.get_executor()}
 {}
 
 asio::awaitable<void> caller_session::run()
@@ -80,7 +60,7 @@
     if (descriptor_of(*end_).graceful)
     {
         const auto give_up_at = clock::now() + services_.limits.close_timeout;
-        co_await graceful_close(socket_, read_deadline_, give_up_at, shared_from_this());
+        co_await graceful_close(socket_, write_deadline_, give_up_at, shared_from_this());
     }
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     socket_.close(ec);
@@ -95,7 +75,7 @@
         {
             break;
         }
-        served_ = true;
+        reader_.on_request_read();
         idle_ = false;
         keep_alive_ = req->keep_alive();
         is_head_request_ = req->method() == http::verb::head;
@@ -109,7 +89,7 @@
     monitor_of(socket_.get_executor()).report("caller_request", error);
     note_end(session_end::failed);
     keep_alive_ = false;
-    read_deadline_.stop();
+    reader_.stop_deadline();
     const auto attempt = std::exchange(attempt_, nullptr);
     const bool unrecorded = exchange_ && record_.outcome.empty();
     if (const auto ex = std::exchange(exchange_, nullptr))
@@ -136,70 +116,28 @@
 
 void caller_session::request_drain()
 {
-    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->drain(); });
-}
-
-void caller_session::drain()
-{
-    draining_ = true;
-    // A request that has arrived, even in part, is served.
-    if (idle_ && !end_ && buffer_.size() == 0 && peek(socket_) != peek_result::data)
-    {
-        start_idle_deadline(clock::now() + (served_ ? milliseconds{0} : first_request_wait));
-    }
+    boost::asio::post(socket_.get_executor(),
+                      [self = shared_from_this()] { self->reader_.drain(self); });
 }
 
 asio::awaitable<bool> caller_session::await_first_byte()
 {
-    if (buffer_.size() != 0)
-    {
-        co_return true;
-    }
-    start_idle_deadline(clock::now() +
-                        (draining_ ? first_request_wait : services_.limits.callers.idle_timeout));
-    beast::error_code ec;
-    co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
-                                asio::redirect_error(asio::use_awaitable, ec));
-    read_deadline_.stop();
-    // Bytes may have arrived between the last look at the socket and the end of the wait.
-    const bool begun = !ec || peek(socket_) == peek_result::data;
+    const auto idle_deadline = clock::now() + services_.limits.callers.idle_timeout;
+    const bool begun = co_await reader_.await_first_byte(idle_deadline, shared_from_this());
     if (!begun)
     {
-        note_end(draining_ ? session_end::stopped : session_end::idle);
+        note_end(reader_.draining() ? session_end::stopped : session_end::idle);
     }
     co_return begun;
 }
 
-void caller_session::start_idle_deadline(time_point at)
-{
-    read_deadline_.start(
-        at, [self = shared_from_this()] { return self->has_arrived(); },
-        [self = shared_from_this()]
-        {
-            beast::error_code ec;
-            self->socket_.cancel(ec);
-        });
-}
-
-void caller_session::start_request_deadline(time_point at)
-{
-    read_deadline_.start(
-        at, [self = shared_from_this()] { return self->has_arrived(); },
-        [self = shared_from_this()]
-        {
-            beast::error_code ec;
-            self->socket_.cancel(ec);
-            // The read may have completed just before and go on with the next one.
-            self->start_request_deadline(clock::now() + arrival_grace);
-        });
-}
-
 asio::awaitable<std::optional<http_request>> caller_session::read_request()
 {
     parser p;
     p.header_limit(services_.limits.callers.header_bytes);
     p.body_limit(services_.limits.callers.body_bytes);
-    buffer_.max_size(
+    auto& buffer = reader_.buffer();
+    buffer.max_size(
         std::max<std::size_t>(services_.limits.callers.header_bytes, min_read_buffer_bytes));
     const bool begun = co_await await_first_byte();
     if (!begun)
@@ -209,30 +147,30 @@
     idle_ = false;
     response_started_ = false;
     beast::error_code ec;
-    start_request_deadline(clock::now() + services_.limits.callers.idle_timeout);
-    co_await http::async_read_header(socket_, buffer_, p,
+    reader_.start_deadline(clock::now() + services_.limits.callers.idle_timeout,
+                           shared_from_this());
+    co_await http::async_read_header(socket_, buffer, p,
                                      asio::redirect_error(asio::use_awaitable, ec));
     if (!ec)
     {
-        start_request_deadline(clock::now() + services_.limits.callers.header_timeout);
-        co_await http::async_read(socket_, buffer_, p,
+        reader_.start_deadline(clock::now() + services_.limits.callers.header_timeout,
+                               shared_from_this());
+        co_await http::async_read(socket_, buffer, p,
                                   asio::redirect_error(asio::use_awaitable, ec));
     }
-    read_deadline_.stop();
+    reader_.stop_deadline();
     if (!ec)
     {
         co_return p.release();
     }
-    if (is_bad_input(ec))
+    if (const auto bad = kind_of_bad_input(ec))
     {
         note_end(session_end::rejected);
         keep_alive_ = false;
         std::string reason = ec.message();
-        co_await refuse_early(kind_of_read_error(ec), std::move(reason));
+        co_await refuse_early(*bad, std::move(reason));
     }
-    const bool expired = ec == asio::error::operation_aborted;
-    const auto broken = p.got_some() ? session_end::read_failed : session_end::caller_closed;
-    note_end(expired ? session_end::request_timeout : broken);
+    note_end(end_of_failed_read(ec, buffer.size() != 0 || p.got_some()));
     co_return std::nullopt;
 }
 
@@ -373,7 +311,7 @@
     params.request = request_->forwarded;
     params.idempotent = request_->routed.idempotent;
     params.store_response = !request_->routed.key.empty();
-    keep_alive_ = keep_alive_ && !draining_;
+    keep_alive_ = keep_alive_ && !reader_.draining();
     params.keep_alive = keep_alive_;
     params.deadline = request_->routed.deadline;
     if (!request_->routed.chat.empty())
@@ -489,7 +427,7 @@
     {
         head.set(http::field::retry_after, std::to_string(retry_after_s));
     }
-    keep_alive_ = keep_alive_ && !draining_ && !caller_disconnected_;
+    keep_alive_ = keep_alive_ && !reader_.draining() && !caller_disconnected_;
     const bool has_length =
         head.result() != http::status::no_content && head.result() != http::status::not_modified;
     const auto length = has_length ? std::optional<std::uint64_t>{body.size()} : std::nullopt;
--- a/src/mangovane/net/caller_session.hpp
+++ b/src/mangovane/net/caller_session.hpp
@@ -10,8 +10,8 @@
 
 #include <boost/beast/http/parser.hpp>
 
+#include "mangovane/net/caller_reader.hpp"
 #include "mangovane/net/endpoint_attempt.hpp"
-#include "mangovane/net/peek.hpp"
 #include "mangovane/net/request_exchange.hpp"
 #include "mangovane/net/session_end.hpp"
 #include "mangovane/net/socket_deadline.hpp"
@@ -46,12 +46,6 @@
     boost::asio::awaitable<void> on_failure(std::exception_ptr error);
     boost::asio::awaitable<bool> await_first_byte();
     boost::asio::awaitable<std::optional<http_request>> read_request();
-    /// Starts the deadline for the first byte of a request.
-    void start_idle_deadline(time_point at);
-    /// Starts the deadline for the next part of a request.
-    void start_request_deadline(time_point at);
-    /// Whether bytes of the caller, or the end of its connection, have arrived and were not read.
-    [[nodiscard]] bool has_arrived() { return peek(socket_) != peek_result::no_data; }
     boost::asio::awaitable<void> serve(const http_request& req);
     /// Responds without an endpoint: readiness, metrics and the like.
     boost::asio::awaitable<void>
@@ -66,15 +60,13 @@
     void start_attempt(const send_attempt& action);
     void record_outcome(std::string outcome);
     void on_caller_disconnected();
-    void drain();
     /// Keeps the first cause of the end of the connection.
     void note_end(session_end end) { end_ = end_.value_or(end); }
 
     boost::asio::ip::tcp::socket socket_;
     frontend_services& services_;
-    socket_deadline read_deadline_;
+    caller_reader reader_;
     socket_deadline write_deadline_;
-    boost::beast::flat_buffer buffer_;
     std::shared_ptr<request_exchange> exchange_; ///< Of the current request; null between requests.
     std::shared_ptr<endpoint_attempt> attempt_;  ///< Null between attempts.
     std::optional<caller_request> request_;      ///< Current request.
@@ -83,9 +75,7 @@
     bool keep_alive_{true};
     bool is_head_request_{false};  ///< The current request has the method HEAD.
     bool idle_{true};              ///< Between two requests.
-    bool served_{false};           ///< A request has been read.
     bool response_started_{false}; ///< Bytes of the current response may have been sent.
-    bool draining_{false};
     bool caller_disconnected_{false};
     std::optional<session_end> end_; ///< Empty while the connection goes on.
 };
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -45,22 +45,6 @@
     return std::chrono::duration_cast<milliseconds>(to - from);
 }
 
-/// Error for bytes that are not an acceptable request; empty if the connection failed.
-std::optional<error_kind> kind_of_bad_input(const beast::error_code& ec)
-{
-    if (ec == http::error::body_limit)
-    {
-        return error_kind::body_too_large;
-    }
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
-    {
-        return error_kind::header_too_large;
-    }
-    const bool connection = ec == http::error::end_of_stream || ec == http::error::partial_message;
-    const bool bad = ec.category() == http::make_error_code(http::error::bad_method).category();
-    return bad && !connection ? std::optional{error_kind::malformed_request} : std::nullopt;
-}
-
 /// Whether two HTTP parsers could disagree on the end of the body or on the host. Forwarding such a
 /// request would allow request smuggling.
 bool is_ambiguous(const http::request_header<>& head)
@@ -74,7 +58,7 @@
 } // namespace
 
 forward_session::forward_session(asio::ip::tcp::socket socket, forward_services& services)
-    : socket_{std::move(socket)}, services_{services}, read_deadline_{socket_.get_executor()},
+    : socket_{std::move(socket)}, services_{services}, reader_{socket_},
       write_deadline_{socket_.get_executor()}, call_deadline_{socket_.get_executor()}
 {}
 
@@ -116,7 +100,7 @@
         {
             break;
         }
-        ++requests_;
+        reader_.on_request_read();
         co_await serve();
         current_.reset();
     }
@@ -127,7 +111,7 @@
     monitor_of(socket_.get_executor()).report("caller_request", error);
     note_end(session_end::failed);
     keep_alive_ = false;
-    read_deadline_.stop();
+    reader_.stop_deadline();
     call_deadline_.stop();
     if (!current_)
     {
@@ -159,29 +143,20 @@
 {
     const auto& end = descriptor_of(*end_);
     services_.observer.on_session_end(end.name);
-    const bool unread = buffer_.size() != 0 || peek(socket_) == peek_result::data;
+    const bool unread = reader_.has_unread_bytes();
     if (end.logged || unread)
     {
-        services_.log.write(absl::StrCat("event=session_ended reason=",
-                                         absl::string_view{end.name.data(), end.name.size()},
-                                         " requests=", requests_, " unread=", unread ? 1 : 0),
-                            clock::now());
+        services_.log.write(
+            absl::StrCat(
+                "event=session_ended reason=", absl::string_view{end.name.data(), end.name.size()},
+                " requests=", reader_.requests(), " unread=", unread ? 1 : 0),
+            clock::now());
     }
 }
 
 void forward_session::request_drain()
 {
-    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->drain(); });
-}
-
-void forward_session::drain()
-{
-    draining_ = true;
-    const bool idle = !current_ && buffer_.size() == 0;
-    if (idle && !end_ && peek(socket_) != peek_result::data)
-    {
-        start_idle_deadline(clock::now() + (requests_ != 0 ? milliseconds{0} : first_request_wait));
-    }
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->reader_.drain(self); });
 }
 
 void forward_session::request_cut_report()
@@ -209,55 +184,26 @@
 
 bool forward_session::keep_alive() const
 {
-    return keep_alive_ && !draining_ && !caller_disconnected_ && !services_.stop.stopping();
+    return keep_alive_ && !reader_.draining() && !caller_disconnected_ &&
+           !services_.stop.stopping();
 }
 
 asio::awaitable<bool> forward_session::await_first_byte(const http_limits& limits)
 {
-    if (buffer_.size() != 0)
+    if (reader_.buffer().size() == 0)
     {
-        co_return true;
+        // Idle connections hold no buffer memory.
+        reader_.buffer().shrink_to_fit();
     }
-    // Idle connections hold no buffer memory.
-    buffer_.shrink_to_fit();
-    start_idle_deadline(clock::now() + (draining_ ? first_request_wait : limits.idle_timeout));
-    error_code ec;
-    co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
-                                asio::redirect_error(asio::use_awaitable, ec));
-    read_deadline_.stop();
-    // Bytes may have arrived between the last look at the socket and the end of the wait.
-    const bool begun = !ec || peek(socket_) == peek_result::data;
+    const auto idle_deadline = clock::now() + limits.idle_timeout;
+    const bool begun = co_await reader_.await_first_byte(idle_deadline, shared_from_this());
     if (!begun)
     {
-        note_end(draining_ ? session_end::stopped : session_end::idle);
+        note_end(reader_.draining() ? session_end::stopped : session_end::idle);
     }
     co_return begun;
 }
 
-void forward_session::start_idle_deadline(time_point at)
-{
-    read_deadline_.start(
-        at, [self = shared_from_this()] { return self->has_arrived(); },
-        [self = shared_from_this()]
-        {
-            error_code ec;
-            self->socket_.cancel(ec);
-        });
-}
-
-void forward_session::start_request_deadline(time_point at)
-{
-    read_deadline_.start(
-        at, [self = shared_from_this()] { return self->has_arrived(); },
-        [self = shared_from_this()]
-        {
-            error_code ec;
-            self->socket_.cancel(ec);
-            // The read may have completed just before and go on with the next one.
-            self->start_request_deadline(clock::now() + arrival_grace);
-        });
-}
-
 asio::awaitable<bool> forward_session::read_request()
 {
     const auto settings = services_.core.settings();
@@ -271,10 +217,11 @@
     request_parser p;
     p.header_limit(limits.header_bytes);
     p.body_limit(limits.body_bytes);
-    buffer_.max_size(std::max<std::size_t>(limits.header_bytes, min_read_buffer_bytes));
+    auto& buffer = reader_.buffer();
+    buffer.max_size(std::max<std::size_t>(limits.header_bytes, min_read_buffer_bytes));
     error_code ec;
-    start_request_deadline(clock::now() + limits.header_timeout);
-    co_await http::async_read_header(socket_, buffer_, p,
+    reader_.start_deadline(clock::now() + limits.header_timeout, shared_from_this());
+    co_await http::async_read_header(socket_, buffer, p,
                                      asio::redirect_error(asio::use_awaitable, ec));
     if (!ec && beast::iequals(p.get()[http::field::expect], "100-continue"))
     {
@@ -283,10 +230,10 @@
     }
     if (!ec && !p.is_done())
     {
-        co_await http::async_read(socket_, buffer_, p,
+        co_await http::async_read(socket_, buffer, p,
                                   asio::redirect_error(asio::use_awaitable, ec));
     }
-    read_deadline_.stop();
+    reader_.stop_deadline();
     const bool ambiguous = is_ambiguous(p.get().base());
     const auto bad = !ec && ambiguous ? error_kind::malformed_request : kind_of_bad_input(ec);
     if (bad)
@@ -298,10 +245,7 @@
     }
     if (ec || bad)
     {
-        const bool some = buffer_.size() != 0 || p.got_some();
-        const bool expired = ec == asio::error::operation_aborted;
-        const auto broken = some ? session_end::read_failed : session_end::caller_closed;
-        note_end(expired ? session_end::request_timeout : broken);
+        note_end(end_of_failed_read(ec, buffer.size() != 0 || p.got_some()));
         co_return false;
     }
     current_->message = p.release();
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -9,14 +9,13 @@
 #include <span>
 #include <string>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "mangovane/net/caller_reader.hpp"
 #include "mangovane/net/event_boundary.hpp"
 #include "mangovane/net/forward_services.hpp"
 #include "mangovane/net/http_serialization.hpp"
-#include "mangovane/net/peek.hpp"
 #include "mangovane/net/session_end.hpp"
 #include "mangovane/net/socket_deadline.hpp"
 #include "mangovane/net/sse_splitter.hpp"
@@ -104,12 +103,6 @@
     boost::asio::awaitable<void> on_failure(std::exception_ptr error);
     boost::asio::awaitable<bool> read_request();
     boost::asio::awaitable<bool> await_first_byte(const http_limits& limits);
-    /// Starts the deadline for the first byte of a request.
-    void start_idle_deadline(time_point at);
-    /// Starts the deadline for a whole request.
-    void start_request_deadline(time_point at);
-    /// Whether bytes of the caller, or the end of its connection, have arrived and were not read.
-    [[nodiscard]] bool has_arrived() { return peek(socket_) != peek_result::no_data; }
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<bool> execute_step(const forward_step& step, forward_step& next);
     boost::asio::awaitable<void>
@@ -130,7 +123,6 @@
     void report_end();
     /// Logs why a request is refused, if a part of its prompt is quarantined.
     void log_quarantine(const refuse_step& step) const;
-    void drain();
     void report_cut();
     [[nodiscard]] bool keep_alive() const;
 
@@ -178,8 +170,7 @@
 
     boost::asio::ip::tcp::socket socket_;
     forward_services& services_;
-    boost::beast::flat_buffer buffer_;
-    socket_deadline read_deadline_;          ///< For a request of the caller.
+    caller_reader reader_;
     socket_deadline write_deadline_;         ///< For data that the caller has to accept.
     socket_deadline call_deadline_;          ///< For the current attempt.
     std::shared_ptr<upstream_call> call_;    ///< Null between attempts.
@@ -187,13 +178,11 @@
     std::optional<bool> endpoint_refuses_;   ///< See `endpoint_refuses`; empty: not asked yet.
     time_point call_timeout_at_{};           ///< When `call_deadline_` expires.
     std::optional<session_end> end_;         ///< Why the connection ends; empty while it goes on.
-    std::uint32_t requests_{0};              ///< Requests that have been read.
     bool timed_out_{false};                  ///< `call_deadline_` has closed the call.
     std::uint64_t watch_{0};                 ///< Number of the current `watch_caller`.
     bool write_expired_{false};              ///< `write_deadline_` has ended the last wait.
     bool caller_disconnected_{false};
     bool keep_alive_{true};
-    bool draining_{false};
 };
 
 } // namespace mangovane
--- a/src/mangovane/net/fwd.hpp
+++ b/src/mangovane/net/fwd.hpp
@@ -6,6 +6,7 @@
 {
 
 class native_server;
+class caller_reader;
 class caller_session;
 class request_exchange;
 class endpoint_attempt;
