Refuse requests that a stop would cut

What callers saw: streams around SIGTERM of an instance that were run by an endpoint and ended closed, with a status and without a whole answer; on routes whose work may neither be resumed nor sent again the work was lost.

Cause: a stop had no last moment at which work is accepted. A response that began before SIGTERM has promised a kept connection. When it ended after the drain delay, the session waited for one more request, read it, however late and whether it had been waiting, pipelined or half sent, passed it on, and the exit cut it. The limit on the drain bounds new connections only.

Fix: a stop has one admission deadline, SIGTERM + drain delay, stored as a time in stop_schedule and asked for every request when its last byte has been read. A later request is accepted only if its own deadline ends it before the cut, whatever its endpoint does. Otherwise it is refused at once: 503 "stopping", not run, with a Retry-After, and the end of the connection; another instance takes it. That holds for every path because all requests pass one place, and doesn't depend on when a timer fires.

--- a/src/mangovane/core/error_kind.cpp
+++ b/src/mangovane/core/error_kind.cpp
@@ -32,6 +32,7 @@
     {error_kind::prompt_quarantined, "prompt_quarantined", 503, true, true, 30},
     {error_kind::store_unavailable, "store_unavailable", 503, true, true, 2},
     {error_kind::not_ready, "not_ready", 503, true, true, 1},
+    {error_kind::stopping, "stopping", 503, true, true, 1},
     {error_kind::deadline_exceeded, "deadline_exceeded", 504, true, true, 0},
     {error_kind::deadline_exceeded_running, "deadline_exceeded_running", 504, false, false, 0},
     {error_kind::endpoint_failed, "endpoint_failed", 502, false, false, 0},
--- a/src/mangovane/core/error_kind.hpp
+++ b/src/mangovane/core/error_kind.hpp
@@ -36,6 +36,7 @@
     prompt_quarantined,
     store_unavailable,
     not_ready,
+    stopping,
     deadline_exceeded,
     deadline_exceeded_running,
     endpoint_failed,
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -358,8 +358,9 @@
 void forward_router::state::exit()
 {
     const auto now = clock::now();
+    const auto summary = services.stop.summary();
     log.write(absl::StrCat("event=stopped sessions=", server.open_sessions(),
-                           " cut=", services.stop.summary().cut),
+                           " refused=", summary.refused, " cut=", summary.cut),
               now);
     log.flush(now);
     io.stop();
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -87,6 +87,9 @@
     /// Returns the first step.
     [[nodiscard]] forward_step start(time_point now);
 
+    /// Returns the only step of a request that the instance is too late to accept, as it stops.
+    [[nodiscard]] forward_step refuse_late() const { return refuse(error_kind::stopping); }
+
     /// Returns the step after an attempt has ended.
     [[nodiscard]] forward_step on_result(attempt_result result, time_point now);
 
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -273,10 +273,14 @@
     }
     current.body = std::make_shared<const std::string>(std::move(current.message.body()));
     remove_hop_by_hop_fields(current.message);
-    services_.core.on_accepted(*request);
+    const bool admitted = services_.stop.admit(now, request->deadline);
+    if (admitted)
+    {
+        services_.core.on_accepted(*request);
+    }
     current.flow.emplace(std::move(*request), services_.core);
     watch_caller();
-    auto step = current.flow->start(now);
+    auto step = admitted ? current.flow->start(now) : current.flow->refuse_late();
     auto next = step;
     while (co_await execute_step(step, next))
     {
--- a/src/mangovane/shutdown/stop_schedule.hpp
+++ b/src/mangovane/shutdown/stop_schedule.hpp
@@ -1,4 +1,4 @@
-// Moments of a planned stop.
+// Moments of a planned stop, and which requests are accepted between them.
 #ifndef MANGOVANE_SHUTDOWN_STOP_SCHEDULE_HPP
 #define MANGOVANE_SHUTDOWN_STOP_SCHEDULE_HPP
 
@@ -10,13 +10,24 @@
 namespace mangovane
 {
 
+/// Reserved between the deadline of a request that is accepted late and the cut, for its answer.
+inline constexpr milliseconds final_answer_time{150};
+
 /// Invariant: `began_at <= accept_until <= cut_at`.
 struct stop_schedule
 {
     time_point began_at;     ///< When the stop signal was handled.
-    time_point accept_until; ///< Connections are accepted until then.
+    time_point accept_until; ///< Connections and all requests are accepted until then.
     time_point cut_at;       ///< Requests that still run then are cut.
 
+    /// Whether a request is accepted that had been read completely at `read_at`: in time, or with a
+    /// deadline that ends it before the cut. The others would lose their work at the cut, while
+    /// another instance can still serve them.
+    [[nodiscard]] constexpr bool admits(time_point read_at, time_point deadline) const noexcept
+    {
+        return read_at <= accept_until || deadline + final_answer_time <= cut_at;
+    }
+
     auto operator<=>(const stop_schedule&) const = default;
 };
 
--- a/src/mangovane/shutdown/stop_state.hpp
+++ b/src/mangovane/shutdown/stop_state.hpp
@@ -16,7 +16,8 @@
 /// Requests that a stop has ended, for its last log line.
 struct stop_summary
 {
-    std::uint64_t cut{0}; ///< They still ran at the end of the grace period.
+    std::uint64_t refused{0}; ///< They were read too late.
+    std::uint64_t cut{0};     ///< They still ran at the end of the grace period.
 
     auto operator<=>(const stop_summary&) const = default;
 };
@@ -42,6 +43,19 @@
         return schedule_;
     }
 
+    /// Whether a request is accepted; see `stop_schedule::admits`. One that is not is counted.
+    [[nodiscard]] bool admit(time_point read_at, time_point deadline)
+    {
+        if (!stopping())
+        {
+            return true;
+        }
+        const std::lock_guard lock{mutex_};
+        const bool admitted = schedule_->admits(read_at, deadline);
+        summary_.refused += admitted ? 0U : 1U;
+        return admitted;
+    }
+
     void count_cut()
     {
         const std::lock_guard lock{mutex_};
--- a/test/mangovane/shutdown/stop_state.cpp
+++ b/test/mangovane/shutdown/stop_state.cpp
@@ -29,6 +29,24 @@
             CHECK(stop.summary().cut == 2);
         }
     }
+    SUBCASE("accepts every request before it begins")
+    {
+        CHECK(stop.admit(start, time_point::max()));
+        CHECK(stop.summary() == stop_summary{});
+    }
+    SUBCASE("accepts every request for a while, and then those that are sure to end in time")
+    {
+        const auto schedule = make_stop_schedule(start, milliseconds{2500}, milliseconds{7550});
+        stop.begin(schedule);
+        const auto late = schedule.accept_until + milliseconds{1};
+        const auto last_deadline = schedule.cut_at - final_answer_time;
+        CHECK(stop.admit(schedule.accept_until, time_point::max()));
+        CHECK(stop.admit(late, last_deadline));
+        CHECK(stop.summary().refused == 0);
+        CHECK_FALSE(stop.admit(late, last_deadline + milliseconds{1}));
+        CHECK_FALSE(stop.admit(last_deadline, start + seconds{12}));
+        CHECK(stop.summary().refused == 2);
+    }
     SUBCASE("accepts nothing after the cut, however long its drain delay is")
     {
         const auto schedule = make_stop_schedule(start, seconds{10}, seconds{3});
