Answer the requests that the end of a stop cuts

What callers saw: a request that still ran at the end of the grace period lost its connection with the exit of the process, without a word, whether it had been sent to an endpoint or not.

Cause: the exit was the cut. Sessions were not told that their time was over.

Fix: at the cut each session ends its request itself. A request that was not sent is refused (503, not run), so is one whose rest has not arrived; one that may have run gets 502, which promises nothing; a response that has begun ends without its terminator. The flow gets no further attempt, the endpoint isn't blamed (result "abandoned", health outcome "cancelled"), and the process waits up to 150 ms for the answers, inside the margin that was reserved for its exit.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -1,6 +1,7 @@
 // Implementation of the forwarding router daemon.
 #include "mangovane/daemon/forward_router.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <ctime>
@@ -41,8 +42,13 @@
 /// suspensions of the machine), is logged as a pause of the process.
 constexpr milliseconds logged_pause_threshold{1000};
 
-/// Part of the grace period that is reserved for the last messages and the exit of the process.
+/// Part of the grace period that is reserved for the answers of requests that were cut, the last
+/// messages and the exit of the process.
 constexpr milliseconds stop_margin{250};
+static_assert(final_answer_time + tick_period <= stop_margin);
+
+/// Period in which a stop checks whether the sessions that it has cut have ended.
+constexpr milliseconds cut_poll_period{20};
 
 /// Period in which the account labels of metrics are rotated.
 constexpr seconds label_rotation_period{60};
@@ -122,6 +128,10 @@
     void begin_shutdown();
     void refuse_connections();
     void await_last_session();
+    void cut_sessions();
+    void await_cut_sessions();
+    /// Calls a step of the shutdown at a later time.
+    void at(time_point when, void (state::*next)());
     void stop();
     void exit();
 
@@ -310,13 +320,18 @@
                            " accept_ms=", remaining_ms(schedule.accept_until, now),
                            " cut_ms=", remaining_ms(schedule.cut_at, now)),
               now);
-    stop_timer.expires_at(schedule.accept_until);
+    at(schedule.accept_until, &state::refuse_connections);
+}
+
+void forward_router::state::at(time_point when, void (state::*next)())
+{
+    stop_timer.expires_at(when);
     stop_timer.async_wait(
-        [this](boost::system::error_code ec)
+        [this, next](boost::system::error_code ec)
         {
             if (!ec)
             {
-                refuse_connections();
+                (this->*next)();
             }
         });
 }
@@ -330,29 +345,43 @@
 void forward_router::state::await_last_session()
 {
     const auto now = clock::now();
-    if (server.drained() || now >= services.stop.schedule()->cut_at)
+    const auto cut_at = services.stop.schedule()->cut_at;
+    if (server.drained())
+    {
+        stop();
+    }
+    else if (now >= cut_at)
+    {
+        cut_sessions();
+    }
+    else
+    {
+        at(std::min(now + tick_period, cut_at), &state::await_last_session);
+    }
+}
+
+void forward_router::state::cut_sessions()
+{
+    server.cut();
+    await_cut_sessions();
+}
+
+void forward_router::state::await_cut_sessions()
+{
+    const auto now = clock::now();
+    if (server.drained() || now >= services.stop.schedule()->cut_at + final_answer_time)
     {
         stop();
         return;
     }
-    stop_timer.expires_after(tick_period);
-    stop_timer.async_wait(
-        [this](boost::system::error_code ec)
-        {
-            if (!ec)
-            {
-                await_last_session();
-            }
-        });
+    at(now + cut_poll_period, &state::await_cut_sessions);
 }
 
 void forward_router::state::stop()
 {
     core.leave(clock::now());
     source->stop();
-    server.report_cut();
-    stop_timer.expires_after(tick_period);
-    stop_timer.async_wait([this](boost::system::error_code) { exit(); });
+    at(clock::now() + tick_period, &state::exit);
 }
 
 void forward_router::state::exit()
--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -64,6 +64,10 @@
     {
         return after_timeout(now);
     }
+    if (stopping_)
+    {
+        return refuse(error_kind::stopping);
+    }
     if (!prepared_)
     {
         const auto choice = choose(choice_purpose::dispatch, now);
@@ -113,6 +117,7 @@
         {health_outcome::failed, true, &forward_flow::after_timeout},
         {health_outcome::cancelled, true, &forward_flow::after_caller_left},
         {health_outcome::cancelled, false, &forward_flow::after_outdated},
+        {health_outcome::cancelled, true, &forward_flow::after_abandoned},
     }};
     const auto& rule = table[static_cast<std::size_t>(result)];
     attempt_open_ = false;
@@ -136,7 +141,7 @@
 
 bool forward_flow::may_run_again(std::uint32_t runs, time_point now) const noexcept
 {
-    return request_.route->may_repeat() && runs < request_.route->max_attempts &&
+    return !stopping_ && request_.route->may_repeat() && runs < request_.route->max_attempts &&
            now < request_.deadline;
 }
 
@@ -267,6 +272,11 @@
     return after_not_sent(now);
 }
 
+forward_step forward_flow::after_abandoned(time_point)
+{
+    return refuse(error_kind::stopping);
+}
+
 forward_step forward_flow::refuse(error_kind kind) const
 {
     if (response_started_)
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -31,9 +31,10 @@
     timed_out, ///< The deadline passed.
     caller_left, ///< The caller closed its connection, or accepts no more data.
     outdated,    ///< Nothing was sent, because too much time had passed since the choice.
+    abandoned,   ///< The instance stops and has ended the attempt; the request may have run.
 };
 
-inline constexpr std::size_t attempt_result_count = 12;
+inline constexpr std::size_t attempt_result_count = 13;
 
 /// Sends the request to an endpoint.
 struct send_step
@@ -93,6 +94,11 @@
     /// Returns the step after an attempt has ended.
     [[nodiscard]] forward_step on_result(attempt_result result, time_point now);
 
+    /// The grace period of a stop has ended: the current attempt is the last one. Report its result
+    /// as `abandoned`, or as `outdated` if nothing was sent.
+    void on_stop() noexcept { stopping_ = true; }
+    [[nodiscard]] bool stopping() const noexcept { return stopping_; }
+
     /// Ends the flow without another step, for example after an internal error: returns the
     /// capacity of the current attempt's endpoint and of a prepared one.
     void abandon(time_point now);
@@ -159,6 +165,7 @@
     [[nodiscard]] forward_step after_timeout(time_point now);
     [[nodiscard]] forward_step after_caller_left(time_point now);
     [[nodiscard]] forward_step after_outdated(time_point now);
+    [[nodiscard]] forward_step after_abandoned(time_point now);
 
     /// The endpoint of the next attempt, with the time of its choice.
     struct prepared_choice
@@ -204,6 +211,7 @@
     bool attempt_open_{false};     ///< The result of the current attempt is not known.
     bool response_started_{false}; ///< Part of the response has been sent to the caller.
     bool resumable_{true};         ///< See `on_not_resumable`.
+    bool stopping_{false};         ///< See `on_stop`.
     std::optional<time_point> answering_since_; ///< First event of the current attempt.
     bool survived_{false};                      ///< See `survived`; of the current attempt.
     std::optional<prepared_choice> prepared_;   ///< Its retry has been charged.
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -18,8 +18,8 @@
 {
 
 constexpr std::array<std::string_view, attempt_result_count> result_names{
-    "delivered", "not_sent", "refused", "misdirected", "error",       "broken",
-    "crashed",   "stalled",  "cut",     "timed_out",   "caller_left", "outdated"};
+    "delivered", "not_sent", "refused",   "misdirected", "error",    "broken",   "crashed",
+    "stalled",   "cut",      "timed_out", "caller_left", "outdated", "abandoned"};
 
 /// Category and value of an error, such as `beast.http:9`; "none" for no error.
 std::string error_text(const boost::system::error_code& ec)
@@ -98,6 +98,10 @@
     {
         return attempt_result::caller_left;
     }
+    if (current_->flow->stopping())
+    {
+        return attempt_result::abandoned;
+    }
     if (!timed_out_)
     {
         return fallback;
@@ -144,7 +148,9 @@
     if (!connected || caller_disconnected_)
     {
         call->close();
-        co_return caller_disconnected_ ? attempt_result::caller_left : attempt_result::not_sent;
+        const auto unsent =
+            current.flow->stopping() ? attempt_result::outdated : attempt_result::not_sent;
+        co_return caller_disconnected_ ? attempt_result::caller_left : unsent;
     }
     if (clock::now() > std::min(deadline, step.send_deadline))
     {
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -159,18 +159,42 @@
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->reader_.drain(self); });
 }
 
-void forward_session::request_cut_report()
+void forward_session::request_cut()
 {
-    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->report_cut(); });
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->cut(); });
 }
 
-void forward_session::report_cut()
+void forward_session::cut()
 {
-    const auto schedule = services_.stop.schedule();
-    if (!schedule || end_ || !current_ || !current_->flow)
+    if (end_)
+    {
+        return;
+    }
+    keep_alive_ = false;
+    if (!current_)
+    {
+        note_end(session_end::stopped);
+        reader_.cancel();
+        return;
+    }
+    note_end(session_end::stop_cut);
+    if (!current_->flow)
     {
+        // What has arrived by now is still read.
+        reader_.start_deadline(clock::now(), shared_from_this());
         return;
     }
+    report_cut();
+    current_->flow->on_stop();
+    if (call_)
+    {
+        call_->close();
+    }
+}
+
+void forward_session::report_cut()
+{
+    const auto schedule = services_.stop.schedule();
     const auto now = clock::now();
     const auto& request = current_->flow->request();
     services_.stop.count_cut();
@@ -243,6 +267,13 @@
         std::string reason = ec ? ec.message() : std::string{ambiguous_framing};
         co_await refuse(*bad, std::move(reason), {});
     }
+    if (ec == asio::error::operation_aborted && end_ == session_end::stop_cut)
+    {
+        // The part that was read names the request in the log.
+        current_->message.base() = p.get().base();
+        co_await refuse(error_kind::stopping, "the instance stops", {});
+        co_return false;
+    }
     if (ec || bad)
     {
         note_end(end_of_failed_read(ec, buffer.size() != 0 || p.got_some()));
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -84,8 +84,9 @@
     /// A request that has arrived is served. Thread-safe.
     void request_drain();
 
-    /// Reports the current request, if any, as cut by the stop of the instance. Thread-safe.
-    void request_cut_report();
+    /// Ends the connection now, as the grace period of a stop has ended. A request without a
+    /// response is answered, a response that has begun ends incomplete. Thread-safe.
+    void request_cut();
 
 private:
     using request_type = boost::beast::http::request<boost::beast::http::string_body>;
@@ -123,6 +124,7 @@
     void report_end();
     /// Logs why a request is refused, if a part of its prompt is quarantined.
     void log_quarantine(const refuse_step& step) const;
+    void cut();
     void report_cut();
     [[nodiscard]] bool keep_alive() const;
 
--- a/src/mangovane/net/session_end.hpp
+++ b/src/mangovane/net/session_end.hpp
@@ -24,10 +24,11 @@
     write_failed,    ///< The connection failed during a response.
     write_timeout,   ///< The caller accepted no more data.
     response_cut,    ///< The response could not be completed.
+    stop_cut,        ///< The grace period of a stop ended during a request.
     failed,          ///< An exception ended the session.
 };
 
-inline constexpr std::size_t session_end_count = 12;
+inline constexpr std::size_t session_end_count = 13;
 
 /// How a connection that ends for a reason is reported and closed.
 struct session_end_descriptor
@@ -55,6 +56,7 @@
     {session_end::write_failed, "write_failed", false, false},
     {session_end::write_timeout, "write_timeout", false, false},
     {session_end::response_cut, "response_cut", false, true},
+    {session_end::stop_cut, "stop_cut", false, true},
     {session_end::failed, "failed", true, true},
 }};
 
--- a/src/mangovane/net/session_server.hpp
+++ b/src/mangovane/net/session_server.hpp
@@ -22,7 +22,7 @@
 {
 
 /// `Session` is constructible from a socket and the services, and has `run`,
-/// `request_drain` and `request_cut_report`.
+/// `request_drain` and `request_cut`.
 template <class Session, class Services>
 class session_server
 {
@@ -56,13 +56,13 @@
         boost::asio::post(acceptor_.get_executor(), [this] { drain_acceptor(); });
     }
 
-    /// Lets each session report the request that it serves, if any, as cut.
-    void report_cut()
+    /// Ends all sessions now.
+    void cut()
     {
         const std::lock_guard lock{mutex_};
         for (const auto& it : sessions_)
         {
-            it->request_cut_report();
+            it->request_cut();
         }
     }
 
--- a/src/mangovane/shutdown/stop_schedule.hpp
+++ b/src/mangovane/shutdown/stop_schedule.hpp
@@ -10,7 +10,8 @@
 namespace mangovane
 {
 
-/// Reserved between the deadline of a request that is accepted late and the cut, for its answer.
+/// Time for the answer of a request that ends late in a stop: before the cut if its own deadline
+/// ends it, after the cut otherwise.
 inline constexpr milliseconds final_answer_time{150};
 
 /// Invariant: `began_at <= accept_until <= cut_at`.
--- a/test/mangovane/forward/forward_flow.cpp
+++ b/test/mangovane/forward/forward_flow.cpp
@@ -465,6 +465,57 @@
     CHECK_FALSE(flow.may_have_run());
 }
 
+TEST_CASE("a request that still runs when a stop ends its work")
+{
+    fake_chooser chooser;
+    forward_flow once{test::make_request(settings, "grant"), chooser};
+    forward_flow repeatable{test::make_request(settings, "status"), chooser};
+    forward_flow resumable{test::make_request(settings, "rights", 5), chooser};
+    for (auto* it : {&once, &repeatable, &resumable})
+    {
+        REQUIRE(sent_to(it->start(start)) == "one");
+        it->on_stop();
+    }
+    chooser.started = 0;
+
+    SUBCASE("is refused as not run if nothing was sent")
+    {
+        for (auto* it : {&once, &repeatable, &resumable})
+        {
+            CHECK(refused_with(it->on_result(attempt_result::outdated, start)) ==
+                  error_kind::stopping);
+            CHECK_FALSE(it->may_have_run());
+        }
+    }
+    SUBCASE("gets an error that promises nothing if it may have run")
+    {
+        CHECK(refused_with(once.on_result(attempt_result::abandoned, start)) ==
+              error_kind::outcome_unknown);
+        CHECK(refused_with(repeatable.on_result(attempt_result::abandoned, start)) ==
+              error_kind::endpoint_failed);
+    }
+    SUBCASE("ends incomplete if its response has begun")
+    {
+        resumable.on_response_started();
+        const auto step = resumable.on_result(attempt_result::abandoned, start);
+        CHECK(std::holds_alternative<finish_step>(step));
+        CHECK_FALSE(std::get<finish_step>(step).complete);
+    }
+    SUBCASE("is not sent to another endpoint, whatever the attempt's result is")
+    {
+        for (const auto result : {attempt_result::broken, attempt_result::not_sent,
+                                  attempt_result::refused, attempt_result::error})
+        {
+            forward_flow flow{test::make_request(settings, "status"), chooser};
+            (void)flow.start(start);
+            flow.on_stop();
+            chooser.started = 0;
+            CHECK(sent_to(flow.on_result(result, start)).empty());
+            CHECK(chooser.started == 0);
+        }
+    }
+}
+
 TEST_CASE("each attempt result is reported with its health outcome")
 {
     fake_chooser chooser;
@@ -476,7 +527,8 @@
         {attempt_result::misdirected, health_outcome::replaced},
         {attempt_result::error, health_outcome::failed},
         {attempt_result::broken, health_outcome::failed},
-        {attempt_result::caller_left, health_outcome::cancelled}};
+        {attempt_result::caller_left, health_outcome::cancelled},
+        {attempt_result::abandoned, health_outcome::cancelled}};
     for (const auto& [result, outcome] : expected)
     {
         forward_flow flow{test::make_request(settings, "grant"), chooser};
--- a/test/platform/planned_stop.cpp
+++ b/test/platform/planned_stop.cpp
@@ -47,6 +47,13 @@
     };
 }
 
+/// No response for the whole time.
+scripted_endpoint::script silence_for(milliseconds duration)
+{
+    return [duration](const request&, reply& rep) -> asio::awaitable<void>
+    { co_await rep.pause(duration); };
+}
+
 /// First line of the file that has the text; empty if none has.
 std::string line_with(const std::string& file, const std::string& text)
 {
@@ -257,6 +264,39 @@
     CHECK(fleet.processes[0]->wait(grace_period) == 0);
 }
 
+TEST_CASE("a router whose stop ends before its requests")
+{
+    constexpr milliseconds grace_period{1500};
+    router_fleet fleet{1, {.grace_period = grace_period}};
+    const scripted_endpoint endpoint{silence_for(grace_period * 3)};
+    fleet.write_address("stream", "dictamen", endpoint.address());
+    REQUIRE(fleet.await_ready(0));
+    std::this_thread::sleep_for(time_to_register);
+    raw_caller caller{fleet.address(0, 0)};
+
+    SUBCASE("answers one that an endpoint may have run with an error that promises nothing")
+    {
+        caller.send(stream_request("silent"));
+        REQUIRE(eventually([&] { return endpoint.started() == 1; }, milliseconds{2000}));
+        fleet.processes[0]->signal(SIGTERM);
+        const auto text = caller.read_all(grace_period * 2);
+        CHECK(status_of(text) == 502);
+        CHECK(text.find("\"not_run\":false") != text.npos);
+    }
+    SUBCASE("tells one whose rest has not arrived that it was not run")
+    {
+        fleet.processes[0]->signal(SIGTERM);
+        // The cut comes before the time for a request's head (1 s) has passed.
+        std::this_thread::sleep_for(milliseconds{600});
+        caller.send(stream_request("half").substr(0, 40));
+        const auto text = caller.read_all(grace_period * 2);
+        CHECK(status_of(text) == 503);
+        CHECK(text.find("\"not_run\":true") != text.npos);
+        CHECK(endpoint.started() == 0);
+    }
+    CHECK(fleet.processes[0]->wait(grace_period) == 0);
+}
+
 TEST_CASE("a router whose stop cuts requests")
 {
     constexpr milliseconds grace_period{2000};
