Give the stop of the native router an admission deadline and an end

The same cause in the other front end: mangovane-router read and passed on late requests on kept connections, each up to its deadline (24 h at most), and had no end of its stop at all. A supervisor that ends it after its own time cuts the requests without a word.

Late requests that may outlast the stop are refused as not run. At the cut the flow gets the event instance_stopping and ends as at its deadline: it gives its slot back, settles its claim, and answers "stopping" or an error that promises nothing. Each cut request has a line. Responses announce the end of the connection from SIGTERM on, not only after the drain delay, as the forwarding router's do.

--- a/src/mangovane/daemon/request_log.cpp
+++ b/src/mangovane/daemon/request_log.cpp
@@ -26,6 +26,12 @@
     next_.on_request_end(record);
 }
 
+void request_log::on_request_cut(const cut_request& cut)
+{
+    LOG(INFO) << log_line(cut);
+    next_.on_request_cut(cut);
+}
+
 void request_log::on_early_refusal(error_kind kind)
 {
     if (verbose_)
--- a/src/mangovane/daemon/request_log.hpp
+++ b/src/mangovane/daemon/request_log.hpp
@@ -16,7 +16,7 @@
 class request_log final : public request_observer
 {
 public:
-    /// `next` must outlive the log. Without `verbose`, nothing is logged.
+    /// `next` must outlive the log. Without `verbose`, only requests that a stop cuts are logged.
     request_log(request_observer& next, bool verbose) : next_{next}, verbose_{verbose} {}
 
     void on_request_end(const request_record& record) override;
@@ -25,6 +25,7 @@
     void on_failed_attempt(std::string_view result) override { next_.on_failed_attempt(result); }
     void on_caller_stall() override { next_.on_caller_stall(); }
     void on_session_end(std::string_view reason) override { next_.on_session_end(reason); }
+    void on_request_cut(const cut_request& cut) override;
 
 private:
     request_observer& next_;
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -1,6 +1,7 @@
 // Implementation of the router daemon.
 #include "mangovane/daemon/router.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -102,6 +103,8 @@
     /// Calls a step of the shutdown after a delay.
     void after(milliseconds time, void (state::*next)());
     void drain();
+    /// Ends the requests that still run at the end of the grace period, once.
+    void cut_late_requests(time_point now);
     void stop();
 
     router_options options;
@@ -124,13 +127,13 @@
     request_metrics metrics;
     request_log requests;
     std::atomic<bool> ready{false};
-    std::atomic<bool> stopping{false};
     frontend_services services;
     native_server server;
     operator_server operators;
     asio::signal_set signals;
     asio::steady_timer ticker;
     asio::steady_timer drain_timer;
+    bool requests_cut{false};
     time_point labels_rotated_at{};
     time_point endpoints_logged_at{};
 };
@@ -233,7 +236,7 @@
 
 void router::state::update_readiness()
 {
-    const bool can_serve = !stopping && core.settings().is_current() &&
+    const bool can_serve = !services.stop.stopping() && core.settings().is_current() &&
                            (!platform_sync || platform_sync->may_become_ready());
     // A ready instance stays ready during an outage of the platform and serves with the data it
     // has.
@@ -258,11 +261,12 @@
 
 void router::state::start_shutdown()
 {
+    const auto now = clock::now();
     LOG(INFO) << "event=shutdown_started running=" << core.running();
-    stopping = true;
+    services.stop.begin(make_stop_schedule(now, options.drain_delay, options.grace_period));
     ready = false;
-    core.leave(clock::now());
-    after(options.drain_delay, &state::drain);
+    core.leave(now);
+    after(std::min(options.drain_delay, options.grace_period), &state::drain);
 }
 
 void router::state::drain()
@@ -274,17 +278,31 @@
 
 void router::state::await_last_request()
 {
-    if (core.running() == 0 && server.drained())
+    const auto now = clock::now();
+    const bool idle = core.running() == 0 && server.drained();
+    if (idle || now >= services.stop.schedule()->cut_at + final_answer_time)
     {
         after(flush_time, &state::stop);
         return;
     }
+    cut_late_requests(now);
     after(drain_poll_period, &state::await_last_request);
 }
 
+void router::state::cut_late_requests(time_point now)
+{
+    if (!requests_cut && now >= services.stop.schedule()->cut_at)
+    {
+        requests_cut = true;
+        server.cut();
+    }
+}
+
 void router::state::stop()
 {
-    LOG(INFO) << "event=shutdown_complete";
+    const auto summary = services.stop.summary();
+    LOG(INFO) << "event=shutdown_complete sessions=" << server.open_sessions()
+              << " refused=" << summary.refused << " cut=" << summary.cut;
     poller.stop();
     peers.close();
     io.stop();
--- a/src/mangovane/daemon/router_options.cpp
+++ b/src/mangovane/daemon/router_options.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint32_t max_threads = 64;
 constexpr std::uint32_t max_chat_capacity = 1U << 22U; ///< Chats; these take about 100 MB.
 constexpr std::uint32_t max_drain_ms = 600000;
+constexpr std::uint32_t max_grace_ms = 86400000; ///< The longest deadline of a request.
 
 /// Values from flags and environment variables, before conversion.
 struct raw_options
@@ -30,6 +31,7 @@
     router_options parsed;
     std::vector<std::string> endpoint_texts;
     std::uint32_t drain_delay_ms{3000};
+    std::uint32_t grace_ms{600000};
 };
 
 po::options_description describe(raw_options& raw)
@@ -53,6 +55,8 @@
         "chats tracked by this instance, 1024 to 4194304");
     add("drain-delay-ms", po::value(&raw.drain_delay_ms)->default_value(3000),
         "from SIGTERM until connections are refused, 0 to 600000");
+    add("grace-ms", po::value(&raw.grace_ms)->default_value(600000),
+        "from SIGTERM until requests that still run are cut, 0 to 86400000");
     add("verbose", po::bool_switch(&out.verbose), "log each request");
     return result;
 }
@@ -147,8 +151,10 @@
     }
     raw.parsed.cluster_key = cluster_key_from_environment();
     raw.parsed.drain_delay = milliseconds{raw.drain_delay_ms};
+    raw.parsed.grace_period = milliseconds{raw.grace_ms};
     auto faults = check(raw.parsed);
     check_range("drain-delay-ms", raw.drain_delay_ms, 0, max_drain_ms, faults);
+    check_range("grace-ms", raw.grace_ms, 0, max_grace_ms, faults);
     for (const auto& text : raw.endpoint_texts)
     {
         auto endpoint = read_endpoint(text);
--- a/src/mangovane/daemon/router_options.hpp
+++ b/src/mangovane/daemon/router_options.hpp
@@ -31,6 +31,7 @@
     std::uint32_t threads{4};
     std::uint32_t chat_capacity{1U << 20U}; ///< Chats that the instance tracks.
     milliseconds drain_delay{3000};         ///< From SIGTERM until connections are refused.
+    milliseconds grace_period{600000};      ///< From SIGTERM until running requests are cut.
     bool verbose{false};                    ///< Log each request.
 
     bool operator==(const router_options&) const = default;
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -120,6 +120,52 @@
                       [self = shared_from_this()] { self->reader_.drain(self); });
 }
 
+void caller_session::request_cut()
+{
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->cut(); });
+}
+
+void caller_session::cut()
+{
+    if (end_)
+    {
+        return;
+    }
+    keep_alive_ = false;
+    if (idle_)
+    {
+        note_end(session_end::stopped);
+        reader_.cancel();
+        return;
+    }
+    note_end(session_end::stop_cut);
+    if (!exchange_)
+    {
+        // What has arrived by now is still read.
+        reader_.start_deadline(clock::now(), shared_from_this());
+        return;
+    }
+    report_cut();
+    exchange_->report(instance_stopping{});
+}
+
+void caller_session::report_cut()
+{
+    const auto schedule = services_.stop.schedule();
+    const auto now = clock::now();
+    cut_request cut;
+    cut.request = request_->routed.request;
+    cut.route = request_->service_name;
+    cut.endpoint = attempt_ ? attempt_->address() : std::string{};
+    cut.attempts = record_.attempts;
+    cut.status = attempt_ && response_started_ ? attempt_->status() : 0;
+    cut.read_after = std::chrono::duration_cast<milliseconds>(accepted_at_ - schedule->began_at);
+    cut.ran = std::chrono::duration_cast<milliseconds>(now - accepted_at_);
+    cut.left = std::chrono::duration_cast<milliseconds>(request_->routed.deadline - now);
+    services_.stop.count_cut();
+    services_.observer.on_request_cut(cut);
+}
+
 asio::awaitable<bool> caller_session::await_first_byte()
 {
     const auto idle_deadline = clock::now() + services_.limits.callers.idle_timeout;
@@ -170,6 +216,10 @@
         std::string reason = ec.message();
         co_await refuse_early(*bad, std::move(reason));
     }
+    if (ec == asio::error::operation_aborted && end_ == session_end::stop_cut)
+    {
+        co_await refuse_early(error_kind::stopping, "the instance stops");
+    }
     note_end(end_of_failed_read(ec, buffer.size() != 0 || p.got_some()));
     co_return std::nullopt;
 }
@@ -207,6 +257,11 @@
         co_await refuse_early(*kind_of(routed.status()), std::move(reason));
         co_return;
     }
+    if (!services_.stop.admit(clock::now(), routed->routed.deadline))
+    {
+        co_await refuse_early(error_kind::stopping, "the instance stops");
+        co_return;
+    }
     co_await route(std::move(*routed));
 }
 
@@ -311,7 +366,7 @@
     params.request = request_->forwarded;
     params.idempotent = request_->routed.idempotent;
     params.store_response = !request_->routed.key.empty();
-    keep_alive_ = keep_alive_ && !reader_.draining();
+    keep_alive_ = keep_alive_ && !reader_.draining() && !services_.stop.stopping();
     params.keep_alive = keep_alive_;
     params.deadline = request_->routed.deadline;
     if (!request_->routed.chat.empty())
@@ -427,7 +482,8 @@
     {
         head.set(http::field::retry_after, std::to_string(retry_after_s));
     }
-    keep_alive_ = keep_alive_ && !reader_.draining() && !caller_disconnected_;
+    keep_alive_ =
+        keep_alive_ && !reader_.draining() && !services_.stop.stopping() && !caller_disconnected_;
     const bool has_length =
         head.result() != http::status::no_content && head.result() != http::status::not_modified;
     const auto length = has_length ? std::optional<std::uint64_t>{body.size()} : std::nullopt;
--- a/src/mangovane/net/caller_session.hpp
+++ b/src/mangovane/net/caller_session.hpp
@@ -34,6 +34,10 @@
     /// A request that has arrived is served. Thread-safe.
     void request_drain();
 
+    /// Ends the connection now, as the grace period of a stop has ended. A request without a
+    /// response is answered, a response that has begun ends incomplete. Thread-safe.
+    void request_cut();
+
     [[nodiscard]] bool is_current(const attempt_id& attempt) const override;
     void on_answer_started(const attempt_id& attempt) override;
     boost::asio::awaitable<bool> write_to_caller(boost::asio::const_buffer buf) override;
@@ -60,6 +64,8 @@
     void start_attempt(const send_attempt& action);
     void record_outcome(std::string outcome);
     void on_caller_disconnected();
+    void cut();
+    void report_cut();
     /// Keeps the first cause of the end of the connection.
     void note_end(session_end end) { end_ = end_.value_or(end); }
 
--- a/src/mangovane/net/endpoint_attempt.hpp
+++ b/src/mangovane/net/endpoint_attempt.hpp
@@ -58,6 +58,12 @@
 
     [[nodiscard]] const attempt_id& id() const noexcept { return params_.action.attempt; }
 
+    /// Address of the endpoint.
+    [[nodiscard]] const std::string& address() const noexcept { return params_.action.address; }
+
+    /// HTTP status of the endpoint's response; 0 if its head has not been read.
+    [[nodiscard]] unsigned status() const { return parser_ ? parser_->get().result_int() : 0; }
+
     /// What is known of the attempt so far.
     [[nodiscard]] const attempt_ended& result() const noexcept { return result_; }
 
--- a/src/mangovane/net/frontend_services.hpp
+++ b/src/mangovane/net/frontend_services.hpp
@@ -14,6 +14,7 @@
 #include "mangovane/observe/request_record.hpp"
 #include "mangovane/routing/coordinator.hpp"
 #include "mangovane/settings/policy.hpp"
+#include "mangovane/shutdown/stop_state.hpp"
 
 namespace mangovane
 {
@@ -52,6 +53,7 @@
     const std::atomic<bool>& ready;
     std::function<std::string()> metrics_text; ///< Prometheus text without account labels.
     frontend_limits limits;
+    stop_state stop; ///< While the instance stops, responses close the connection.
 };
 
 } // namespace mangovane
--- a/src/mangovane/observe/request_record.hpp
+++ b/src/mangovane/observe/request_record.hpp
@@ -10,6 +10,7 @@
 #include "mangovane/core/id.hpp"
 #include "mangovane/core/request_class.hpp"
 #include "mangovane/core/time.hpp"
+#include "mangovane/shutdown/cut_request.hpp"
 
 namespace mangovane
 {
@@ -44,6 +45,7 @@
     virtual void on_caller_stall() = 0; ///< A caller accepted no more data and was disconnected.
     /// The connection of a caller has ended; `reason` names the cause.
     virtual void on_session_end(std::string_view reason) = 0;
+    virtual void on_request_cut(const cut_request&) {} ///< A stop has ended a running request.
 };
 
 } // namespace mangovane
--- a/src/mangovane/routing/flow_event.hpp
+++ b/src/mangovane/routing/flow_event.hpp
@@ -65,6 +65,12 @@
     auto operator<=>(const attempt_ended&) const = default;
 };
 
+/// The instance stops and ends the requests that still run.
+struct instance_stopping
+{
+    auto operator<=>(const instance_stopping&) const = default;
+};
+
 using flow_event = std::variant<limits_decided,
                                 chat_answer,
                                 load_answer,
@@ -74,7 +80,8 @@
                                 attempt_answered,
                                 attempt_ended,
                                 timer_expired,
-                                caller_left>;
+                                caller_left,
+                                instance_stopping>;
 
 // Actions.
 
--- a/src/mangovane/routing/request_flow.hpp
+++ b/src/mangovane/routing/request_flow.hpp
@@ -102,6 +102,7 @@
     void on(const attempt_ended& event, const flow_context& ctx);
     void on(const timer_expired& event, const flow_context& ctx);
     void on(const caller_left& event, const flow_context& ctx);
+    void on(const instance_stopping& event, const flow_context& ctx);
 
     void locate_chat(const flow_context& ctx);
     void make_plan(const flow_context& ctx);
@@ -125,7 +126,8 @@
     void dispatch(const flow_context& ctx);
     [[nodiscard]] bool may_dispatch(const flow_context& ctx) const;
     void on_failed_attempt(const attempt_ended& event, const flow_context& ctx);
-    void on_deadline();
+    /// Ends the request now with an error, or its response as incomplete.
+    void give_up(error_kind kind, std::string_view message);
     void fail(error_kind kind, std::string_view message);
     void release_held_slot(attempt_outcome outcome, std::uint32_t first_token_ms);
     void cancel_slot_request();
--- a/src/mangovane/routing/request_flow_attempt.cpp
+++ b/src/mangovane/routing/request_flow_attempt.cpp
@@ -137,7 +137,7 @@
 {
     if (ctx.now >= request_.deadline)
     {
-        on_deadline();
+        give_up(error_kind::deadline_exceeded, "the deadline has passed");
         return;
     }
     switch (stage_)
@@ -164,7 +164,7 @@
     }
 }
 
-void request_flow::on_deadline()
+void request_flow::give_up(error_kind kind, std::string_view message)
 {
     if (stage_ == stage::running)
     {
@@ -186,7 +186,12 @@
         stage_ = stage::finished;
         return;
     }
-    fail(error_kind::deadline_exceeded, "the deadline has passed");
+    fail(kind, message);
+}
+
+void request_flow::on(const instance_stopping&, const flow_context&)
+{
+    give_up(error_kind::stopping, "the instance stops");
 }
 
 void request_flow::on(const caller_left&, const flow_context&)
--- a/test/mangovane/daemon/router_options.cpp
+++ b/test/mangovane/daemon/router_options.cpp
@@ -35,6 +35,7 @@
         REQUIRE(options.ok());
         CHECK(options->endpoints.size() == 1);
         CHECK(options->drain_delay == milliseconds{3000});
+        CHECK(options->grace_period == milliseconds{600000});
     }
 
     SUBCASE("are rejected with the option, its value and the allowed values")
--- a/test/mangovane/routing/request_flow.cpp
+++ b/test/mangovane/routing/request_flow.cpp
@@ -151,6 +151,16 @@
         CHECK_FALSE(flow.finished());
     }
 
+    SUBCASE("gets an error that promises nothing when a stop ends it")
+    {
+        last = flow.on_event(instance_stopping{}, ctx());
+        CHECK(find<abort_attempt>());
+        const auto error = find<answer_error>();
+        REQUIRE(error);
+        CHECK(error->kind == error_kind::outcome_unknown);
+        CHECK(flow.finished());
+    }
+
     SUBCASE("reports at its deadline that it may still be running")
     {
         now = request.deadline;
@@ -161,6 +171,23 @@
     }
 }
 
+TEST_CASE_FIXTURE(flow_fixture, "a call that waits for a slot when a stop ends its work")
+{
+    auto flow = make_flow();
+    last = flow.start(ctx());
+    last = flow.on_event(limits_decided{true}, ctx());
+
+    SUBCASE("is refused as not run")
+    {
+        last = flow.on_event(instance_stopping{}, ctx());
+        const auto error = find<answer_error>();
+        REQUIRE(error);
+        CHECK(error->kind == error_kind::stopping);
+        CHECK(descriptor_of(error->kind).not_run);
+        CHECK(flow.finished());
+    }
+}
+
 TEST_CASE_FIXTURE(flow_fixture, "a process that was paused while it held a slot")
 {
     request.idempotent = false;
