Keep a closing connection until its caller has received the answer

Callers that read slowly lost the end of an answer that was written whole, when they sent anything more than 500 ms after it: a pipelined request, or the first bytes of one. Around a stop the connection always closes after the answer, so each such caller was hit.

Cause: the graceful close reads and drops what the caller sends for 500 ms, and then closes the socket although bytes of the answer still wait in it. The kernel goes on sending them, but answers the next bytes of the caller with a reset and drops the rest. The end of the process isn't the cause: the sockets are closed before.

The close now goes on for as long as the kernel holds bytes that the caller has not acknowledged (SIOCOUTQ) and some were acknowledged in the last 5 s, the time after which a stalled caller is given up during a response too. A stop waits for it at most until the end of the grace period. The limit of 1 MB of dropped bytes is unchanged.

raw_caller can read a part of a response, for callers that read slowly.

--- a/src/mangovane/net/graceful_close.hpp
+++ b/src/mangovane/net/graceful_close.hpp
@@ -16,10 +16,13 @@
 /// Most bytes of the peer that are read and dropped before the connection is closed all the same.
 inline constexpr std::size_t max_dropped_bytes = std::size_t{1024} * 1024;
 
+/// A peer that receives nothing for this long although bytes wait for it is given up.
+inline constexpr milliseconds receipt_stall_timeout{5000};
+
 /// Ends the sending side, then reads and drops what the peer still sends until it closes its side,
-/// but not after `give_up_at`. Closing a socket with unread bytes makes the kernel reset the
-/// connection, and the peer could lose the end of a response. `owner` keeps the socket and the
-/// deadline alive.
+/// or until `give_up_at` and the peer has received everything that was written. Closing a socket
+/// with unread bytes, or one whose peer sends more later, makes the kernel reset the connection,
+/// and the peer could lose the end of a response. `owner` keeps the socket and the deadline alive.
 boost::asio::awaitable<void> graceful_close(boost::asio::ip::tcp::socket& socket,
                                             socket_deadline& deadline,
                                             time_point give_up_at,
--- a/test/platform/raw_caller.cpp
+++ b/test/platform/raw_caller.cpp
@@ -2,10 +2,12 @@
 #include "platform/raw_caller.hpp"
 
 #include <charconv>
+#include <utility>
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include "mangovane/net/address.hpp"
@@ -49,7 +51,7 @@
 
 std::string raw_caller::read_all(milliseconds timeout)
 {
-    std::string result;
+    std::string result = std::exchange(unread_, {});
     asio::async_read(socket_, asio::dynamic_buffer(result),
                      [](const boost::system::error_code&, std::size_t) {});
     io_.restart();
@@ -59,6 +61,52 @@
     return result;
 }
 
+std::string raw_caller::read_until(std::string_view end, milliseconds timeout)
+{
+    std::size_t size = 0;
+    bool done = false;
+    asio::async_read_until(socket_, asio::dynamic_buffer(unread_), std::string{end},
+                           [&](const boost::system::error_code& ec, std::size_t n)
+                           {
+                               size = ec ? unread_.size() : n;
+                               done = true;
+                           });
+    io_.restart();
+    io_.run_for(timeout);
+    if (!done)
+    {
+        socket_.cancel();
+        io_.restart();
+        io_.run();
+    }
+    std::string result = unread_.substr(0, size);
+    unread_.erase(0, size);
+    return result;
+}
+
+std::string raw_caller::read_some(std::size_t most, milliseconds timeout)
+{
+    std::string result(most, '\0');
+    std::size_t size = 0;
+    bool done = false;
+    socket_.async_read_some(asio::buffer(result),
+                            [&](const boost::system::error_code&, std::size_t n)
+                            {
+                                size = n;
+                                done = true;
+                            });
+    io_.restart();
+    io_.run_for(timeout);
+    if (!done)
+    {
+        socket_.cancel();
+        io_.restart();
+        io_.run();
+    }
+    result.resize(size);
+    return result;
+}
+
 unsigned status_of(std::string_view bytes)
 {
     constexpr std::string_view version = "HTTP/1.1 ";
--- a/test/platform/raw_caller.hpp
+++ b/test/platform/raw_caller.hpp
@@ -37,9 +37,18 @@
     /// Reads until the server closes the connection or the time is over, and returns all bytes.
     [[nodiscard]] std::string read_all(milliseconds timeout);
 
+    /// Reads until the bytes contain `end`, and returns them up to its end. Returns what has
+    /// arrived if the connection ends or the time is over before.
+    [[nodiscard]] std::string read_until(std::string_view end, milliseconds timeout);
+
+    /// Reads at most so many bytes as soon as there are some; empty if the connection has ended or
+    /// the time is over.
+    [[nodiscard]] std::string read_some(std::size_t most, milliseconds timeout);
+
 private:
     boost::asio::io_context io_{1};
     boost::asio::ip::tcp::socket socket_{io_};
+    std::string unread_; ///< Bytes behind those that `read_until` has returned.
 };
 
 /// Status of the first response in the bytes; 0 if there is none.
