Wait for the receipt of the last answer before a kept connection ends

A caller on a kept connection that had not read its answer to the end lost the rest of it when the instance closed the connection as idle, or because it was stopping, and the caller then sent its next request.

Cause: such an end closes the socket at once, since a request that crosses it is to stay unread. When the caller sends, the kernel resets the connection and drops what the caller has not received of the answer before. "Idle" only meant that the answer had been written to the kernel.

Evidence: platform/stop_exit.cpp, "sends its next request during the close": 40 callers with a receive buffer of 4 KB, answers of 200 KB on kept connections, a stop, and the next request 300 ms after the close.

A request that crosses the close stays unread as before, so its caller may send it again. The kernel gives no notice of the acknowledgement, so it is asked every 20 ms, and only while bytes wait.

--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -82,6 +82,11 @@
         const auto give_up_at = clock::now() + services_.limits.close_timeout;
         co_await graceful_close(socket_, read_deadline_, give_up_at, shared_from_this());
     }
+    else if (*end_ != session_end::write_timeout)
+    {
+        // The caller may not have received the last response of a connection that was kept.
+        co_await await_receipt(socket_);
+    }
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     socket_.close(ec);
 }
--- a/src/mangovane/net/graceful_close.cpp
+++ b/src/mangovane/net/graceful_close.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mangovane/net/peek.hpp"
@@ -109,4 +110,17 @@
     socket.close(ec);
 }
 
+asio::awaitable<void> await_receipt(asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ec;
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    receipt_progress receipt{socket};
+    asio::steady_timer timer{socket.get_executor()};
+    while (!ec && peek(socket) != peek_result::closed && receipt.is_waiting(clock::now()))
+    {
+        timer.expires_after(receipt_check_period);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
 } // namespace mangovane
--- a/src/mangovane/net/graceful_close.hpp
+++ b/src/mangovane/net/graceful_close.hpp
@@ -28,6 +28,11 @@
                                             time_point give_up_at,
                                             std::shared_ptr<void> owner);
 
+/// Ends the sending side, then waits until the peer has received everything that was written, or
+/// has closed the connection. What it sends meanwhile stays unread, so that the peer may send it
+/// again. The caller of the function keeps the socket alive.
+boost::asio::awaitable<void> await_receipt(boost::asio::ip::tcp::socket& socket);
+
 } // namespace mangovane
 
 #endif
--- a/test/platform/stop_exit.cpp
+++ b/test/platform/stop_exit.cpp
@@ -154,6 +154,18 @@
 
     SUBCASE("after its last session")
     {
+        SUBCASE("delivers an answer whose caller sends its next request during the close")
+        {
+            // The answers promised kept connections, which the stop then closes.
+            send_each(all, "first-");
+            std::this_thread::sleep_for(time_to_answer);
+            signalled_at();
+            std::this_thread::sleep_for(drain_delay + time_to_answer);
+            send_each(all, "crossing-");
+            std::this_thread::sleep_for(time_to_answer);
+            CHECK(count_whole(all) == all.size());
+            CHECK(large.started() == static_cast<int>(all.size()));
+        }
         SUBCASE("delivers an answer whose caller has pipelined a request")
         {
             send_each(all, "first-", close_field);
