--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -36,10 +36,11 @@
             {{"Authorization", "Bearer secret"}, {"Mangovane-Deadline-Ms", "10000"}}};
 }
 
-std::vector<std::string> engine_arguments()
+std::vector<std::string> engine_arguments(milliseconds token_interval)
 {
-    return {"mangovane-standin", "engine", "--warm-after", "0",  "--tokens",      "8",
-            "--token-ms",        "5",      "--first-ms",   "10", "--uncached-ms", "30"};
+    return {"mangovane-standin", "engine", "--warm-after",  "0",
+            "--tokens",          "8",      "--token-ms",    std::to_string(token_interval.count()),
+            "--first-ms",        "10",     "--uncached-ms", "30"};
 }
 
 } // namespace
@@ -82,8 +83,9 @@
 {
     for (std::size_t n = 0; n != size.engines; ++n)
     {
-        endpoints_.push_back({"dictamen-" + std::to_string(n), "dictamen", domain_of(n),
-                              std::make_unique<child_process>(engine_arguments(), true)});
+        endpoints_.push_back(
+            {"dictamen-" + std::to_string(n), "dictamen", domain_of(n),
+             std::make_unique<child_process>(engine_arguments(size.token_interval), true)});
     }
     const std::vector<std::string> plain{"mangovane-standin", "service"};
     for (std::size_t n = 0; n != size.services; ++n)
@@ -206,6 +208,29 @@
     return result;
 }
 
+std::uint64_t fleet::chats_started() const
+{
+    std::uint64_t result = 0;
+    for (const auto* it : domains)
+    {
+        result += chats_started(it);
+    }
+    return result;
+}
+
+void fleet::slow_engines_down() const
+{
+    for (const auto& it : endpoints_)
+    {
+        if (it.service == "dictamen")
+        {
+            REQUIRE(
+                send(it.process->address(), {"POST", "/fault", R"({"slow":true})", {}}).status ==
+                200);
+        }
+    }
+}
+
 std::map<std::string, std::uint64_t> fleet::runs() const
 {
     std::map<std::string, std::uint64_t> result;
--- a/test/process/fleet.hpp
+++ b/test/process/fleet.hpp
@@ -19,6 +19,7 @@
     std::size_t routers{3};
     std::size_t engines{3};
     std::size_t services{3};
+    milliseconds token_interval{5}; ///< Of the engines, whose streams have 8 tokens.
 
     auto operator<=>(const fleet_size&) const = default;
 };
@@ -48,9 +49,13 @@
 
     [[nodiscard]] http_response send_to_platform(const http_request& request) const;
     void set_store_down(bool down) const;
+    /// From now on the engines take ten times as long.
+    void slow_engines_down() const;
 
     /// Number of chats that the engines of a failure domain have started so far.
     [[nodiscard]] std::uint64_t chats_started(const std::string& domain) const;
+    /// Number of chats that all engines have started so far.
+    [[nodiscard]] std::uint64_t chats_started() const;
     /// Number of runs of each write over all plain services, by its id.
     [[nodiscard]] std::map<std::string, std::uint64_t> runs() const;
 
