Share the records of requests and the timeouts of routes between platform tests

config_params has the timeouts of the routes and the time to read a request, and fleet_params the first configuration. The defaults are the values that stood in the text, so the other tests run with the same configuration.

--- a/test/platform/planned_work.cpp
+++ b/test/platform/planned_work.cpp
@@ -4,10 +4,7 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
-#include <fstream>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <random>
 #include <string>
 #include <thread>
@@ -19,7 +16,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -31,7 +27,9 @@
 #include "mangovane/core/hash.hpp"
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/peek.hpp"
+#include "platform/caller_timing.hpp"
 #include "platform/raw_caller.hpp"
+#include "platform/request_record.hpp"
 #include "platform/router_fleet.hpp"
 #include "platform/scratch_folder.hpp"
 #include "platform/scripted_endpoint.hpp"
@@ -68,36 +66,12 @@
 constexpr milliseconds exit_timeout{8000};
 constexpr milliseconds drain_delay{500};
 
-/// A connection that ends sooner after the last byte of a request may have crossed it.
-constexpr milliseconds crossing_slack{200};
-
 milliseconds between(std::mt19937& random, milliseconds least, milliseconds most)
 {
     return milliseconds{
         std::uniform_int_distribution<std::int64_t>{least.count(), most.count()}(random)};
 }
 
-/// Number of runs of each request at the endpoints.
-class run_record
-{
-public:
-    void add(const std::string& id)
-    {
-        const std::lock_guard lock{mutex_};
-        ++runs_[id];
-    }
-    [[nodiscard]] int count(const std::string& id) const
-    {
-        const std::lock_guard lock{mutex_};
-        const auto it = runs_.find(id);
-        return it == runs_.end() ? 0 : it->second;
-    }
-
-private:
-    mutable std::mutex mutex_;
-    std::map<std::string, int> runs_; ///< Guarded by `mutex_`.
-};
-
 std::string complete_stream(const std::string& id)
 {
     std::string result;
@@ -150,18 +124,11 @@
                                {"POST", "review", true, true},
                                {"POST", "rights", true, false}};
 
-/// What a caller has seen of a request.
-struct request_fate
+/// A request of a caller and what became of it.
+struct finished_call
 {
-    std::string id;
     const request_kind* kind{nullptr};
-    std::size_t router{0};
-    time_point sent_at{}; ///< Of its last byte.
-    time_point ended_at{};
-    unsigned status{0};
-    bool complete{false};
-    std::string body;
-    std::string error;
+    request_fate fate;
 };
 
 /// Callers that use their connections for one request after the other, until they are stopped.
@@ -174,7 +141,7 @@
         {
             asio::co_spawn(io_, call_repeatedly(n), asio::detached);
         }
-        asio::co_spawn(io_, measure_lag(), asio::detached);
+        asio::co_spawn(io_, lag_.run(), asio::detached);
         thread_ = std::thread{[this] { io_.run(); }};
     }
     caller_group(const caller_group&) = delete;
@@ -185,6 +152,7 @@
     void stop()
     {
         stopping_ = true;
+        lag_.stop();
         if (thread_.joinable())
         {
             thread_.join();
@@ -192,29 +160,10 @@
     }
 
     /// Both are complete after `stop`.
-    [[nodiscard]] const std::vector<request_fate>& fates() const { return fates_; }
-    [[nodiscard]] milliseconds max_lag() const { return max_lag_; }
+    [[nodiscard]] const std::vector<finished_call>& calls() const { return calls_; }
+    [[nodiscard]] milliseconds max_lag() const { return lag_.max_lag(); }
 
 private:
-    asio::awaitable<void> sleep(milliseconds time)
-    {
-        asio::steady_timer timer{io_, time};
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-
-    /// How late this process notices an event, which is not the routers' delay.
-    asio::awaitable<void> measure_lag()
-    {
-        constexpr milliseconds period{10};
-        while (!stopping_)
-        {
-            const auto due = clock::now() + period;
-            co_await sleep(period);
-            max_lag_ =
-                std::max(max_lag_, std::chrono::duration_cast<milliseconds>(clock::now() - due));
-        }
-    }
-
     asio::awaitable<void> call_repeatedly(std::size_t caller)
     {
         std::mt19937 random{static_cast<std::uint32_t>(caller) + plan_seed};
@@ -229,30 +178,33 @@
             beast::flat_buffer buf;
             for (bool keep = !ec; keep && !stopping_;)
             {
-                co_await sleep(between(random, milliseconds{0}, max_think_time));
+                const auto think_time = between(random, milliseconds{0}, max_think_time);
+                co_await sleep_until(clock::now() + think_time);
                 if (peek(stream.socket()) == peek_result::closed)
                 {
                     break;
                 }
-                request_fate fate;
-                fate.id = absl::StrCat("c", caller, "-", ++requests);
-                fate.kind = &kinds[random() % std::size(kinds)];
-                fate.router = router;
-                keep = co_await call(stream, buf, fate);
-                fates_.push_back(std::move(fate));
+                finished_call it;
+                it.fate.id = absl::StrCat("c", caller, "-", ++requests);
+                it.kind = &kinds[random() % std::size(kinds)];
+                it.fate.route = it.kind->route;
+                it.fate.router = router;
+                keep = co_await call(stream, buf, it);
+                calls_.push_back(std::move(it));
             }
             router = (router + 1) % router_count;
-            co_await sleep(reconnect_delay);
+            co_await sleep_until(clock::now() + reconnect_delay);
         }
     }
 
     /// Whether the connection can be used again.
     asio::awaitable<bool>
-    call(beast::tcp_stream& stream, beast::flat_buffer& buf, request_fate& fate)
+    call(beast::tcp_stream& stream, beast::flat_buffer& buf, finished_call& it)
     {
-        const auto fields = fate.kind->stream ? absl::StrCat("X-Prefix-Hash: ", fate.id, ":100\r\n")
-                                              : std::string{};
-        const auto text = request_text(fate.kind->method, fate.kind->route, fate.id, fields);
+        auto& fate = it.fate;
+        const auto fields =
+            it.kind->stream ? absl::StrCat("X-Prefix-Hash: ", fate.id, ":100\r\n") : std::string{};
+        const auto text = request_text(it.kind->method, it.kind->route, fate.id, fields);
         beast::error_code ec;
         stream.expires_after(answer_timeout);
         co_await asio::async_write(stream, asio::buffer(text),
@@ -275,8 +227,8 @@
     const router_fleet& fleet_;
     asio::io_context io_{1};
     std::atomic<bool> stopping_{false};
-    std::vector<request_fate> fates_;
-    milliseconds max_lag_{0};
+    std::vector<finished_call> calls_;
+    lag_meter lag_;
     std::thread thread_;
 };
 
@@ -393,27 +345,6 @@
     std::string exit_codes_;
 };
 
-/// Lines of the router's log that name the request.
-std::string log_lines(const router_fleet& fleet, const request_fate& fate)
-{
-    std::ifstream log{fleet.log_file(fate.router)};
-    const auto field = absl::StrCat("request=", fate.id, " ");
-    std::string result;
-    for (std::string line; std::getline(log, line);)
-    {
-        result += line.find(field) == std::string::npos ? "" : "  " + line + "\n";
-    }
-    return result;
-}
-
-std::string describe(const router_fleet& fleet, const request_fate& fate, int runs)
-{
-    const auto ms = std::chrono::duration_cast<milliseconds>(fate.ended_at - fate.sent_at);
-    return absl::StrCat(fate.id, " route=", fate.kind->route, " router=", fate.router,
-                        " status=", fate.status, " runs=", runs, " ms=", ms.count(),
-                        " error=", fate.error, "\n", log_lines(fleet, fate));
-}
-
 /// Requests that break a promise to their callers, by promise.
 struct broken_promises
 {
@@ -428,16 +359,16 @@
 {
     broken_promises result;
     const auto slack = crossing_slack + callers.max_lag();
-    for (const auto& it : callers.fates())
+    for (const auto& [kind, it] : callers.calls())
     {
         const auto count = runs.count(it.id);
-        const auto expected = it.kind->stream ? complete_stream(it.id) : "done " + it.id;
+        const auto expected = kind->stream ? complete_stream(it.id) : "done " + it.id;
         const bool late = it.ended_at - it.sent_at > slack;
         const auto note = [&](std::string& list, bool broken)
         { list += broken ? describe(fleet, it, count) : ""; };
         note(result.lost, !it.complete && (count != 0 || late));
-        note(result.run_twice, it.kind->runs_once && count > 1);
-        note(result.refused_yet_run, it.status == 503 && it.kind->runs_once && count != 0);
+        note(result.run_twice, kind->runs_once && count > 1);
+        note(result.refused_yet_run, it.status == 503 && kind->runs_once && count != 0);
         note(result.other_answer, it.complete && it.status == 200 && it.body != expected);
     }
     return result;
@@ -479,15 +410,16 @@
     plan.run();
     callers.stop();
     const auto broken = judge(fleet, callers, runs);
-    const auto& fates = callers.fates();
+    const auto& calls = callers.calls();
     const auto count = [&](auto matches)
-    { return std::count_if(fates.begin(), fates.end(), matches); };
-    const auto served = count([](const auto& it) { return it.complete && it.status == 200; });
-    const auto unanswered = count([](const auto& it) { return !it.complete; });
-    MESSAGE("requests ", fates.size(), ", served ", served, ", unanswered ", unanswered,
+    { return std::count_if(calls.begin(), calls.end(), matches); };
+    const auto served =
+        count([](const auto& it) { return it.fate.complete && it.fate.status == 200; });
+    const auto unanswered = count([](const auto& it) { return !it.fate.complete; });
+    MESSAGE("requests ", calls.size(), ", served ", served, ", unanswered ", unanswered,
             ", lag ms ", callers.max_lag().count());
     CHECK(plan.exit_codes() == "0 0 0 ");
-    CHECK(static_cast<std::size_t>(served) > fates.size() / 2);
+    CHECK(static_cast<std::size_t>(served) > calls.size() / 2);
     CHECK(broken.lost == "");
     CHECK(broken.run_twice == "");
     CHECK(broken.refused_yet_run == "");
--- a/test/platform/router_fleet.cpp
+++ b/test/platform/router_fleet.cpp
@@ -5,7 +5,6 @@
 #include <cstdlib>
 
 #include "mangovane/core/time.hpp"
-#include "platform/store_text.hpp"
 
 namespace mangovane::test
 {
@@ -25,7 +24,7 @@
     ::setenv("MANGOVANE_CLUSTER_KEY", "the key of the tests' fleet", 1);
     const auto free = free_address();
     first_port_ = std::stoi(free.substr(free.find(':') + 1));
-    store.put("op", "config", configuration_text({}));
+    store.put("op", "config", configuration_text(params_.config));
     processes.resize(count);
     for (std::size_t n = 0; n != count; ++n)
     {
--- a/test/platform/router_fleet.hpp
+++ b/test/platform/router_fleet.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/store_text.hpp"
 #include "process/child_process.hpp"
 #include "process/http_client.hpp"
 #include "standin/fleet_engine.hpp"
@@ -35,6 +36,7 @@
     milliseconds drain_delay{300}; ///< From the stop signal until connections are refused.
     milliseconds grace_period{5000};
     std::uint32_t retry_slack{100}; ///< Retries per window beside those that requests earn.
+    config_params config{};         ///< Configuration at the start.
 };
 
 class router_fleet
--- a/test/platform/store_text.cpp
+++ b/test/platform/store_text.cpp
@@ -15,21 +15,28 @@
                         R"(/","type":"idempotent","timeout_ms":800,"goal_ms":300,)",
                         R"("service":"ventanilla","max_attempts":2},)");
     }
+    const auto stream_timeout = params.stream_timeout.count();
+    const auto call_timeout = params.call_timeout.count();
     return absl::StrCat(R"({"version":)", params.version, R"(,"routes":[)", added, R"(
-{"name":"review","host":"desk.example","prefix":"/review/","type":"streaming","timeout_ms":3000,
+{"name":"review","host":"desk.example","prefix":"/review/","type":"streaming","timeout_ms":)",
+                        stream_timeout, R"(,
  "goal_ms":1000,"priority":1,"service":"dictamen","max_attempts":1,"sticky":true,"gap_goal_ms":600},
-{"name":"rights","host":"desk.example","prefix":"/rights/","type":"streaming","timeout_ms":3000,
+{"name":"rights","host":"desk.example","prefix":"/rights/","type":"streaming","timeout_ms":)",
+                        stream_timeout, R"(,
  "goal_ms":500,"priority":0,"service":"dictamen","max_attempts":2,"sticky":true,"resumable":true,
  "gap_goal_ms":600},
-{"name":"grant","host":"desk.example","prefix":"/grant/","type":"unsafe","timeout_ms":800,
+{"name":"grant","host":"desk.example","prefix":"/grant/","type":"unsafe","timeout_ms":)",
+                        call_timeout, R"(,
  "goal_ms":300,"service":"ventanilla","max_attempts":1},
-{"name":"status","host":"desk.example","prefix":"/status/","type":"idempotent","timeout_ms":800,
+{"name":"status","host":"desk.example","prefix":"/status/","type":"idempotent","timeout_ms":)",
+                        call_timeout, R"(,
  "goal_ms":300,"service":"ventanilla","max_attempts":2}],
 "services":[{"name":"dictamen","warmup_s":)",
                         params.cold_time.count(), R"(,"warmup_per_s":)", params.cold_rate,
                         R"(,"engine":{}},
  {"name":"ventanilla","warmup_s":0.0,"warmup_per_s":0.0}],
-"limits":{"max_header_bytes":4096,"max_body_bytes":20000,"header_timeout_ms":1000,"idle_timeout_ms":5000},
+"limits":{"max_header_bytes":4096,"max_body_bytes":20000,"header_timeout_ms":)",
+                        params.header_timeout.count(), R"(,"idle_timeout_ms":5000},
 "tenants":[{"name":"desk","api_keys":["key-1"]}]})");
 }
 
--- a/test/platform/store_text.hpp
+++ b/test/platform/store_text.hpp
@@ -15,9 +15,12 @@
 struct config_params
 {
     std::uint64_t version{1};
-    std::uint64_t first_added{2}; ///< From this version on, each adds a route `v<version>`.
-    seconds cold_time{0};         ///< Of endpoints of `dictamen`.
-    double cold_rate{0};          ///< Requests per second that a cold endpoint of it accepts.
+    std::uint64_t first_added{2};      ///< From this version on, each adds a route `v<version>`.
+    seconds cold_time{0};              ///< Of endpoints of `dictamen`.
+    double cold_rate{0};               ///< Requests per second that a cold endpoint of it accepts.
+    milliseconds stream_timeout{3000}; ///< Of `review` and `rights`.
+    milliseconds call_timeout{800};    ///< Of `grant` and `status`.
+    milliseconds header_timeout{1000}; ///< Until a request has been read whole.
 };
 
 [[nodiscard]] std::string configuration_text(const config_params& params);
