--- a/test/platform/stop_sweep.cpp
+++ b/test/platform/stop_sweep.cpp
@@ -135,6 +135,7 @@
     int served{0};
     int refused{0};
     int failed{0};
+    int closed{0};  ///< Sent, not passed on, and the connection ended without an answer.
     int cut{0};     ///< Passed on, and the answer is not complete.
     int counted{0}; ///< Of these, those that must not be cut.
 
@@ -151,6 +152,7 @@
     bool failed{false};  ///< Another 5xx.
     bool cut{false};     ///< Passed on, and the answer is not complete.
     bool excused{false}; ///< It may be cut.
+    bool closed{false};  ///< Not passed on, and the connection ended without an answer.
     bool unread{false};  ///< Not passed on, and the connection ended late without an answer.
 
     auto operator<=>(const request_verdict&) const = default;
@@ -196,11 +198,12 @@
     [[nodiscard]] std::string table() const
     {
         std::string result =
-            "\ngroup                  requests  sent served refused failed  cut counted";
+            "\ngroup                  requests  sent served refused failed closed  cut counted";
         for (const auto& [name, it] : groups_)
         {
-            absl::StrAppendFormat(&result, "\n%-22s %8d %5d %6d %7d %6d %4d %7d", name, it.requests,
-                                  it.sent, it.served, it.refused, it.failed, it.cut, it.counted);
+            absl::StrAppendFormat(&result, "\n%-22s %8d %5d %6d %7d %6d %6d %4d %7d", name,
+                                  it.requests, it.sent, it.served, it.refused, it.failed, it.closed,
+                                  it.cut, it.counted);
         }
         return result;
     }
@@ -241,7 +244,8 @@
         result.failed = fate.complete && fate.status >= 500 && !result.refused;
         result.cut = result.ran && !fate.complete;
         result.excused = result.ran && may_be_cut(plan, fate, runs);
-        result.unread = result.sent && !result.ran && !fate.complete && (unanswered || ended_late);
+        result.closed = result.sent && !result.ran && !fate.complete;
+        result.unread = result.closed && (unanswered || ended_late);
         return result;
     }
 
@@ -253,6 +257,7 @@
         it.served += verdict.served ? 1 : 0;
         it.refused += verdict.refused ? 1 : 0;
         it.failed += verdict.failed ? 1 : 0;
+        it.closed += verdict.closed ? 1 : 0;
         it.cut += verdict.cut ? 1 : 0;
         it.counted += verdict.cut && !verdict.excused ? 1 : 0;
     }
