Soak: run series of stops with work that lasts as long as its routes allow

Its longest work took 0.2 s with deadlines of 2.5 s and a drain delay of 0.5 s, so whatever a router admitted during a stop had ended long before the grace period did.

New: `--stops`. Two thirds of the callers send streams and bodies whose work is spread up to 11.5 s on routes with a timeout of 12 s (a quarter of it up to 1 s; deadlines of 12 s, 4 s, or 1 s more than the work), half of the bodies in chunks, some requests in pieces up to their last bytes. They use a connection again within 10 ms until the router closes it or is gone; half of them stay at one router. Stops of two thirds of the routers follow each other by 0.2 to 1.8 s, with SIGHUPs, configurations and leaving endpoints every 0.15 to 0.9 s; from 10 s on the same among drawn faults; at the end all routers are stopped under load. Drain delay and grace period are those of the deployment (2.5 s, 7.8 s).

New check `lost_at_stop`, the sentence of the rule: a request that ran and whose router received SIGTERM has a complete response, unless its caller gave up, its deadline passed, its router or an endpoint that ran it had an unplanned fault from 3 s before it on, or it was sent no later than 3/8 of the grace period after SIGTERM and its endpoint was at work in the last sixth. A cut before the last sixth is counted even if the endpoint works on, as a stop has no reason for it. The store, the machine, other routers and other endpoints excuse none. For that, outages of endpoints are recorded by endpoint, and the stand-in of an endpoint records when its work ends and notices a closed connection within 50 ms. `graceful_stop` has the excuses of the deadline and of the last sixth for the two kinds of long work only; for the other kinds it is unchanged.

`unanswered` no longer excuses a cut after the head when another router was disturbed. The excuse was there since a peer might carry the response, but `forward_session::attempt` connects only to the endpoint that was chosen, and instances exchange messages, no requests. A disturbed machine still excuses it, as before.

The plan of a run is made once and SIGHUP is not sent to a process that has been restarted and is not ready yet, since it would end it before its handler is installed. The final stop of a run is recorded like the others.

--- a/soak/call_text.cpp
+++ b/soak/call_text.cpp
@@ -1,10 +1,14 @@
 // Implementation of the request and response texts.
 #include "soak/call_text.hpp"
 
+#include <algorithm>
 #include <array>
+#include <string_view>
 
 #include <absl/strings/str_cat.h>
 
+#include "mangovane/core/hash.hpp"
+
 namespace mangovane::soak
 {
 
@@ -12,7 +16,34 @@
 {
 
 /// Indexed by `call_kind`.
-constexpr std::array route_names{"grant", "status", "review", "rights", "v"};
+constexpr std::array<std::string_view, 7> route_names{"grant", "status", "review", "rights",
+                                                      "v",     "ledger", "minutes"};
+
+constexpr standin::engine_work short_work{stream_events, milliseconds{30}, milliseconds{20}};
+
+/// Long work is drawn between these bounds. The upper one leaves time for the way of the response
+/// before the timeout of the route.
+constexpr milliseconds min_long_work{50};
+constexpr milliseconds max_long_work{11500};
+constexpr std::uint64_t brief_interval = 4; ///< One request in this many has brief work.
+constexpr milliseconds max_brief_work{1000};
+
+constexpr milliseconds deadline_margin{1000};
+constexpr milliseconds medium_deadline{4000};
+
+milliseconds between(std::uint64_t random, milliseconds low, milliseconds high)
+{
+    const auto span = static_cast<std::uint64_t>((high - low).count());
+    return low + milliseconds{random % span};
+}
+
+/// Total work of a request with long work.
+milliseconds long_work_of(const std::string& request)
+{
+    const auto random = hash_bytes(request);
+    const bool brief = random % brief_interval == 0;
+    return between(random / brief_interval, min_long_work, brief ? max_brief_work : max_long_work);
+}
 
 std::string route_of(const std::string& request)
 {
@@ -24,11 +55,46 @@
 std::string
 make_request_id(call_kind kind, std::uint64_t version, std::size_t caller, std::uint64_t number)
 {
-    const auto* name = route_names[static_cast<std::size_t>(kind)];
+    const auto name = std::string{route_names[static_cast<std::size_t>(kind)]};
     return kind == call_kind::probe ? absl::StrCat(name, version, "-", caller, "-", number)
                                     : absl::StrCat(name, "-", caller, "-", number);
 }
 
+call_kind kind_of(const std::string& request)
+{
+    const auto it = std::find(route_names.begin(), route_names.end(), route_of(request));
+    return it == route_names.end() ? call_kind::probe
+                                   : static_cast<call_kind>(it - route_names.begin());
+}
+
+standin::engine_work work_of(const std::string& request)
+{
+    const auto kind = kind_of(request);
+    if (!has_long_work(kind))
+    {
+        return short_work;
+    }
+    const auto total = long_work_of(request);
+    if (!is_stream(kind))
+    {
+        return {0, milliseconds{0}, total};
+    }
+    const auto interval = total / (long_stream_events + 1);
+    return {long_stream_events, interval, interval};
+}
+
+milliseconds deadline_of(const std::string& request)
+{
+    if (!has_long_work(kind_of(request)))
+    {
+        return request_deadline;
+    }
+    const std::array choices{long_work_of(request) + deadline_margin, medium_deadline,
+                             long_route_timeout, long_route_timeout};
+    const auto choice = hash_combine(hash_bytes(request), 1) % choices.size();
+    return std::min(choices.at(choice), long_route_timeout);
+}
+
 std::string target_of(const std::string& request)
 {
     return absl::StrCat("/", route_of(request), "/7?x=", request);
@@ -37,19 +103,20 @@
 std::string body_of(const std::string& request)
 {
     // Status and probe requests use GET, which has no body.
-    const auto route = route_of(request);
-    const bool has_body = route == "grant" || route == "review" || route == "rights";
+    const auto kind = kind_of(request);
+    const bool has_body = kind != call_kind::idempotent && kind != call_kind::probe;
     return has_body ? "the body of " + request : "";
 }
 
-std::string response_body_of(call_kind kind, const std::string& request)
+std::string response_body_of(const std::string& request)
 {
-    if (kind != call_kind::plain_stream && kind != call_kind::resumable_stream)
+    const auto kind = kind_of(request);
+    if (!is_stream(kind))
     {
         return "done " + request;
     }
     std::string result;
-    for (std::uint32_t n = 1; n <= stream_events; ++n)
+    for (std::uint32_t n = 1; n <= work_of(request).events; ++n)
     {
         absl::StrAppend(&result, "id: ", n, "\ndata: ", request, "-", n, "\n\n");
     }
--- a/soak/call_text.hpp
+++ b/soak/call_text.hpp
@@ -7,12 +7,16 @@
 #include <string>
 
 #include "soak/run_observations.hpp"
+#include "standin/fleet_engine.hpp"
 
 namespace mangovane::soak
 {
 
 inline constexpr std::uint32_t stream_events = 6;
 
+/// Events of a long stream. The pauses between them stay below the permitted gap of its route.
+inline constexpr std::uint32_t long_stream_events = 24;
+
 /// Version of the first configuration with a probe route; the initial one has none.
 inline constexpr std::uint64_t first_added_route = 2;
 
@@ -20,11 +24,22 @@
 [[nodiscard]] std::string
 make_request_id(call_kind kind, std::uint64_t version, std::size_t caller, std::uint64_t number);
 
+/// Kind of the request; a probe for the routes that configurations add.
+[[nodiscard]] call_kind kind_of(const std::string& request);
+
+/// Work of the request at its endpoint. Long work is spread up to the timeout of its route, and a
+/// quarter of it is short.
+[[nodiscard]] standin::engine_work work_of(const std::string& request);
+
+/// Deadline that the caller sends. With long work it is the timeout of the route, little more than
+/// the work, or a fixed shorter one, which the work may exceed.
+[[nodiscard]] milliseconds deadline_of(const std::string& request);
+
 [[nodiscard]] std::string target_of(const std::string& request);
 [[nodiscard]] std::string body_of(const std::string& request);
 
 /// Body of the complete response.
-[[nodiscard]] std::string response_body_of(call_kind kind, const std::string& request);
+[[nodiscard]] std::string response_body_of(const std::string& request);
 
 } // namespace mangovane::soak
 
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -31,10 +31,13 @@
 {
 
 constexpr milliseconds connect_timeout{1000};
-constexpr milliseconds response_timeout{6000}; ///< Exceeds the `request_deadline`.
+/// For requests with short work; exceeds the `request_deadline`.
+constexpr milliseconds response_timeout{6000};
+constexpr milliseconds long_response_timeout{long_route_timeout + milliseconds{2000}};
 constexpr milliseconds probe_period{150};
 constexpr milliseconds pause_after_failure{100};
 constexpr std::size_t max_pause_ms = 120;
+constexpr std::size_t max_pause_after_long_work_ms = 10;
 constexpr std::size_t chat_count = 40;
 
 /// Longest time for which a caller leaves a connection idle: four fifths of the idle timeout of 5
@@ -45,6 +48,8 @@
 /// `header_timeout` at most.
 constexpr std::size_t split_call_interval = 15;
 constexpr std::array<std::size_t, 3> piece_ends{7, 30, 90};
+/// Bytes of a request with long work that are written last, so that its body is read late.
+constexpr std::size_t last_piece_bytes = 5;
 constexpr std::size_t max_piece_wait_ms = 266;
 
 /// One call in this many is abandoned by its caller after a short delay.
@@ -70,16 +75,20 @@
                                             target_of(record.request), 11};
     result.set(http::field::host, "desk.example");
     result.set("X-Attempt-Id", record.request);
-    result.set("X-Deadline-Ms", std::to_string(request_deadline.count()));
+    result.set("X-Deadline-Ms", std::to_string(record.deadline.count()));
     result.set("X-Tenant", "forged");
     result.set(http::field::authorization, "Bearer key-1");
-    if (record.kind == call_kind::plain_stream || record.kind == call_kind::resumable_stream)
+    if (is_stream(record.kind))
     {
         const auto number = std::to_string(chat);
         result.set("X-Prefix-Hash", "aa:500,b" + number + ":4000,c" + record.request + ":100");
     }
     result.body() = body;
     result.prepare_payload();
+    if (has_long_work(record.kind) && chat % 2 == 0)
+    {
+        result.chunked(true);
+    }
     return result;
 }
 
@@ -99,6 +108,12 @@
 
 call_kind caller::pick_kind()
 {
+    static constexpr std::array long_kinds{call_kind::long_stream, call_kind::long_stream,
+                                           call_kind::long_body, call_kind::plain_stream};
+    if (options_.long_work)
+    {
+        return long_kinds[pick(long_kinds.size())];
+    }
     static constexpr std::array kinds{call_kind::single_run,       call_kind::single_run,
                                       call_kind::idempotent,       call_kind::idempotent,
                                       call_kind::plain_stream,     call_kind::plain_stream,
@@ -112,6 +127,10 @@
     {
         return probe_period;
     }
+    if (options_.long_work)
+    {
+        return milliseconds{pick(max_pause_after_long_work_ms)};
+    }
     const bool idles = pick(100) < options_.idle_percent;
     return milliseconds{pick(idles ? max_idle_ms : max_pause_ms)};
 }
@@ -132,13 +151,22 @@
     co_return !ec;
 }
 
+std::size_t caller::pick_router()
+{
+    if (options_.probed_router || options_.home_router)
+    {
+        return options_.probed_router.value_or(options_.home_router.value_or(0));
+    }
+    return pick(fleet_.routers().size());
+}
+
 asio::awaitable<void> caller::run()
 {
     const auto self = shared_from_this();
     co_await pause(options_.start_delay);
     for (std::size_t made = 0; !stopping_ && made != options_.max_connections; ++made)
     {
-        const auto router = options_.probed_router.value_or(pick(fleet_.routers().size()));
+        const auto router = pick_router();
         const auto process_number = fleet_.routers()[router]->process_number.load();
         stream conn{co_await asio::this_coro::executor};
         buffer_.clear();
@@ -151,7 +179,8 @@
         }
         for (std::size_t n = 0; open && !stopping_ && n != options_.calls_per_connection; ++n)
         {
-            if (!options_.probed_router && pick(malformed_call_interval) == 0)
+            const bool may_spoil = !options_.probed_router && !options_.long_work;
+            if (may_spoil && pick(malformed_call_interval) == 0)
             {
                 co_await send_malformed(conn);
                 break;
@@ -165,6 +194,7 @@
             {
                 record.request =
                     make_request_id(record.kind, record.version, options_.number, ++calls_);
+                record.deadline = deadline_of(record.request);
                 open = co_await call(conn, std::move(record));
             }
             co_await pause(pick_wait());
@@ -187,15 +217,17 @@
 asio::awaitable<bool> caller::call(stream& conn, call_record record)
 {
     const bool abandons = !options_.probed_router && pick(abandoned_call_interval) == 0;
-    conn.expires_after(abandons ? milliseconds{pick(max_abandon_delay_ms) + 1} : response_timeout);
+    const auto patience = has_long_work(record.kind) ? long_response_timeout : response_timeout;
+    conn.expires_after(abandons ? milliseconds{pick(max_abandon_delay_ms) + 1} : patience);
     auto message = message_of(record, pick(chat_count));
     beast::error_code ec;
     const auto begun_at = clock::now();
+    record.sending_at = begun_at;
     if (!abandons && !options_.probed_router && pick(split_call_interval) == 0)
     {
         std::ostringstream text;
         text << message;
-        ec = co_await write_in_pieces(conn, text.str());
+        ec = co_await write_in_pieces(conn, text.str(), record);
     }
     else
     {
@@ -214,11 +246,17 @@
     co_return open;
 }
 
-asio::awaitable<beast::error_code> caller::write_in_pieces(stream& conn, const std::string& text)
+asio::awaitable<beast::error_code>
+caller::write_in_pieces(stream& conn, const std::string& text, call_record& record)
 {
     beast::error_code ec;
     std::size_t begin = 0;
-    for (const auto end : piece_ends)
+    auto ends = piece_ends;
+    if (has_long_work(record.kind))
+    {
+        ends.back() = text.size() - last_piece_bytes;
+    }
+    for (const auto end : ends)
     {
         co_await asio::async_write(conn, asio::buffer(text.substr(begin, end - begin)),
                                    asio::redirect_error(asio::use_awaitable, ec));
@@ -229,6 +267,7 @@
         begin = end;
         co_await pause(milliseconds{pick(max_piece_wait_ms)});
     }
+    record.sending_at = clock::now();
     co_await asio::async_write(conn, asio::buffer(text.substr(begin)),
                                asio::redirect_error(asio::use_awaitable, ec));
     co_return ec;
@@ -250,8 +289,8 @@
     // truncation.
     record.complete = !ec && p.is_done() && (head.chunked() || head.has_content_length());
     record.has_signature = head.count("X-Server-Signature") != 0;
-    record.body_matches = head.body() == response_body_of(record.kind, record.request) &&
-                          head["X-Attempt-Id"] == record.request;
+    record.body_matches =
+        head.body() == response_body_of(record.request) && head["X-Attempt-Id"] == record.request;
     co_return record.complete&& head.keep_alive();
 }
 
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -24,6 +24,11 @@
     std::uint64_t seed{1};
     /// If set, the caller only probes the configuration of this router.
     std::optional<std::size_t> probed_router;
+    /// If set, all connections go to this router.
+    std::optional<std::size_t> home_router{};
+    /// Sends requests with long work, and uses its connections again at once for as long as the
+    /// router keeps them open.
+    bool long_work{false};
     milliseconds start_delay{0};
     /// Connections to make; empty: until the run stops.
     std::optional<std::size_t> max_connections{};
@@ -60,9 +65,10 @@
     boost::asio::awaitable<bool> call(stream& conn, call_record record);
     /// Sends bytes that are no acceptable request, and reads the response.
     boost::asio::awaitable<void> send_malformed(stream& conn);
-    /// Writes a request in pieces that end within its header, with a wait after each.
-    boost::asio::awaitable<boost::beast::error_code> write_in_pieces(stream& conn,
-                                                                     const std::string& text);
+    /// Writes a request in pieces, with a wait after each.
+    boost::asio::awaitable<boost::beast::error_code>
+    write_in_pieces(stream& conn, const std::string& text, call_record& record);
+    [[nodiscard]] std::size_t pick_router();
     boost::asio::awaitable<bool> read_response(stream& conn, call_record& record);
     boost::asio::awaitable<void> pause(milliseconds time);
     [[nodiscard]] call_kind pick_kind();
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -20,11 +20,6 @@
 constexpr std::array domains{"ikeja-a", "lekki-b", "agege-c"};
 constexpr milliseconds probe_timeout{1000};
 
-standin::fleet_engine_behaviour behaviour_of(const std::string& name)
-{
-    return {name, stream_events, std::chrono::milliseconds{30}, std::chrono::milliseconds{20}};
-}
-
 /// Offsets of a router's ports from the first one.
 enum port : int
 {
@@ -57,12 +52,14 @@
 } // namespace
 
 endpoint::endpoint(asio::io_context& io,
-                   std::string its_name,
+                   std::size_t its_number,
                    std::string its_service,
                    std::string its_domain,
                    milliseconds cold_time)
-    : name{std::move(its_name)}, service{std::move(its_service)}, domain{std::move(its_domain)},
-      engine{behaviour_of(name)}, cold_until_{clock::now() + cold_time},
+    : number{its_number}, service{std::move(its_service)}, name{service + "-" +
+                                                                std::to_string(number)},
+      domain{std::move(its_domain)}, engine{{name, {}, work_of}}, cold_until_{clock::now() +
+                                                                              cold_time},
       host_{[this](const standin::request& req, standin::reply& rep) { return handle(req, rep); }},
       link_{io, "127.0.0.1:0", host_.address()}
 {}
@@ -131,7 +128,7 @@
         "--retry-slack=100",
         "--cold-overshoot=1.5",
         "--cold-tolerance=5",
-        "--drain-delay-ms=500",
+        "--drain-delay-ms=" + std::to_string(options_.drain_delay.count()),
         "--grace-ms=7800",
     };
     const auto log = options_.log_folder.empty()
@@ -150,7 +147,8 @@
 {
     const auto next = version_ + 1;
     store_.put("op", "config",
-               test::configuration_text({next, first_added_route, cold_time, cold_rate}));
+               test::configuration_text(
+                   {next, first_added_route, cold_time, cold_rate, long_route_timeout}));
     recorder_.add(operator_change{change_kind::configuration, {}, next, clock::now()});
     version_ = next;
 }
@@ -165,8 +163,8 @@
 {
     std::unique_lock lock{mutex_};
     const auto number = endpoints_.size();
-    auto& it = *endpoints_.emplace_back(std::make_unique<endpoint>(
-        io_, service + "-" + std::to_string(number), service, domain_of(number), cold));
+    auto& it = *endpoints_.emplace_back(
+        std::make_unique<endpoint>(io_, number, service, domain_of(number), cold));
     lock.unlock();
     it.handle = [this, &it](const standin::request& req, standin::reply& rep)
     { return serve(it, req, rep); };
@@ -256,7 +254,8 @@
             const bool as_sent = run.target == target_of(run.request) &&
                                  run.body == body_of(run.request) && run.account == "desk" &&
                                  !run.had_key;
-            result.push_back({run.request, it->name, it->domain, run.at, as_sent});
+            result.push_back(
+                {run.request, it->name, it->domain, run.at, as_sent, it->number, run.ended_at});
         }
     }
     std::sort(result.begin(), result.end(),
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -28,6 +28,8 @@
     std::size_t model_endpoints{5};
     std::size_t plain_endpoints{3};
     std::string log_folder; ///< Folder of the router logs; empty: no logs.
+    /// Time after SIGTERM for which a router still accepts connections.
+    milliseconds drain_delay{500};
 
     auto operator<=>(const deployment_options&) const = default;
 };
@@ -37,7 +39,7 @@
 {
 public:
     endpoint(boost::asio::io_context& io,
-             std::string name,
+             std::size_t number,
              std::string service,
              std::string domain,
              milliseconds cold_time);
@@ -47,8 +49,9 @@
     /// Proxy between the routers and the endpoint.
     [[nodiscard]] link_proxy& link() noexcept { return link_; }
 
-    const std::string name;
+    const std::size_t number; ///< Index in the deployment.
     const std::string service;
+    const std::string name;
     const std::string domain;
     standin::fleet_engine engine;
     std::atomic<int> active{0};       ///< Active requests.
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -133,7 +133,7 @@
 {
     const auto all = fleet_.endpoints();
     it.target = all[it.event.random_value / 16 % all.size()];
-    it.outage = recorder_.begin(endpoints_component, false);
+    it.outage = recorder_.begin(endpoint_component(it.target->number), false);
 }
 
 void fault_injector::end_outage(active_fault& it)
@@ -158,7 +158,7 @@
 void fault_injector::end_process(std::size_t router, int signal)
 {
     const auto& it = *fleet_.routers()[router];
-    recorder_.add(process_end{router, it.process_number, clock::now()});
+    recorder_.add(process_end{router, it.process_number, clock::now(), signal == SIGTERM});
     it.process->signal(signal);
 }
 
@@ -187,11 +187,33 @@
     }
 }
 
+void fault_injector::stop_all_routers()
+{
+    for (std::size_t n = 0; n != faulted_routers_.size(); ++n)
+    {
+        faulted_routers_[n] = true;
+        (void)recorder_.begin(n, true); // Lasts until the end of the run.
+        end_process(n, SIGTERM);
+    }
+}
+
 void fault_injector::hang_up(active_fault& it)
 {
     const auto router = it.event.random_value % faulted_routers_.size();
-    it.outage = recorder_.begin(router, true);
-    fleet_.routers()[router]->process->signal(SIGHUP);
+    // SIGHUP ends a process that has not installed its handlers yet.
+    it.skipped = is_starting(router);
+    if (!it.skipped)
+    {
+        it.outage = recorder_.begin(router, true);
+        fleet_.routers()[router]->process->signal(SIGHUP);
+    }
+}
+
+bool fault_injector::is_starting(std::size_t router) const
+{
+    return std::any_of(restarts_.begin(), restarts_.end(),
+                       [&](const pending_restart& it)
+                       { return it.router == router && it.started; });
 }
 
 void fault_injector::restart_router(active_fault& it)
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -21,6 +21,9 @@
     /// Begins and ends the faults that are due. Returns false when all have ended.
     bool advance(time_point now, time_point start);
 
+    /// Stops all routers, as planned work.
+    void stop_all_routers();
+
     /// A router's process that ended by itself.
     struct unexpected_exit
     {
@@ -105,6 +108,8 @@
     void begin_router_fault(active_fault& it, bool planned);
     void begin_store_fault(active_fault& it, standin::store_faults faults);
     void begin_endpoint_fault(active_fault& it);
+    /// Whether the router's process has been restarted and is not ready yet.
+    [[nodiscard]] bool is_starting(std::size_t router) const;
     void end_outage(active_fault& it);
     void advance_restarts();
     [[nodiscard]] bool advance_restart(pending_restart& it);
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -50,6 +50,27 @@
                                          fault_kind::take_domain_out, fault_kind::configure,
                                          fault_kind::stop_router,     fault_kind::hang_up};
 
+/// Phases of a plan of stops. The first stop comes when long work is in progress everywhere; the
+/// phase of faults begins while the last of the stopped routers still has requests.
+constexpr std::uint64_t stops_begin_ms = 2500;
+constexpr std::uint64_t stops_among_faults_ms = 10000;
+constexpr std::uint64_t stops_end_ms = 17000;
+constexpr std::uint64_t max_first_stop_delay_ms = 1000;
+
+/// Times between two events of a kind. Those between stops are far below the grace period, so that
+/// stops overlap.
+constexpr std::uint64_t min_stop_gap_ms = 200;
+constexpr std::uint64_t max_stop_gap_ms = 1800;
+constexpr std::uint64_t min_change_gap_ms = 150;
+constexpr std::uint64_t max_change_gap_ms = 900;
+constexpr std::size_t stops_among_faults = 3;
+constexpr milliseconds stop_request_duration{1};
+
+/// Planned changes beside the stops. Endpoints that leave are replaced, so that drains go on.
+constexpr std::array stop_phase_changes{fault_kind::hang_up, fault_kind::configure,
+                                        fault_kind::hang_up, fault_kind::drain_endpoint,
+                                        fault_kind::add_cold_endpoint};
+
 std::uint64_t between(std::mt19937_64& random, std::uint64_t low, std::uint64_t high)
 {
     return low + random() % (high - low);
@@ -73,6 +94,30 @@
     plan.events.push_back({fault_kind::pause_past_idle, pause, pause + length, random()});
 }
 
+/// Stops routers one after the other, beginning with a drawn one.
+void add_stop_series(fault_plan& plan,
+                     std::uint64_t begin_ms,
+                     std::size_t count,
+                     std::size_t routers,
+                     std::mt19937_64& random)
+{
+    const auto first_router = random() % routers;
+    auto at = begin_ms + between(random, 0, max_first_stop_delay_ms);
+    for (std::size_t n = 0; n != count; ++n)
+    {
+        const milliseconds from{at};
+        plan.events.push_back({fault_kind::stop_router, from, from + stop_request_duration,
+                               (first_router + n) % routers});
+        at += between(random, min_stop_gap_ms, max_stop_gap_ms);
+    }
+}
+
+void sort_by_start(fault_plan& plan)
+{
+    std::sort(plan.events.begin(), plan.events.end(),
+              [](const auto& lhs, const auto& rhs) { return lhs.from < rhs.from; });
+}
+
 } // namespace
 
 std::string_view name_of(fault_kind kind)
@@ -114,8 +159,32 @@
         result.events.push_back({kind, at, undisturbed_start + undisturbed_duration, random()});
         at += undisturbed_change_interval;
     }
-    std::sort(result.events.begin(), result.events.end(),
-              [](const auto& lhs, const auto& rhs) { return lhs.from < rhs.from; });
+    sort_by_start(result);
+    return result;
+}
+
+fault_plan make_stop_plan(std::uint64_t seed, std::size_t fault_count, std::size_t routers)
+{
+    std::mt19937_64 random{seed};
+    fault_plan result;
+    add_stop_series(result, stops_begin_ms, routers - routers / 3, routers, random);
+    add_stop_series(result, stops_among_faults_ms, stops_among_faults, routers, random);
+    for (auto at = stops_begin_ms; at < stops_end_ms;
+         at += between(random, min_change_gap_ms, max_change_gap_ms))
+    {
+        const auto kind = stop_phase_changes.at(random() % stop_phase_changes.size());
+        const milliseconds from{at};
+        const milliseconds length{between(random, min_fault_ms, max_fault_ms)};
+        result.events.push_back({kind, from, from + length, random()});
+    }
+    for (std::size_t n = 0; n != fault_count; ++n)
+    {
+        const auto kind = static_cast<fault_kind>(random() % first_planned_kind);
+        const milliseconds from{between(random, stops_among_faults_ms, stops_end_ms)};
+        const milliseconds length{between(random, min_fault_ms, max_fault_ms)};
+        result.events.push_back({kind, from, from + length, random()});
+    }
+    sort_by_start(result);
     return result;
 }
 
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -71,6 +71,12 @@
 /// only planned changes, so that the time bounds can be checked.
 [[nodiscard]] fault_plan make_plan(std::uint64_t seed, std::size_t fault_count, bool brief);
 
+/// Planned work only, then the same among faults: stops of one router shortly after the other, with
+/// SIGHUPs, configurations and leaving endpoints close to them. A third of the routers is not
+/// stopped in the first phase.
+[[nodiscard]] fault_plan
+make_stop_plan(std::uint64_t seed, std::size_t fault_count, std::size_t routers);
+
 } // namespace mangovane::soak
 
 #endif
--- a/soak/fwd.hpp
+++ b/soak/fwd.hpp
@@ -15,6 +15,7 @@
 struct execution_record;
 struct process_end;
 struct soak_options;
+struct stop_counts;
 
 class busy_threads;
 class caller;
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -44,10 +44,25 @@
     std::size_t max_endpoints{2};  ///< Endpoints that may run the same request.
     /// Requests of a run that may be forwarded and end without a complete response.
     std::size_t max_unanswered{3};
+    milliseconds grace{8000}; ///< From SIGTERM until the end of the process.
+    /// Share of the grace period in which callers may send requests that a stop may cut.
+    double sending_share{3.0 / 8};
+    /// A stop may cut such requests if their endpoint is still at work after this share.
+    double work_share{5.0 / 6};
 
     auto operator<=>(const invariant_bounds&) const = default;
 };
 
+/// Requests that ran and whose router received SIGTERM before they ended.
+struct stop_counts
+{
+    std::size_t answered{0};
+    std::size_t late{0};       ///< Of the answered ones, sent when a stop may no longer cut them.
+    std::size_t cut_at_end{0}; ///< Cut as allowed, since their endpoint worked up to the end.
+
+    auto operator<=>(const stop_counts&) const = default;
+};
+
 class invariant_checker
 {
 public:
@@ -65,6 +80,9 @@
     /// without forwarding them. A few may cross the close of an idle connection.
     [[nodiscard]] std::size_t closed_unread() const;
 
+    /// Shows how much of the run `check_lost_at_stops` covers.
+    [[nodiscard]] stop_counts at_stops() const;
+
 private:
     void check_single_run(std::vector<violation>& out) const;
     void check_refusals(std::vector<violation>& out) const;
@@ -80,6 +98,16 @@
     void check_cold(std::vector<violation>& out) const;
     void check_stops(std::vector<violation>& out) const;
     void check_unanswered(std::vector<violation>& out) const;
+    void check_lost_at_stops(std::vector<violation>& out) const;
+
+    /// The SIGTERM that the process of the router received before the call ended, if any.
+    [[nodiscard]] const process_end* stop_of(const call_record& it) const;
+    /// Whether the request was sent early enough for the stop to cut it at its end, and was cut
+    /// then, while its endpoint was at work.
+    [[nodiscard]] bool cut_at_end(const call_record& it, const process_end& stop) const;
+    /// Whether an unplanned fault of the router or of an endpoint that ran the request may have
+    /// ended it.
+    [[nodiscard]] bool ended_by_fault(const call_record& it) const;
 
     /// Whether the caller waited until its connection ended without a complete response, while no
     /// signal ended the process of the router.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <stdexcept>
 
 #include <boost/program_options.hpp>
 
@@ -33,7 +34,9 @@
     add("seed", po::value(&line.seed)->default_value(1), "first seed");
     add("count", po::value(&line.count)->default_value(1), "number of seeds to run in sequence");
     add("seeds", po::value(&line.seeds_file),
-        "file of runs to use instead: seed, faults, routers, callers, comment");
+        "file of runs to use instead: kind (faults or stops), seed, faults, routers, callers, "
+        "comment");
+    add("stops", "run series of stops with long work");
     add("brief", po::bool_switch(&line.options.brief), "skip the undisturbed phase of a run");
     add("plant-doubles", po::bool_switch(&line.options.injected.duplicates_requests),
         "send each request to endpoints twice: the run must fail");
@@ -53,13 +56,22 @@
 
 void print_plan(const command_line& line)
 {
-    for (const auto& it : make_plan(line.seed, line.options.faults, line.options.brief).events)
+    for (const auto& it : plan_of(line.seed, line.options).events)
     {
         std::cout << it.from.count() << " ms to " << it.until.count() << " ms " << name_of(it.kind)
                   << " chance " << it.random_value << '\n';
     }
 }
 
+soak_kind kind_of(const std::string& name)
+{
+    if (name != "faults" && name != "stops")
+    {
+        throw std::invalid_argument{"no kind of soak run: " + name};
+    }
+    return name == "stops" ? soak_kind::stops : soak_kind::faults;
+}
+
 /// A seed with the options of its run.
 struct seeded_run
 {
@@ -80,9 +92,15 @@
     {
         seeded_run it{0, line.options};
         std::istringstream words{text};
-        if (words >> it.seed >> it.options.faults >> it.options.deployment.routers >>
+        std::string kind;
+        if (text.starts_with('#'))
+        {
+            continue;
+        }
+        if (words >> kind >> it.seed >> it.options.faults >> it.options.deployment.routers >>
             it.options.callers)
         {
+            it.options.kind = kind_of(kind);
             result.push_back(it);
         }
     }
@@ -101,7 +119,9 @@
     std::cout << "seed " << seed << (passed ? " passed: " : " FAILED: ") << found.calls
               << " calls, " << found.served << " served, " << found.runs << " runs, "
               << found.timed_checks << " checks in time, " << found.closed_unread
-              << " closed unread\n";
+              << " closed unread, " << found.at_stops.answered << " answered at stops, "
+              << found.at_stops.late << " of them sent late, " << found.at_stops.cut_at_end
+              << " cut at the end of a stop\n";
     for (const auto& it : found.violations)
     {
         std::cout << "  " << it.invariant << ": " << it.detail << '\n';
@@ -132,6 +152,7 @@
         std::cout << "Runs seeded fault plans against router processes.\n\n" << known;
         return 0;
     }
+    line.options.kind = values.count("stops") != 0 ? soak_kind::stops : soak_kind::faults;
     if (values.count("plan") != 0)
     {
         print_plan(line);
--- a/soak/outage_log.hpp
+++ b/soak/outage_log.hpp
@@ -13,14 +13,36 @@
 namespace mangovane::soak
 {
 
-/// Component that an outage affects: the number of a router, or one of the constants.
+/// Component that an outage affects: the number of a router, `endpoint_component`, or one of the
+/// constants.
 using disturbed_component = std::size_t;
 
 constexpr disturbed_component store_component = static_cast<disturbed_component>(-1);
-constexpr disturbed_component endpoints_component = static_cast<disturbed_component>(-2);
+constexpr disturbed_component endpoints_component =
+    static_cast<disturbed_component>(-2); ///< Any of the endpoints.
 constexpr disturbed_component machine_component =
     static_cast<disturbed_component>(-3); ///< Affects all other components.
 
+constexpr disturbed_component first_endpoint_component = 1000;
+
+/// One endpoint, by its number.
+[[nodiscard]] constexpr disturbed_component endpoint_component(std::size_t number) noexcept
+{
+    return first_endpoint_component + number;
+}
+
+/// Whether `asked` is disturbed by an outage of `affected`, other than of the whole machine.
+[[nodiscard]] constexpr bool covers(disturbed_component affected,
+                                    disturbed_component asked) noexcept
+{
+    const auto is_endpoint = [](disturbed_component it) {
+        return (it >= first_endpoint_component && it < machine_component) ||
+               it == endpoints_component;
+    };
+    const bool any = affected == endpoints_component || asked == endpoints_component;
+    return affected == asked || (any && is_endpoint(affected) && is_endpoint(asked));
+}
+
 /// A disturbance. Planned ones are requested stops and changes by the operator.
 struct outage
 {
@@ -54,8 +76,8 @@
         return std::none_of(outages_.begin(), outages_.end(),
                             [&](const outage& it)
                             {
-                                const bool applies =
-                                    it.affected == affected || it.affected == machine_component;
+                                const bool applies = covers(it.affected, affected) ||
+                                                     it.affected == machine_component;
                                 const bool counts = include_planned || !it.planned;
                                 return applies && counts && it.from <= until && it.until >= from;
                             });
@@ -67,21 +89,8 @@
     {
         return std::none_of(outages_.begin(), outages_.end(),
                             [&](const outage& it) {
-                                return it.affected == affected && !it.planned && it.from <= until &&
-                                       it.until >= from;
-                            });
-    }
-
-    /// Whether nothing but the component and the store had an unplanned outage in the time span.
-    [[nodiscard]] bool
-    others_sound(disturbed_component affected, time_point from, time_point until) const
-    {
-        return std::none_of(outages_.begin(), outages_.end(),
-                            [&](const outage& it)
-                            {
-                                const bool other =
-                                    it.affected != affected && it.affected != store_component;
-                                return other && !it.planned && it.from <= until && it.until >= from;
+                                return covers(it.affected, affected) && !it.planned &&
+                                       it.from <= until && it.until >= from;
                             });
     }
 
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
 #include <set>
 #include <thread>
 
@@ -42,6 +43,12 @@
 constexpr std::size_t burst_connections = 300;
 constexpr std::size_t burst_calls = 3;
 
+/// Drain delay of routers by default. Runs of faults use a shorter one, so that more stops fit in.
+constexpr milliseconds default_drain_delay{2500};
+
+/// In a run of stops, two callers of three have long work. Half of these stay at one router.
+constexpr std::size_t short_caller_interval = 3;
+
 /// Threads that run the proxies and callers.
 class io_threads
 {
@@ -76,10 +83,9 @@
 {
 public:
     soak_run(std::uint64_t seed, const soak_options& options)
-        : fleet_{threads_.io, options.deployment, recorder_},
-          faults_{fleet_, recorder_, make_plan(seed, options.faults, options.brief)}
+        : kind_{options.kind}, plan_{plan_of(seed, options)},
+          fleet_{threads_.io, deployment_of(options), recorder_}, faults_{fleet_, recorder_, plan_}
     {
-        const auto plan = make_plan(seed, options.faults, options.brief);
         for (auto* it : fleet_.endpoints())
         {
             it->link().set(options.injected);
@@ -90,10 +96,14 @@
             const auto probed_router = n < routers ? std::optional{n} : std::nullopt;
             caller_options its{n, seed * 1000 + n, probed_router};
             its.idle_percent = n % idle_caller_interval == 0 ? idle_percent : 0;
+            if (kind_ == soak_kind::stops && !probed_router && n % short_caller_interval != 0)
+            {
+                set_long_work(its, routers);
+            }
             callers_.push_back(
                 std::make_shared<caller>(threads_.io, its, fleet_, recorder_, stopping_));
         }
-        for (const auto& it : plan.events)
+        for (const auto& it : plan_.events)
         {
             add_burst(it, seed);
         }
@@ -109,13 +119,43 @@
         run_plan();
         check_exits();
         check_recovery();
-        stop_callers();
+        // Runs of stops end with one under load, since callers use open connections until the
+        // process is gone.
+        if (kind_ == soak_kind::stops)
+        {
+            stop_routers();
+            stop_callers();
+        }
+        else
+        {
+            stop_callers();
+            stop_routers();
+        }
         check_now();
-        stop_routers();
         return result();
     }
 
 private:
+    static deployment_options deployment_of(const soak_options& options)
+    {
+        auto result = options.deployment;
+        if (options.kind == soak_kind::stops)
+        {
+            result.drain_delay = default_drain_delay;
+        }
+        return result;
+    }
+
+    static void set_long_work(caller_options& options, std::size_t routers)
+    {
+        options.long_work = true;
+        options.calls_per_connection = std::numeric_limits<std::size_t>::max();
+        if (options.number % 2 == 0)
+        {
+            options.home_router = options.number / 2 % routers;
+        }
+    }
+
     /// Adds the callers of a burst, which wait for its begin.
     void add_burst(const fault_event& event, std::uint64_t seed)
     {
@@ -185,6 +225,7 @@
         }
         timed_checks_ = it.timed_checks();
         closed_unread_ = it.closed_unread();
+        at_stops_ = it.at_stops();
     }
 
     void check_exits()
@@ -239,10 +280,7 @@
 
     void stop_routers()
     {
-        for (const auto& it : fleet_.routers())
-        {
-            it->process->signal(SIGTERM);
-        }
+        faults_.stop_all_routers();
         for (const auto& it : fleet_.routers())
         {
             const auto code = it->process->wait(stop_timeout);
@@ -267,9 +305,12 @@
         out.runs = fleet_.executions().size();
         out.timed_checks = timed_checks_;
         out.closed_unread = closed_unread_;
+        out.at_stops = at_stops_;
         return out;
     }
 
+    const soak_kind kind_;
+    const fault_plan plan_;
     observation_recorder recorder_;
     std::atomic<bool> stopping_{false};
     io_threads threads_{2};
@@ -279,10 +320,18 @@
     std::set<violation> violations_;
     std::size_t timed_checks_{0};
     std::size_t closed_unread_{0};
+    stop_counts at_stops_;
 };
 
 } // namespace
 
+fault_plan plan_of(std::uint64_t seed, const soak_options& options)
+{
+    return options.kind == soak_kind::stops
+               ? make_stop_plan(seed, options.faults, options.deployment.routers)
+               : make_plan(seed, options.faults, options.brief);
+}
+
 soak_result run_seed(std::uint64_t seed, const soak_options& options)
 {
     return soak_run{seed, options}.run_seed();
--- a/soak/run.hpp
+++ b/soak/run.hpp
@@ -7,17 +7,25 @@
 #include <vector>
 
 #include "soak/deployment.hpp"
+#include "soak/fault_plan.hpp"
 #include "soak/invariant_checker.hpp"
 
 namespace mangovane::soak
 {
 
+enum class soak_kind : std::uint8_t
+{
+    faults, ///< Faults and changes with work that is short against all time bounds.
+    stops,  ///< Series of stops with work that lasts up to the timeouts of the routes.
+};
+
 struct soak_options
 {
+    soak_kind kind{soak_kind::faults};
     deployment_options deployment;
     std::size_t callers{24};
     std::size_t faults{10};
-    bool brief{false};       ///< Skips the undisturbed phase.
+    bool brief{false};       ///< Skips the undisturbed phase of a run of faults.
     link_condition injected; ///< Condition of the links to all endpoints during the whole run.
 
     auto operator<=>(const soak_options&) const = default;
@@ -31,11 +39,15 @@
     std::size_t runs{0};
     std::size_t timed_checks{0};
     std::size_t closed_unread{0}; ///< Requests whose connection closed without forwarding them.
+    stop_counts at_stops;
 
     auto operator<=>(const soak_result&) const = default;
 };
 
-/// Runs the fault plan of a seed. Signals only processes that it started.
+/// Plan of a seed.
+[[nodiscard]] fault_plan plan_of(std::uint64_t seed, const soak_options& options);
+
+/// Runs the plan of a seed. Signals only processes that it started.
 [[nodiscard]] soak_result run_seed(std::uint64_t seed, const soak_options& options);
 
 } // namespace mangovane::soak
--- a/soak/run_observations.hpp
+++ b/soak/run_observations.hpp
@@ -13,9 +13,13 @@
 namespace mangovane::soak
 {
 
-/// Deadline that callers send with each request.
+/// Deadline that callers send with requests whose work is short.
 inline constexpr milliseconds request_deadline{2500};
 
+/// Timeout of the routes with long work. It exceeds the drain delay, the wait for a first request
+/// and the grace period of a stop.
+inline constexpr milliseconds long_route_timeout{12000};
+
 /// Time that the configuration allows for the header of a request.
 inline constexpr milliseconds header_timeout{1000};
 
@@ -26,9 +30,22 @@
     idempotent,       ///< Plain, idempotent.
     plain_stream,     ///< Stream, must run at most once.
     resumable_stream, ///< Resumable stream.
-    probe, ///< Requests the newest route, to find out whether its configuration is active.
+    probe,       ///< Requests the newest route, to find out whether its configuration is active.
+    long_body,   ///< Plain, must run at most once; works for up to the timeout of its route.
+    long_stream, ///< Stream, must run at most once; lasts for up to the timeout of its route.
 };
 
+[[nodiscard]] constexpr bool has_long_work(call_kind kind) noexcept
+{
+    return kind == call_kind::long_body || kind == call_kind::long_stream;
+}
+
+[[nodiscard]] constexpr bool is_stream(call_kind kind) noexcept
+{
+    return kind == call_kind::plain_stream || kind == call_kind::resumable_stream ||
+           kind == call_kind::long_stream;
+}
+
 [[nodiscard]] constexpr bool may_repeat(call_kind kind) noexcept
 {
     return kind == call_kind::idempotent || kind == call_kind::resumable_stream ||
@@ -52,6 +69,8 @@
     bool body_matches{false}; ///< The body is the complete one of this request.
     bool abandoned{false};    ///< The call exceeded the caller's timeout.
     std::uint64_t version{0}; ///< Configuration version of a probe.
+    time_point sending_at{};  ///< Just before the last bytes were written.
+    milliseconds deadline{request_deadline};
 
     auto operator<=>(const call_record&) const = default;
 };
@@ -65,6 +84,8 @@
     time_point at{};
     /// Target, body and account match the caller's, and its key was not forwarded.
     bool as_sent{true};
+    std::size_t endpoint_number{0};
+    time_point ended_at{time_point::max()}; ///< End of the work; `max` while it lasts.
 
     auto operator<=>(const execution_record&) const = default;
 };
@@ -106,6 +127,7 @@
     std::size_t router{0};
     std::uint32_t process_number{0};
     time_point at{};
+    bool planned{false}; ///< SIGTERM.
 
     auto operator<=>(const process_end&) const = default;
 };
--- a/src/standin/fleet_commands.cpp
+++ b/src/standin/fleet_commands.cpp
@@ -38,15 +38,15 @@
     add("listen", po::value(&listen)->default_value("127.0.0.1:0"), "ip:port");
     add("name", po::value(&behaviour.name)->required(),
         "instance name that requests have to expect");
-    add("events", po::value(&behaviour.events)->default_value(6), "events per stream");
+    add("events", po::value(&behaviour.work.events)->default_value(6), "events per stream");
     add("interval-ms", po::value(&interval_ms)->default_value(5), "interval between events in ms");
     add("work-ms", po::value(&work_ms)->default_value(5), "delay before the first byte in ms");
     if (const auto code = read_arguments(known, args))
     {
         return *code;
     }
-    behaviour.event_interval = std::chrono::milliseconds{interval_ms};
-    behaviour.work = std::chrono::milliseconds{work_ms};
+    behaviour.work.event_interval = std::chrono::milliseconds{interval_ms};
+    behaviour.work.delay = std::chrono::milliseconds{work_ms};
     fleet_engine engine{behaviour};
     return serve(listen,
                  [&engine](const request& req, reply& rep) { return engine.handle(req, rep); });
--- a/src/standin/fleet_engine.hpp
+++ b/src/standin/fleet_engine.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -31,12 +32,22 @@
                ///< resets or closes the connection, or ends a stream as if it were complete.
 };
 
-struct fleet_engine_behaviour
+/// Events of a stream and the time that a response takes.
+struct engine_work
 {
-    std::string name;
     std::uint32_t events{6};
     std::chrono::milliseconds event_interval{5};
-    std::chrono::milliseconds work{5}; ///< Delay before a plain response or the first event.
+    std::chrono::milliseconds delay{5}; ///< Before a plain response or the first event.
+
+    auto operator<=>(const engine_work&) const = default;
+};
+
+struct fleet_engine_behaviour
+{
+    std::string name;
+    engine_work work; ///< Of requests for which `work_of` is not set.
+    /// Work of a request by its id.
+    std::function<engine_work(const std::string& request)> work_of{};
 };
 
 /// A request that an endpoint ran.
@@ -52,6 +63,8 @@
     bool had_key{false}; ///< The caller's key was forwarded.
     std::uint32_t deadline_ms{0};
     std::chrono::steady_clock::time_point at{}; ///< Start of the run.
+    /// End of the response or loss of the connection; `max` while the run lasts.
+    std::chrono::steady_clock::time_point ended_at{std::chrono::steady_clock::time_point::max()};
 
     auto operator<=>(const engine_run&) const = default;
 };
@@ -70,8 +83,12 @@
 
 private:
     [[nodiscard]] engine_fault consume_fault();
-    void record(const request& req);
+    /// Records a run and returns its index.
+    [[nodiscard]] std::size_t record(const request& req);
+    void record_end(std::size_t run);
+    [[nodiscard]] engine_work work_of(const request& req) const;
     void add_signature(engine_fault fault, const request& req, reply& rep) const;
+    boost::asio::awaitable<void> respond(engine_fault fault, const request& req, reply& rep);
     boost::asio::awaitable<void> stream(const request& req, reply& rep, bool cut);
     boost::asio::awaitable<void> break_off(const request& req, reply& rep);
     boost::asio::awaitable<void> apply_fault(engine_fault fault, const request& req, reply& rep);
--- a/src/standin/http_host.cpp
+++ b/src/standin/http_host.cpp
@@ -1,6 +1,7 @@
 // Implementation of the HTTP server of the stand-ins.
 #include "standin/http_host.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <utility>
@@ -19,6 +20,7 @@
 
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/caller_request.hpp"
+#include "mangovane/net/peek.hpp"
 
 namespace mangovane::standin
 {
@@ -32,6 +34,9 @@
 
 constexpr std::uint64_t max_body = 64ULL * 1024 * 1024; ///< Bytes.
 
+/// Interval at which a handler that works looks for the close of its connection.
+constexpr std::chrono::milliseconds close_check_interval{50};
+
 std::string head(unsigned status, const std::string& type, const std::string& attempt)
 {
     const auto reason = http::obsolete_reason(http::int_to_status(status));
@@ -91,6 +96,15 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
+asio::awaitable<void> reply::pause_while_connected(std::chrono::milliseconds time)
+{
+    for (auto left = time; open_ && left.count() > 0; left -= close_check_interval)
+    {
+        co_await pause(std::min(left, close_check_interval));
+        open_ = open_ && peek(stream_.socket()) != peek_result::closed;
+    }
+}
+
 asio::awaitable<void> reply::send(unsigned status, std::string body, std::string type)
 {
     auto text = head(status, type, attempt_) + fields_;
--- a/src/standin/http_host.hpp
+++ b/src/standin/http_host.hpp
@@ -40,6 +40,9 @@
     /// Suspends the handler without blocking the thread.
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
 
+    /// Like `pause`, but ends early if the peer closes its connection, which is then not open.
+    boost::asio::awaitable<void> pause_while_connected(std::chrono::milliseconds time);
+
     /// Adds a header field to the responses that follow.
     void add_field(const std::string& name, const std::string& value);
 
--- a/test/platform/store_text.cpp
+++ b/test/platform/store_text.cpp
@@ -6,6 +6,27 @@
 namespace mangovane::test
 {
 
+namespace
+{
+
+std::string long_routes(milliseconds timeout)
+{
+    if (timeout.count() == 0)
+    {
+        return {};
+    }
+    return absl::StrCat(
+        R"({"name":"ledger","host":"desk.example","prefix":"/ledger/","type":"unsafe","timeout_ms":)",
+        timeout.count(), R"(,"goal_ms":)", timeout.count(),
+        R"(,"service":"ventanilla","max_attempts":1},
+{"name":"minutes","host":"desk.example","prefix":"/minutes/","type":"streaming","timeout_ms":)",
+        timeout.count(),
+        R"(,"goal_ms":1000,"priority":1,"service":"dictamen","max_attempts":1,"sticky":true,
+ "gap_goal_ms":600},)");
+}
+
+} // namespace
+
 std::string configuration_text(const config_params& params)
 {
     std::string added;
@@ -15,6 +36,7 @@
                         R"(/","type":"idempotent","timeout_ms":800,"goal_ms":300,)",
                         R"("service":"ventanilla","max_attempts":2},)");
     }
+    added += long_routes(params.long_timeout);
     return absl::StrCat(R"({"version":)", params.version, R"(,"routes":[)", added, R"(
 {"name":"review","host":"desk.example","prefix":"/review/","type":"streaming","timeout_ms":3000,
  "goal_ms":1000,"priority":1,"service":"dictamen","max_attempts":1,"sticky":true,"gap_goal_ms":600},
--- a/test/platform/store_text.hpp
+++ b/test/platform/store_text.hpp
@@ -18,6 +18,9 @@
     std::uint64_t first_added{2}; ///< From this version on, each adds a route `v<version>`.
     seconds cold_time{0};         ///< Of endpoints of `dictamen`.
     double cold_rate{0};          ///< Requests per second that a cold endpoint of it accepts.
+    /// If not 0, there are two more routes with this timeout: `ledger` for bodies and `minutes` for
+    /// streams, both for requests that must run at most once.
+    milliseconds long_timeout{0};
 };
 
 [[nodiscard]] std::string configuration_text(const config_params& params);
