--- a/test/platform/store_text.cpp
+++ b/test/platform/store_text.cpp
@@ -6,6 +6,27 @@
 namespace mangovane::test
 {
 
+namespace
+{
+
+std::string long_routes(milliseconds timeout)
+{
+    if (timeout.count() == 0)
+    {
+        return {};
+    }
+    return absl::StrCat(
+        R"({"name":"ledger","host":"desk.example","prefix":"/ledger/","type":"unsafe","timeout_ms":)",
+        timeout.count(), R"(,"goal_ms":)", timeout.count(),
+        R"(,"service":"ventanilla","max_attempts":1},
+{"name":"minutes","host":"desk.example","prefix":"/minutes/","type":"streaming","timeout_ms":)",
+        timeout.count(),
+        R"(,"goal_ms":1000,"priority":1,"service":"dictamen","max_attempts":1,"sticky":true,
+ "gap_goal_ms":600},)");
+}
+
+} // namespace
+
 std::string configuration_text(const config_params& params)
 {
     std::string added;
@@ -17,6 +38,7 @@
     }
     const auto stream_timeout = params.stream_timeout.count();
     const auto call_timeout = params.call_timeout.count();
+    added += long_routes(params.long_timeout);
     return absl::StrCat(R"({"version":)", params.version, R"(,"routes":[)", added, R"(
 {"name":"review","host":"desk.example","prefix":"/review/","type":"streaming","timeout_ms":)",
                         stream_timeout, R"(,
