Accept the end of a stream if other connections show the endpoint's process

What callers saw: a stream with neither a length nor chunks, of which they had every event, ended as broken off ("closed" with a status). Its endpoint was leaving: it had closed its listener and finished what it had accepted.

A closed listener was taken for a process that has ended.

Evidence: `platform/leaving_endpoint.cpp` runs the endpoint as a process of its own. Streams in chunks were complete before, too.

Why it works: the kernel ends all connections of a process together. Another connection of the instance to the same process that is still open 270 ms after the end shows that the process ended the stream itself. An end that was lost is sent again after 200 ms. A backlog on that connection would hold back its end, so it counts only with nothing unread and nothing received for 20 ms. A connection made after the end doesn't count, as it may lead to a successor at the address. If all connections have ended, there is no further wait.

Not solved: a last stream at an endpoint that refuses, and one whose process exits within 20 ms of its end. Both still count as broken off. The caller's bytes and the order of events are the same for a process that exits in the middle, and PROTOCOL.md defines no last event. Rejected: trusting the mark of a leaving endpoint, as such a process may exit or be killed with streams in progress; the time between the last event and the end; an extra connection as proof, as servers that leave close idle ones first. By reading, two lost ends in a row, or a link so slow that its packets are 20 ms apart, could still make a killed process look alive; not played.

--- a/src/mangovane/net/crash_check.cpp
+++ b/src/mangovane/net/crash_check.cpp
@@ -16,6 +16,14 @@
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+/// A connection with an event every 32 ms is silent for 20 ms in one of three samples.
+constexpr int max_samples = 10;
+
+} // namespace
+
 asio::awaitable<bool>
 refuses_connections(const std::string& address, milliseconds delay, milliseconds timeout)
 {
@@ -43,4 +51,31 @@
     co_return ec == asio::error::connection_refused;
 }
 
+asio::awaitable<bool> process_has_ended(endpoint_connections& connections,
+                                        const std::string& address,
+                                        const crash_check_timing& timing)
+{
+    const auto before = connections.sample(address);
+    const bool refuses = co_await refuses_connections(address, timing.delay, timing.timeout);
+    if (!refuses)
+    {
+        co_return false;
+    }
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer{executor};
+    auto wait = timing.proof_delay;
+    for (int n = 0; n != max_samples && any_remains(before, connections.sample(address)); ++n)
+    {
+        boost::system::error_code ec;
+        timer.expires_after(wait);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        if (any_shows_process(before, connections.sample(address)))
+        {
+            co_return false;
+        }
+        wait = timing.sample_interval;
+    }
+    co_return true;
+}
+
 } // namespace mangovane
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -131,7 +131,7 @@
     current.endpoint_error = {};
     timed_out_ = false;
     endpoint_refuses_.reset();
-    auto call = std::make_shared<upstream_call>(socket_.get_executor());
+    auto call = std::make_shared<upstream_call>(socket_.get_executor(), services_.connections);
     call_ = call;
     // Closing the connection on this timeout is safe to retry: nothing has been sent yet.
     call_deadline_.start(
@@ -168,10 +168,9 @@
 {
     if (!endpoint_refuses_)
     {
-        const auto& timeouts = services_.timeouts;
-        const bool refuses = co_await refuses_connections(
-            call_->address(), timeouts.crash_check_delay, timeouts.crash_check_timeout);
-        endpoint_refuses_ = refuses;
+        const bool ended = co_await process_has_ended(*services_.connections, call_->address(),
+                                                      services_.timeouts.crash_check);
+        endpoint_refuses_ = ended;
     }
     co_return *endpoint_refuses_;
 }
--- a/src/mangovane/net/forward_services.hpp
+++ b/src/mangovane/net/forward_services.hpp
@@ -3,9 +3,12 @@
 #define MANGOVANE_NET_FORWARD_SERVICES_HPP
 
 #include <atomic>
+#include <memory>
 
 #include "mangovane/forward/forward_core.hpp"
 #include "mangovane/net/byte_budget.hpp"
+#include "mangovane/net/crash_check.hpp"
+#include "mangovane/net/endpoint_connections.hpp"
 #include "mangovane/net/http_dialect.hpp"
 #include "mangovane/observe/event_log.hpp"
 #include "mangovane/observe/request_record.hpp"
@@ -19,12 +22,7 @@
     /// To an endpoint; below 1 s, after which TCP retransmits a lost SYN, so that another endpoint
     /// is tried first.
     milliseconds connect_timeout{250};
-    /// From the end of a connection until its endpoint is asked whether it still listens. The
-    /// kernel closes the listener of a killed process up to some milliseconds after its
-    /// connections.
-    milliseconds crash_check_delay{20};
-    /// To an endpoint that has ended a connection, to see whether its process has ended too.
-    milliseconds crash_check_timeout{100};
+    crash_check_timing crash_check;
     /// Time for which a write to a caller may continue after the deadline of its request.
     milliseconds final_write_timeout{400};
     /// A write to a caller that accepts no byte for this long has failed.
@@ -49,6 +47,8 @@
     const std::atomic<bool>& leaving; ///< Shutting down: responses close the connection.
     forward_timeouts timeouts;
     byte_budget held_responses{max_held_response_bytes};
+    /// Shared with the calls, some of which are destroyed only with their executor.
+    std::shared_ptr<endpoint_connections> connections{std::make_shared<endpoint_connections>()};
 };
 
 } // namespace mangovane
--- a/src/mangovane/net/upstream_call.cpp
+++ b/src/mangovane/net/upstream_call.cpp
@@ -32,6 +32,7 @@
         co_return false;
     }
     socket_.set_option(asio::ip::tcp::no_delay{true}, ec);
+    registration_.emplace(connections_, address_, socket_.native_handle());
     co_return true;
 }
 
@@ -80,6 +81,7 @@
 void upstream_call::close()
 {
     closed_ = true;
+    registration_.reset();
     error_code ec;
     socket_.close(ec);
 }
--- a/src/mangovane/net/upstream_call.hpp
+++ b/src/mangovane/net/upstream_call.hpp
@@ -8,11 +8,13 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "mangovane/net/endpoint_connections.hpp"
 #include "mangovane/net/final_head.hpp"
 
 namespace mangovane
@@ -26,7 +28,10 @@
     using error_code = boost::system::error_code;
     using head_type = boost::beast::http::response_header<>;
 
-    explicit upstream_call(const boost::asio::any_io_executor& executor) : socket_{executor} {}
+    upstream_call(const boost::asio::any_io_executor& executor,
+                  std::shared_ptr<endpoint_connections> connections)
+        : socket_{executor}, connections_{std::move(connections)}
+    {}
 
     /// Connects to `ip:port`. Returns false on failure; nothing has been sent in that case.
     boost::asio::awaitable<bool> connect(const std::string& address);
@@ -72,6 +77,8 @@
 
 private:
     boost::asio::ip::tcp::socket socket_;
+    const std::shared_ptr<endpoint_connections> connections_;
+    std::optional<connection_registration> registration_; ///< While the connection is established.
     std::string address_;
     boost::beast::flat_buffer buffer_{max_response_section_bytes};
     std::optional<endpoint_response_parser> parser_;
