Look for a store response before a late deadline is believed

Users of the store client could see a call end with DEADLINE_EXCEEDED although its response had arrived: a claim or a settings read then counts as failed, and the outcome of a write as unknown.

Cause: beast::tcp_stream believes its timer. In a process that was paused or waited for a core, timers expire before the sockets are read.

The connections are now timed_socket, a socket with a socket_deadline: an expiry looks at the socket first and is put off for a bounded time if the operation can go on.

--- a/src/mangovane/net/peek.cpp
+++ b/src/mangovane/net/peek.cpp
@@ -23,6 +23,11 @@
     return ec ? peek_result::closed : peek_result::data;
 }
 
+bool is_readable(asio::ip::tcp::socket& socket)
+{
+    return peek(socket) != peek_result::no_data;
+}
+
 bool is_writable(asio::ip::tcp::socket& socket)
 {
     pollfd state{socket.native_handle(), POLLOUT, 0};
--- a/src/mangovane/net/peek.hpp
+++ b/src/mangovane/net/peek.hpp
@@ -19,6 +19,9 @@
 /// peer has closed the connection. Switches the socket to non-blocking mode.
 [[nodiscard]] peek_result peek(boost::asio::ip::tcp::socket& socket);
 
+/// Whether bytes, or the end of the connection, have arrived and were not read. Does not block.
+[[nodiscard]] bool is_readable(boost::asio::ip::tcp::socket& socket);
+
 /// Whether the socket accepts bytes now, or its connection has failed. Does not block.
 [[nodiscard]] bool is_writable(boost::asio::ip::tcp::socket& socket);
 
--- a/src/mangovane/store/http_pool.cpp
+++ b/src/mangovane/store/http_pool.cpp
@@ -37,9 +37,15 @@
 /// section.
 constexpr std::size_t max_read_buffer_bytes = std::size_t{64} * 1024;
 
-absl::Status status_from(const beast::error_code& ec)
+/// Of a call that was not sent.
+absl::Status deadline_passed()
 {
-    if (ec == beast::error::timeout)
+    return absl::DeadlineExceededError("the deadline of a call to the platform has passed");
+}
+
+absl::Status status_from(const timed_socket& conn, const beast::error_code& ec)
+{
+    if (conn.expired())
     {
         return absl::DeadlineExceededError("no response from the platform before the deadline");
     }
@@ -97,7 +103,7 @@
 {
     if (clock::now() >= deadline)
     {
-        co_return absl::DeadlineExceededError("the deadline of a call to the platform has passed");
+        co_return deadline_passed();
     }
     if (connections_in_use_ < max_connections)
     {
@@ -142,23 +148,23 @@
     {
         auto last = std::move(idle_.back());
         idle_.pop_back();
-        if (last.since >= oldest && is_reusable(last.stream.socket()))
+        if (last.since >= oldest && is_reusable(last.socket->socket()))
         {
-            return std::move(last.stream);
+            return std::move(last.socket);
         }
     }
-    return std::nullopt;
+    return nullptr;
 }
 
-asio::awaitable<absl::Status> http_pool::connect(connection& conn, time_point deadline)
+asio::awaitable<absl::Status> http_pool::connect(const connection& conn, time_point deadline)
 {
-    conn.emplace(strand_);
-    conn->expires_at(deadline);
+    conn->expire_at(deadline, is_writable);
     beast::error_code ec;
-    co_await conn->async_connect(*endpoint_, asio::redirect_error(asio::use_awaitable, ec));
+    co_await conn->socket().async_connect(*endpoint_,
+                                          asio::redirect_error(asio::use_awaitable, ec));
     if (ec)
     {
-        co_return status_from(ec);
+        co_return status_from(*conn, ec);
     }
     enable_dead_peer_detection(conn->socket(), max_unacknowledged_time);
     co_return absl::OkStatus();
@@ -170,35 +176,50 @@
     auto conn = take_idle();
     if (!conn)
     {
+        conn = std::make_shared<timed_socket>(strand_);
         const auto connected = co_await connect(conn, deadline);
+        conn->stop();
         if (!connected.ok())
         {
             co_return connected;
         }
     }
-    conn->expires_at(deadline);
+    if (clock::now() >= deadline)
+    {
+        co_return deadline_passed();
+    }
+    auto response = co_await exchange_on(conn, req, deadline);
+    conn->stop();
+    co_return response;
+}
+
+asio::awaitable<absl::StatusOr<http_response>>
+http_pool::exchange_on(const connection& conn, request& req, time_point deadline)
+{
+    conn->expire_at(deadline, is_writable);
     req.set(http::field::host, address_);
     req.keep_alive(true);
     req.prepare_payload();
     beast::error_code ec;
-    co_await http::async_write(*conn, req, asio::redirect_error(asio::use_awaitable, ec));
+    co_await http::async_write(conn->socket(), req, asio::redirect_error(asio::use_awaitable, ec));
     if (ec)
     {
-        co_return status_from(ec);
+        co_return status_from(*conn, ec);
     }
     beast::flat_buffer buf{max_read_buffer_bytes};
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_body_bytes);
-    co_await http::async_read(*conn, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    conn->expire_at(deadline, is_readable);
+    co_await http::async_read(conn->socket(), buf, parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
     if (ec)
     {
-        co_return status_from(ec);
+        co_return status_from(*conn, ec);
     }
-    conn->expires_never();
     auto res = parser.release();
     if (res.keep_alive() && buf.size() == 0)
     {
-        idle_.push_back(idle_connection{std::move(*conn), clock::now()});
+        idle_.push_back(idle_connection{conn, clock::now()});
     }
     co_return http_response{res.result_int(), std::move(res.body())};
 }
--- a/src/mangovane/store/http_pool.hpp
+++ b/src/mangovane/store/http_pool.hpp
@@ -16,11 +16,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "mangovane/core/time.hpp"
+#include "mangovane/net/timed_socket.hpp"
 
 namespace mangovane
 {
@@ -55,18 +55,22 @@
     void send(request req, time_point deadline, handler done);
 
 private:
+    using connection = std::shared_ptr<timed_socket>;
     struct idle_connection
     {
-        boost::beast::tcp_stream stream;
+        connection socket;
         time_point since;
     };
-    using connection = std::optional<boost::beast::tcp_stream>;
 
     boost::asio::awaitable<absl::StatusOr<http_response>> run(request req, time_point deadline);
     boost::asio::awaitable<absl::Status> acquire(time_point deadline);
     boost::asio::awaitable<absl::StatusOr<http_response>> exchange(request& req,
                                                                    time_point deadline);
-    boost::asio::awaitable<absl::Status> connect(connection& conn, time_point deadline);
+    boost::asio::awaitable<absl::Status> connect(const connection& conn, time_point deadline);
+    /// Sends the request on an open connection. Keeps the connection for further calls if the
+    /// response permits it.
+    boost::asio::awaitable<absl::StatusOr<http_response>>
+    exchange_on(const connection& conn, request& req, time_point deadline);
     /// Returns the connection to the pool at the end of a call, also if an exception ends it.
     class connection_slot
     {
@@ -80,6 +84,7 @@
         http_pool& pool_;
     };
 
+    /// An idle connection that can be used again; null if there is none.
     connection take_idle();
     void release();
 
