Look for a refusal before a late timeout of the crash check is believed

An endpoint that had crashed could count as one that does not respond, so that the request that crashed it is not recognized as the cause, or the end of a broken response is passed on as complete.

Cause: the check closed its socket when its timer expired, without a look at whether the refusal had arrived while the process was paused.

The check uses timed_socket, which looks at the socket first.

--- a/src/mangovane/net/crash_check.cpp
+++ b/src/mangovane/net/crash_check.cpp
@@ -3,13 +3,14 @@
 
 #include <memory>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mangovane/net/address.hpp"
+#include "mangovane/net/peek.hpp"
+#include "mangovane/net/timed_socket.hpp"
 
 namespace mangovane
 {
@@ -28,18 +29,11 @@
     boost::system::error_code ec;
     asio::steady_timer timer{executor, delay};
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    const auto socket = std::make_shared<asio::ip::tcp::socket>(executor);
-    timer.expires_after(timeout);
-    timer.async_wait(
-        [socket](boost::system::error_code wait_error)
-        {
-            if (!wait_error)
-            {
-                boost::system::error_code ignored;
-                socket->close(ignored);
-            }
-        });
-    co_await socket->async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    const auto socket = std::make_shared<timed_socket>(executor);
+    socket->expire_at(clock::now() + timeout, is_writable);
+    co_await socket->socket().async_connect(*endpoint,
+                                            asio::redirect_error(asio::use_awaitable, ec));
+    socket->close();
     co_return ec == asio::error::connection_refused;
 }
 
