Keep the connection to a peer that was made while its timeout expired

A message to a peer could be lost after a pause of the process: frames_sent stayed at 1 (the hello) and the message never followed.

Cause, two faults of one timer. If the connection is made and the timer expires between two polls of the reactor, cancel() does not recall the expired handler: it closes the new connection after the messages have been taken from the queue. If the timer is seen first, the connection is closed, and the message becomes too old while the link connects again.

Evidence: test/mangovane/net/peer_network.cpp plays both orders with a full queue of connections, whose next connection the kernel makes 1 s later. New code: sent in both.

The timeout is a socket_deadline: it looks at the socket first, and stop() also recalls a handler that has expired already.

--- a/src/mangovane/net/peer_link.cpp
+++ b/src/mangovane/net/peer_link.cpp
@@ -13,6 +13,7 @@
 
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/hello_mac.hpp"
+#include "mangovane/net/peek.hpp"
 #include "mangovane/net/socket_options.hpp"
 #include "mangovane/net/spawn.hpp"
 
@@ -60,7 +61,7 @@
 
 peer_link::peer_link(asio::io_context& io, std::shared_ptr<peer_context> context, instance_id to)
     : strand_{asio::make_strand(io)}, context_{std::move(context)}, peer_{to}, socket_{strand_},
-      timer_{strand_}, reconnect_backoff_{min_reconnect_backoff}
+      connect_deadline_{strand_}, timer_{strand_}, reconnect_backoff_{min_reconnect_backoff}
 {}
 
 void peer_link::push(message msg)
@@ -188,17 +189,16 @@
         co_return false;
     }
     error_code ec;
-    timer_.expires_after(connect_timeout);
-    timer_.async_wait(
-        [self = shared_from_this()](error_code timer_ec)
+    connect_deadline_.start(
+        clock::now() + connect_timeout,
+        [self = shared_from_this()] { return is_writable(self->socket_); },
+        [self = shared_from_this()]
         {
-            if (!timer_ec)
-            {
-                self->socket_.close(timer_ec);
-            }
+            error_code ignored;
+            self->socket_.close(ignored);
         });
     co_await socket_.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, ec));
-    timer_.cancel();
+    connect_deadline_.stop();
     if (!ec)
     {
         enable_dead_peer_detection(socket_, dead_peer_timeout);
--- a/src/mangovane/net/peer_link.hpp
+++ b/src/mangovane/net/peer_link.hpp
@@ -18,6 +18,7 @@
 
 #include "mangovane/core/time.hpp"
 #include "mangovane/net/peer_context.hpp"
+#include "mangovane/net/socket_deadline.hpp"
 #include "mangovane/wire/codec.hpp"
 
 namespace mangovane::internal
@@ -78,6 +79,7 @@
     std::shared_ptr<peer_context> context_;
     instance_id peer_;
     boost::asio::ip::tcp::socket socket_; ///< Used on the strand.
+    socket_deadline connect_deadline_;    ///< Used on the strand.
     boost::asio::steady_timer timer_;     ///< Used on the strand.
     duration reconnect_backoff_;          ///< Used on the strand.
     std::array<char, 1> close_probe_{};   ///< Used on the strand.
--- a/test/mangovane/net/peer_network.cpp
+++ b/test/mangovane/net/peer_network.cpp
@@ -1,6 +1,6 @@
 // Tests of the peer network: two instances on loopback. They guard against messages that are lost,
-// reordered or read by another instance than the intended one, and against connections that are
-// never replaced after a failure.
+// reordered or read by another instance than the intended one, against connections that are
+// never replaced after a failure, and against a timer that closes a connection that was made.
 #include "mangovane/net/peer_network.hpp"
 
 #include <condition_variable>
@@ -11,8 +11,13 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include "mangovane/net/paused_context.hpp"
+#include "mangovane/net/raw_endpoint.hpp"
+
 using namespace mangovane;
 namespace asio = boost::asio;
+using mangovane::test::full_endpoint;
+using mangovane::test::paused_context;
 
 namespace
 {
@@ -233,3 +238,38 @@
         CHECK(b->received.wait_for(1));
     }
 }
+
+TEST_CASE("an instance that is paused while it connects to a peer")
+{
+    // Of `peer_link`.
+    constexpr milliseconds connect_timeout{500};
+    // After this the kernel sends the connection request again, which is then accepted.
+    constexpr milliseconds kernel_retry_time{1000};
+    constexpr std::uint64_t hello_and_message = 2;
+
+    asio::io_context io{1};
+    const auto work = asio::make_work_guard(io);
+    peer a{io, "a", "key"};
+    std::thread thread{[&io] { io.run(); }};
+    full_endpoint c;
+    const auto started_at = clock::now();
+    const auto made_at = started_at + kernel_retry_time + milliseconds{200};
+    a.network.set_address(instance_id::of("c"), c.address());
+    a.network.send({instance_id::of("c"), load_query{1, endpoint_id{8}}});
+    std::this_thread::sleep_for(connect_timeout / 2);
+    c.make_room();
+
+    SUBCASE("sends its message on the connection that was made before the timer was seen")
+    {
+        asio::post(io, [made_at] { std::this_thread::sleep_until(made_at); });
+    }
+    SUBCASE("sends its message on the connection that was made after the timer was seen")
+    {
+        const paused_context pause{io, started_at + connect_timeout + milliseconds{50}};
+        std::this_thread::sleep_until(made_at);
+    }
+    CHECK(wait_until([&] { return a.network.traffic().frames_sent == hello_and_message; }));
+    CHECK(a.network.traffic().messages_dropped == 0);
+    io.stop();
+    thread.join();
+}
