Look for the answer of a poll before its late timeout is believed

An endpoint that answered its polls in time could be ejected as unreachable after two pauses in a row, and get no requests until its next answered poll.

Cause: the poll believed the timer of beast::tcp_stream before the answer that had arrived.

Evidence: test/mangovane/net/endpoint_poller.cpp pauses the only thread past the timeouts of two polls and answers each during the pause. Old code: ejected; new code: not. Without answers it is ejected on both.

Polls use timed_socket, which looks at the socket first.

--- a/src/mangovane/net/endpoint_poller.cpp
+++ b/src/mangovane/net/endpoint_poller.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -15,7 +14,9 @@
 
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/load_report.hpp"
+#include "mangovane/net/peek.hpp"
 #include "mangovane/net/spawn.hpp"
+#include "mangovane/net/timed_socket.hpp"
 
 namespace mangovane
 {
@@ -75,29 +76,34 @@
 {
     const auto sampled_at = clock::now() - report_lag;
     const auto address = parse_address(endpoint.address);
-    beast::tcp_stream stream{co_await asio::this_coro::executor};
+    const auto executor = co_await asio::this_coro::executor;
+    const auto conn = std::make_shared<timed_socket>(executor);
+    const auto deadline = clock::now() + poll_timeout;
     beast::error_code ec;
-    stream.expires_after(poll_timeout);
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_report_bytes);
     if (address)
     {
-        co_await stream.async_connect(*address, asio::redirect_error(asio::use_awaitable, ec));
+        conn->expire_at(deadline, is_writable);
+        co_await conn->socket().async_connect(*address,
+                                              asio::redirect_error(asio::use_awaitable, ec));
     }
     if (address && !ec)
     {
         http::request<http::empty_body> req{http::verb::get, "/mangovane/load", 11};
         req.set(http::field::host, endpoint.address);
         req.keep_alive(false);
-        bytes_ +=
-            co_await http::async_write(stream, req, asio::redirect_error(asio::use_awaitable, ec));
+        bytes_ += co_await http::async_write(conn->socket(), req,
+                                             asio::redirect_error(asio::use_awaitable, ec));
         beast::flat_buffer buf{max_read_buffer_bytes};
         if (!ec)
         {
-            bytes_ += co_await http::async_read(stream, buf, parser,
+            conn->expire_at(deadline, is_readable);
+            bytes_ += co_await http::async_read(conn->socket(), buf, parser,
                                                 asio::redirect_error(asio::use_awaitable, ec));
         }
     }
+    conn->close();
     // A plain service may respond 404: it is reachable but does not report its load.
     const bool answered = address && !ec && parser.is_done();
     const auto report = answered ? parse_load_report(parser.get().body(), endpoint.id, sampled_at)
