Look for an endpoint's response before a late deadline of a native request is believed

Callers of the native front end got 504, or for a request that may not be repeated an unknown outcome, although the response had arrived before the process looked.

Cause: two timers were believed without a look at the socket, that of beast::tcp_stream in the attempt and the request's own in request_exchange.

The attempt uses timed_socket. The request's timer is put off, a bounded number of times, while an attempt runs, so that the attempt's own deadline decides first; it still ends an attempt that goes on. An attempt that ends at the deadline reports cancelled, which is no failure of the endpoint, and the flow answers it as the deadline, as the request's timer did.

A connection that is made only after the time to connect is not used, as the permission to send may have run out during a pause.

--- a/src/mangovane/net/endpoint_attempt.cpp
+++ b/src/mangovane/net/endpoint_attempt.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "mangovane/net/address.hpp"
+#include "mangovane/net/peek.hpp"
 
 namespace mangovane
 {
@@ -33,11 +34,13 @@
 
 } // namespace
 
-endpoint_attempt::endpoint_attempt(asio::any_io_executor executor,
+endpoint_attempt::endpoint_attempt(const asio::any_io_executor& executor,
                                    attempt_parameters params,
                                    response_sink& sink,
                                    const frontend_limits& limits)
-    : params_{std::move(params)}, sink_{sink}, limits_{limits}, stream_{std::move(executor)}
+    : params_{std::move(params)}, sink_{sink}, limits_{limits}, socket_{
+                                                                    std::make_shared<timed_socket>(
+                                                                        executor)}
 {
     result_.attempt = params_.action.attempt;
     result_.may_have_reached_endpoint = false;
@@ -46,9 +49,7 @@
 void endpoint_attempt::abort()
 {
     aborted_ = true;
-    beast::error_code ec;
-    stream_.socket().close(ec);
-    stream_.cancel();
+    socket_->close();
 }
 
 asio::awaitable<attempt_ended> endpoint_attempt::run()
@@ -71,8 +72,7 @@
         stored_response_.http_status = static_cast<std::uint16_t>(parser_->get().result_int());
         result_.stored = stored_response_;
     }
-    beast::error_code ec;
-    stream_.socket().close(ec);
+    socket_->close();
     co_return result_;
 }
 
@@ -84,13 +84,22 @@
         co_return false;
     }
     beast::error_code ec;
-    stream_.expires_at(std::min(params_.deadline, clock::now() + limits_.connect_timeout));
-    co_await stream_.async_connect(*address, asio::redirect_error(asio::use_awaitable, ec));
-    if (!ec)
+    const auto connect_until = std::min(params_.deadline, clock::now() + limits_.connect_timeout);
+    socket_->expire_at(connect_until, is_writable);
+    co_await socket_->socket().async_connect(*address,
+                                             asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && clock::now() >= connect_until)
+    {
+        // This process was late, and the permission to send the request may have run out.
+        result_.outcome = attempt_outcome::cancelled;
+        co_return false;
+    }
+    const bool connected = may_continue(ec);
+    if (connected)
     {
-        stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ec);
+        socket_->socket().set_option(asio::ip::tcp::no_delay{true}, ec);
     }
-    co_return !ec && !aborted_;
+    co_return connected;
 }
 
 asio::awaitable<bool> endpoint_attempt::send()
@@ -105,17 +114,29 @@
     // Bytes may reach the endpoint even if the write fails, so the request may run from here on.
     result_.may_have_reached_endpoint = true;
     beast::error_code ec;
-    stream_.expires_at(params_.deadline);
-    co_await http::async_write(stream_, req, asio::redirect_error(asio::use_awaitable, ec));
-    co_return !ec && !aborted_;
+    socket_->expire_at(params_.deadline, is_writable);
+    co_await http::async_write(socket_->socket(), req,
+                               asio::redirect_error(asio::use_awaitable, ec));
+    co_return may_continue(ec);
 }
 
 asio::awaitable<bool> endpoint_attempt::read_header()
 {
     const bool head_only = params_.request.method() == http::verb::head;
-    const auto ec = co_await read_final_head(stream_, buffer_, parser_, head_only,
+    socket_->expire_at(params_.deadline, is_readable);
+    const auto ec = co_await read_final_head(socket_->socket(), buffer_, parser_, head_only,
                                              limits_.callers.header_bytes);
-    co_return !ec && !aborted_;
+    co_return may_continue(ec);
+}
+
+bool endpoint_attempt::may_continue(const beast::error_code& ec)
+{
+    if (ec && socket_->expired() && clock::now() >= params_.deadline)
+    {
+        // The caller chose the deadline; that it has passed is no failure of the endpoint.
+        result_.outcome = attempt_outcome::cancelled;
+    }
+    return !ec && !aborted_;
 }
 
 bool endpoint_attempt::is_usable()
@@ -220,7 +241,7 @@
         parser_->get().body().data = buf.data();
         parser_->get().body().size = buf.size();
         beast::error_code ec;
-        co_await http::async_read_some(stream_, buffer_, *parser_,
+        co_await http::async_read_some(socket_->socket(), buffer_, *parser_,
                                        asio::redirect_error(asio::use_awaitable, ec));
         if (ec == http::error::need_buffer)
         {
@@ -242,7 +263,8 @@
             out.append(size).append(buf.data(), n).append(chunked_ ? "\r\n" : "");
             to_caller = co_await write_to_caller(asio::buffer(out));
         }
-        if (ec || aborted_ || (!to_caller && params_.idempotent))
+        const bool open = may_continue(ec);
+        if (!open || (!to_caller && params_.idempotent))
         {
             co_return;
         }
--- a/src/mangovane/net/endpoint_attempt.hpp
+++ b/src/mangovane/net/endpoint_attempt.hpp
@@ -7,11 +7,11 @@
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include "mangovane/net/caller_request.hpp"
 #include "mangovane/net/final_head.hpp"
 #include "mangovane/net/frontend_services.hpp"
+#include "mangovane/net/timed_socket.hpp"
 
 namespace mangovane
 {
@@ -45,7 +45,7 @@
 class endpoint_attempt : public std::enable_shared_from_this<endpoint_attempt>
 {
 public:
-    endpoint_attempt(boost::asio::any_io_executor executor,
+    endpoint_attempt(const boost::asio::any_io_executor& executor,
                      attempt_parameters params,
                      response_sink& sink,
                      const frontend_limits& limits);
@@ -71,6 +71,8 @@
     boost::asio::awaitable<void> relay();
     boost::asio::awaitable<void> relay_body(bool to_caller);
     boost::asio::awaitable<bool> write_to_caller(boost::asio::const_buffer buf);
+    /// Whether an operation was successful and the attempt may go on.
+    [[nodiscard]] bool may_continue(const boost::system::error_code& ec);
     [[nodiscard]] bool is_usable();
     [[nodiscard]] std::string response_head_text() const;
     void append_to_stored(const char* data, std::size_t n);
@@ -78,7 +80,7 @@
     attempt_parameters params_;
     response_sink& sink_;
     const frontend_limits& limits_;
-    boost::beast::tcp_stream stream_;
+    std::shared_ptr<timed_socket> socket_; ///< Never null.
     boost::beast::flat_buffer buffer_{max_response_section_bytes};
     std::optional<endpoint_response_parser> parser_;
     attempt_ended result_;
--- a/src/mangovane/net/request_exchange.cpp
+++ b/src/mangovane/net/request_exchange.cpp
@@ -22,7 +22,7 @@
 
 request_exchange::request_exchange(asio::any_io_executor executor, frontend_services& services)
     : executor_{std::move(executor)}, services_{services},
-      action_queued_{executor_, time_point::max()}, wake_timer_{executor_}
+      action_queued_{executor_, time_point::max()}, wake_deadline_{executor_}
 {}
 
 void request_exchange::begin(routed_request request)
@@ -33,6 +33,11 @@
 
 bool request_exchange::report(const flow_event& event)
 {
+    const auto* ended = std::get_if<attempt_ended>(&event);
+    if (ended != nullptr && running_attempt_ == ended->attempt)
+    {
+        running_attempt_.reset();
+    }
     return services_.core.on_event(flow_id_, event, clock::now());
 }
 
@@ -52,17 +57,23 @@
 void request_exchange::close()
 {
     closed_ = true;
-    wake_timer_.cancel();
+    wake_deadline_.stop();
 }
 
 void request_exchange::push(session_action action)
 {
-    asio::post(executor_,
-               [self = shared_from_this(), action = std::move(action)]() mutable
-               {
-                   self->actions_.push_back(std::move(action));
-                   self->action_queued_.cancel();
-               });
+    asio::post(executor_, [self = shared_from_this(), action = std::move(action)]() mutable
+               { self->add(std::move(action)); });
+}
+
+void request_exchange::add(session_action action)
+{
+    if (const auto* sent = std::get_if<send_attempt>(&action))
+    {
+        running_attempt_ = sent->attempt;
+    }
+    actions_.push_back(std::move(action));
+    action_queued_.cancel();
 }
 
 void request_exchange::claim(const claim_key& action)
@@ -112,15 +123,11 @@
                        return;
                    }
                    self->last_wake_ = action.number;
-                   self->wake_timer_.expires_at(action.at);
-                   self->wake_timer_.async_wait(
-                       [self](boost::system::error_code ec)
-                       {
-                           if (!ec && !self->closed_)
-                           {
-                               self->report(timer_expired{});
-                           }
-                       });
+                   // An attempt has a deadline of its own, which looks at its socket before it
+                   // is believed. This timer ends a request only if the attempt goes on after that.
+                   self->wake_deadline_.start(
+                       action.at, [self] { return self->running_attempt_.has_value(); },
+                       [self] { self->report(timer_expired{}); });
                });
 }
 
--- a/src/mangovane/net/request_exchange.hpp
+++ b/src/mangovane/net/request_exchange.hpp
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "mangovane/net/frontend_services.hpp"
+#include "mangovane/net/socket_deadline.hpp"
 
 namespace mangovane
 {
@@ -40,7 +41,7 @@
     /// Waits for the next action for the session. Called on the strand.
     boost::asio::awaitable<session_action> next();
 
-    /// Cancels the timer; later timer events are dropped.
+    /// Stops the timer; later timer events are dropped.
     void close();
 
     void send(const send_attempt& action) override { push(action); }
@@ -54,13 +55,16 @@
 
 private:
     void push(session_action action);
+    /// Passes an action to the session. Called on the strand.
+    void add(session_action action);
     void on_claimed(const mangovane::claim& wanted, const absl::StatusOr<claim_result>& result);
 
     boost::asio::any_io_executor executor_;
     frontend_services& services_;
     boost::asio::steady_timer action_queued_; ///< Cancelled when an action is queued.
-    boost::asio::steady_timer wake_timer_;
+    socket_deadline wake_deadline_;
     std::deque<session_action> actions_;
+    std::optional<attempt_id> running_attempt_; ///< Sent and not ended. Used on the strand.
     std::uint64_t flow_id_{0};
     std::uint64_t last_wake_{0}; ///< Number of the wake that set the timer.
     time_point deadline_;
--- a/src/mangovane/routing/request_flow_attempt.cpp
+++ b/src/mangovane/routing/request_flow_attempt.cpp
@@ -128,8 +128,13 @@
         make_plan(ctx);
         return;
     }
-    fail(event.outcome == attempt_outcome::overloaded ? error_kind::overloaded
-                                                      : error_kind::no_endpoint,
+    const bool overloaded = event.outcome == attempt_outcome::overloaded;
+    if (!overloaded && ctx.now >= request_.deadline)
+    {
+        fail(error_kind::deadline_exceeded, "the deadline has passed");
+        return;
+    }
+    fail(overloaded ? error_kind::overloaded : error_kind::no_endpoint,
          "the attempt at the endpoint failed and may not be retried");
 }
 
--- a/test/mangovane/routing/request_flow.cpp
+++ b/test/mangovane/routing/request_flow.cpp
@@ -151,6 +151,15 @@
         CHECK_FALSE(flow.finished());
     }
 
+    SUBCASE("reports that it may still be running if its attempt ends at its deadline")
+    {
+        now = request.deadline;
+        last = flow.on_event(attempt_ended{sent->attempt, attempt_outcome::cancelled, true}, ctx());
+        const auto error = find<answer_error>();
+        REQUIRE(error);
+        CHECK(error->kind == error_kind::deadline_exceeded_running);
+    }
+
     SUBCASE("reports at its deadline that it may still be running")
     {
         now = request.deadline;
