Let the last lines of a stop pass the log's rate

A stop that cuts a few hundred requests writes three lines for each; from about 270 on (by reading: a burst of 800) the lines that name them, and stopped, could be dropped.

--- a/src/mangovane/observe/event_log.cpp
+++ b/src/mangovane/observe/event_log.cpp
@@ -67,14 +67,30 @@
                     absl::string_view{text.data(), text.size()}, "\n");
 }
 
-void event_log::write(std::string_view text, time_point now)
+bool event_log::make_room(std::string_view text)
 {
-    const std::lock_guard lock{mutex_};
     if (buffer_.size() + text.size() > limits_.buffer_bytes)
     {
         buffer_.erase(0, output_.write(buffer_));
     }
-    if (buffer_.size() + text.size() > limits_.buffer_bytes || !take_token(now))
+    return buffer_.size() + text.size() <= limits_.buffer_bytes;
+}
+
+void event_log::write(std::string_view text, time_point now)
+{
+    const std::lock_guard lock{mutex_};
+    if (!make_room(text) || !take_token(now))
+    {
+        ++dropped_;
+        return;
+    }
+    append(text, now);
+}
+
+void event_log::write_essential(std::string_view text, time_point now)
+{
+    const std::lock_guard lock{mutex_};
+    if (!make_room(text))
     {
         ++dropped_;
         return;
--- a/src/mangovane/observe/event_log.hpp
+++ b/src/mangovane/observe/event_log.hpp
@@ -53,6 +53,9 @@
     /// offered to the output first.
     void write(std::string_view text, time_point now);
 
+    /// Appends a line that the limit on the rate does not apply to, such as the last of a process.
+    void write_essential(std::string_view text, time_point now);
+
     /// Writes buffered lines to the output, and reports newly dropped lines. Call a few times per
     /// second.
     void flush(time_point now);
@@ -62,6 +65,8 @@
 
 private:
     void append(std::string_view text, time_point now);
+    /// Whether the buffer has room for the text, if need be after a write to the output.
+    [[nodiscard]] bool make_room(std::string_view text);
     [[nodiscard]] bool take_token(time_point now);
 
     log_output& output_;
--- a/test/mangovane/observe/event_log.cpp
+++ b/test/mangovane/observe/event_log.cpp
@@ -74,6 +74,17 @@
         CHECK(lines_in(output.text) == 40);
         CHECK(log.dropped() == 0);
     }
+    SUBCASE("keeps essential lines beyond its rate")
+    {
+        for (int n = 0; n != 200; ++n)
+        {
+            log.write_essential("event=request_cut", start);
+            log.write("event=dispatch", start);
+        }
+        log.flush(start);
+        CHECK(lines_in(output.text) == 200 + 50 + 1);
+        CHECK(log.dropped() == 150);
+    }
     SUBCASE("buffers a bounded amount while the reader is stopped, and continues afterwards")
     {
         output.room = 10;
