Refuse waiting native requests when a stop accepts no more work

Found by the review, by reading; the flow's test has the two events. When the drain delay has passed, a request that is not running and may outlast the stop is refused as not run.

--- a/src/mangovane/routing/flow_event.hpp
+++ b/src/mangovane/routing/flow_event.hpp
@@ -65,6 +65,12 @@
     auto operator<=>(const attempt_ended&) const = default;
 };
 
+/// The instance stops and dispatches no more work that it may have to cut, such as this request's.
+struct admission_ended
+{
+    auto operator<=>(const admission_ended&) const = default;
+};
+
 /// The instance stops and ends the requests that still run.
 struct instance_stopping
 {
@@ -81,6 +87,7 @@
                                 attempt_ended,
                                 timer_expired,
                                 caller_left,
+                                admission_ended,
                                 instance_stopping>;
 
 // Actions.
--- a/src/mangovane/routing/request_flow.hpp
+++ b/src/mangovane/routing/request_flow.hpp
@@ -102,6 +102,7 @@
     void on(const attempt_ended& event, const flow_context& ctx);
     void on(const timer_expired& event, const flow_context& ctx);
     void on(const caller_left& event, const flow_context& ctx);
+    void on(const admission_ended& event, const flow_context& ctx);
     void on(const instance_stopping& event, const flow_context& ctx);
 
     void locate_chat(const flow_context& ctx);
--- a/src/mangovane/routing/request_flow_attempt.cpp
+++ b/src/mangovane/routing/request_flow_attempt.cpp
@@ -194,6 +194,14 @@
     fail(kind, message);
 }
 
+void request_flow::on(const admission_ended&, const flow_context&)
+{
+    if (stage_ != stage::running)
+    {
+        give_up(error_kind::stopping, "the instance stops");
+    }
+}
+
 void request_flow::on(const instance_stopping&, const flow_context&)
 {
     give_up(error_kind::stopping, "the instance stops");
--- a/test/mangovane/routing/request_flow.cpp
+++ b/test/mangovane/routing/request_flow.cpp
@@ -151,6 +151,13 @@
         CHECK_FALSE(flow.finished());
     }
 
+    SUBCASE("goes on when a stop accepts no more work")
+    {
+        last = flow.on_event(admission_ended{}, ctx());
+        CHECK(last.empty());
+        CHECK_FALSE(flow.finished());
+    }
+
     SUBCASE("gets an error that promises nothing when a stop ends it")
     {
         last = flow.on_event(instance_stopping{}, ctx());
@@ -188,7 +195,16 @@
 
     SUBCASE("is refused as not run")
     {
-        last = flow.on_event(instance_stopping{}, ctx());
+        flow_event event;
+        SUBCASE("at the end of the admission")
+        {
+            event = admission_ended{};
+        }
+        SUBCASE("at the cut")
+        {
+            event = instance_stopping{};
+        }
+        last = flow.on_event(event, ctx());
         const auto error = find<answer_error>();
         REQUIRE(error);
         CHECK(error->kind == error_kind::stopping);
