Bound the check of an endpoint's process by the end of a stop

The check whether a refusing endpoint's process lives on takes up to 0.57 s, longer than the 0.15 s after the cut: a stream that was read whole at the end of the grace period would lose its last chunk. The samples end with the stop now, and the refusal counts as before. The check is named after what it tells (endpoint_has_ended), and the result of an attempt that a stop has ended is 'stopped': 'abandoned' had another meaning in the same class.

--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -117,7 +117,7 @@
         {health_outcome::failed, true, &forward_flow::after_timeout},
         {health_outcome::cancelled, true, &forward_flow::after_caller_left},
         {health_outcome::cancelled, false, &forward_flow::after_outdated},
-        {health_outcome::cancelled, true, &forward_flow::after_abandoned},
+        {health_outcome::cancelled, true, &forward_flow::after_stop},
     }};
     const auto& rule = table[static_cast<std::size_t>(result)];
     attempt_open_ = false;
@@ -272,7 +272,7 @@
     return after_not_sent(now);
 }
 
-forward_step forward_flow::after_abandoned(time_point)
+forward_step forward_flow::after_stop(time_point)
 {
     return refuse(error_kind::stopping);
 }
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -31,7 +31,7 @@
     timed_out, ///< The deadline passed.
     caller_left, ///< The caller closed its connection, or accepts no more data.
     outdated,    ///< Nothing was sent, because too much time had passed since the choice.
-    abandoned,   ///< The instance stops and has ended the attempt; the request may have run.
+    stopped,     ///< The instance stops and has ended the attempt; the request may have run.
 };
 
 inline constexpr std::size_t attempt_result_count = 13;
@@ -95,7 +95,7 @@
     [[nodiscard]] forward_step on_result(attempt_result result, time_point now);
 
     /// The grace period of a stop has ended: the current attempt is the last one. Report its result
-    /// as `abandoned`, or as `outdated` if nothing was sent.
+    /// as `stopped`, or as `outdated` if nothing was sent.
     void on_stop() noexcept { stopping_ = true; }
     [[nodiscard]] bool stopping() const noexcept { return stopping_; }
 
@@ -165,7 +165,7 @@
     [[nodiscard]] forward_step after_timeout(time_point now);
     [[nodiscard]] forward_step after_caller_left(time_point now);
     [[nodiscard]] forward_step after_outdated(time_point now);
-    [[nodiscard]] forward_step after_abandoned(time_point now);
+    [[nodiscard]] forward_step after_stop(time_point now);
 
     /// The endpoint of the next attempt, with the time of its choice.
     struct prepared_choice
--- a/src/mangovane/net/crash_check.cpp
+++ b/src/mangovane/net/crash_check.cpp
@@ -47,7 +47,8 @@
 
 asio::awaitable<bool> process_has_ended(endpoint_connections& connections,
                                         const std::string& address,
-                                        const crash_check_timing& timing)
+                                        const crash_check_timing& timing,
+                                        time_point give_up_at)
 {
     const auto before = connections.sample(address);
     const bool refuses = co_await refuses_connections(address, timing.delay, timing.timeout);
@@ -60,6 +61,10 @@
     auto wait = timing.proof_delay;
     for (int n = 0; n != max_samples && any_remains(before, connections.sample(address)); ++n)
     {
+        if (clock::now() + wait > give_up_at)
+        {
+            break;
+        }
         boost::system::error_code ec;
         timer.expires_after(wait);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
--- a/src/mangovane/net/crash_check.hpp
+++ b/src/mangovane/net/crash_check.hpp
@@ -37,10 +37,12 @@
 
 /// Whether the process at `ip:port`, which has just ended a connection, has ended: it refuses new
 /// connections, and none of the other connections to it remains. An endpoint that is leaving may
-/// close its listener and finish what it has accepted.
+/// close its listener and finish what it has accepted. Other connections are not waited for past
+/// `give_up_at`; an endpoint that refuses then counts as ended.
 boost::asio::awaitable<bool> process_has_ended(endpoint_connections& connections,
                                                const std::string& address,
-                                               const crash_check_timing& timing);
+                                               const crash_check_timing& timing,
+                                               time_point give_up_at);
 
 } // namespace mangovane
 
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -18,8 +18,8 @@
 {
 
 constexpr std::array<std::string_view, attempt_result_count> result_names{
-    "delivered", "not_sent", "refused",   "misdirected", "error",    "broken",   "crashed",
-    "stalled",   "cut",      "timed_out", "caller_left", "outdated", "abandoned"};
+    "delivered", "not_sent", "refused",   "misdirected", "error",    "broken", "crashed",
+    "stalled",   "cut",      "timed_out", "caller_left", "outdated", "stopped"};
 
 /// Category and value of an error, such as `beast.http:9`; "none" for no error.
 std::string error_text(const boost::system::error_code& ec)
@@ -100,7 +100,7 @@
     }
     if (current_->flow->stopping())
     {
-        return attempt_result::abandoned;
+        return attempt_result::stopped;
     }
     if (!timed_out_)
     {
@@ -135,7 +135,7 @@
     current.error_response.reset();
     current.endpoint_error = {};
     timed_out_ = false;
-    endpoint_refuses_.reset();
+    endpoint_has_ended_.reset();
     auto call = std::make_shared<upstream_call>(socket_.get_executor(), services_.connections);
     call_ = call;
     // Closing the connection on this timeout is safe to retry: nothing has been sent yet.
@@ -167,19 +167,21 @@
     {
         co_return result;
     }
-    const bool crashed = co_await endpoint_refuses();
+    const bool crashed = co_await endpoint_has_ended();
     co_return crashed ? attempt_result::crashed : result;
 }
 
-asio::awaitable<bool> forward_session::endpoint_refuses()
+asio::awaitable<bool> forward_session::endpoint_has_ended()
 {
-    if (!endpoint_refuses_)
+    if (!endpoint_has_ended_)
     {
+        const auto schedule = services_.stop.schedule();
+        const auto give_up_at = schedule ? schedule->cut_at : time_point::max();
         const bool ended = co_await process_has_ended(*services_.connections, call_->address(),
-                                                      services_.timeouts.crash_check);
-        endpoint_refuses_ = ended;
+                                                      services_.timeouts.crash_check, give_up_at);
+        endpoint_has_ended_ = ended;
     }
-    co_return *endpoint_refuses_;
+    co_return *endpoint_has_ended_;
 }
 
 asio::awaitable<attempt_result> forward_session::read_answer(const send_step& step)
--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -62,8 +62,8 @@
     {
         co_return true;
     }
-    const bool refuses = co_await endpoint_refuses();
-    co_return !refuses;
+    const bool has_ended = co_await endpoint_has_ended();
+    co_return !has_ended;
 }
 
 asio::awaitable<attempt_result> forward_session::read_failure()
@@ -235,9 +235,8 @@
     current_->status = head.result_int();
     current_->first_byte_at = clock::now();
     current_->flow->on_response_started();
-    auto out = serialize_head(head, framing, keep_alive());
     keep_alive_ = keep_alive();
-    return out;
+    return serialize_head(head, framing, keep_alive_);
 }
 
 } // namespace mangovane
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -130,8 +130,8 @@
 
     // Implemented in forward_attempt.cpp: attempts at endpoints.
     boost::asio::awaitable<attempt_result> attempt(const send_step& step);
-    /// Whether the endpoint of the current attempt refuses connections. Asks it once per attempt.
-    boost::asio::awaitable<bool> endpoint_refuses();
+    /// Whether the process of the current attempt's endpoint has ended. Asks once per attempt.
+    boost::asio::awaitable<bool> endpoint_has_ended();
     boost::asio::awaitable<attempt_result> read_answer(const send_step& step);
     /// Passes on what the endpoint states about itself in the head of its response.
     void note_endpoint(const send_step& step);
@@ -154,7 +154,7 @@
     boost::asio::awaitable<attempt_result> relay_buffered(const send_step& step);
     /// Whether a response that has been read to its end is complete. The kernel closes the
     /// connections of a process that ends in the same way as the process does after a response, so
-    /// an end that only the connection tells counts only if the endpoint still listens.
+    /// an end that only the connection tells counts only if the process lives on.
     boost::asio::awaitable<bool> is_complete();
     /// Reads the body into memory. With `step`, each part extends the time for the next one.
     boost::asio::awaitable<held_body> hold_body(buffered_response& answer,
@@ -177,7 +177,7 @@
     socket_deadline call_deadline_;          ///< For the current attempt.
     std::shared_ptr<upstream_call> call_;    ///< Null between attempts.
     std::optional<current_request> current_; ///< Empty between requests.
-    std::optional<bool> endpoint_refuses_;   ///< See `endpoint_refuses`; empty: not asked yet.
+    std::optional<bool> endpoint_has_ended_; ///< See `endpoint_has_ended`; empty: not asked yet.
     time_point call_timeout_at_{};           ///< When `call_deadline_` expires.
     std::optional<session_end> end_;         ///< Why the connection ends; empty while it goes on.
     bool timed_out_{false};                  ///< `call_deadline_` has closed the call.
--- a/test/mangovane/forward/forward_flow.cpp
+++ b/test/mangovane/forward/forward_flow.cpp
@@ -489,15 +489,15 @@
     }
     SUBCASE("gets an error that promises nothing if it may have run")
     {
-        CHECK(refused_with(once.on_result(attempt_result::abandoned, start)) ==
+        CHECK(refused_with(once.on_result(attempt_result::stopped, start)) ==
               error_kind::outcome_unknown);
-        CHECK(refused_with(repeatable.on_result(attempt_result::abandoned, start)) ==
+        CHECK(refused_with(repeatable.on_result(attempt_result::stopped, start)) ==
               error_kind::endpoint_failed);
     }
     SUBCASE("ends incomplete if its response has begun")
     {
         resumable.on_response_started();
-        const auto step = resumable.on_result(attempt_result::abandoned, start);
+        const auto step = resumable.on_result(attempt_result::stopped, start);
         CHECK(std::holds_alternative<finish_step>(step));
         CHECK_FALSE(std::get<finish_step>(step).complete);
     }
@@ -528,7 +528,7 @@
         {attempt_result::error, health_outcome::failed},
         {attempt_result::broken, health_outcome::failed},
         {attempt_result::caller_left, health_outcome::cancelled},
-        {attempt_result::abandoned, health_outcome::cancelled}};
+        {attempt_result::stopped, health_outcome::cancelled}};
     for (const auto& [result, outcome] : expected)
     {
         forward_flow flow{test::make_request(settings, "grant"), chooser};
