Cut every session of a stop once, and only what it waits for

- The native session's graceful close shared a deadline with a write that could still be pending and stopped it: the close had no limit.
It has its own.
- The native router could exit without cutting, when a poll was 0.1 s late, and both routers counted the time for answers from the planned cut.
The cut comes first, and the time counts from the actual one.
- A cut native request whose attempt had just read the head of its response could send that head and then an error into it (before: at the deadline).
The attempt asks whether the request goes on before its first byte.
- A cut while an early refusal was written cancelled the write; the reader now ends only its own pending wait or read, and a request that arrives on an idle connection at the cut gets its refusal and a graceful close.
- Connections accepted at the cut were never cut.
- keep_alive() was asked twice, so a stop in between could promise a connection and close it (before too).
The readiness page could say ready once more after SIGTERM (before too).
- An unlimited deadline overflowed in admits(); a grace period below the exit margin gave a cut before the beginning.
Both have tests.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -45,7 +45,7 @@
 /// Part of the grace period that is reserved for the answers of requests that were cut, the last
 /// messages and the exit of the process.
 constexpr milliseconds stop_margin{250};
-static_assert(final_answer_time + tick_period <= stop_margin);
+static_assert(cut_answer_time + tick_period <= stop_margin);
 
 /// Period in which a stop checks whether the sessions that it has cut have ended.
 constexpr milliseconds cut_poll_period{20};
@@ -155,6 +155,7 @@
     asio::signal_set reload_signals;
     asio::steady_timer ticker;
     asio::steady_timer stop_timer;
+    time_point exit_at{}; ///< Set at the cut.
     time_point ticked_at{};
     milliseconds boot_time_at_tick{0};
     time_point labels_rotated_at{};
@@ -179,7 +180,7 @@
 
 monitoring_response forward_router::state::ready_page() const
 {
-    const bool is_ready = ready.load();
+    const bool is_ready = ready.load() && !services.stop.stopping();
     return {is_ready ? 200U : 503U, "text/plain", is_ready ? "ready\n" : "not ready\n"};
 }
 
@@ -363,13 +364,14 @@
 void forward_router::state::cut_sessions()
 {
     server.cut();
+    exit_at = clock::now() + cut_answer_time;
     await_cut_sessions();
 }
 
 void forward_router::state::await_cut_sessions()
 {
     const auto now = clock::now();
-    if (server.drained() || now >= services.stop.schedule()->cut_at + final_answer_time)
+    if (server.drained() || now >= exit_at)
     {
         stop();
         return;
@@ -388,9 +390,9 @@
 {
     const auto now = clock::now();
     const auto summary = services.stop.summary();
-    log.write(absl::StrCat("event=stopped sessions=", server.open_sessions(),
-                           " refused=", summary.refused, " cut=", summary.cut),
-              now);
+    log.write_essential(absl::StrCat("event=stopped sessions=", server.open_sessions(),
+                                     " refused=", summary.refused, " cut=", summary.cut),
+                        now);
     log.flush(now);
     io.stop();
 }
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -133,7 +133,7 @@
     asio::signal_set signals;
     asio::steady_timer ticker;
     asio::steady_timer drain_timer;
-    bool requests_cut{false};
+    time_point exit_at{time_point::max()}; ///< Set when the requests that still run are cut.
     time_point labels_rotated_at{};
     time_point endpoints_logged_at{};
 };
@@ -279,21 +279,21 @@
 void router::state::await_last_request()
 {
     const auto now = clock::now();
+    cut_late_requests(now);
     const bool idle = core.running() == 0 && server.drained();
-    if (idle || now >= services.stop.schedule()->cut_at + final_answer_time)
+    if (idle || now >= exit_at)
     {
         after(flush_time, &state::stop);
         return;
     }
-    cut_late_requests(now);
     after(drain_poll_period, &state::await_last_request);
 }
 
 void router::state::cut_late_requests(time_point now)
 {
-    if (!requests_cut && now >= services.stop.schedule()->cut_at)
+    if (exit_at == time_point::max() && now >= services.stop.schedule()->cut_at)
     {
-        requests_cut = true;
+        exit_at = now + cut_answer_time;
         server.cut();
     }
 }
--- a/src/mangovane/net/caller_reader.cpp
+++ b/src/mangovane/net/caller_reader.cpp
@@ -22,8 +22,9 @@
     {
         co_return true;
     }
-    const auto deadline = draining_ ? clock::now() + first_request_wait : idle_deadline;
-    start_idle_deadline(deadline, std::move(owner));
+    const auto now = clock::now();
+    const auto deadline = draining_ ? now + first_request_wait : idle_deadline;
+    start_idle_deadline(cut_ ? now : deadline, std::move(owner));
     waiting_ = true;
     boost::system::error_code ec;
     co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
@@ -40,7 +41,19 @@
         at, [this, owner] { return has_arrived(); }, [this, owner] { cancel(); });
 }
 
-void caller_reader::start_deadline(time_point at, owner_ptr owner)
+void caller_reader::start_deadline(time_point at, const owner_ptr& owner)
+{
+    reading_ = true;
+    start_read_deadline(cut_ ? clock::now() : at, owner);
+}
+
+void caller_reader::stop_deadline()
+{
+    reading_ = false;
+    deadline_.stop();
+}
+
+void caller_reader::start_read_deadline(time_point at, const owner_ptr& owner)
 {
     deadline_.start(
         at, [this, owner] { return has_arrived(); },
@@ -48,7 +61,7 @@
         {
             cancel();
             // The read may have completed just before and go on with the next one.
-            start_deadline(clock::now() + arrival_grace, owner);
+            start_read_deadline(clock::now() + arrival_grace, owner);
         });
 }
 
@@ -62,6 +75,20 @@
     }
 }
 
+void caller_reader::cut(const owner_ptr& owner)
+{
+    cut_ = true;
+    draining_ = true;
+    if (waiting_)
+    {
+        cancel();
+    }
+    else if (reading_)
+    {
+        start_read_deadline(clock::now(), owner);
+    }
+}
+
 void caller_reader::cancel()
 {
     boost::system::error_code ec;
--- a/src/mangovane/net/caller_reader.hpp
+++ b/src/mangovane/net/caller_reader.hpp
@@ -39,9 +39,9 @@
     boost::asio::awaitable<bool> await_first_byte(time_point idle_deadline, owner_ptr owner);
 
     /// Starts the deadline for the next part of a request; the pending read then fails with
-    /// `operation_aborted`.
-    void start_deadline(time_point at, owner_ptr owner);
-    void stop_deadline() { deadline_.stop(); }
+    /// `operation_aborted`. Call `stop_deadline` when the read has ended.
+    void start_deadline(time_point at, const owner_ptr& owner);
+    void stop_deadline();
 
     /// Records that a request has been read.
     void on_request_read() noexcept { ++requests_; }
@@ -52,8 +52,10 @@
     void drain(const owner_ptr& owner);
     [[nodiscard]] bool draining() const noexcept { return draining_; }
 
-    /// Ends the pending wait or read.
-    void cancel();
+    /// Ends the pending wait or read, and those that follow, as the grace period of a stop has
+    /// ended. What has arrived by now is still read.
+    void cut(const owner_ptr& owner);
+    [[nodiscard]] bool is_cut() const noexcept { return cut_; }
 
     /// Whether bytes of the caller were not read.
     [[nodiscard]] bool has_unread_bytes()
@@ -63,6 +65,8 @@
 
 private:
     void start_idle_deadline(time_point at, owner_ptr owner);
+    void start_read_deadline(time_point at, const owner_ptr& owner);
+    void cancel();
     /// Whether bytes of the caller, or the end of its connection, have arrived and were not read.
     [[nodiscard]] bool has_arrived() { return peek(socket_) != peek_result::no_data; }
 
@@ -71,7 +75,9 @@
     boost::beast::flat_buffer buffer_;
     std::uint32_t requests_{0};
     bool waiting_{false}; ///< `await_first_byte` is pending; `buffer_` is empty.
+    bool reading_{false}; ///< Between `start_deadline` and `stop_deadline`.
     bool draining_{false};
+    bool cut_{false};
 };
 
 /// Error for bytes that are not an acceptable request; empty if the connection failed.
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -34,8 +34,8 @@
 } // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket, frontend_services& services)
-    : socket_{std::move(socket)}, services_{services}, reader_{socket_}, write_deadline_{
-                                                                             socket_.get_executor()}
+    : socket_{std::move(socket)}, services_{services}, reader_{socket_},
+      write_deadline_{socket_.get_executor()}, close_deadline_{socket_.get_executor()}
 {}
 
 asio::awaitable<void> caller_session::run()
@@ -60,7 +60,7 @@
     if (descriptor_of(*end_).graceful)
     {
         const auto give_up_at = clock::now() + services_.limits.close_timeout;
-        co_await graceful_close(socket_, write_deadline_, give_up_at, shared_from_this());
+        co_await graceful_close(socket_, close_deadline_, give_up_at, shared_from_this());
     }
     else if (*end_ != session_end::write_timeout)
     {
@@ -121,8 +121,17 @@
 
 void caller_session::request_drain()
 {
-    boost::asio::post(socket_.get_executor(),
-                      [self = shared_from_this()] { self->reader_.drain(self); });
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->drain(); });
+}
+
+void caller_session::drain()
+{
+    reader_.drain(shared_from_this());
+    const auto schedule = services_.stop.schedule();
+    if (exchange_ && schedule && !schedule->admits(clock::now(), request_->routed.deadline))
+    {
+        exchange_->report(admission_ended{});
+    }
 }
 
 void caller_session::request_cut()
@@ -132,24 +141,13 @@
 
 void caller_session::cut()
 {
-    if (end_)
-    {
-        return;
-    }
     keep_alive_ = false;
-    if (idle_)
-    {
-        note_end(session_end::stopped);
-        reader_.cancel();
-        return;
-    }
-    note_end(session_end::stop_cut);
     if (!exchange_)
     {
-        // What has arrived by now is still read.
-        reader_.start_deadline(clock::now(), shared_from_this());
+        reader_.cut(shared_from_this());
         return;
     }
+    note_end(session_end::stop_cut);
     report_cut();
     exchange_->report(instance_stopping{});
 }
@@ -221,8 +219,10 @@
         std::string reason = ec.message();
         co_await refuse_early(*bad, std::move(reason));
     }
-    if (ec == asio::error::operation_aborted && end_ == session_end::stop_cut)
+    if (ec == asio::error::operation_aborted && reader_.is_cut())
     {
+        note_end(session_end::stop_cut);
+        services_.stop.count_refused();
         co_await refuse_early(error_kind::stopping, "the instance stops");
     }
     note_end(end_of_failed_read(ec, buffer.size() != 0 || p.got_some()));
@@ -411,10 +411,10 @@
     return attempt_ && attempt_->id() == attempt;
 }
 
-void caller_session::on_answer_started(const attempt_id& attempt)
+bool caller_session::on_answer_started(const attempt_id& attempt)
 {
     record_.first_token = elapsed_since(accepted_at_);
-    exchange_->report(attempt_answered{attempt});
+    return exchange_->report(attempt_answered{attempt});
 }
 
 asio::awaitable<bool> caller_session::write_to_caller(asio::const_buffer buf)
--- a/src/mangovane/net/caller_session.hpp
+++ b/src/mangovane/net/caller_session.hpp
@@ -39,7 +39,7 @@
     void request_cut();
 
     [[nodiscard]] bool is_current(const attempt_id& attempt) const override;
-    void on_answer_started(const attempt_id& attempt) override;
+    [[nodiscard]] bool on_answer_started(const attempt_id& attempt) override;
     boost::asio::awaitable<bool> write_to_caller(boost::asio::const_buffer buf) override;
 
 private:
@@ -64,6 +64,7 @@
     void start_attempt(const send_attempt& action);
     void record_outcome(std::string outcome);
     void on_caller_disconnected();
+    void drain();
     void cut();
     void report_cut();
     /// Keeps the first cause of the end of the connection.
@@ -73,6 +74,7 @@
     frontend_services& services_;
     caller_reader reader_;
     socket_deadline write_deadline_;
+    socket_deadline close_deadline_; ///< A write may still be pending when the connection ends.
     std::shared_ptr<request_exchange> exchange_; ///< Of the current request; null between requests.
     std::shared_ptr<endpoint_attempt> attempt_;  ///< Null between attempts.
     std::optional<caller_request> request_;      ///< Current request.
--- a/src/mangovane/net/endpoint_attempt.cpp
+++ b/src/mangovane/net/endpoint_attempt.cpp
@@ -196,8 +196,11 @@
     {
         stored_response_.content_type = std::string{it->value()};
     }
+    if (!sink_.on_answer_started(params_.action.attempt))
+    {
+        co_return;
+    }
     result_.response_started = true;
-    sink_.on_answer_started(params_.action.attempt);
     const auto head = response_head_text();
     const bool written = co_await write_to_caller(asio::buffer(head));
     co_await relay_body(written);
--- a/src/mangovane/net/endpoint_attempt.hpp
+++ b/src/mangovane/net/endpoint_attempt.hpp
@@ -23,8 +23,9 @@
     virtual ~response_sink() = default;
     /// Whether the response of this attempt may be sent to the caller; others are dropped.
     [[nodiscard]] virtual bool is_current(const attempt_id& attempt) const = 0;
-    /// Called before the first byte is sent to the caller.
-    virtual void on_answer_started(const attempt_id& attempt) = 0;
+    /// Called before the first byte is sent to the caller. False if the request has ended, so that
+    /// nothing may be sent.
+    [[nodiscard]] virtual bool on_answer_started(const attempt_id& attempt) = 0;
     /// Sends a part of the response; false if the caller has disconnected.
     virtual boost::asio::awaitable<bool> write_to_caller(boost::asio::const_buffer buf) = 0;
 };
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -171,24 +171,13 @@
 
 void forward_session::cut()
 {
-    if (end_)
-    {
-        return;
-    }
     keep_alive_ = false;
-    if (!current_)
+    if (!current_ || !current_->flow)
     {
-        note_end(session_end::stopped);
-        reader_.cancel();
+        reader_.cut(shared_from_this());
         return;
     }
     note_end(session_end::stop_cut);
-    if (!current_->flow)
-    {
-        // What has arrived by now is still read.
-        reader_.start_deadline(clock::now(), shared_from_this());
-        return;
-    }
     report_cut();
     current_->flow->on_stop();
     if (call_)
@@ -203,7 +192,7 @@
     const auto now = clock::now();
     const auto& request = current_->flow->request();
     services_.stop.count_cut();
-    services_.log.write(
+    services_.log.write_essential(
         log_line({request.request, request.route->name, current_->endpoint_name,
                   current_->flow->attempts(), current_->status,
                   elapsed(schedule->began_at, request.accepted_at),
@@ -272,8 +261,10 @@
         std::string reason = ec ? ec.message() : std::string{ambiguous_framing};
         co_await refuse(*bad, std::move(reason), {});
     }
-    if (ec == asio::error::operation_aborted && end_ == session_end::stop_cut)
+    if (ec == asio::error::operation_aborted && reader_.is_cut())
     {
+        note_end(session_end::stop_cut);
+        services_.stop.count_refused();
         // The part that was read names the request in the log.
         current_->message.base() = p.get().base();
         co_await refuse(error_kind::stopping, "the instance stops", {});
@@ -484,9 +475,9 @@
     const bool bodiless = current.message.method() == http::verb::head ||
                           current.status == no_content || current.status == not_modified;
     const auto length = bodiless ? std::nullopt : std::optional<std::uint64_t>{answer.body.size()};
-    auto bytes = serialize_head(answer.head, {false, length}, keep_alive());
-    bytes += answer.body;
     keep_alive_ = keep_alive();
+    auto bytes = serialize_head(answer.head, {false, length}, keep_alive_);
+    bytes += answer.body;
     const bool written = co_await write_to_caller(std::move(bytes));
     co_return written;
 }
@@ -511,8 +502,8 @@
     current_->status = answer.http_status;
     const bool bodiless = current_->message.method() == http::verb::head;
     const auto body = error_body(kind, message);
-    auto bytes = serialize_head(head, {false, body.size()}, keep_alive());
     keep_alive_ = keep_alive();
+    auto bytes = serialize_head(head, {false, body.size()}, keep_alive_);
     bytes += bodiless ? std::string{} : body;
     co_await write_to_caller(std::move(bytes));
     record_outcome(std::string_view{answer.name});
--- a/src/mangovane/net/session_server.hpp
+++ b/src/mangovane/net/session_server.hpp
@@ -56,10 +56,11 @@
         boost::asio::post(acceptor_.get_executor(), [this] { drain_acceptor(); });
     }
 
-    /// Ends all sessions now.
+    /// Ends the requests of all sessions now; the sessions end when their answers are written.
     void cut()
     {
         const std::lock_guard lock{mutex_};
+        cut_ = true;
         for (const auto& it : sessions_)
         {
             it->request_cut();
@@ -92,6 +93,10 @@
             {
                 session->request_drain();
             }
+            if (cut_)
+            {
+                session->request_cut();
+            }
         }
         const auto remove = [this, session](bool)
         {
@@ -138,6 +143,7 @@
     mutable std::mutex mutex_;
     absl::flat_hash_set<std::shared_ptr<Session>> sessions_; ///< Guarded by `mutex_`.
     bool draining_{false};                                   ///< Guarded by `mutex_`.
+    bool cut_{false};                                        ///< Guarded by `mutex_`.
 };
 
 } // namespace mangovane
--- a/src/mangovane/shutdown/stop_schedule.hpp
+++ b/src/mangovane/shutdown/stop_schedule.hpp
@@ -10,9 +10,11 @@
 namespace mangovane
 {
 
-/// Time for the answer of a request that ends late in a stop: before the cut if its own deadline
-/// ends it, after the cut otherwise.
-inline constexpr milliseconds final_answer_time{150};
+/// From the deadline of a request that is accepted late to the cut, for its answer.
+inline constexpr milliseconds late_answer_margin{150};
+
+/// From the cut to the exit, for the answers of the requests that were cut.
+inline constexpr milliseconds cut_answer_time{150};
 
 /// Invariant: `began_at <= accept_until <= cut_at`.
 struct stop_schedule
@@ -26,18 +28,19 @@
     /// another instance can still serve them.
     [[nodiscard]] constexpr bool admits(time_point read_at, time_point deadline) const noexcept
     {
-        return read_at <= accept_until || deadline + final_answer_time <= cut_at;
+        return read_at <= accept_until || deadline <= cut_at - late_answer_margin;
     }
 
     auto operator<=>(const stop_schedule&) const = default;
 };
 
 /// Schedule of a stop that begins now, accepts connections for `drain_delay` and lets requests run
-/// for `run_time` in all. A longer `drain_delay` is shortened to `run_time`.
+/// for `run_time` in all, at least 0. A longer `drain_delay` is shortened to `run_time`.
 [[nodiscard]] constexpr stop_schedule
 make_stop_schedule(time_point now, milliseconds drain_delay, milliseconds run_time) noexcept
 {
-    return {now, now + std::min(drain_delay, run_time), now + run_time};
+    const auto cut_at = now + std::max(run_time, milliseconds{0});
+    return {now, std::min<time_point>(now + drain_delay, cut_at), cut_at};
 }
 
 } // namespace mangovane
--- a/src/mangovane/shutdown/stop_state.hpp
+++ b/src/mangovane/shutdown/stop_state.hpp
@@ -16,7 +16,7 @@
 /// Requests that a stop has ended, for its last log line.
 struct stop_summary
 {
-    std::uint64_t refused{0}; ///< They were read too late.
+    std::uint64_t refused{0}; ///< They were read too late, or not whole.
     std::uint64_t cut{0};     ///< They still ran at the end of the grace period.
 
     auto operator<=>(const stop_summary&) const = default;
@@ -56,6 +56,12 @@
         return admitted;
     }
 
+    void count_refused()
+    {
+        const std::lock_guard lock{mutex_};
+        ++summary_.refused;
+    }
+
     void count_cut()
     {
         const std::lock_guard lock{mutex_};
--- a/test/mangovane/shutdown/stop_state.cpp
+++ b/test/mangovane/shutdown/stop_state.cpp
@@ -39,17 +39,20 @@
         const auto schedule = make_stop_schedule(start, milliseconds{2500}, milliseconds{7550});
         stop.begin(schedule);
         const auto late = schedule.accept_until + milliseconds{1};
-        const auto last_deadline = schedule.cut_at - final_answer_time;
+        const auto last_deadline = schedule.cut_at - late_answer_margin;
         CHECK(stop.admit(schedule.accept_until, time_point::max()));
         CHECK(stop.admit(late, last_deadline));
         CHECK(stop.summary().refused == 0);
         CHECK_FALSE(stop.admit(late, last_deadline + milliseconds{1}));
         CHECK_FALSE(stop.admit(last_deadline, start + seconds{12}));
-        CHECK(stop.summary().refused == 2);
+        CHECK_FALSE(stop.admit(late, time_point::max()));
+        CHECK(stop.summary().refused == 3);
     }
     SUBCASE("accepts nothing after the cut, however long its drain delay is")
     {
         const auto schedule = make_stop_schedule(start, seconds{10}, seconds{3});
         CHECK(schedule.accept_until == schedule.cut_at);
+        const auto none = make_stop_schedule(start, seconds{1}, milliseconds{-200});
+        CHECK(none == stop_schedule{start, start, start});
     }
 }
