--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -147,8 +147,11 @@
 {
     const auto next = version_ + 1;
     store_.put("op", "config",
-               test::configuration_text(
-                   {next, first_added_route, cold_time, cold_rate, long_route_timeout}));
+               test::configuration_text({.version = next,
+                                         .first_added = first_added_route,
+                                         .cold_time = cold_time,
+                                         .cold_rate = cold_rate,
+                                         .long_timeout = long_route_timeout}));
     recorder_.add(operator_change{change_kind::configuration, {}, next, clock::now()});
     version_ = next;
 }
