Hold a closing connection only for a caller that gets a whole response

Whether a receipt is waited for is a column of the table of session ends now: only where a whole response may be on its way.

--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -57,12 +57,14 @@
     }
     note_end(session_end::after_response);
     services_.observer.on_session_end(descriptor_of(*end_).name);
-    if (descriptor_of(*end_).graceful)
+    const auto& end = descriptor_of(*end_);
+    if (end.graceful)
     {
         const auto give_up_at = clock::now() + services_.limits.close_timeout;
-        co_await graceful_close(socket_, close_deadline_, give_up_at, shared_from_this());
+        co_await graceful_close(socket_, close_deadline_, give_up_at, end.awaits_receipt,
+                                shared_from_this());
     }
-    else if (*end_ != session_end::write_timeout)
+    else if (end.awaits_receipt)
     {
         // The caller may not have received the last response of a connection that was kept.
         co_await await_receipt(socket_);
--- a/src/mangovane/net/graceful_close.cpp
+++ b/src/mangovane/net/graceful_close.cpp
@@ -67,6 +67,7 @@
     asio::ip::tcp::socket& socket;
     socket_deadline& deadline;
     std::shared_ptr<void> owner;
+    bool awaits_receipt;
     receipt_progress receipt{socket};
 };
 
@@ -77,7 +78,7 @@
         [state]
         {
             const auto now = clock::now();
-            if (state->receipt.is_waiting(now))
+            if (state->awaits_receipt && state->receipt.is_waiting(now))
             {
                 start_close_deadline(state, now + receipt_check_period);
                 return;
@@ -92,12 +93,13 @@
 asio::awaitable<void> graceful_close(asio::ip::tcp::socket& socket,
                                      socket_deadline& deadline,
                                      time_point give_up_at,
+                                     bool awaits_receipt,
                                      std::shared_ptr<void> owner)
 {
     boost::system::error_code ec;
     socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-    const auto state =
-        std::make_shared<close_state>(close_state{socket, deadline, std::move(owner)});
+    const auto state = std::make_shared<close_state>(
+        close_state{socket, deadline, std::move(owner), awaits_receipt});
     start_close_deadline(state, give_up_at);
     std::array<char, drop_buffer_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
     std::size_t dropped = 0;
--- a/src/mangovane/net/graceful_close.hpp
+++ b/src/mangovane/net/graceful_close.hpp
@@ -20,12 +20,14 @@
 inline constexpr milliseconds receipt_stall_timeout{5000};
 
 /// Ends the sending side, then reads and drops what the peer still sends until it closes its side,
-/// or until `give_up_at` and the peer has received everything that was written. Closing a socket
-/// with unread bytes, or one whose peer sends more later, makes the kernel reset the connection,
-/// and the peer could lose the end of a response. `owner` keeps the socket and the deadline alive.
+/// or until `give_up_at`; with `awaits_receipt`, not before the peer has received everything that
+/// was written, as long as it still receives some of it. Closing a socket with unread bytes, or one
+/// whose peer sends more later, makes the kernel reset the connection, and the peer could lose the
+/// end of a response. `owner` keeps the socket and the deadline alive.
 boost::asio::awaitable<void> graceful_close(boost::asio::ip::tcp::socket& socket,
                                             socket_deadline& deadline,
                                             time_point give_up_at,
+                                            bool awaits_receipt,
                                             std::shared_ptr<void> owner);
 
 /// Ends the sending side, then waits until the peer has received everything that was written, or
--- a/src/mangovane/net/session_end.hpp
+++ b/src/mangovane/net/session_end.hpp
@@ -40,24 +40,27 @@
     /// Something was just sent that the caller may not have received: what it still sends is read,
     /// so that the connection is not reset. A request that crosses another end stays unread.
     bool graceful;
+    /// A whole response that the caller has not received yet is waited for. An incomplete one, or a
+    /// caller that accepts no more data, does not hold the connection.
+    bool awaits_receipt;
 
     auto operator<=>(const session_end_descriptor&) const = default;
 };
 
 inline constexpr std::array<session_end_descriptor, session_end_count> session_end_table{{
-    {session_end::after_response, "after_response", false, true},
-    {session_end::caller_closed, "caller_closed", false, false},
-    {session_end::idle, "idle", false, false},
-    {session_end::stopped, "stopped", false, false},
-    {session_end::request_timeout, "request_timeout", true, false},
-    {session_end::read_failed, "read_failed", true, false},
-    {session_end::rejected, "rejected", false, true},
-    {session_end::caller_left, "caller_left", false, false},
-    {session_end::write_failed, "write_failed", false, false},
-    {session_end::write_timeout, "write_timeout", false, false},
-    {session_end::response_cut, "response_cut", false, true},
-    {session_end::stop_cut, "stop_cut", false, true},
-    {session_end::failed, "failed", true, true},
+    {session_end::after_response, "after_response", false, true, true},
+    {session_end::caller_closed, "caller_closed", false, false, false},
+    {session_end::idle, "idle", false, false, true},
+    {session_end::stopped, "stopped", false, false, true},
+    {session_end::request_timeout, "request_timeout", true, false, true},
+    {session_end::read_failed, "read_failed", true, false, false},
+    {session_end::rejected, "rejected", false, true, true},
+    {session_end::caller_left, "caller_left", false, false, false},
+    {session_end::write_failed, "write_failed", false, false, false},
+    {session_end::write_timeout, "write_timeout", false, false, false},
+    {session_end::response_cut, "response_cut", false, true, false},
+    {session_end::stop_cut, "stop_cut", false, true, false},
+    {session_end::failed, "failed", true, true, false},
 }};
 
 [[nodiscard]] constexpr bool
--- a/test/mangovane/net/graceful_close.cpp
+++ b/test/mangovane/net/graceful_close.cpp
@@ -46,7 +46,8 @@
     void start_close()
     {
         started_at_ = clock::now();
-        asio::co_spawn(io_, graceful_close(socket, deadline_, started_at_ + close_time, nullptr),
+        asio::co_spawn(io_,
+                       graceful_close(socket, deadline_, started_at_ + close_time, true, nullptr),
                        asio::detached);
         thread_ = std::thread{[this]
                               {
