Soak: count a request's deadline from before its caller's stamp

The deadline begins when the router has read the request, which can be before the caller has noted the end of its write. The check allows 20 ms between the two; a request that ends sooner before its deadline is reported as before, with a section for each side of the bound. The excuse is no wider otherwise.

--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -403,7 +403,7 @@
         // Before the response header, a router can answer any failure except that of its own
         // process. Other routers don't carry responses, so their faults end none.
         const bool excused =
-            it.ended_at >= it.written_at + it.deadline ||
+            it.ended_at + stamp_slack >= it.written_at + it.deadline ||
             !observed_.outages.sound(endpoints_component, from, it.ended_at) ||
             (it.status != 0 && !observed_.outages.sound(machine_component, from, it.ended_at));
         if (excused || !runs_.contains(it.request) || !ended_by_running_router(it))
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -21,6 +21,10 @@
     auto operator<=>(const violation&) const = default;
 };
 
+/// A router reads a request, and its deadline begins, up to so long before the caller's stamp of
+/// the end of its write.
+inline constexpr milliseconds stamp_slack{20};
+
 /// Bounds as documented for users.
 struct invariant_bounds
 {
--- a/test/soak/invariant_checker.cpp
+++ b/test/soak/invariant_checker.cpp
@@ -257,6 +257,12 @@
                 (void)observed.outages.begin(1, false, start);
                 CHECK(names(observed).size() == 2);
             }
+            SUBCASE("also if one ended a little before its deadline")
+            {
+                observed.calls.back().ended_at = observed.calls.back().written_at +
+                                                 request_deadline - stamp_slack - milliseconds{1};
+                CHECK(names(observed).size() == 2);
+            }
             SUBCASE("but not if the router itself was killed")
             {
                 observed.process_ends = {{0, 0, start + milliseconds{5}}};
@@ -285,6 +291,10 @@
             {
                 fourth.ended_at = fourth.written_at + request_deadline;
             }
+            SUBCASE("accepts one whose deadline began just before its caller noted the write")
+            {
+                fourth.ended_at = fourth.written_at + request_deadline - stamp_slack;
+            }
             SUBCASE("accepts one that was not forwarded")
             {
                 observed.executions.pop_back();
