--- a/src/mangovane/daemon/command_line.cpp
+++ b/src/mangovane/daemon/command_line.cpp
@@ -30,7 +30,9 @@
                                          const po::options_description& known)
 {
     constexpr std::string_view prefix = "MANGOVANE_";
-    if (!variable.starts_with(prefix))
+    const char* value = std::getenv(variable.c_str());
+    // A deployment that has no value for a placeholder sets the variable to an empty text.
+    if (!variable.starts_with(prefix) || (value != nullptr && *value == '\0'))
     {
         return {};
     }
--- a/src/mangovane/daemon/command_line.hpp
+++ b/src/mangovane/daemon/command_line.hpp
@@ -26,7 +26,7 @@
 void add_commands(boost::program_options::options_description& known);
 
 /// Name of the option that an environment variable sets: the variable is `MANGOVANE_` and the name
-/// in capitals, with underscores. Empty when there is no such option.
+/// in capitals, with underscores. Empty when there is no such option, or the variable is empty.
 [[nodiscard]] std::string
 option_name_from_environment(const std::string& variable,
                              const boost::program_options::options_description& known);
--- a/src/mangovane/forward/forward_request.hpp
+++ b/src/mangovane/forward/forward_request.hpp
@@ -14,6 +14,21 @@
 namespace mangovane
 {
 
+/// Size of a request to a model, as its caller states it. All zero: not stated.
+struct token_counts
+{
+    std::uint32_t prompt{0};
+    std::uint32_t max_generated{0};
+
+    /// Tokens that the request holds in the endpoint's memory at its end.
+    [[nodiscard]] std::uint64_t held() const noexcept
+    {
+        return std::uint64_t{prompt} + max_generated;
+    }
+
+    auto operator<=>(const token_counts&) const = default;
+};
+
 struct forward_request
 {
     std::string request;         ///< Id that the caller gave the request, for logs.
@@ -25,6 +40,7 @@
     std::uint8_t urgency{5};     ///< 0 is the most urgent, 9 the least.
     /// In order; the last part is specific to this request or its chat.
     std::vector<prompt_part> prompt;
+    token_counts tokens;
     time_point accepted_at;
     time_point deadline; ///< Deadline of the caller or of the route, whichever is earlier.
 
--- a/src/mangovane/membership/endpoint.hpp
+++ b/src/mangovane/membership/endpoint.hpp
@@ -24,6 +24,8 @@
     std::string domain_name;
     std::string name;
     std::string address;          ///< `ip:port`
+    std::string version;          ///< Version of its software; empty: unknown.
+    std::uint32_t slots{0};       ///< Requests that it processes at a time; 0: unknown.
     std::vector<model_id> models; ///< Models it has loaded; empty: all of its service.
     bool leaving{false};          ///< It is shutting down and takes no new requests.
     incarnation epoch{0};         ///< Incarnation of the endpoint's process; 0: unknown.
--- a/src/mangovane/membership/endpoint_catalog.cpp
+++ b/src/mangovane/membership/endpoint_catalog.cpp
@@ -139,6 +139,8 @@
     result.epoch = it.info.epoch;
     result.cold_ms = remaining_ms(it.info.cold_until, now);
     result.leaving = it.info.leaving;
+    result.version = it.info.version;
+    result.slots = it.info.slots;
     return result;
 }
 
@@ -191,6 +193,8 @@
         info.address = row.address;
         info.leaving = row.leaving;
         info.epoch = row.epoch;
+        info.version = row.version;
+        info.slots = row.slots;
         info.cold_until = cold_until_of(info, milliseconds{row.cold_ms}, now);
         entries_.insert_or_assign(row.name, entry{std::move(info), row.revision, row.removed,
                                                   deadline_from(row.keep_ms, now), true});
--- a/src/mangovane/message/endpoints.hpp
+++ b/src/mangovane/message/endpoints.hpp
@@ -45,6 +45,8 @@
     std::uint32_t keep_ms{0};  ///< Time for which a removed entry stays listed.
     bool leaving{false};       ///< The endpoint is shutting down.
     bool removed{false};
+    std::string version;    ///< Version of its software; empty: unknown.
+    std::uint32_t slots{0}; ///< Requests that it processes at a time; 0: unknown.
 
     auto operator<=>(const endpoint_row&) const = default;
 };
--- a/src/mangovane/settings/policy.hpp
+++ b/src/mangovane/settings/policy.hpp
@@ -55,7 +55,8 @@
 
     /// Rate that a cold endpoint accepts from all instances together; 0: no limit.
     double cold_requests_per_s{0};
-    milliseconds cold_time{0}; ///< How long an endpoint counts as cold after its start.
+    milliseconds cold_time{0};       ///< How long an endpoint counts as cold after its start.
+    std::uint64_t token_capacity{0}; ///< Tokens that an endpoint can hold; 0: unknown.
 
     bool operator==(const service_policy&) const = default;
 };
--- /dev/null
+++ b/src/mangovane/settings/rollout_order.hpp
@@ -0,0 +1,27 @@
+// An operator's order to move the traffic of a service to endpoints of another version.
+#ifndef MANGOVANE_SETTINGS_ROLLOUT_ORDER_HPP
+#define MANGOVANE_SETTINGS_ROLLOUT_ORDER_HPP
+
+#include <string>
+
+#include "mangovane/core/id.hpp"
+#include "mangovane/core/store_revision.hpp"
+#include "mangovane/core/time.hpp"
+
+namespace mangovane
+{
+
+struct rollout_order
+{
+    service_id service;
+    std::string service_name;
+    std::string version;      ///< To which the traffic moves; never empty.
+    store_revision revision;  ///< Of the order. A newer order replaces an older one.
+    milliseconds duration{0}; ///< From the order to its deadline, as the operator states it.
+
+    auto operator<=>(const rollout_order&) const = default;
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/wire/body_decode.cpp
+++ b/src/mangovane/wire/body_decode.cpp
@@ -224,7 +224,9 @@
             it.cold_ms(),
             it.keep_ms(),
             it.leaving(),
-            it.removed()};
+            it.removed(),
+            from_wire(it.version()),
+            it.slots()};
 }
 
 message unpack(const wire::EndpointUpdate& it, time_point)
@@ -359,7 +361,8 @@
     {
         return !it.name.empty() && it.name.size() <= max_endpoint_text_bytes &&
                it.domain_name.size() <= max_endpoint_text_bytes &&
-               it.address.size() <= max_endpoint_text_bytes;
+               it.address.size() <= max_endpoint_text_bytes &&
+               it.version.size() <= max_endpoint_text_bytes;
     }
 
     [[nodiscard]] bool operator()(const endpoint_update& it) const
--- a/src/mangovane/wire/body_encode.cpp
+++ b/src/mangovane/wire/body_encode.cpp
@@ -208,9 +208,10 @@
     const auto name = buf.CreateString(it.name);
     const auto domain_name = text(buf, it.domain_name);
     const auto address = text(buf, it.address);
+    const auto version = text(buf, it.version);
     return wire::CreateEndpointRow(buf, name, it.service.value(), it.domain.value(), domain_name,
                                    address, it.epoch, it.revision, it.cold_ms, it.keep_ms,
-                                   it.leaving, it.removed);
+                                   it.leaving, it.removed, version, it.slots);
 }
 
 auto pack(builder& buf, const endpoint_update& it, time_point)
--- a/src/mangovane/wire/frame_generated.h
+++ b/src/mangovane/wire/frame_generated.h
@@ -2153,7 +2153,9 @@
     VT_COLD_MS = 18,
     VT_KEEP_MS = 20,
     VT_LEAVING = 22,
-    VT_REMOVED = 24
+    VT_REMOVED = 24,
+    VT_VERSION = 26,
+    VT_SLOTS = 28
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -2188,6 +2190,12 @@
   bool removed() const {
     return GetField<uint8_t>(VT_REMOVED, 0) != 0;
   }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_NAME) &&
@@ -2204,6 +2212,9 @@
            VerifyField<uint32_t>(verifier, VT_KEEP_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<uint8_t>(verifier, VT_REMOVED, 1) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            verifier.EndTable();
   }
 };
@@ -2245,6 +2256,12 @@
   void add_removed(bool removed) {
     fbb_.AddElement<uint8_t>(EndpointRow::VT_REMOVED, static_cast<uint8_t>(removed), 0);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(EndpointRow::VT_VERSION, version);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(EndpointRow::VT_SLOTS, slots, 0);
+  }
   explicit EndpointRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2269,12 +2286,16 @@
     uint32_t cold_ms = 0,
     uint32_t keep_ms = 0,
     bool leaving = false,
-    bool removed = false) {
+    bool removed = false,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    uint32_t slots = 0) {
   EndpointRowBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_epoch(epoch);
   builder_.add_domain(domain);
   builder_.add_service(service);
+  builder_.add_slots(slots);
+  builder_.add_version(version);
   builder_.add_keep_ms(keep_ms);
   builder_.add_cold_ms(cold_ms);
   builder_.add_address(address);
@@ -2297,10 +2318,13 @@
     uint32_t cold_ms = 0,
     uint32_t keep_ms = 0,
     bool leaving = false,
-    bool removed = false) {
+    bool removed = false,
+    const char *version = nullptr,
+    uint32_t slots = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto domain_name__ = domain_name ? _fbb.CreateString(domain_name) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
   return mangovane::wire::CreateEndpointRow(
       _fbb,
       name__,
@@ -2313,7 +2337,9 @@
       cold_ms,
       keep_ms,
       leaving,
-      removed);
+      removed,
+      version__,
+      slots);
 }
 
 struct EndpointUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/mangovane/daemon/forward_router_options.cpp
+++ b/test/mangovane/daemon/forward_router_options.cpp
@@ -49,6 +49,14 @@
         CHECK(read({"--threads", "5"})->threads == 5);
         ::unsetenv("MANGOVANE_THREADS");
     }
+    SUBCASE("that a deployment leaves empty keep their defaults")
+    {
+        ::setenv("MANGOVANE_RETRY_RATIO", "", 1);
+        const auto it = read({});
+        ::unsetenv("MANGOVANE_RETRY_RATIO");
+        REQUIRE(it.ok());
+        CHECK(it->fleet.retries.ratio == read({})->fleet.retries.ratio);
+    }
     SUBCASE("that are invalid are all listed with their values")
     {
         const auto it = read({"--threads", "0", "--load-factor", "0.5", "--seeds", "nowhere",
--- a/test/mangovane/wire/codec.cpp
+++ b/test/mangovane/wire/codec.cpp
@@ -53,7 +53,7 @@
                             0,
                             1,
                             {{"engine-1", service_id{3}, domain_id{4}, "ikeja-a", "10.0.0.1:80", 5,
-                              6, 7, 8, true, false}}},
+                              6, 7, 8, true, false, "v2", 64}}},
             quarantine_update{
                 {{1, 2, now - milliseconds{30}, later, true, 2}, {3, 4, now, now, false, 0}},
                 {{5, now - milliseconds{60}}},
--- a/test/platform/dialect.cpp
+++ b/test/platform/dialect.cpp
@@ -89,6 +89,17 @@
         CHECK(part_ids_text(it->shared_parts()) == "5c1e07a2,91bd3f06");
         CHECK(it->deadline == now + milliseconds{5000});
     }
+    SUBCASE("states its tokens, or a malformed field that states none")
+    {
+        head.set("X-Token-Count", "1460,80");
+        CHECK(dialect.read(head, settings, now)->tokens == token_counts{1460, 80});
+        for (const auto* malformed : {"", "1460", "1460,", ",80", "1460,80,1", "-1,80", "x,y"})
+        {
+            CAPTURE(malformed);
+            head.set("X-Token-Count", malformed);
+            CHECK(dialect.read(head, settings, now)->tokens == token_counts{});
+        }
+    }
     SUBCASE("has the same affinity as others of its chat; the last part of the prompt is ignored")
     {
         const auto one = dialect.read(head, settings, now)->affinity();
--- a/test/platform/endpoint_entry.cpp
+++ b/test/platform/endpoint_entry.cpp
@@ -33,6 +33,8 @@
     CHECK(it->info->service == service_id::of("s1"));
     CHECK(it->info->domain == domain_id::of("bogota-a"));
     CHECK(it->info->epoch == 1786128280242ULL);
+    CHECK(it->info->version == "v1");
+    CHECK(it->info->slots == 64);
     CHECK_FALSE(it->info->leaving);
     CHECK(parse_endpoint_entry("i-1", with("ready", "draining"), 9)->info->leaving);
 }
@@ -43,7 +45,8 @@
          {std::string{"\xff\xfe"}, std::string{"[]"}, with("ready", "sleeping"),
           with("\"10.128.0.9:8080\"", "\"nowhere\""), with("\"10.128.0.9:8080\"", "5"),
           with("\"slots\":64", "\"slots\":\"many\""), with("1500", "\"soon\""), with("1500", "-1"),
-          with("\"service\":\"s1\",", ""), with("1786128280242", "\"x\"")})
+          with("\"service\":\"s1\",", ""), with("1786128280242", "\"x\""),
+          with("\"v1\"", "1")})
     {
         CAPTURE(text);
         CHECK_FALSE(parse_endpoint_entry("i-1", text, 9).ok());
--- a/test/platform/manifest.cpp
+++ b/test/platform/manifest.cpp
@@ -18,7 +18,7 @@
  "public":false,"sticky":true,"resumable":false,"gap_goal_ms":600},
 {"name":"r2","host":"desk.example","prefix":"/b/","type":"idempotent","timeout_ms":800,"goal_ms":300,
  "priority":2,"service":"s2","max_attempts":2,"public":true}],
-"services":[{"name":"s1","warmup_s":3.0,"warmup_per_s":9.1,"engine":{"slots":64}},
+"services":[{"name":"s1","warmup_s":3.0,"warmup_per_s":9.1,"engine":{"slots":64,"kv_capacity":449897}},
  {"name":"s2","warmup_s":0.0,"warmup_per_s":0.0}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1},{"name":"t2","api_keys":[]}]})";
@@ -65,6 +65,7 @@
         CHECK(model->kind == service_kind::model);
         CHECK(model->cold_requests_per_s == doctest::Approx(9.1));
         CHECK(model->cold_time == milliseconds{3000});
+        CHECK(model->token_capacity == 449897);
         CHECK(it.find_service(service_id::of("s2"))->kind == service_kind::plain);
     }
     SUBCASE("is converted to client accounts, whose API keys are stored only as hashes")
