Add a placement rule that spreads load evenly from old knowledge

Instances that take the least loaded endpoint from the same late digests all take the same one. `even_placement` chooses at random in proportion to the room that is left at each endpoint up to a common level, given the requests that others will have sent since (Dahlin, 1999): least loaded when everything is reported, near random when little is.

--- a/src/mangovane/forward/fwd.hpp
+++ b/src/mangovane/forward/fwd.hpp
@@ -19,6 +19,7 @@
 class forward_core;
 class forward_flow;
 class placement_rule;
+class expected_fill;
 class local_retry_budget;
 class reader_election;
 
--- a/src/mangovane/forward/placement_rule.hpp
+++ b/src/mangovane/forward/placement_rule.hpp
@@ -22,6 +22,8 @@
     domain_id domain;
     std::uint32_t load{0}; ///< Requests in flight over all instances.
     bool avoided{false}; ///< Suspended, in a suspected domain, or fails more often than the others.
+    /// Work that the endpoint does in the same time, as a multiple of the usual; above 0.
+    double speed{1};
 
     auto operator<=>(const placement_candidate&) const = default;
 };
@@ -35,6 +37,9 @@
     std::uint64_t affinity{0};       ///< Hash of the shared prompt prefix; 0: none.
     std::uint64_t tie_break_seed{0}; ///< Orders candidates that are otherwise equal.
     domain_id own_domain;            ///< Failure domain of the instance.
+    /// Requests that other instances are expected to have sent to the candidates since the loads
+    /// were reported.
+    double unreported{0};
 };
 
 /// Called for a candidate before it is chosen; false rules it out. A call may consume the
@@ -58,6 +63,15 @@
 /// Chooses the least loaded endpoint; on equal loads one in the instance's own failure domain.
 [[nodiscard]] const placement_rule& least_loaded_placement() noexcept;
 
+/// Chooses at random, so that instances with the same old knowledge of the loads do not all send
+/// their requests to the same endpoint: an endpoint gets the share of requests that evens out the
+/// loads, given what the others will have sent meanwhile (`expected_fill`).
+[[nodiscard]] const placement_rule& even_placement() noexcept;
+
+/// As `sticky_placement`, but leaves an endpoint that works much slower than the others, and
+/// chooses as `even_placement` where it leaves the first endpoint.
+[[nodiscard]] const placement_rule& sticky_even_placement() noexcept;
+
 /// Load bound of an endpoint, computed from the mean load over all endpoints of the service.
 struct load_bound
 {
