Add the peer message of rollouts

Instances have to exchange what they have seen of both versions of a service. rollout_report carries the sender's counts by route, with histograms as pairs of bucket and count, its state and its requests at the old version. An unknown deadline stays unknown on the wire; buckets that no histogram has are counted in the last one.

--- a/src/mangovane/message/fwd.hpp
+++ b/src/mangovane/message/fwd.hpp
@@ -34,6 +34,7 @@
 struct crash_evidence;
 struct part_answer;
 struct quarantine_update;
+struct rollout_report;
 
 } // namespace mangovane
 
--- a/src/mangovane/message/message.hpp
+++ b/src/mangovane/message/message.hpp
@@ -11,6 +11,7 @@
 #include "mangovane/message/load.hpp"
 #include "mangovane/message/membership.hpp"
 #include "mangovane/message/quarantine.hpp"
+#include "mangovane/message/rollout.hpp"
 #include "mangovane/message/settings.hpp"
 #include "mangovane/message/slot.hpp"
 
@@ -41,7 +42,8 @@
                              feed_state,
                              endpoint_query,
                              endpoint_update,
-                             quarantine_update>;
+                             quarantine_update,
+                             rollout_report>;
 
 /// A message with its receiver.
 struct outgoing_message
--- a/src/mangovane/message/rollout.hpp
+++ b/src/mangovane/message/rollout.hpp
@@ -46,6 +46,7 @@
 
 inline constexpr std::size_t max_report_routes = 64;
 inline constexpr std::size_t max_report_endpoints = 4;
+inline constexpr std::size_t max_report_version_bytes = 256;
 
 } // namespace mangovane
 
--- a/src/mangovane/wire/body_decode.cpp
+++ b/src/mangovane/wire/body_decode.cpp
@@ -269,6 +269,54 @@
     return result;
 }
 
+version_answers unpack_answers(const wire::VersionAnswers* it)
+{
+    version_answers result;
+    if (it == nullptr)
+    {
+        return result;
+    }
+    result.failed = it->failed();
+    const auto* buckets = it->buckets();
+    const auto* counts = it->counts();
+    const auto pairs =
+        buckets == nullptr || counts == nullptr ? 0U : std::min(buckets->size(), counts->size());
+    for (std::uint32_t k = 0; k != pairs; ++k)
+    {
+        // Buckets of a later version with a longer histogram belong into the last one.
+        const std::size_t bucket =
+            std::min<std::size_t>(buckets->Get(k), first_byte_histogram::bucket_count - 1);
+        result.first_bytes.set_count(bucket, result.first_bytes.count(bucket) + counts->Get(k));
+    }
+    return result;
+}
+
+message unpack(const wire::RolloutReport& it, time_point now)
+{
+    rollout_report result;
+    result.service = service_id{it.service()};
+    result.order = {it.order_era(), it.order_number()};
+    result.version = it.version()->str();
+    result.state = static_cast<rollout_state>(it.state());
+    result.deadline =
+        it.deadline_ms() == UINT32_MAX ? time_point::max() : deadline_from(it.deadline_ms(), now);
+    result.moved = it.moved();
+    result.running_at_current = it.running_at_current();
+    const auto routes = it.routes() == nullptr ? 0 : it.routes()->size();
+    for (std::uint32_t k = 0; k != std::min<std::size_t>(routes, max_report_routes + 1); ++k)
+    {
+        const auto* entry = it.routes()->Get(k);
+        result.routes.push_back(
+            {entry->route(), unpack_answers(entry->current()), unpack_answers(entry->ordered())});
+    }
+    const auto endpoints = it.bad_endpoints() == nullptr ? 0 : it.bad_endpoints()->size();
+    for (std::uint32_t k = 0; k != std::min<std::size_t>(endpoints, max_report_endpoints + 1); ++k)
+    {
+        result.bad_endpoints.emplace_back(it.bad_endpoints()->Get(k));
+    }
+    return result;
+}
+
 using decoder = message (*)(const void*, time_point);
 
 template <class Table>
@@ -307,7 +355,8 @@
                                         wire::FeedState,
                                         wire::EndpointQuery,
                                         wire::EndpointUpdate,
-                                        wire::QuarantineUpdate>();
+                                        wire::QuarantineUpdate,
+                                        wire::RolloutReport>();
 
 static_assert(decoders.size() == std::variant_size_v<message>);
 static_assert(decoders.size() == static_cast<std::size_t>(wire::Body::MAX));
@@ -376,6 +425,14 @@
         return it.crashes.size() <= max_update_crashes && it.answers.size() <= max_update_answers;
     }
 
+    [[nodiscard]] bool operator()(const rollout_report& it) const
+    {
+        return !it.version.empty() && it.version.size() <= max_report_version_bytes &&
+               it.order.known() && static_cast<std::size_t>(it.state) < rollout_state_count &&
+               it.routes.size() <= max_report_routes &&
+               it.bad_endpoints.size() <= max_report_endpoints;
+    }
+
     [[nodiscard]] bool check_updates(const std::vector<member_update>& updates) const
     {
         return updates.size() <= max_updates_per_probe &&
--- a/src/mangovane/wire/body_encode.cpp
+++ b/src/mangovane/wire/body_encode.cpp
@@ -247,6 +247,49 @@
     return wire::CreateQuarantineUpdate(buf, crash_vector, answer_vector, it.is_summary);
 }
 
+flatbuffers::Offset<wire::VersionAnswers> pack_answers(builder& buf, const version_answers& it)
+{
+    std::vector<std::uint8_t> buckets;
+    std::vector<std::uint32_t> counts;
+    for (std::size_t n = 0; n != first_byte_histogram::bucket_count; ++n)
+    {
+        if (it.first_bytes.count(n) != 0)
+        {
+            buckets.push_back(static_cast<std::uint8_t>(n));
+            counts.push_back(it.first_bytes.count(n));
+        }
+    }
+    const auto bucket_vector = buf.CreateVector(buckets);
+    const auto count_vector = buf.CreateVector(counts);
+    return wire::CreateVersionAnswers(buf, it.failed, bucket_vector, count_vector);
+}
+
+auto pack(builder& buf, const rollout_report& it, time_point now)
+{
+    std::vector<flatbuffers::Offset<wire::RouteAnswers>> routes;
+    routes.reserve(it.routes.size());
+    for (const auto& entry : it.routes)
+    {
+        const auto current = pack_answers(buf, entry.current);
+        const auto ordered = pack_answers(buf, entry.ordered);
+        routes.push_back(wire::CreateRouteAnswers(buf, entry.route, current, ordered));
+    }
+    std::vector<std::uint64_t> endpoints;
+    endpoints.reserve(it.bad_endpoints.size());
+    for (const auto endpoint : it.bad_endpoints)
+    {
+        endpoints.push_back(endpoint.value());
+    }
+    const auto version = buf.CreateString(it.version);
+    const auto route_vector = buf.CreateVector(routes);
+    const auto endpoint_vector = buf.CreateVector(endpoints);
+    // The largest remaining time, `UINT32_MAX`, states an unknown deadline.
+    return wire::CreateRolloutReport(buf, it.service.value(), it.order.era, it.order.number,
+                                     version, number(it.state), remaining_ms(it.deadline, now),
+                                     it.moved, it.running_at_current, route_vector,
+                                     endpoint_vector);
+}
+
 using encoder = body_offset (*)(builder&, const message&, time_point);
 
 template <std::size_t N>
--- a/src/mangovane/wire/frame_generated.h
+++ b/src/mangovane/wire/frame_generated.h
@@ -106,6 +106,15 @@
 struct QuarantineUpdate;
 struct QuarantineUpdateBuilder;
 
+struct VersionAnswers;
+struct VersionAnswersBuilder;
+
+struct RouteAnswers;
+struct RouteAnswersBuilder;
+
+struct RolloutReport;
+struct RolloutReportBuilder;
+
 struct Hello;
 struct HelloBuilder;
 
@@ -138,11 +147,12 @@
   EndpointQuery = 22,
   EndpointUpdate = 23,
   QuarantineUpdate = 24,
+  RolloutReport = 25,
   MIN = NONE,
-  MAX = QuarantineUpdate
+  MAX = RolloutReport
 };
 
-inline const Body (&EnumValuesBody())[25] {
+inline const Body (&EnumValuesBody())[26] {
   static const Body values[] = {
     Body::NONE,
     Body::SlotRequest,
@@ -168,13 +178,14 @@
     Body::FeedState,
     Body::EndpointQuery,
     Body::EndpointUpdate,
-    Body::QuarantineUpdate
+    Body::QuarantineUpdate,
+    Body::RolloutReport
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[26] = {
+  static const char * const names[27] = {
     "NONE",
     "SlotRequest",
     "SlotGrant",
@@ -200,13 +211,14 @@
     "EndpointQuery",
     "EndpointUpdate",
     "QuarantineUpdate",
+    "RolloutReport",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::QuarantineUpdate)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RolloutReport)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -311,6 +323,10 @@
   static const Body enum_value = Body::QuarantineUpdate;
 };
 
+template<> struct BodyTraits<mangovane::wire::RolloutReport> {
+  static const Body enum_value = Body::RolloutReport;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -2519,6 +2535,311 @@
       is_summary);
 }
 
+struct VersionAnswers FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VersionAnswersBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FAILED = 4,
+    VT_BUCKETS = 6,
+    VT_COUNTS = 8
+  };
+  uint32_t failed() const {
+    return GetField<uint32_t>(VT_FAILED, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *buckets() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BUCKETS);
+  }
+  const flatbuffers::Vector<uint32_t> *counts() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_COUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_FAILED, 4) &&
+           VerifyOffset(verifier, VT_BUCKETS) &&
+           verifier.VerifyVector(buckets()) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct VersionAnswersBuilder {
+  typedef VersionAnswers Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_failed(uint32_t failed) {
+    fbb_.AddElement<uint32_t>(VersionAnswers::VT_FAILED, failed, 0);
+  }
+  void add_buckets(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> buckets) {
+    fbb_.AddOffset(VersionAnswers::VT_BUCKETS, buckets);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> counts) {
+    fbb_.AddOffset(VersionAnswers::VT_COUNTS, counts);
+  }
+  explicit VersionAnswersBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VersionAnswers> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VersionAnswers>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VersionAnswers> CreateVersionAnswers(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t failed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> buckets = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> counts = 0) {
+  VersionAnswersBuilder builder_(_fbb);
+  builder_.add_counts(counts);
+  builder_.add_buckets(buckets);
+  builder_.add_failed(failed);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<VersionAnswers> CreateVersionAnswersDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t failed = 0,
+    const std::vector<uint8_t> *buckets = nullptr,
+    const std::vector<uint32_t> *counts = nullptr) {
+  auto buckets__ = buckets ? _fbb.CreateVector<uint8_t>(*buckets) : 0;
+  auto counts__ = counts ? _fbb.CreateVector<uint32_t>(*counts) : 0;
+  return mangovane::wire::CreateVersionAnswers(
+      _fbb,
+      failed,
+      buckets__,
+      counts__);
+}
+
+struct RouteAnswers FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RouteAnswersBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_CURRENT = 6,
+    VT_ORDERED = 8
+  };
+  uint64_t route() const {
+    return GetField<uint64_t>(VT_ROUTE, 0);
+  }
+  const mangovane::wire::VersionAnswers *current() const {
+    return GetPointer<const mangovane::wire::VersionAnswers *>(VT_CURRENT);
+  }
+  const mangovane::wire::VersionAnswers *ordered() const {
+    return GetPointer<const mangovane::wire::VersionAnswers *>(VT_ORDERED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ROUTE, 8) &&
+           VerifyOffset(verifier, VT_CURRENT) &&
+           verifier.VerifyTable(current()) &&
+           VerifyOffset(verifier, VT_ORDERED) &&
+           verifier.VerifyTable(ordered()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RouteAnswersBuilder {
+  typedef RouteAnswers Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(uint64_t route) {
+    fbb_.AddElement<uint64_t>(RouteAnswers::VT_ROUTE, route, 0);
+  }
+  void add_current(flatbuffers::Offset<mangovane::wire::VersionAnswers> current) {
+    fbb_.AddOffset(RouteAnswers::VT_CURRENT, current);
+  }
+  void add_ordered(flatbuffers::Offset<mangovane::wire::VersionAnswers> ordered) {
+    fbb_.AddOffset(RouteAnswers::VT_ORDERED, ordered);
+  }
+  explicit RouteAnswersBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RouteAnswers> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RouteAnswers>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RouteAnswers> CreateRouteAnswers(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t route = 0,
+    flatbuffers::Offset<mangovane::wire::VersionAnswers> current = 0,
+    flatbuffers::Offset<mangovane::wire::VersionAnswers> ordered = 0) {
+  RouteAnswersBuilder builder_(_fbb);
+  builder_.add_route(route);
+  builder_.add_ordered(ordered);
+  builder_.add_current(current);
+  return builder_.Finish();
+}
+
+struct RolloutReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ORDER_ERA = 6,
+    VT_ORDER_NUMBER = 8,
+    VT_VERSION = 10,
+    VT_STATE = 12,
+    VT_DEADLINE_MS = 14,
+    VT_MOVED = 16,
+    VT_RUNNING_AT_CURRENT = 18,
+    VT_ROUTES = 20,
+    VT_BAD_ENDPOINTS = 22
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint64_t order_era() const {
+    return GetField<uint64_t>(VT_ORDER_ERA, 0);
+  }
+  uint64_t order_number() const {
+    return GetField<uint64_t>(VT_ORDER_NUMBER, 0);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  uint32_t deadline_ms() const {
+    return GetField<uint32_t>(VT_DEADLINE_MS, 0);
+  }
+  bool moved() const {
+    return GetField<uint8_t>(VT_MOVED, 0) != 0;
+  }
+  uint32_t running_at_current() const {
+    return GetField<uint32_t>(VT_RUNNING_AT_CURRENT, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::RouteAnswers>> *routes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::RouteAnswers>> *>(VT_ROUTES);
+  }
+  const flatbuffers::Vector<uint64_t> *bad_endpoints() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_BAD_ENDPOINTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_NUMBER, 8) &&
+           VerifyOffsetRequired(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_DEADLINE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_MOVED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_RUNNING_AT_CURRENT, 4) &&
+           VerifyOffset(verifier, VT_ROUTES) &&
+           verifier.VerifyVector(routes()) &&
+           verifier.VerifyVectorOfTables(routes()) &&
+           VerifyOffset(verifier, VT_BAD_ENDPOINTS) &&
+           verifier.VerifyVector(bad_endpoints()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RolloutReportBuilder {
+  typedef RolloutReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(RolloutReport::VT_SERVICE, service, 0);
+  }
+  void add_order_era(uint64_t order_era) {
+    fbb_.AddElement<uint64_t>(RolloutReport::VT_ORDER_ERA, order_era, 0);
+  }
+  void add_order_number(uint64_t order_number) {
+    fbb_.AddElement<uint64_t>(RolloutReport::VT_ORDER_NUMBER, order_number, 0);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(RolloutReport::VT_VERSION, version);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(RolloutReport::VT_STATE, state, 0);
+  }
+  void add_deadline_ms(uint32_t deadline_ms) {
+    fbb_.AddElement<uint32_t>(RolloutReport::VT_DEADLINE_MS, deadline_ms, 0);
+  }
+  void add_moved(bool moved) {
+    fbb_.AddElement<uint8_t>(RolloutReport::VT_MOVED, static_cast<uint8_t>(moved), 0);
+  }
+  void add_running_at_current(uint32_t running_at_current) {
+    fbb_.AddElement<uint32_t>(RolloutReport::VT_RUNNING_AT_CURRENT, running_at_current, 0);
+  }
+  void add_routes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::RouteAnswers>>> routes) {
+    fbb_.AddOffset(RolloutReport::VT_ROUTES, routes);
+  }
+  void add_bad_endpoints(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> bad_endpoints) {
+    fbb_.AddOffset(RolloutReport::VT_BAD_ENDPOINTS, bad_endpoints);
+  }
+  explicit RolloutReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutReport>(end);
+    fbb_.Required(o, RolloutReport::VT_VERSION);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutReport> CreateRolloutReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint64_t order_era = 0,
+    uint64_t order_number = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    uint8_t state = 0,
+    uint32_t deadline_ms = 0,
+    bool moved = false,
+    uint32_t running_at_current = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::RouteAnswers>>> routes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> bad_endpoints = 0) {
+  RolloutReportBuilder builder_(_fbb);
+  builder_.add_order_number(order_number);
+  builder_.add_order_era(order_era);
+  builder_.add_service(service);
+  builder_.add_bad_endpoints(bad_endpoints);
+  builder_.add_routes(routes);
+  builder_.add_running_at_current(running_at_current);
+  builder_.add_deadline_ms(deadline_ms);
+  builder_.add_version(version);
+  builder_.add_moved(moved);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RolloutReport> CreateRolloutReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint64_t order_era = 0,
+    uint64_t order_number = 0,
+    const char *version = nullptr,
+    uint8_t state = 0,
+    uint32_t deadline_ms = 0,
+    bool moved = false,
+    uint32_t running_at_current = 0,
+    const std::vector<flatbuffers::Offset<mangovane::wire::RouteAnswers>> *routes = nullptr,
+    const std::vector<uint64_t> *bad_endpoints = nullptr) {
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto routes__ = routes ? _fbb.CreateVector<flatbuffers::Offset<mangovane::wire::RouteAnswers>>(*routes) : 0;
+  auto bad_endpoints__ = bad_endpoints ? _fbb.CreateVector<uint64_t>(*bad_endpoints) : 0;
+  return mangovane::wire::CreateRolloutReport(
+      _fbb,
+      service,
+      order_era,
+      order_number,
+      version__,
+      state,
+      deadline_ms,
+      moved,
+      running_at_current,
+      routes__,
+      bad_endpoints__);
+}
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2829,6 +3150,10 @@
       auto ptr = reinterpret_cast<const mangovane::wire::QuarantineUpdate *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::RolloutReport: {
+      auto ptr = reinterpret_cast<const mangovane::wire::RolloutReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/test/mangovane/wire/codec.cpp
+++ b/test/mangovane/wire/codec.cpp
@@ -21,6 +21,23 @@
             domain_id{5},   {9, 11}};
 }
 
+rollout_report report_example()
+{
+    route_answers route{21, {3, {}}, {4, {}}};
+    route.current.first_bytes.set_count(0, 70'000);
+    route.current.first_bytes.set_count(first_byte_histogram::bucket_count - 1, 2);
+    route.ordered.first_bytes.set_count(9, 5);
+    return {service_id{1},
+            {2, 3},
+            "v2",
+            rollout_state::rolled_back,
+            now + seconds{12},
+            true,
+            6,
+            {route, {22, {}, {}}},
+            {endpoint_id{8}, endpoint_id{9}}};
+}
+
 std::vector<message> all_messages()
 {
     const time_point later = now + milliseconds{1500};
@@ -57,7 +74,8 @@
             quarantine_update{
                 {{1, 2, now - milliseconds{30}, later, true, 2}, {3, 4, now, now, false, 0}},
                 {{5, now - milliseconds{60}}},
-                true}};
+                true},
+            report_example()};
 }
 
 frame frame_of(std::vector<message> messages)
@@ -143,6 +161,14 @@
               there + milliseconds{700});
     }
 
+    SUBCASE("keeps an unknown deadline unknown (guards against a rollout that ends in 49 days)")
+    {
+        auto report = report_example();
+        report.deadline = time_point::max();
+        const auto sent = frame_of({report});
+        CHECK(decode_frame(body_of(sent), now + seconds{5}).value() == sent);
+    }
+
     SUBCASE("has a limit on its size")
     {
         const std::vector<held_slot> slots(2000, held_slot{attempt, now});
@@ -248,6 +274,43 @@
                         .ok());
     }
 
+    SUBCASE("with a rollout report out of range")
+    {
+        const auto is_refused = [](auto change)
+        {
+            auto report = report_example();
+            change(report);
+            return !encode_frame(frame_of({report}), now).ok();
+        };
+        CHECK_FALSE(is_refused([](rollout_report&) {}));
+        CHECK(is_refused([](rollout_report& it) { it.version.clear(); }));
+        CHECK(is_refused([](rollout_report& it) { it.order = {}; }));
+        CHECK(is_refused([](rollout_report& it) { it.state = rollout_state{3}; }));
+        CHECK(is_refused([](rollout_report& it) { it.routes.resize(max_report_routes + 1); }));
+        CHECK(is_refused([](rollout_report& it)
+                         { it.bad_endpoints.resize(max_report_endpoints + 1); }));
+
+        SUBCASE("or with a bucket that no histogram has (guards against a write out of bounds)")
+        {
+            const auto body = [](flatbuffers::FlatBufferBuilder& buf)
+            {
+                const auto buckets = buf.CreateVector(std::vector<std::uint8_t>{255, 3});
+                const auto counts = buf.CreateVector(std::vector<std::uint32_t>{7});
+                const auto answers = wire::CreateVersionAnswers(buf, 0, buckets, counts);
+                const auto routes =
+                    buf.CreateVector(std::vector{wire::CreateRouteAnswers(buf, 1, answers)});
+                const auto version = buf.CreateString("v2");
+                return wire::CreateRolloutReport(buf, 1, 0, 1, version, 0, 0, false, 0, routes)
+                    .Union();
+            };
+            const auto got = decode_frame(forged(1, 25, body), now);
+            REQUIRE(got.ok());
+            const auto& report = std::get<rollout_report>(got->messages.at(0));
+            CHECK(report.routes.at(0).current.first_bytes.above(24) == 7);
+            CHECK(report.routes.at(0).current.total() == 7);
+        }
+    }
+
     SUBCASE("with too many member updates in a probe, or one out of range")
     {
         const auto body = [](flatbuffers::FlatBufferBuilder& buf)
