Choose endpoints by version while a rollout is running

The forward core filters candidates by version before it chooses, sends due reports, and counts attempts by version from their choice to their end, also those that began before the order. Without a policy nothing is filtered, counted or sent.

An attempt that is given up without a byte counts as a response that late: otherwise a version slow enough to be abandoned would not show as slow.

--- a/src/mangovane/forward/endpoint_chooser.hpp
+++ b/src/mangovane/forward/endpoint_chooser.hpp
@@ -12,6 +12,7 @@
 #include "mangovane/forward/endpoint_record.hpp"
 #include "mangovane/forward/forward_request.hpp"
 #include "mangovane/quarantine/part_record.hpp"
+#include "mangovane/rollout/version_choice.hpp"
 
 namespace mangovane
 {
@@ -30,6 +31,7 @@
     std::uint32_t load_limit{0};         ///< Load bound in force for the choice.
     std::uint32_t eligible_endpoints{0}; ///< Number of endpoints that were eligible.
     std::uint64_t settings_version{0};   ///< Version of the settings used for the choice.
+    std::string version;                 ///< Version of the endpoint; empty: unknown.
 
     bool operator==(const dispatch_target&) const = default;
 };
@@ -94,6 +96,13 @@
     /// Records the end of an attempt that `choose` started.
     virtual void finish(endpoint_id endpoint, health_outcome outcome, time_point now) = 0;
 
+    /// Records, beside `finish`, the end of an attempt at a version of the service, and what it has
+    /// shown of the version, if anything. Without rollouts there is nothing to record.
+    virtual void on_version_ended(const version_attempt& /*attempt*/,
+                                  const std::optional<version_response>& /*response*/,
+                                  time_point /*now*/)
+    {}
+
     /// Records that an endpoint has survived the request.
     virtual void on_survived(const forward_request& request, time_point now) = 0;
 
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -14,9 +14,9 @@
                            time_point now)
     : options_{std::move(options)}, sink_{sink}, state_{options_.self, options_.timing,
                                                         options_.seed},
-      settings_sync_{state_, std::move(parser), settings_query_interval}, feed_{state_, catalog_,
-                                                                                now},
-      retries_{options_.fleet.retries}, fleet_size_{now}, quarantine_{options_.seed}
+      settings_sync_{state_, std::move(parser), settings_query_interval},
+      feed_{state_, catalog_, now}, retries_{options_.fleet.retries}, fleet_size_{now},
+      quarantine_{options_.seed}, rollouts_{options_.rollouts}
 {}
 
 adopt_result forward_core::adopt_settings(settings_ptr settings, time_point now)
@@ -27,6 +27,10 @@
     {
         start_cold_periods(*before, *settings, now);
     }
+    if (result == adopt_result::adopted)
+    {
+        refresh_rollouts(now);
+    }
     return result;
 }
 
@@ -62,6 +66,7 @@
     if (auto endpoints = catalog_.take_changed(now))
     {
         state_.set_endpoints(std::move(endpoints));
+        refresh_rollouts(now);
     }
 }
 
@@ -98,6 +103,7 @@
         {
             start_cold_periods(*before, *state_.settings().current(), now);
         }
+        refresh_rollouts(now);
     }
     else if constexpr (std::is_same_v<Message, load_digest>)
     {
@@ -126,6 +132,10 @@
             sink_.send({from, std::move(response)});
         }
     }
+    else if constexpr (std::is_same_v<Message, rollout_report>)
+    {
+        rollouts_.on_report(from, it, now);
+    }
     // Instances that forward by routes ignore all other messages.
 }
 
@@ -157,6 +167,7 @@
     fleet_size_.record(static_cast<std::uint32_t>(view()->members().size()), now);
     send_digest(now);
     send_quarantine(now);
+    tick_rollouts(now);
     {
         const std::lock_guard lock{mutex_};
         if (now < expired_at_ + expire_period)
@@ -249,6 +260,92 @@
     }
 }
 
+void forward_core::refresh_rollouts(time_point now)
+{
+    if (!rollouts_.enabled())
+    {
+        return;
+    }
+    // One lock for reading and setting: of two threads, the one with older settings could set its
+    // orders last and so end a rollout.
+    const std::lock_guard lock{rollouts_mutex_};
+    const auto routes = state_.routes();
+    absl::flat_hash_map<service_id, version_counts> listed;
+    for (const auto& it : routes->endpoints().all())
+    {
+        ++listed[it.service][it.version];
+    }
+    for (const auto& [service, counts] : listed)
+    {
+        rollouts_.observe(service, counts, now);
+    }
+    rollouts_.set_orders(routes->settings().rollouts, now);
+}
+
+rollout_surroundings forward_core::surroundings_of(const rollout_order& order, time_point now)
+{
+    rollout_surroundings result;
+    const auto routes = state_.routes();
+    for (const auto* it : routes->endpoints().of_service(order.service))
+    {
+        const bool usable =
+            !routes->closed(it->id) && !tracker_.snapshot_of(it->id, it->epoch, now).leaving;
+        auto& count =
+            it->version == order.version ? result.ordered_endpoints : result.current_endpoints;
+        count += usable ? 1 : 0;
+    }
+    const auto members = view();
+    for (const auto* it : live_peers(*members))
+    {
+        result.live_peers.push_back(it->id);
+    }
+    return result;
+}
+
+void forward_core::tick_rollouts(time_point now)
+{
+    for (const auto& order : rollouts_.running())
+    {
+        rollouts_.tick(order.service, surroundings_of(order, now), now);
+    }
+    const auto local = rollouts_.take_due_reports(true, now);
+    const auto remote = rollouts_.take_due_reports(false, now);
+    if (local.empty() && remote.empty())
+    {
+        return;
+    }
+    const auto members = view();
+    for (const auto* it : live_peers(*members))
+    {
+        for (const auto& report : it->domain == options_.self.domain ? local : remote)
+        {
+            sink_.send({it->id, report});
+        }
+    }
+}
+
+void forward_core::on_version_ended(const version_attempt& attempt,
+                                    const std::optional<version_response>& response,
+                                    time_point now)
+{
+    if (!rollouts_.enabled())
+    {
+        return;
+    }
+    rollouts_.on_ended(attempt);
+    if (!response)
+    {
+        return;
+    }
+    const auto routes = state_.routes();
+    const auto* endpoint = routes->find(attempt.endpoint);
+    const bool cold = endpoint != nullptr && is_cold(*endpoint, now);
+    // Late responses during the warm-up are no evidence, but failures are: otherwise a version that
+    // fails from its start would go unnoticed until it is warm.
+    rollouts_.on_response(attempt,
+                          cold ? version_response{response->failed, milliseconds{0}} : *response);
+}
+
 void forward_core::leave(time_point now)
 {
     send(state_.members().leave(now));
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -19,6 +19,7 @@
 #include "mangovane/forward/placement_rule.hpp"
 #include "mangovane/forward/prefix_locations.hpp"
 #include "mangovane/quarantine/prompt_quarantine.hpp"
+#include "mangovane/rollout/rollout_registry.hpp"
 #include "mangovane/routing/instance_state.hpp"
 #include "mangovane/routing/message_sink.hpp"
 #include "mangovane/routing/settings_sync.hpp"
@@ -45,6 +46,7 @@
     detector_timing timing;
     fleet_policy fleet;
     std::uint64_t seed{1};
+    rollout_policy rollouts;
 
     bool operator==(const forward_options&) const = default;
 };
@@ -93,6 +95,9 @@
                                          choice_purpose purpose,
                                          time_point now) override;
     void finish(endpoint_id endpoint, health_outcome outcome, time_point now) override;
+    void on_version_ended(const version_attempt& attempt,
+                          const std::optional<version_response>& response,
+                          time_point now) override;
     /// Records what an endpoint, in the incarnation that was chosen, stated about itself.
     void on_notice(const dispatch_target& target, const endpoint_notice& notice, time_point now);
 
@@ -104,6 +109,7 @@
     [[nodiscard]] bool try_retry(service_id service, time_point now) override;
 
     [[nodiscard]] instance_state& state() noexcept { return state_; }
+    [[nodiscard]] rollout_registry& rollouts() noexcept { return rollouts_; }
     [[nodiscard]] prompt_quarantine& quarantine() noexcept { return quarantine_; }
     [[nodiscard]] endpoint_tracker& tracker() noexcept { return tracker_; }
     [[nodiscard]] settings_ptr settings() { return state_.settings().current(); }
@@ -167,12 +173,31 @@
     template <class Message>
     void dispatch(instance_id from, const message& msg, time_point now);
 
-    /// Endpoints of the service that can be chosen.
+    /// Endpoints of the service, of these versions, that can be chosen.
     [[nodiscard]] candidate_set collect_candidates(const routing_table& routes,
                                                    service_id service,
+                                                   const version_set& versions,
                                                    std::span<const endpoint_id> excluded,
                                                    time_point now);
 
+    /// An endpoint with what it was chosen from.
+    struct chosen_endpoint
+    {
+        placement_candidate candidate;
+        std::uint32_t allowed{0}; ///< Load bound.
+        std::uint32_t eligible{0};
+    };
+
+    /// Chooses among the endpoints of these versions; if there is none, returns when the first of
+    /// them opens again (max: unknown) in `reopens_at`.
+    [[nodiscard]] std::optional<chosen_endpoint> choose_among(const routing_table& routes,
+                                                              const forward_request& request,
+                                                              const version_set& versions,
+                                                              std::span<const endpoint_id> excluded,
+                                                              choice_purpose purpose,
+                                                              time_point& reopens_at,
+                                                              time_point now);
+
     /// Marks candidates that fail more often than the others. `counts` holds the recent attempts of
     /// each candidate, in the same order.
     static void mark_avoided(std::vector<placement_candidate>& candidates,
@@ -220,6 +245,12 @@
     void send_digest(time_point now);
     void send_quarantine(time_point now);
 
+    /// Moves the rollouts on and sends the reports that are due.
+    void tick_rollouts(time_point now);
+    [[nodiscard]] rollout_surroundings surroundings_of(const rollout_order& order, time_point now);
+    /// Passes the orders in force and the versions of all listed endpoints to the rollouts.
+    void refresh_rollouts(time_point now);
+
     /// The other instances that are alive, as far as this one knows.
     [[nodiscard]] std::vector<const member*> live_peers(const membership_view& members) const;
 
@@ -238,7 +269,9 @@
     local_retry_budget retries_;
     fleet_size fleet_size_;
     prompt_quarantine quarantine_;
+    rollout_registry rollouts_;
     std::mutex endpoints_mutex_; ///< Orders the changes of the list in force.
+    std::mutex rollouts_mutex_;  ///< Orders the changes of the rollouts' orders and versions.
     std::mutex mutex_;
     /// End of the cold period of each re-enabled domain. Guarded by `mutex_`.
     absl::flat_hash_map<domain_id, time_point> cold_domains_;
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -9,6 +9,7 @@
 
 forward_core::candidate_set forward_core::collect_candidates(const routing_table& routes,
                                                              service_id service,
+                                                             const version_set& versions,
                                                              std::span<const endpoint_id> excluded,
                                                              time_point now)
 {
@@ -22,8 +23,14 @@
     };
     std::vector<attempt_counts> counts;
     double total = 0;
+    std::size_t permitted = 0;
     for (const auto* it : listed)
     {
+        if (!versions.contains(it->version))
+        {
+            continue;
+        }
+        ++permitted;
         const auto snapshot = tracker_.snapshot_of(it->id, it->epoch, now);
         total += snapshot.load;
         const bool tried = std::find(excluded.begin(), excluded.end(), it->id) != excluded.end();
@@ -42,7 +49,7 @@
             counts.push_back(snapshot.counts);
         }
     }
-    result.mean_load = listed.empty() ? 0 : total / static_cast<double>(listed.size());
+    result.mean_load = permitted == 0 ? 0 : total / static_cast<double>(permitted);
     mark_avoided(result.candidates, counts);
     return result;
 }
@@ -121,28 +128,28 @@
                               verdict};
     }
     const auto routes = state_.routes();
-    auto eligible = collect_candidates(*routes, request.service, excluded, now);
-    const auto allowed = options_.fleet.bound.allowed(eligible.mean_load);
-    if (purpose == choice_purpose::replacement)
+    const auto affinity = request.affinity();
+    const auto key = affinity != 0 ? affinity : hash_bytes(request.request);
+    const bool repeated = !excluded.empty() || purpose == choice_purpose::replacement;
+    std::optional<chosen_endpoint> chosen;
+    auto reopens_at = time_point::max();
+    for (const auto& versions : rollouts_.choose(request.service, key, repeated, now))
     {
-        std::erase_if(eligible.candidates, [&](const placement_candidate& it)
-                      { return it.avoided || it.load >= allowed; });
+        chosen = choose_among(*routes, request, versions, excluded, purpose, reopens_at, now);
+        if (chosen)
+        {
+            break;
+        }
     }
-    const auto affinity = request.affinity();
-    const auto& rule = affinity != 0 ? sticky_placement() : least_loaded_placement();
-    const auto tie_break_seed = hash_combine(options_.seed, ++choice_count_);
-    const auto chosen =
-        rule.choose({eligible.candidates, allowed, affinity, tie_break_seed, options_.self.domain},
-                    [&](const placement_candidate& it) { return admit(*routes, it, now); });
     if (!chosen)
     {
-        const bool all_closed =
-            eligible.candidates.empty() && eligible.reopens_at != time_point::max();
-        return choice_refusal{
-            error_kind::no_endpoint, all_closed ? eligible.reopens_at : time_point{}, {}};
+        return choice_refusal{error_kind::no_endpoint,
+                              reopens_at == time_point::max() ? time_point{} : reopens_at,
+                              {}};
     }
-    const auto& candidate = eligible.candidates[*chosen];
+    const auto& candidate = chosen->candidate;
     const auto* endpoint = routes->find(candidate.endpoint);
+    rollouts_.on_started({request.service, endpoint->version, endpoint->id, 0});
     tracker_.on_started(candidate.endpoint);
     auto source = prefix_source(*routes, request, *endpoint, now);
     for (const auto prefix : {affinity, request.common_prefix()})
@@ -152,15 +159,42 @@
             prefixes_.record(prefix, endpoint->id, endpoint->epoch, now);
         }
     }
-    return dispatch_target{candidate.endpoint,
-                           endpoint->name,
-                           endpoint->address,
-                           endpoint->epoch,
-                           std::move(source),
-                           candidate.load,
-                           allowed,
-                           static_cast<std::uint32_t>(eligible.candidates.size()),
-                           routes->settings().stamp.version};
+    return dispatch_target{candidate.endpoint, endpoint->name,    endpoint->address,
+                           endpoint->epoch,    std::move(source), candidate.load,
+                           chosen->allowed,    chosen->eligible,  routes->settings().stamp.version,
+                           endpoint->version};
+}
+
+std::optional<forward_core::chosen_endpoint>
+forward_core::choose_among(const routing_table& routes,
+                           const forward_request& request,
+                           const version_set& versions,
+                           std::span<const endpoint_id> excluded,
+                           choice_purpose purpose,
+                           time_point& reopens_at,
+                           time_point now)
+{
+    auto eligible = collect_candidates(routes, request.service, versions, excluded, now);
+    const auto allowed = options_.fleet.bound.allowed(eligible.mean_load);
+    if (purpose == choice_purpose::replacement)
+    {
+        std::erase_if(eligible.candidates, [&](const placement_candidate& it)
+                      { return it.avoided || it.load >= allowed; });
+    }
+    const auto affinity = request.affinity();
+    const auto& rule = affinity != 0 ? sticky_placement() : least_loaded_placement();
+    const auto tie_break_seed = hash_combine(options_.seed, ++choice_count_);
+    const auto chosen =
+        rule.choose({eligible.candidates, allowed, affinity, tie_break_seed, options_.self.domain},
+                    [&](const placement_candidate& it) { return admit(routes, it, now); });
+    if (!chosen)
+    {
+        reopens_at =
+            eligible.candidates.empty() ? std::min(reopens_at, eligible.reopens_at) : reopens_at;
+        return std::nullopt;
+    }
+    return chosen_endpoint{eligible.candidates[*chosen], allowed,
+                           static_cast<std::uint32_t>(eligible.candidates.size())};
 }
 
 const endpoint_info* forward_core::expected_prefix_endpoint(const routing_table& routes,
--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -81,6 +81,8 @@
     endpoint_ = target.endpoint;
     attempt_open_ = true;
     epoch_ = target.epoch;
+    version_ = target.version;
+    sent_at_ = now;
     excluded_.push_back(endpoint_);
     answering_since_.reset();
     survived_ = false;
@@ -121,7 +123,7 @@
     }};
     const auto& rule = table[static_cast<std::size_t>(result)];
     attempt_open_ = false;
-    chooser_.finish(endpoint_, rule.outcome, now);
+    report_end(endpoint_, version_, rule.outcome, version_response_of(result, now), now);
     abandoned_ = prepared_ ? std::optional{endpoint_} : abandoned_;
     possible_runs_ += rule.may_have_run ? 1 : 0;
     not_run_attempts_ += rule.may_have_run ? 0 : 1;
@@ -134,7 +136,7 @@
 {
     if (std::exchange(attempt_open_, false))
     {
-        chooser_.finish(endpoint_, health_outcome::cancelled, now);
+        report_end(endpoint_, version_, health_outcome::cancelled, std::nullopt, now);
     }
     release_prepared(now);
 }
@@ -176,10 +178,39 @@
 {
     if (const auto unused = std::exchange(prepared_, std::nullopt))
     {
-        chooser_.finish(unused->target.endpoint, health_outcome::cancelled, now);
+        const auto& target = unused->target;
+        report_end(target.endpoint, target.version, health_outcome::cancelled, std::nullopt, now);
     }
 }
 
+void forward_flow::report_end(endpoint_id endpoint,
+                              const std::string& version,
+                              health_outcome outcome,
+                              const std::optional<version_response>& response,
+                              time_point now)
+{
+    chooser_.finish(endpoint, outcome, now);
+    chooser_.on_version_ended(
+        {request_.service, version, endpoint, hash_bytes(request_.route->name)}, response, now);
+}
+
+std::optional<version_response> forward_flow::version_response_of(attempt_result result,
+                                                                  time_point now) const
+{
+    const bool failed = result == attempt_result::error;
+    // An attempt that is given up has taken at least this long: without it, a version that is slow
+    // enough to be abandoned would not show as slow.
+    const bool late = !answering_since_ &&
+                      (result == attempt_result::stalled || result == attempt_result::timed_out);
+    if (!failed && !late && result != attempt_result::delivered)
+    {
+        return std::nullopt;
+    }
+    // Responses that are no streams have no events: all of their bytes are relayed at the end.
+    const auto begun = answering_since_.value_or(now);
+    return version_response{failed, std::chrono::duration_cast<milliseconds>(begun - sent_at_)};
+}
+
 void forward_flow::on_event(time_point now)
 {
     if (!answering_since_)
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -191,6 +191,18 @@
     /// Returns the prepared endpoint to the chooser if no attempt has used it.
     void release_prepared(time_point now);
 
+    /// Reports the end of an attempt at an endpoint to the chooser.
+    void report_end(endpoint_id endpoint,
+                    const std::string& version,
+                    health_outcome outcome,
+                    const std::optional<version_response>& response,
+                    time_point now);
+
+    /// What the current attempt has shown of the version of its endpoint. Refusals, callers that
+    /// leave and connections that break say nothing: a crash or a partition breaks them as well.
+    [[nodiscard]] std::optional<version_response> version_response_of(attempt_result result,
+                                                                      time_point now) const;
+
     /// Refuses with an error, or ends the response if part of it has been sent.
     [[nodiscard]] forward_step refuse(error_kind kind) const;
     [[nodiscard]] forward_step refuse(const choice_refusal& refusal, time_point now) const;
@@ -203,6 +215,8 @@
     std::vector<endpoint_id> excluded_; ///< Endpoints already tried.
     endpoint_id endpoint_;              ///< Endpoint of the current attempt.
     incarnation epoch_{0};              ///< Its incarnation when it was chosen.
+    std::string version_;               ///< Its version when it was chosen.
+    time_point sent_at_{};              ///< Start of the current attempt.
     std::uint32_t attempts_{0};
     std::uint32_t not_run_attempts_{0}; ///< Attempts that were not sent or were rejected.
     /// Endpoints that may have run the request; at most `max_attempts`.
--- a/src/mangovane/rollout/fwd.hpp
+++ b/src/mangovane/rollout/fwd.hpp
@@ -6,15 +6,22 @@
 {
 
 struct rollout_event;
+struct rollout_log_entry;
 struct rollout_policy;
+struct rollout_summary;
 struct rollout_surroundings;
 struct schedule_step;
 struct version_answers;
+struct version_attempt;
+struct version_response;
+struct version_set;
 class change_detector;
 class first_byte_histogram;
 class fleet_evidence;
 class rollout;
+class rollout_registry;
 class route_comparison;
+class service_versions;
 class share_credit;
 class share_schedule;
 
--- a/src/mangovane/rollout/rollout.hpp
+++ b/src/mangovane/rollout/rollout.hpp
@@ -95,6 +95,12 @@
     /// The store has this status for the order, with the time at which it is due.
     [[nodiscard]] std::optional<rollout_event> on_stored(rollout_state state, time_point deadline);
 
+    /// The ordered version was the only one in force when the order came.
+    [[nodiscard]] std::optional<rollout_event> complete_in_force()
+    {
+        return end(rollout_state::done, rollout_reason::in_force);
+    }
+
     /// Takes a due step or finds the end. Call several times a second.
     [[nodiscard]] std::optional<rollout_event> tick(const rollout_surroundings& around,
                                                     time_point now);
@@ -141,10 +147,11 @@
     rollout_order order_;
     share_schedule schedule_;
     time_point deadline_; ///< Only decreases: the first instance that saw the order knows best.
-    /// Final once it is not `running`, except that `done`, which is stored first, overrules a verdict
-    /// of this instance that came too late: the endpoints of the other version have stopped.
+    /// Final once it is not `running`, except that `done`, which is stored first, overrules a
+    /// verdict of this instance that came too late: the endpoints of the other version have
+    /// stopped.
     rollout_state state_{rollout_state::running};
-    std::size_t step_{0};                         ///< Of the schedule; never decreases.
+    std::size_t step_{0}; ///< Of the schedule; never decreases.
     time_point stepped_at_;
     share_credit credit_;
     std::uint32_t running_at_current_{0};
--- a/src/mangovane/settings/snapshot.hpp
+++ b/src/mangovane/settings/snapshot.hpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -11,6 +12,7 @@
 #include "mangovane/core/id.hpp"
 #include "mangovane/message/membership.hpp"
 #include "mangovane/settings/policy.hpp"
+#include "mangovane/settings/rollout_order.hpp"
 #include "mangovane/settings/route.hpp"
 
 namespace mangovane
@@ -32,6 +34,7 @@
     absl::flat_hash_set<endpoint_id> endpoints_drained;
     route_list routes; ///< Empty when the request path names the service.
     http_limits request_limits;
+    std::vector<rollout_order> rollouts; ///< At most one for each service.
 
     [[nodiscard]] const service_policy* find_service(service_id id) const
     {
