Read orders of rollouts from the store and write their status

Rollouts could not be ordered: rows rollout/SERVICE of table op are now part of the operators' state and spread with the settings, whose text is unchanged without orders. Steps and verdicts are logged.

--- a/src/mangovane/daemon/discovery_sink.hpp
+++ b/src/mangovane/daemon/discovery_sink.hpp
@@ -65,6 +65,9 @@
     /// Revision of the current list; a source that starts to read continues after it.
     [[nodiscard]] std::uint64_t endpoints_revision() const { return core_.catalog().revision(); }
 
+    /// Rollouts whose status a source that reads writes.
+    [[nodiscard]] rollout_registry& rollouts() { return core_.rollouts(); }
+
     /// The source no longer reads; other instances do.
     void on_polling_stopped();
 
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -20,6 +20,7 @@
 #include "mangovane/daemon/forward_metrics.hpp"
 #include "mangovane/daemon/process.hpp"
 #include "mangovane/daemon/quarantine_pages.hpp"
+#include "mangovane/daemon/rollout_log.hpp"
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/forward_server.hpp"
 #include "mangovane/net/monitoring_server.hpp"
@@ -66,6 +67,7 @@
     forward_options result;
     result.self = make_self(options.name, options.domain, options.peer_advertise);
     result.fleet = options.fleet;
+    result.rollouts = options.rollouts;
     result.seed = hash_combine(result.self.id.value(), result.self.epoch);
     return result;
 }
@@ -263,6 +265,7 @@
     core.tick(now);
     discovery.tick(now);
     log_quarantine_changes(core.quarantine(), log, now);
+    log_rollouts(core.rollouts(), log, now);
     update_reading(now);
     source->tick(now);
     apply_view(now);
--- a/src/mangovane/daemon/forward_router_options.cpp
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -22,6 +22,8 @@
 
 constexpr std::uint32_t max_threads = 64;
 constexpr std::uint32_t max_stop_ms = 600000;
+/// The steps between the canary and the whole traffic last in proportion to the share.
+constexpr double max_rollout_share = 0.25;
 constexpr std::size_t min_cluster_key_bytes = 16;
 
 /// Values from flags and environment variables, before conversion.
@@ -32,6 +34,7 @@
     std::uint32_t drain_delay_ms{2500};
     std::uint32_t grace_ms{8000};
     std::uint32_t retry_window_s{10};
+    std::uint32_t rollback_ms{0};
 };
 
 po::options_description describe(raw_options& raw)
@@ -70,6 +73,13 @@
         "multiple of the rate that a cold endpoint accepts, 0 to 100");
     add("cold-tolerance", po::value(&fleet.cold_rate_extra)->default_value(0.0),
         "requests per second to a cold endpoint above that rate, 0 to 1000");
+    add("rollout-share", po::value(&out.rollouts.canary_share)->default_value(0.0),
+        "largest fraction of a service's requests that a bad version gets, 0 to 0.25; 0: versions "
+        "are not told apart");
+    add("rollout-tolerance", po::value(&out.rollouts.canary_tolerance)->default_value(0.0),
+        "requests allowed above that fraction, 0 to 1000000");
+    add("rollback-ms", po::value(&raw.rollback_ms)->default_value(0),
+        "from the 50th bad response of a version to its last request, 0 to 600000");
     return result;
 }
 
@@ -126,6 +136,9 @@
         number_range{"retry-window-s", static_cast<double>(raw.retry_window_s), 1, 3600},
         number_range{"cold-overshoot", it.fleet.cold_rate_factor, 0, 100},
         number_range{"cold-tolerance", it.fleet.cold_rate_extra, 0, 1000},
+        number_range{"rollout-share", it.rollouts.canary_share, 0, max_rollout_share},
+        number_range{"rollout-tolerance", it.rollouts.canary_tolerance, 0, 1000000},
+        number_range{"rollback-ms", static_cast<double>(raw.rollback_ms), 0, max_stop_ms},
     };
     for (const auto& range : ranges)
     {
@@ -168,6 +181,7 @@
     }
     out.drain_delay = milliseconds{raw.drain_delay_ms};
     out.grace_period = milliseconds{raw.grace_ms};
+    out.rollouts.rollback_time = milliseconds{raw.rollback_ms};
     out.fleet.retries.window = seconds{raw.retry_window_s};
     out.seeds = absl::StrSplit(raw.seeds, ',', absl::SkipEmpty());
     const auto faults = check(raw);
--- a/src/mangovane/daemon/forward_router_options.hpp
+++ b/src/mangovane/daemon/forward_router_options.hpp
@@ -32,6 +32,7 @@
     milliseconds drain_delay{2500};  ///< From the stop signal until connections are refused.
     milliseconds grace_period{8000}; ///< From the stop signal until the process ends.
     fleet_policy fleet;
+    rollout_policy rollouts; ///< Not enabled unless the deployment states its share.
 
     bool operator==(const forward_router_options&) const = default;
 };
--- a/src/mangovane/store/table_reader.hpp
+++ b/src/mangovane/store/table_reader.hpp
@@ -31,6 +31,7 @@
     std::vector<store_row> rows;
     std::uint64_t revision{0}; ///< Revision of the store at the time of the response.
     bool more{false};          ///< The list continues after the last key.
+    milliseconds now{0};       ///< The store's clock; 0: not stated.
 
     bool operator==(const store_rows&) const = default;
 };
--- a/src/standin/fleet_store.cpp
+++ b/src/standin/fleet_store.cpp
@@ -52,6 +52,14 @@
      {"lose_answers", &store_faults::lose_answers},
      {"no_history", &store_faults::no_history}}};
 
+/// The store's steady clock.
+std::int64_t now_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
 } // namespace
 
 void fleet_store::put(const std::string& table, const std::string& key, const std::string& value)
@@ -66,6 +74,18 @@
     tables_[table][key] = row{{}, ++revision_, true};
 }
 
+std::string fleet_store::value_of(const std::string& table, const std::string& key) const
+{
+    const std::lock_guard lock{mutex_};
+    const auto rows = tables_.find(table);
+    if (rows == tables_.end())
+    {
+        return {};
+    }
+    const auto found = rows->second.find(key);
+    return found == rows->second.end() ? std::string{} : found->second.value;
+}
+
 void fleet_store::set_faults(store_faults faults)
 {
     const std::lock_guard lock{mutex_};
@@ -107,8 +127,10 @@
     {
         rows.push_back(std::move(entry));
     }
-    return json::serialize(json::object{
-        {"rows", std::move(rows)}, {"more_pages", false}, {"ver", revision_}, {"now_ms", 1}});
+    return json::serialize(json::object{{"rows", std::move(rows)},
+                                        {"more_pages", false},
+                                        {"ver", revision_},
+                                        {"now_ms", now_ms()}});
 }
 
 std::string fleet_store::list(const std::string& table) const
--- a/src/standin/fleet_store.hpp
+++ b/src/standin/fleet_store.hpp
@@ -34,6 +34,9 @@
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
 
+    /// Value of a row; empty if it does not exist.
+    [[nodiscard]] std::string value_of(const std::string& table, const std::string& key) const;
+
     void set_faults(store_faults faults);
     [[nodiscard]] std::uint64_t calls() const;
 
--- a/test/mangovane/daemon/forward_router_options.cpp
+++ b/test/mangovane/daemon/forward_router_options.cpp
@@ -57,6 +57,17 @@
         REQUIRE(it.ok());
         CHECK(it->fleet.retries.ratio == read({})->fleet.retries.ratio);
     }
+    SUBCASE("switch rollouts on only with a share (guards against a deployment without them that "
+            "tells versions apart)")
+    {
+        ::setenv("MANGOVANE_ROLLOUT_SHARE", "", 1);
+        CHECK_FALSE(read({})->rollouts.enabled());
+        ::unsetenv("MANGOVANE_ROLLOUT_SHARE");
+        const auto it =
+            read({"--rollout-share", "0.1", "--rollout-tolerance", "50", "--rollback-ms", "5000"});
+        CHECK(it->rollouts == rollout_policy{0.1, 50, milliseconds{5000}});
+        CHECK_FALSE(read({"--rollout-share", "0.6"}).ok());
+    }
     SUBCASE("that are invalid are all listed with their values")
     {
         const auto it = read({"--threads", "0", "--load-factor", "0.5", "--seeds", "nowhere",
--- a/test/platform/manifest.cpp
+++ b/test/platform/manifest.cpp
@@ -116,6 +116,45 @@
     }
 }
 
+TEST_CASE("orders of rollouts")
+{
+    operator_state state{manifest, {"ikeja-a"}, {}};
+    const auto orders = [&]
+    { return (*decode_settings(encode_operator_state(state), 42))->rollouts; };
+    state.rollouts["s1"] = {R"({"service":"s1","to":"v2","duration_s":12})", 40};
+
+    SUBCASE("are part of the settings that instances send to each other")
+    {
+        CHECK(*decode_operator_state(encode_operator_state(state)) == state);
+        const rollout_order expected{
+            service_id::of("s1"), "s1", "v2", {0, 40}, milliseconds{12000}};
+        CHECK(orders() == std::vector<rollout_order>{expected});
+    }
+    SUBCASE("leave the text as it was when there are none (guards against instances of an earlier "
+            "version that cannot read it)")
+    {
+        state.rollouts.clear();
+        state.domains_out = {"a", "b"};
+        state.manifest = "{}";
+        const auto* const old_text = "\x78\x9c\x4b\xd4\x49\xe2\xaa\xae\x05";
+        CHECK(encode_operator_state(state).starts_with(std::string{"6\n"} + old_text));
+    }
+    SUBCASE("that are invalid are left out")
+    {
+        for (const auto* text :
+             {"", "{}", R"({"service":"s1","duration_s":12})",
+              R"({"service":"s1","to":"","duration_s":12})", R"({"service":"s1","to":"v2"})",
+              R"({"service":"s1","to":"v2","duration_s":0})",
+              R"({"service":"s2","to":"v2","duration_s":12})"})
+        {
+            state.rollouts["s1"].text = text;
+            CHECK(orders().empty());
+        }
+        state.rollouts = {{"s9", {R"({"service":"s9","to":"v2","duration_s":12})", 40}}};
+        CHECK(orders().empty());
+    }
+}
+
 TEST_CASE("a malformed configuration is rejected as a whole")
 {
     for (const auto& text :
