Bound what a reader of the store holds for its recipients

At 300 instances and 3,000 endpoints the busiest instance took 120 MB. A reader built the endpoint list once for each recipient, and a link counted 96 bytes for a message with 200 rows, so its limit of 1 MiB had no effect.

A message to several receivers is encoded once and shared by their links; at most 8 MiB of encoded lists wait in a process and 4 MiB on a link, and a new full list replaces the queued one.

Not measured with a fleet of processes.

--- a/src/mangovane/daemon/discovery_sink.cpp
+++ b/src/mangovane/daemon/discovery_sink.cpp
@@ -3,23 +3,11 @@
 
 #include <absl/strings/str_cat.h>
 
-namespace mangovane
-{
+#include "mangovane/daemon/directory_log.hpp"
 
-namespace
+namespace mangovane
 {
 
-std::string describe(const endpoint_info& it, time_point now)
-{
-    const auto cold = it.cold_until > now
-                          ? std::chrono::duration_cast<milliseconds>(it.cold_until - now).count()
-                          : 0;
-    return absl::StrCat("endpoint=", it.name, " address=", it.address, " domain=", it.domain_name,
-                        " leaving=", it.leaving ? 1 : 0, " cold_ms=", cold);
-}
-
-} // namespace
-
 void discovery_sink::on_settings(const settings_ptr& settings, time_point now)
 {
     core_.adopt_settings(settings, now);
@@ -108,25 +96,9 @@
                                           const endpoint_directory& after,
                                           time_point now)
 {
-    for (const auto& it : after.all())
-    {
-        const auto* known = before.find(it.id);
-        if (known == nullptr || !(*known == it))
-        {
-            log_.write(absl::StrCat(known == nullptr ? "event=endpoint_listed "
-                                                     : "event=endpoint_changed ",
-                                    describe(it, now), " revision=", endpoints_revision()),
-                       now);
-        }
-    }
-    for (const auto& it : before.all())
+    for (const auto& it : directory_changes(before, after, endpoints_revision(), now))
     {
-        if (after.find(it.id) == nullptr)
-        {
-            log_.write(absl::StrCat("event=endpoint_gone ", describe(it, now),
-                                    " revision=", endpoints_revision()),
-                       now);
-        }
+        log_.write(it, now);
     }
 }
 
--- a/src/mangovane/forward/feed_distributor.cpp
+++ b/src/mangovane/forward/feed_distributor.cpp
@@ -69,20 +69,38 @@
     return result;
 }
 
-outgoing_messages feed_distributor::on(instance_id from, const endpoint_query& msg, time_point now)
+group_messages feed_distributor::on(instance_id from, const endpoint_query& msg, time_point now)
 {
-    outgoing_messages result;
+    group_messages result;
     if (catalog_.revision() <= msg.known_revision)
     {
         return result;
     }
+    const std::lock_guard lock{mutex_};
+    if (catalog_.size() > max_update_rows)
+    {
+        lists_.request(from, msg.known_revision, now);
+        send_due_lists(result, now);
+        return result;
+    }
     for (auto& it : catalog_.updates_since(msg.known_revision, now))
     {
-        result.push_back({from, std::move(it)});
+        result.push_back({{from}, std::move(it)});
     }
     return result;
 }
 
+void feed_distributor::send_due_lists(group_messages& out, time_point now)
+{
+    for (const auto& round : lists_.take_round(now))
+    {
+        for (auto& it : catalog_.updates_since(round.known_revision, now))
+        {
+            out.push_back({round.to, std::move(it)});
+        }
+    }
+}
+
 outgoing_messages feed_distributor::on(instance_id from, const endpoint_update& msg, time_point now)
 {
     if (catalog_.on_update(msg, now))
@@ -97,16 +115,26 @@
                  : outgoing_messages{};
 }
 
-outgoing_messages feed_distributor::tick(time_point now)
+group_messages feed_distributor::tick(time_point now)
 {
-    const auto view = state_.view();
-    const bool reader = election_.should_read(*view, now);
+    const bool reader = election_.should_read(*state_.view(), now);
     const auto own = own_state(now);
+    group_messages result;
     const std::lock_guard lock{mutex_};
+    send_due_lists(result, now);
+    send_state(own, reader, result, now);
+    return result;
+}
+
+void feed_distributor::send_state(const feed_state& own,
+                                  bool reader,
+                                  group_messages& out,
+                                  time_point now)
+{
     const bool first = reader && !std::exchange(was_reader_, reader);
     if (!reader)
     {
-        return {};
+        return;
     }
     if (first)
     {
@@ -118,25 +146,21 @@
                          own.settings.version != sent_version_ || fresh != sent_fresh_;
     if (!changed && now < sent_at_ + reader_election::feed_state_period)
     {
-        return {};
+        return;
     }
-    outgoing_messages result;
-    const auto updates = own.endpoints_revision > sent_revision_
-                             ? catalog_.updates_since(sent_revision_, now)
-                             : std::vector<endpoint_update>{};
-    for (const auto to : election_.recipients(*view))
+    const auto to = election_.recipients(*state_.view());
+    if (own.endpoints_revision > sent_revision_)
     {
-        for (const auto& it : updates)
+        for (auto& it : catalog_.updates_since(sent_revision_, now))
         {
-            result.push_back({to, it});
+            out.push_back({to, std::move(it)});
         }
-        result.push_back({to, own});
     }
+    out.push_back({to, own});
     sent_revision_ = own.endpoints_revision;
     sent_version_ = own.settings.version;
     sent_fresh_ = fresh;
     sent_at_ = now;
-    return result;
 }
 
 } // namespace mangovane
--- a/src/mangovane/forward/feed_distributor.hpp
+++ b/src/mangovane/forward/feed_distributor.hpp
@@ -5,8 +5,10 @@
 #include <mutex>
 #include <optional>
 
+#include "mangovane/forward/list_pacer.hpp"
 #include "mangovane/forward/reader_election.hpp"
 #include "mangovane/membership/endpoint_catalog.hpp"
+#include "mangovane/message/group_message.hpp"
 #include "mangovane/routing/instance_state.hpp"
 
 namespace mangovane
@@ -22,13 +24,13 @@
 
     /// Handles a message of another instance; returns the messages to send.
     [[nodiscard]] outgoing_messages on(instance_id from, const feed_state& msg, time_point now);
-    [[nodiscard]] outgoing_messages on(instance_id from, const endpoint_query& msg, time_point now);
+    [[nodiscard]] group_messages on(instance_id from, const endpoint_query& msg, time_point now);
     [[nodiscard]] outgoing_messages
     on(instance_id from, const endpoint_update& msg, time_point now);
 
     /// Messages of a reader to its recipients: immediately after a change, otherwise once per
-    /// `reader_election::feed_state_period`. Empty when this instance is not a reader.
-    [[nodiscard]] outgoing_messages tick(time_point now);
+    /// `reader_election::feed_state_period`; and the lists that other instances wait for.
+    [[nodiscard]] group_messages tick(time_point now);
 
     /// Whether this instance must read the store now.
     [[nodiscard]] bool should_read(time_point now) const
@@ -66,6 +68,12 @@
 
     [[nodiscard]] feed_state own_state(time_point now) const;
 
+    /// Appends the updates of the pacer's next round. `mutex_` is held.
+    void send_due_lists(group_messages& out, time_point now);
+
+    /// Appends the changes and the state of a reader. `mutex_` is held.
+    void send_state(const feed_state& own, bool reader, group_messages& out, time_point now);
+
     instance_state& state_;
     endpoint_catalog& catalog_;
     reader_election election_;
@@ -76,6 +84,7 @@
     std::uint64_t sent_version_{0};  ///< Settings version sent last. Guarded by `mutex_`.
     bool sent_fresh_{false};        ///< Whether the last state sent was fresh. Guarded by `mutex_`.
     time_point sent_at_{};          ///< Guarded by `mutex_`.
+    list_pacer lists_;              ///< Guarded by `mutex_`.
     pending_query endpoints_query_; ///< Guarded by `mutex_`.
     pending_query settings_query_;  ///< Guarded by `mutex_`.
 };
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -149,6 +149,14 @@
     }
 }
 
+void forward_core::send(const group_messages& list)
+{
+    for (const auto& it : list)
+    {
+        sink_.send_to_group(it);
+    }
+}
+
 void forward_core::tick(time_point now)
 {
     send(state_.members().tick(now));
@@ -195,14 +203,16 @@
         return;
     }
     const auto members = view();
+    group_message msg{{}, digest};
     for (const auto* it : live_peers(*members))
     {
         const bool own_domain = it->domain == options_.self.domain;
         if (own_domain ? local_due : remote_due)
         {
-            sink_.send({it->id, digest});
+            msg.to.push_back(it->id);
         }
     }
+    sink_.send_to_group(msg);
 }
 
 std::vector<const member*> forward_core::live_peers(const membership_view& members) const
@@ -225,10 +235,12 @@
     const auto news = quarantine_.take_news(now);
     if (!news.empty())
     {
+        group_message msg{{}, news};
         for (const auto* it : live_peers(*members))
         {
-            sink_.send({it->id, news});
+            msg.to.push_back(it->id);
         }
+        sink_.send_to_group(msg);
     }
     std::uint64_t count = 0;
     {
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -217,6 +217,7 @@
     /// Puts the catalog's current list in force.
     void apply_endpoints(time_point now);
     void send(const outgoing_messages& list);
+    void send(const group_messages& list);
     void send_digest(time_point now);
     void send_quarantine(time_point now);
 
--- a/src/mangovane/membership/endpoint_catalog.cpp
+++ b/src/mangovane/membership/endpoint_catalog.cpp
@@ -2,6 +2,7 @@
 #include "mangovane/membership/endpoint_catalog.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace mangovane
@@ -161,15 +162,17 @@
     const auto parts =
         std::max<std::size_t>(1, (rows.size() + max_update_rows - 1) / max_update_rows);
     std::vector<endpoint_update> result;
+    result.reserve(parts);
     for (std::size_t n = 0; n != parts; ++n)
     {
         const auto first = rows.begin() + static_cast<std::ptrdiff_t>(n * max_update_rows);
         const auto count = std::min<std::ptrdiff_t>(max_update_rows, rows.end() - first);
-        result.push_back({full ? 0 : known_revision,
-                          revision_,
-                          static_cast<std::uint16_t>(n),
-                          static_cast<std::uint16_t>(parts),
-                          {first, first + count}});
+        result.push_back(
+            {full ? 0 : known_revision,
+             revision_,
+             static_cast<std::uint16_t>(n),
+             static_cast<std::uint16_t>(parts),
+             {std::make_move_iterator(first), std::make_move_iterator(first + count)}});
     }
     return result;
 }
@@ -353,4 +356,10 @@
     return revision_;
 }
 
+std::size_t endpoint_catalog::size() const
+{
+    const std::lock_guard lock{mutex_};
+    return entries_.size();
+}
+
 } // namespace mangovane
--- a/src/mangovane/membership/endpoint_catalog.hpp
+++ b/src/mangovane/membership/endpoint_catalog.hpp
@@ -73,6 +73,9 @@
     /// Registry revision up to which the list is complete; 0: none yet.
     [[nodiscard]] std::uint64_t revision() const;
 
+    /// Number of entries, including those that were removed a short time ago.
+    [[nodiscard]] std::size_t size() const;
+
     /// Time after a recovery of the registry in which endpoints can register again.
     static constexpr milliseconds recovery_grace{2000};
 
--- a/src/mangovane/net/peer_link.cpp
+++ b/src/mangovane/net/peer_link.cpp
@@ -29,6 +29,9 @@
 /// Wait before each write, so that messages queued in the meantime share a frame.
 constexpr milliseconds batch_delay{2};
 constexpr std::size_t max_queue_bytes = 1024 * 1024;
+
+/// A list of 3,000 endpoints takes about 0.6 MB.
+constexpr std::size_t max_list_bytes = 4 * 1024 * 1024;
 constexpr milliseconds min_reconnect_backoff{50};
 constexpr milliseconds max_reconnect_backoff{1000};
 constexpr milliseconds connect_timeout{500};
@@ -44,17 +47,49 @@
 /// Approximate encoded size of a message without lists.
 constexpr std::size_t base_message_bytes = 96;
 
-std::size_t estimated_size(const message& msg)
+/// Size of the lists of a message. A list that is not counted here escapes the queue's limit.
+struct list_bytes
 {
-    if (const auto* it = std::get_if<slot_renewal>(&msg))
+    std::size_t operator()(const slot_renewal& it) const
+    {
+        return it.slots.size() * sizeof(held_slot);
+    }
+    std::size_t operator()(const probe&) const
+    {
+        return base_message_bytes * max_updates_per_probe;
+    }
+    std::size_t operator()(const probe_ack&) const
+    {
+        return base_message_bytes * max_updates_per_probe;
+    }
+    std::size_t operator()(const load_digest& it) const
+    {
+        return it.endpoints.size() * sizeof(endpoint_digest);
+    }
+    std::size_t operator()(const endpoint_update& it) const
+    {
+        std::size_t result = 0;
+        for (const auto& row : it.rows)
+        {
+            result += sizeof(row) + row.name.size() + row.domain_name.size() + row.address.size() +
+                      row.version.size();
+        }
+        return result;
+    }
+    std::size_t operator()(const quarantine_update& it) const
     {
-        return base_message_bytes + it->slots.size() * sizeof(held_slot);
+        return it.crashes.size() * sizeof(crash_evidence) + it.answers.size() * sizeof(part_answer);
     }
-    if (std::holds_alternative<probe>(msg) || std::holds_alternative<probe_ack>(msg))
+    template <class Message>
+    std::size_t operator()(const Message&) const
     {
-        return base_message_bytes * (1 + max_updates_per_probe);
+        return 0;
     }
-    return base_message_bytes;
+};
+
+std::size_t estimated_size(const message& msg)
+{
+    return base_message_bytes + std::visit(list_bytes{}, msg);
 }
 
 } // namespace
@@ -69,26 +104,75 @@
     const auto bytes = estimated_size(msg);
     {
         const std::lock_guard lock{mutex_};
-        if (closed_)
-        {
-            return;
-        }
-        if (auto* it = std::get_if<settings_content>(&msg))
+        if (auto* it = std::get_if<settings_content>(&msg); it != nullptr && !closed_)
         {
             settings_ = std::move(*it);
         }
         else
         {
-            queue_.push_back({std::move(msg), bytes, clock::now()});
-            queue_bytes_ += bytes;
+            enqueue(std::move(msg), bytes);
+        }
+    }
+    start_sending();
+}
+
+void peer_link::push(shared_frame encoded)
+{
+    const auto bytes = encoded->size();
+    {
+        const std::lock_guard lock{mutex_};
+        enqueue(std::move(encoded), bytes);
+    }
+    start_sending();
+}
+
+void peer_link::push_list(shared_frame encoded, bool starts_full_list)
+{
+    const auto bytes = encoded->size();
+    {
+        const std::lock_guard lock{mutex_};
+        if (closed_)
+        {
+            return;
         }
-        while (queue_bytes_ > max_queue_bytes && queue_.size() > 1)
+        if (starts_full_list || list_bytes_ + bytes > max_list_bytes)
         {
-            queue_bytes_ -= queue_.front().bytes;
-            queue_.pop_front();
-            count_dropped(1);
+            drop_lists();
         }
-        if (std::exchange(sending_, true))
+        lists_.push_back({std::move(encoded), bytes, clock::now()});
+        list_bytes_ += bytes;
+    }
+    start_sending();
+}
+
+void peer_link::enqueue(std::variant<message, shared_frame> content, std::size_t bytes)
+{
+    if (closed_)
+    {
+        return;
+    }
+    queue_.push_back({std::move(content), bytes, clock::now()});
+    queue_bytes_ += bytes;
+    while (queue_bytes_ > max_queue_bytes && queue_.size() > 1)
+    {
+        queue_bytes_ -= queue_.front().bytes;
+        queue_.pop_front();
+        count_dropped(1);
+    }
+}
+
+void peer_link::drop_lists()
+{
+    count_dropped(lists_.size());
+    lists_.clear();
+    list_bytes_ = 0;
+}
+
+void peer_link::start_sending()
+{
+    {
+        const std::lock_guard lock{mutex_};
+        if (closed_ || std::exchange(sending_, true))
         {
             return;
         }
@@ -146,6 +230,7 @@
         const std::lock_guard lock{mutex_};
         closed_ = true;
         queue_.clear();
+        lists_.clear();
         settings_.reset();
     }
     asio::post(strand_,
@@ -217,10 +302,13 @@
 
 asio::awaitable<void> peer_link::flush()
 {
-    const auto frames = take_frames();
-    for (const auto& it : frames)
+    auto frames = take_frames();
+    while (!frames.empty())
     {
-        const bool sent = co_await write(it);
+        // Holds one frame at a time, so that a slow peer keeps no more than it has to.
+        const auto next = std::move(frames.front());
+        frames.pop_front();
+        const bool sent = co_await write(*next);
         if (!sent)
         {
             co_return;
@@ -273,44 +361,65 @@
     return bytes.ok() ? *bytes : std::string{};
 }
 
-std::vector<std::string> peer_link::take_frames()
+peer_link::taken_messages peer_link::take_queues()
 {
-    std::deque<queued_message> taken;
-    std::optional<settings_content> settings;
-    {
-        const std::lock_guard lock{mutex_};
-        if (reconnect_requested_)
-        {
-            return {}; // Queued messages are sent on the next connection.
-        }
-        taken.swap(queue_);
-        settings.swap(settings_);
-        queue_bytes_ = 0;
-    }
-    const auto oldest = clock::now() - max_message_age;
-    std::vector<message> batch;
-    for (auto& it : taken)
+    taken_messages result;
+    const std::lock_guard lock{mutex_};
+    if (reconnect_requested_)
     {
-        if (it.queued_at >= oldest)
-        {
-            batch.push_back(std::move(it.body));
-        }
+        return result; // Queued messages are sent on the next connection.
     }
-    count_dropped(taken.size() - batch.size());
-    std::vector<std::string> frames;
+    result.lists.swap(lists_);
+    result.messages.swap(queue_);
+    result.settings.swap(settings_);
+    list_bytes_ = 0;
+    queue_bytes_ = 0;
+    return result;
+}
+
+std::deque<shared_frame> peer_link::take_frames()
+{
+    auto taken = take_queues();
+    std::deque<shared_frame> frames;
     if (context_->is_blocked(peer_))
     {
         return frames;
     }
-    encode(std::move(batch), frames);
-    if (settings)
+    encode(std::move(taken.lists), frames);
+    encode(std::move(taken.messages), frames);
+    if (taken.settings)
     {
-        encode({std::move(*settings)}, frames);
+        std::vector<message> batch;
+        batch.emplace_back(std::move(*taken.settings));
+        encode_batch(std::move(batch), frames);
     }
     return frames;
 }
 
-void peer_link::encode(std::vector<message> batch, std::vector<std::string>& out)
+void peer_link::encode(std::deque<queued_message> messages, std::deque<shared_frame>& out)
+{
+    const auto oldest = clock::now() - max_message_age;
+    std::vector<message> batch;
+    for (auto& it : messages)
+    {
+        if (it.queued_at < oldest)
+        {
+            count_dropped(1);
+        }
+        else if (auto* msg = std::get_if<message>(&it.content))
+        {
+            batch.push_back(std::move(*msg));
+        }
+        else
+        {
+            encode_batch(std::exchange(batch, {}), out);
+            out.push_back(std::get<shared_frame>(std::move(it.content)));
+        }
+    }
+    encode_batch(std::move(batch), out);
+}
+
+void peer_link::encode_batch(std::vector<message> batch, std::deque<shared_frame>& out)
 {
     if (batch.empty())
     {
@@ -321,7 +430,7 @@
     auto bytes = encode_frame(combined, clock::now());
     if (bytes.ok())
     {
-        out.push_back(std::move(*bytes));
+        out.push_back(std::make_shared<const std::string>(std::move(*bytes)));
         return;
     }
     const auto n = combined.messages.size();
@@ -331,8 +440,8 @@
         return;
     }
     const auto middle = combined.messages.begin() + static_cast<std::ptrdiff_t>(n / 2);
-    encode({combined.messages.begin(), middle}, out);
-    encode({middle, combined.messages.end()}, out);
+    encode_batch({combined.messages.begin(), middle}, out);
+    encode_batch({middle, combined.messages.end()}, out);
 }
 
 void peer_link::on_run_failed()
@@ -346,7 +455,7 @@
 bool peer_link::stop_if_idle()
 {
     const std::lock_guard lock{mutex_};
-    if (closed_ || (queue_.empty() && !settings_))
+    if (closed_ || (queue_.empty() && lists_.empty() && !settings_))
     {
         sending_ = false;
         return true;
@@ -357,6 +466,10 @@
 std::optional<asio::ip::tcp::endpoint> peer_link::peer_endpoint()
 {
     const std::lock_guard lock{mutex_};
+    if (!lists_.empty() && clock::now() - lists_.front().queued_at > max_message_age)
+    {
+        drop_lists(); // The following parts are of no use without the first one.
+    }
     while (!queue_.empty() && clock::now() - queue_.front().queued_at > max_message_age)
     {
         queue_bytes_ -= queue_.front().bytes;
--- a/src/mangovane/net/peer_link.hpp
+++ b/src/mangovane/net/peer_link.hpp
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -18,6 +19,7 @@
 
 #include "mangovane/core/time.hpp"
 #include "mangovane/net/peer_context.hpp"
+#include "mangovane/net/shared_frame.hpp"
 #include "mangovane/net/socket_deadline.hpp"
 #include "mangovane/wire/codec.hpp"
 
@@ -36,6 +38,14 @@
     /// `settings_content` only the newest is kept.
     void push(message msg);
 
+    /// Queues an encoded frame, for which the same limit applies.
+    void push(shared_frame encoded);
+
+    /// Queues a part of an endpoint list. Parts are sent before other messages. The first part of a
+    /// full list replaces all queued parts. Above 4 MiB all queued parts are dropped, and the
+    /// others of the same update are refused by the peer, which then requests the newest list.
+    void push_list(shared_frame encoded, bool starts_full_list);
+
     /// Sets the `ip:port` to connect to. A changed address closes the current connection.
     void set_address(const std::string& address);
 
@@ -49,13 +59,28 @@
 private:
     struct queued_message
     {
-        message body;
-        std::size_t bytes; ///< Estimated encoded size.
+        std::variant<message, shared_frame> content;
+        std::size_t bytes; ///< Encoded size, estimated for a message.
         time_point queued_at;
     };
 
     using strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
+    /// Messages and settings taken from the queues.
+    struct taken_messages
+    {
+        std::deque<queued_message> lists;
+        std::deque<queued_message> messages;
+        std::optional<settings_content> settings;
+    };
+
+    /// Appends to the queue, and drops the oldest above its limit. `mutex_` is held.
+    void enqueue(std::variant<message, shared_frame> content, std::size_t bytes);
+    /// `mutex_` is held.
+    void drop_lists();
+    /// Starts `run` unless it runs.
+    void start_sending();
+
     static boost::asio::awaitable<void> run(std::shared_ptr<peer_link> self);
     boost::asio::awaitable<bool> connect();
     boost::asio::awaitable<void> flush();
@@ -66,9 +91,12 @@
     void reconnect_if_requested();
     [[nodiscard]] std::string hello_frame() const;
     /// Encodes and removes the queued messages.
-    [[nodiscard]] std::vector<std::string> take_frames();
+    [[nodiscard]] std::deque<shared_frame> take_frames();
+    [[nodiscard]] taken_messages take_queues();
+    /// Appends the messages that are not too old.
+    void encode(std::deque<queued_message> messages, std::deque<shared_frame>& out);
     /// Appends the messages as one frame, or as several if one would be too large.
-    void encode(std::vector<message> batch, std::vector<std::string>& out);
+    void encode_batch(std::vector<message> batch, std::deque<shared_frame>& out);
     /// Lets the next message start `run` again after an exception has ended it.
     void on_run_failed();
     [[nodiscard]] bool stop_if_idle();
@@ -86,6 +114,8 @@
     std::mutex mutex_;
     std::deque<queued_message> queue_;         ///< Guarded by `mutex_`.
     std::size_t queue_bytes_{0};               ///< Guarded by `mutex_`.
+    std::deque<queued_message> lists_;         ///< Parts of endpoint lists. Guarded by `mutex_`.
+    std::size_t list_bytes_{0};                ///< Guarded by `mutex_`.
     std::optional<settings_content> settings_; ///< Newest settings to send. Guarded by `mutex_`.
     std::string address_;                      ///< Guarded by `mutex_`.
     time_point reconnect_requested_at_{};      ///< Guarded by `mutex_`.
--- a/src/mangovane/net/peer_network.cpp
+++ b/src/mangovane/net/peer_network.cpp
@@ -11,6 +11,7 @@
 #include "mangovane/net/peer_session.hpp"
 #include "mangovane/net/spawn.hpp"
 #include "mangovane/net/tcp_acceptor.hpp"
+#include "mangovane/wire/codec.hpp"
 
 namespace mangovane
 {
@@ -18,11 +19,19 @@
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
+namespace
+{
+
+/// Lists of 3,000 endpoints take about 0.6 MB each; a few versions of them wait at a time.
+constexpr std::size_t max_list_bytes = 8 * 1024 * 1024;
+
+} // namespace
+
 peer_network::peer_network(asio::io_context& io,
                            peer_network_options options,
                            peer_message_handler handler)
-    : io_{io}, context_{std::make_shared<internal::peer_context>()}, acceptor_{
-                                                                         asio::make_strand(io)}
+    : io_{io}, context_{std::make_shared<internal::peer_context>()},
+      acceptor_{asio::make_strand(io)}, lists_{max_list_bytes}
 {
     context_->options = std::move(options);
     context_->handler = std::move(handler);
@@ -92,6 +101,52 @@
     }
 }
 
+internal::shared_frame peer_network::encode_shared(const message& msg)
+{
+    const auto& own = context_->options;
+    auto bytes = encode_frame(frame{own.id, own.epoch, std::nullopt, {msg}}, clock::now());
+    if (!bytes.ok())
+    {
+        return nullptr;
+    }
+    return std::holds_alternative<endpoint_update>(msg)
+               ? lists_.add(std::move(*bytes))
+               : std::make_shared<const std::string>(std::move(*bytes));
+}
+
+void peer_network::send_to_group(const group_message& msg)
+{
+    const auto* list = std::get_if<endpoint_update>(&msg.body);
+    if (list == nullptr && msg.to.size() < 2)
+    {
+        message_sink::send_to_group(msg); // Shares a frame with the receiver's other messages.
+        return;
+    }
+    const auto encoded = encode_shared(msg.body);
+    if (!encoded)
+    {
+        context_->counters.messages_dropped += msg.to.size();
+        return;
+    }
+    const bool starts_full_list = list != nullptr && list->since == 0 && list->part == 0;
+    for (const auto to : msg.to)
+    {
+        if (to == context_->options.id)
+        {
+            continue;
+        }
+        const auto link = link_to(to);
+        if (list == nullptr)
+        {
+            link->push(encoded);
+        }
+        else
+        {
+            link->push_list(encoded, starts_full_list);
+        }
+    }
+}
+
 void peer_network::set_peers(const membership_view& view)
 {
     for (const auto& it : view.members())
--- a/src/mangovane/net/peer_network.hpp
+++ b/src/mangovane/net/peer_network.hpp
@@ -17,6 +17,7 @@
 #include "mangovane/core/sharded_map.hpp"
 #include "mangovane/membership/view.hpp"
 #include "mangovane/net/peer_context.hpp"
+#include "mangovane/net/shared_frame.hpp"
 #include "mangovane/routing/message_sink.hpp"
 
 namespace mangovane
@@ -50,6 +51,13 @@
     /// Queues a message. Messages to this instance itself are ignored. Thread-safe.
     void send(const outgoing_message& msg) override;
 
+    /// Encodes the message once for all receivers. Parts of endpoint lists are dropped while those
+    /// that wait on all links take 8 MiB; the receivers then request the newest list. Thread-safe.
+    void send_to_group(const group_message& msg) override;
+
+    /// Encoded size of the endpoint lists that have not been sent to all their receivers.
+    [[nodiscard]] std::size_t list_bytes() const { return lists_.used_bytes(); }
+
     /// Sets the addresses of all members of a view.
     void set_peers(const membership_view& view);
 
@@ -69,11 +77,14 @@
 private:
     void serve(boost::asio::ip::tcp::socket socket);
     [[nodiscard]] std::shared_ptr<internal::peer_link> link_to(instance_id peer);
+    /// Null when the message cannot be encoded or the limit on lists is reached.
+    [[nodiscard]] internal::shared_frame encode_shared(const message& msg);
 
     boost::asio::io_context& io_;
     std::shared_ptr<internal::peer_context> context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::uint16_t port_{0};
+    internal::shared_frame_pool lists_;
     sharded_map<instance_id, std::shared_ptr<internal::peer_link>> links_;
     std::mutex mutex_;
     absl::flat_hash_set<std::shared_ptr<internal::peer_session>>
--- a/src/mangovane/store/table_watch.cpp
+++ b/src/mangovane/store/table_watch.cpp
@@ -2,6 +2,7 @@
 #include "mangovane/store/table_watch.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/bind_executor.hpp>
@@ -93,15 +94,21 @@
         table_revision_.reset();
     }
     call_pending_ = true;
-    reader_.list(
-        table_, from, clock::now() + list_timeout,
-        [self = shared_from_this()](absl::StatusOr<store_rows> page)
-        { asio::post(self->strand_, [self, page = std::move(page)] { self->on_page(page); }); });
+    reader_.list(table_, from, clock::now() + list_timeout,
+                 [self = shared_from_this()](absl::StatusOr<store_rows> page)
+                 {
+                     asio::post(self->strand_, [self, page = std::move(page)]() mutable
+                                { self->on_page(std::move(page)); });
+                 });
 }
 
-void table_watch::on_page(const absl::StatusOr<store_rows>& page)
+void table_watch::on_page(absl::StatusOr<store_rows> page)
 {
-    if (!end_call())
+    // A first snapshot is completed although the watch was stopped. In a fleet that starts at once
+    // most instances stop within the first read; without its result each had to wait for a reader.
+    const bool reading = end_call();
+    const bool finishes = page.ok() && revision_ == 0;
+    if (!reading && !finishes)
     {
         return;
     }
@@ -110,18 +117,23 @@
         fail(page.status());
         return;
     }
-    rows_.insert(rows_.end(), page->rows.begin(), page->rows.end());
+    const bool more = page->more && !page->rows.empty();
+    rows_.insert(rows_.end(), std::make_move_iterator(page->rows.begin()),
+                 std::make_move_iterator(page->rows.end()));
     table_revision_ = table_revision_.value_or(page->revision);
-    if (page->more && !page->rows.empty())
+    if (more)
     {
-        read_table(page->rows.back().key);
+        read_table(rows_.back().key);
         return;
     }
     sink_.on_response();
     sink_.on_snapshot(std::exchange(rows_, {}), *table_revision_);
     revision_ = *table_revision_;
     backoff_ = initial_backoff;
-    schedule_after(snapshot_delay, &table_watch::read_changes);
+    if (reading)
+    {
+        schedule_after(snapshot_delay, &table_watch::read_changes);
+    }
 }
 
 void table_watch::read_changes()
--- a/src/mangovane/store/table_watch.hpp
+++ b/src/mangovane/store/table_watch.hpp
@@ -62,7 +62,7 @@
 private:
     void resume();
     void read_table(const std::string& from);
-    void on_page(const absl::StatusOr<store_rows>& page);
+    void on_page(absl::StatusOr<store_rows> page);
     void read_changes();
     void on_changes(const absl::StatusOr<store_rows>& response);
     void fail(const absl::Status& status);
--- a/test/mangovane/store/table_watch.cpp
+++ b/test/mangovane/store/table_watch.cpp
@@ -111,6 +111,16 @@
         CHECK(copy.keys.size() == 4);
         CHECK(copy.snapshot_revision == 4);
     }
+    SUBCASE("is read as a whole although the watch is stopped after the first page")
+    {
+        // A fleet that starts at once: another instance becomes the reader meanwhile, but it may
+        // take seconds to distribute the list.
+        table.between_pages = [&] { watch->stop(); };
+        watch->start();
+        io.run_for(milliseconds{200});
+        CHECK(copy.keys == table.rows);
+        CHECK(table.changes_since.empty());
+    }
     SUBCASE("from which a row of an earlier page is removed meanwhile: the removal is not missed")
     {
         // Changes were read from the revision of the last page on, after the removal.
--- a/test/platform/store_source.cpp
+++ b/test/platform/store_source.cpp
@@ -97,7 +97,8 @@
         it.store.set_faults({.down = true});
         CHECK(it.calls_of_tick(now) == 2);
         it.store.set_faults({});
-        CHECK(it.calls_of_tick(now + seconds{60}) == 2);
+        // Well before the next regular list: until then it would not know the others.
+        CHECK(it.calls_of_tick(now + seconds{5}) == 2);
         CHECK(it.calls_of_tick(now + seconds{120}) == 0);
     }
 }
