--- a/src/mangovane/core/store_revision.hpp
+++ b/src/mangovane/core/store_revision.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace mangovane
 {
@@ -12,6 +13,14 @@
 /// numbers again, in a new era. Revisions are ordered by era, then by number.
 struct store_revision
 {
+    constexpr store_revision() = default;
+    constexpr store_revision(std::uint64_t era_value, std::uint64_t number_value)
+        : era{era_value}, number{number_value}
+    {}
+    /// Implicit: a store that states no era is in era 0. There is no conversion to a number, which
+    /// would drop the era.
+    constexpr store_revision(std::uint64_t number_value) : number{number_value} {}
+
     std::uint64_t era{0};    ///< Rises by one with each return from an older copy.
     std::uint64_t number{0}; ///< 0: none.
 
@@ -21,6 +30,13 @@
     auto operator<=>(const store_revision&) const = default;
 };
 
+/// Value of a log field: the number, and in a later era also the field `era`.
+[[nodiscard]] inline std::string to_log_text(const store_revision& it)
+{
+    const auto number = std::to_string(it.number);
+    return it.era == 0 ? number : number + " era=" + std::to_string(it.era);
+}
+
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/daemon/discovery_sink.cpp
+++ b/src/mangovane/daemon/discovery_sink.cpp
@@ -27,7 +27,7 @@
 }
 
 void discovery_sink::on_endpoints(const std::vector<endpoint_change>& entries,
-                                  std::uint64_t revision,
+                                  store_revision revision,
                                   time_point now)
 {
     core_.catalog().replace(entries, revision, now);
@@ -35,7 +35,7 @@
 }
 
 void discovery_sink::on_endpoint_changes(const std::vector<endpoint_change>& changes,
-                                         std::uint64_t revision,
+                                         store_revision revision,
                                          time_point now)
 {
     core_.catalog().apply(changes, revision, now);
@@ -92,14 +92,26 @@
         logged_routes_ = routes;
     }
     const auto settings = core_.settings();
-    if (settings && settings->stamp.version != logged_version_)
+    if (const auto change = core_.catalog().take_era_change())
     {
-        log_.write(absl::StrCat("event=settings_in_force version=", settings->stamp.version,
-                                " before=", logged_version_,
-                                " routes=", settings->routes.all().size(),
-                                " accounts=", settings->accounts.size(),
-                                " domains_out=", settings->domains_out.size()),
+        log_.write(absl::StrCat("event=store_era era=", change->after.era,
+                                " before=", change->before.era, " revision=", change->after.number,
+                                " revision_before=", change->before.number,
+                                " settings=", settings ? settings->stamp.version.number : 0,
+                                " taken=", change->taken, " kept=", change->kept,
+                                " missing=", change->missing),
                    now);
+    }
+    // The same text under another revision is no change.
+    if (settings && settings->stamp.digest != logged_digest_)
+    {
+        logged_digest_ = settings->stamp.digest;
+        log_.write(
+            absl::StrCat("event=settings_in_force version=", to_log_text(settings->stamp.version),
+                         " before=", to_log_text(logged_version_), " routes=",
+                         settings->routes.all().size(), " accounts=", settings->accounts.size(),
+                         " domains_out=", settings->domains_out.size()),
+            now);
         logged_version_ = settings->stamp.version;
     }
 }
@@ -113,9 +125,9 @@
         const auto* known = before.find(it.id);
         if (known == nullptr || !(*known == it))
         {
-            log_.write(absl::StrCat(known == nullptr ? "event=endpoint_listed "
-                                                     : "event=endpoint_changed ",
-                                    describe(it, now), " revision=", endpoints_revision()),
+            log_.write(absl::StrCat(
+                           known == nullptr ? "event=endpoint_listed " : "event=endpoint_changed ",
+                           describe(it, now), " revision=", to_log_text(endpoints_revision())),
                        now);
         }
     }
@@ -124,7 +136,7 @@
         if (after.find(it.id) == nullptr)
         {
             log_.write(absl::StrCat("event=endpoint_gone ", describe(it, now),
-                                    " revision=", endpoints_revision()),
+                                    " revision=", to_log_text(endpoints_revision())),
                        now);
         }
     }
@@ -139,7 +151,7 @@
 
 bool discovery_sink::has_initial_state()
 {
-    return core_.settings() != nullptr && endpoints_revision() != 0;
+    return core_.settings() != nullptr && endpoints_revision().known();
 }
 
 } // namespace mangovane
--- a/src/mangovane/daemon/discovery_sink.hpp
+++ b/src/mangovane/daemon/discovery_sink.hpp
@@ -33,12 +33,12 @@
 
     /// The full list of endpoints was read, at a revision of the source.
     void on_endpoints(const std::vector<endpoint_change>& entries,
-                      std::uint64_t revision,
+                      store_revision revision,
                       time_point now);
 
     /// Changes of endpoints were read, up to a revision of the source.
     void on_endpoint_changes(const std::vector<endpoint_change>& changes,
-                             std::uint64_t revision,
+                             store_revision revision,
                              time_point now);
 
     /// The list of instances was read.
@@ -63,7 +63,7 @@
     [[nodiscard]] settings_ptr settings() { return core_.settings(); }
 
     /// Revision of the current list; a source that starts to read continues after it.
-    [[nodiscard]] std::uint64_t endpoints_revision() const { return core_.catalog().revision(); }
+    [[nodiscard]] store_revision endpoints_revision() const { return core_.catalog().revision(); }
 
     /// The source no longer reads; other instances do.
     void on_polling_stopped();
@@ -77,7 +77,8 @@
     event_log& log_;
     std::mutex mutex_;
     routing_table_ptr logged_routes_; ///< Logged last. Guarded by `mutex_`.
-    std::uint64_t logged_version_{0}; ///< Of the settings. Guarded by `mutex_`.
+    std::uint64_t logged_digest_{0};  ///< Of the settings' text. Guarded by `mutex_`.
+    store_revision logged_version_;   ///< Of the settings. Guarded by `mutex_`.
     bool reachable_{true};            ///< Guarded by `mutex_`.
     time_point contact_at_{};         ///< Guarded by `mutex_`.
 };
--- a/src/mangovane/daemon/fleet_status_provider.cpp
+++ b/src/mangovane/daemon/fleet_status_provider.cpp
@@ -102,7 +102,7 @@
         result.instances.push_back(
             {it.name, name_of_domain(domains, it.domain),
              std::string{member_state_names[static_cast<std::size_t>(it.state)]},
-             it.settings.version});
+             it.settings.version.number});
     }
     absl::flat_hash_map<endpoint_id, owned_endpoint_status> owned;
     for (const auto& it : core_.slots().status(clock::now()))
@@ -148,8 +148,8 @@
     append_owned(out, core_.slots().status(clock::now()));
     absl::StrAppend(&out, "mangovane_chats_remembered ", core_.chats().size(), "\n");
     absl::StrAppend(&out, "mangovane_view_members ", core_.view()->members().size(), "\n");
-    absl::StrAppend(&out, "mangovane_settings_version ", settings ? settings->stamp.version : 0,
-                    "\n");
+    absl::StrAppend(&out, "mangovane_settings_version ",
+                    settings ? settings->stamp.version.number : 0, "\n");
     return out;
 }
 
--- a/src/mangovane/daemon/forward_metrics.hpp
+++ b/src/mangovane/daemon/forward_metrics.hpp
@@ -18,6 +18,7 @@
     std::uint64_t peer_bytes_sent{0};
     std::uint64_t peer_bytes_received{0};
     std::uint64_t log_lines_dropped{0};
+    std::uint64_t store_era{0};
 
     auto operator<=>(const forward_state&) const = default;
 };
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -188,9 +188,12 @@
 {
     const auto settings = core.settings();
     const auto traffic = peers.traffic();
-    const forward_state state{settings ? settings->stamp.version : 0,
-                              core.quarantine().refused(clock::now()).size(), traffic.bytes_sent,
-                              traffic.bytes_received, log.dropped()};
+    const forward_state state{settings ? settings->stamp.version.number : 0,
+                              core.quarantine().refused(clock::now()).size(),
+                              traffic.bytes_sent,
+                              traffic.bytes_received,
+                              log.dropped(),
+                              discovery.endpoints_revision().era};
     return describe_metrics(metrics.text(true) + forward_metrics(state) +
                             failed_tasks_metric(tasks.failures()));
 }
@@ -238,7 +241,7 @@
     {
         reading = reads;
         log.write(absl::StrCat("event=store_duty reads=", reads ? 1 : 0,
-                               " endpoints_revision=", discovery.endpoints_revision()),
+                               " endpoints_revision=", to_log_text(discovery.endpoints_revision())),
                   now);
         source->set_polling(reads);
     }
@@ -250,8 +253,8 @@
     if (!services.stop.stopping() && !ready && discovery.has_initial_state())
     {
         ready = true;
-        log.write(absl::StrCat("event=ready settings=", core.settings()->stamp.version,
-                               " endpoints_revision=", discovery.endpoints_revision()),
+        log.write(absl::StrCat("event=ready settings=", to_log_text(core.settings()->stamp.version),
+                               " endpoints_revision=", to_log_text(discovery.endpoints_revision())),
                   now);
     }
 }
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -242,7 +242,8 @@
     // has.
     if (can_serve && !ready.exchange(true))
     {
-        LOG(INFO) << "event=ready settings_version=" << core.settings().current()->stamp.version;
+        LOG(INFO) << "event=ready settings_version="
+                  << core.settings().current()->stamp.version.number;
     }
 }
 
--- a/src/mangovane/daemon/view_log.cpp
+++ b/src/mangovane/daemon/view_log.cpp
@@ -49,9 +49,9 @@
 
 void view_log::on_settings(const settings_ptr& settings)
 {
-    if (settings && settings->stamp.version != settings_version_)
+    if (settings && settings->stamp.version.number != settings_version_)
     {
-        settings_version_ = settings->stamp.version;
+        settings_version_ = settings->stamp.version.number;
         LOG(INFO) << "event=settings_in_force version=" << settings_version_
                   << " change_id=" << settings->change_id << " author=" << settings->author;
     }
--- a/src/mangovane/forward/feed_distributor.cpp
+++ b/src/mangovane/forward/feed_distributor.cpp
@@ -18,7 +18,7 @@
 
 std::optional<bool> feed_distributor::next_query(pending_query& it,
                                                  instance_id to,
-                                                 std::uint64_t known_version,
+                                                 store_revision known_version,
                                                  milliseconds interval,
                                                  time_point now)
 {
@@ -57,7 +57,7 @@
             result.push_back({from, endpoint_query{known_version}, *renew});
         }
     }
-    if (msg.settings.version > own.settings.version)
+    if (msg.settings.newer_than(own.settings))
     {
         const auto known_version = own.settings.version;
         if (const auto renew =
--- a/src/mangovane/forward/feed_distributor.hpp
+++ b/src/mangovane/forward/feed_distributor.hpp
@@ -52,7 +52,7 @@
     struct pending_query
     {
         instance_id to;
-        std::uint64_t known_version{0}; ///< Revision or version held when the series began.
+        store_revision known_version; ///< Revision or version held when the series began.
         time_point first_at{};
         time_point last_at{};
     };
@@ -60,7 +60,7 @@
     /// Whether to send a query now; the value tells whether to send it over a new connection.
     [[nodiscard]] static std::optional<bool> next_query(pending_query& it,
                                                         instance_id to,
-                                                        std::uint64_t known_version,
+                                                        store_revision known_version,
                                                         milliseconds interval,
                                                         time_point now);
 
@@ -72,8 +72,8 @@
     std::mutex mutex_;
     /// Whether this instance was a reader at the last tick. Guarded by `mutex_`.
     bool was_reader_{false};
-    std::uint64_t sent_revision_{0}; ///< Endpoint revision sent last. Guarded by `mutex_`.
-    std::uint64_t sent_version_{0};  ///< Settings version sent last. Guarded by `mutex_`.
+    store_revision sent_revision_;  ///< Endpoint revision sent last. Guarded by `mutex_`.
+    store_revision sent_version_;   ///< Settings version sent last. Guarded by `mutex_`.
     bool sent_fresh_{false};        ///< Whether the last state sent was fresh. Guarded by `mutex_`.
     time_point sent_at_{};          ///< Guarded by `mutex_`.
     pending_query endpoints_query_; ///< Guarded by `mutex_`.
--- a/src/mangovane/membership/endpoint_catalog.cpp
+++ b/src/mangovane/membership/endpoint_catalog.cpp
@@ -8,7 +8,7 @@
 {
 
 void endpoint_catalog::replace(const std::vector<endpoint_change>& entries,
-                               std::uint64_t revision,
+                               store_revision revision,
                                time_point now)
 {
     const std::lock_guard lock{mutex_};
@@ -16,6 +16,7 @@
     {
         return;
     }
+    prepare_for(revision, now);
     absl::flat_hash_set<std::string> listed;
     for (const auto& it : entries)
     {
@@ -27,10 +28,14 @@
 }
 
 void endpoint_catalog::apply(const std::vector<endpoint_change>& changes,
-                             std::uint64_t revision,
+                             store_revision revision,
                              time_point now)
 {
     const std::lock_guard lock{mutex_};
+    if (revision.era < revision_.era)
+    {
+        return;
+    }
     for (const auto& it : changes)
     {
         apply_change(it, now);
@@ -38,6 +43,34 @@
     revision_ = std::max(revision_, revision);
 }
 
+void endpoint_catalog::prepare_for(store_revision revision, time_point now)
+{
+    lists_ = {};
+    if (revision_.known() && revision.era > revision_.era)
+    {
+        recovered_at_ = now;
+    }
+}
+
+bool endpoint_catalog::is_outdated(const entry& held,
+                                   store_revision revision,
+                                   incarnation epoch,
+                                   bool leaving)
+{
+    if (revision.era <= held.revision.era || revision.number > held.written)
+    {
+        return false;
+    }
+    const bool same = epoch == held.info.epoch;
+    return epoch < held.info.epoch || (same && (held.removed || (held.info.leaving && !leaving)));
+}
+
+void endpoint_catalog::keep(entry& held, store_revision revision)
+{
+    held.revision = revision;
+    ++lists_.kept;
+}
+
 time_point
 endpoint_catalog::cold_until_of(const endpoint_info& info, milliseconds left, time_point now) const
 {
@@ -57,12 +90,20 @@
     {
         return;
     }
+    if (change.info && found != entries_.end() &&
+        is_outdated(found->second, change.revision, change.info->epoch, change.info->leaving))
+    {
+        keep(found->second, change.revision);
+        return;
+    }
+    ++lists_.taken;
     if (change.info)
     {
         auto info = *change.info;
         info.cold_until = cold_until_of(info, change.cold_left, now);
-        entries_.insert_or_assign(change.name,
-                                  entry{std::move(info), change.revision, false, {}, true});
+        entries_.insert_or_assign(
+            change.name,
+            entry{std::move(info), change.revision, false, {}, true, change.revision.number});
         changed_ = true;
     }
     else if (found != entries_.end())
@@ -76,19 +117,25 @@
 }
 
 void endpoint_catalog::add_tombstone(const std::string& name,
-                                     std::uint64_t revision,
+                                     store_revision revision,
                                      time_point now)
 {
-    entries_.insert_or_assign(name, entry{{}, revision, true, now, false});
+    entries_.insert_or_assign(name, entry{{}, revision, true, now, false, 0});
 }
 
-void endpoint_catalog::on_full_list(std::uint64_t revision)
+void endpoint_catalog::on_full_list(store_revision revision)
 {
+    if (revision_.known() && revision.era > revision_.era)
+    {
+        era_change_ = lists_;
+        era_change_->before = revision_;
+        era_change_->after = revision;
+    }
     revision_ = revision;
     tombstones_complete_from_ = revision;
 }
 
-void endpoint_catalog::remove(entry& it, std::uint64_t revision, time_point keep_until)
+void endpoint_catalog::remove(entry& it, store_revision revision, time_point keep_until)
 {
     it.revision = std::max(it.revision, revision);
     if (!it.removed)
@@ -99,7 +146,7 @@
 }
 
 void endpoint_catalog::remove_unlisted(const absl::flat_hash_set<std::string>& listed,
-                                       std::uint64_t revision,
+                                       store_revision revision,
                                        time_point now)
 {
     for (auto& [name, it] : entries_)
@@ -107,6 +154,7 @@
         if (!it.removed && it.revision <= revision && !listed.contains(name))
         {
             remove(it, revision, removal_effective_at(now));
+            ++lists_.missing;
         }
     }
 }
@@ -144,11 +192,11 @@
     return result;
 }
 
-std::vector<endpoint_update> endpoint_catalog::updates_since(std::uint64_t known_revision,
+std::vector<endpoint_update> endpoint_catalog::updates_since(store_revision known_revision,
                                                              time_point now) const
 {
     const std::lock_guard lock{mutex_};
-    const bool full = known_revision == 0 || known_revision < tombstones_complete_from_;
+    const bool full = !known_revision.known() || known_revision < tombstones_complete_from_;
     std::vector<endpoint_row> rows;
     for (const auto& [name, it] : entries_)
     {
@@ -165,7 +213,7 @@
     {
         const auto first = rows.begin() + static_cast<std::ptrdiff_t>(n * max_update_rows);
         const auto count = std::min<std::ptrdiff_t>(max_update_rows, rows.end() - first);
-        result.push_back({full ? 0 : known_revision,
+        result.push_back({full ? store_revision{} : known_revision,
                           revision_,
                           static_cast<std::uint16_t>(n),
                           static_cast<std::uint16_t>(parts),
@@ -181,6 +229,13 @@
     {
         return;
     }
+    if (!row.removed && found != entries_.end() &&
+        is_outdated(found->second, row.revision, row.epoch, row.leaving))
+    {
+        keep(found->second, row.revision);
+        return;
+    }
+    ++lists_.taken;
     const bool still_listed = !row.removed || row.keep_ms != 0;
     if (still_listed)
     {
@@ -196,8 +251,10 @@
         info.version = row.version;
         info.slots = row.slots;
         info.cold_until = cold_until_of(info, milliseconds{row.cold_ms}, now);
+        const auto written =
+            row.removed && found != entries_.end() ? found->second.written : row.revision.number;
         entries_.insert_or_assign(row.name, entry{std::move(info), row.revision, row.removed,
-                                                  deadline_from(row.keep_ms, now), true});
+                                                  deadline_from(row.keep_ms, now), true, written});
         changed_ = true;
     }
     else if (found != entries_.end())
@@ -217,7 +274,7 @@
     {
         return true;
     }
-    const bool full = update.since == 0;
+    const bool full = !update.since.known();
     if (!full && update.since > revision_)
     {
         return false;
@@ -227,6 +284,7 @@
         partial_through_ = update.through;
         partial_next_ = 0;
         partial_names_.clear();
+        prepare_for(update.through, now);
     }
     if (update.through != partial_through_ || update.part != partial_next_)
     {
@@ -347,7 +405,13 @@
     return std::make_shared<endpoint_directory>(std::move(list));
 }
 
-std::uint64_t endpoint_catalog::revision() const
+std::optional<era_change> endpoint_catalog::take_era_change()
+{
+    const std::lock_guard lock{mutex_};
+    return std::exchange(era_change_, std::nullopt);
+}
+
+store_revision endpoint_catalog::revision() const
 {
     const std::lock_guard lock{mutex_};
     return revision_;
--- a/src/mangovane/membership/endpoint_catalog.hpp
+++ b/src/mangovane/membership/endpoint_catalog.hpp
@@ -22,12 +22,24 @@
 {
     std::string name;                  ///< Name of the endpoint.
     std::optional<endpoint_info> info; ///< Empty: the entry was removed, or cannot be parsed.
-    std::uint64_t revision{0};         ///< Revision of the registry after this change.
+    store_revision revision;           ///< Revision of the registry after this change.
     milliseconds cold_left{0};         ///< Remaining warm-up time.
 
     bool operator==(const endpoint_change&) const = default;
 };
 
+/// What the first full list of a new era of the registry changed.
+struct era_change
+{
+    store_revision before;
+    store_revision after;
+    std::size_t taken{0};   ///< Rows of the list that were applied.
+    std::size_t kept{0};    ///< Entries that are newer than their rows.
+    std::size_t missing{0}; ///< Entries without a row, which are removed after `recovery_grace`.
+
+    auto operator<=>(const era_change&) const = default;
+};
+
 /// Local copy of the registry's endpoint list. Endpoints cannot renew their entries during an
 /// outage of the registry: entries expire although their endpoints still run, and are registered
 /// again soon after the registry recovers. A removal seen in that period therefore takes effect
@@ -37,10 +49,11 @@
 public:
     /// Replaces the list with the registry's full list at a revision. An older one is ignored.
     void
-    replace(const std::vector<endpoint_change>& entries, std::uint64_t revision, time_point now);
+    replace(const std::vector<endpoint_change>& entries, store_revision revision, time_point now);
 
     /// Applies the registry's changes up to a revision.
-    void apply(const std::vector<endpoint_change>& changes, std::uint64_t revision, time_point now);
+    void
+    apply(const std::vector<endpoint_change>& changes, store_revision revision, time_point now);
 
     /// Applies a part of the list that another instance has read. Returns false when an update or a
     /// part before it is missing; the caller then has to request the changes again.
@@ -48,7 +61,7 @@
 
     /// Updates, split into parts, for an instance that has the list up to `known_revision`. The
     /// full list when that is 0, or when this instance may lack the tombstone of a later removal.
-    [[nodiscard]] std::vector<endpoint_update> updates_since(std::uint64_t known_revision,
+    [[nodiscard]] std::vector<endpoint_update> updates_since(store_revision known_revision,
                                                              time_point now) const;
 
     /// The registry did not respond to this instance.
@@ -70,8 +83,11 @@
     /// The current list if it has changed since the last call, else null.
     [[nodiscard]] endpoints_ptr take_changed(time_point now);
 
+    /// The last change of the era; empty if it was returned before or there was none.
+    [[nodiscard]] std::optional<era_change> take_era_change();
+
     /// Registry revision up to which the list is complete; 0: none yet.
-    [[nodiscard]] std::uint64_t revision() const;
+    [[nodiscard]] store_revision revision() const;
 
     /// Time after a recovery of the registry in which endpoints can register again.
     static constexpr milliseconds recovery_grace{2000};
@@ -93,12 +109,25 @@
     struct entry
     {
         endpoint_info info;
-        std::uint64_t revision{0};
+        store_revision revision;
         bool removed{false};
-        time_point keep_until{}; ///< A removed entry stays listed until then.
-        bool listed{true};       ///< In the list that `take_changed` returned last.
+        time_point keep_until{};  ///< A removed entry stays listed until then.
+        bool listed{true};        ///< In the list that `take_changed` returned last.
+        std::uint64_t written{0}; ///< Number of the last revision that did not remove it.
     };
 
+    /// Entries without a row in a list of a new era are kept as after an outage: the registry has
+    /// lost them, and their endpoints register again.
+    void prepare_for(store_revision revision, time_point now);
+
+    /// Whether a row of a later era has a content that is older than the entry: the registry came
+    /// back with it from a copy. An endpoint starts later with each incarnation and does not become
+    /// ready again within one.
+    [[nodiscard]] static bool
+    is_outdated(const entry& held, store_revision revision, incarnation epoch, bool leaving);
+    /// Keeps an entry in spite of its outdated row, at the revision of the row.
+    void keep(entry& held, store_revision revision);
+
     void apply_change(const endpoint_change& change, time_point now);
 
     /// End of the warm-up, from its remaining time. An endpoint that is already warm keeps the time
@@ -106,13 +135,13 @@
     [[nodiscard]] time_point
     cold_until_of(const endpoint_info& info, milliseconds left, time_point now) const;
 
-    void remove(entry& it, std::uint64_t revision, time_point keep_until);
+    void remove(entry& it, store_revision revision, time_point keep_until);
     /// Keeps the removal of an entry that this instance never had, for instances that have it.
-    void add_tombstone(const std::string& name, std::uint64_t revision, time_point now);
+    void add_tombstone(const std::string& name, store_revision revision, time_point now);
     /// The list is complete up to the revision, without removals before it.
-    void on_full_list(std::uint64_t revision);
+    void on_full_list(store_revision revision);
     void remove_unlisted(const absl::flat_hash_set<std::string>& listed,
-                         std::uint64_t revision,
+                         store_revision revision,
                          time_point now);
     void apply_row(const endpoint_row& row, time_point now);
     void expire(time_point now);
@@ -124,18 +153,20 @@
 
     mutable std::mutex mutex_;                    ///< Guards all members below.
     absl::btree_map<std::string, entry> entries_; ///< By name.
-    std::uint64_t revision_{0};                   ///< Never decreases.
+    store_revision revision_;                     ///< Never decreases.
     /// There is an entry or a tombstone for each change after this revision. A full list says
     /// nothing about removals before it, so it raises this revision to its own.
-    std::uint64_t tombstones_complete_from_{0};
+    store_revision tombstones_complete_from_;
     std::optional<time_point> outage_since_;
     std::optional<time_point> last_contact_;
     /// Start of the other instances' current series of contacts with the registry.
     time_point peer_contact_since_{time_point::min()};
     time_point last_peer_contact_{time_point::min()};
-    time_point recovered_at_{time_point::min()};     ///< End of the last outage.
+    time_point recovered_at_{time_point::min()}; ///< End of the last outage.
+    era_change lists_;                           ///< Counts of the list that is being applied.
+    std::optional<era_change> era_change_;
     bool changed_{false};                            ///< Since the last `take_changed`.
-    std::uint64_t partial_through_{0};               ///< Revision of the update received in parts.
+    store_revision partial_through_;                 ///< Revision of the update received in parts.
     std::uint16_t partial_next_{0};                  ///< Next part of it.
     absl::flat_hash_set<std::string> partial_names_; ///< Names in the parts received so far.
 };
--- a/src/mangovane/membership/failure_detector.cpp
+++ b/src/mangovane/membership/failure_detector.cpp
@@ -18,7 +18,7 @@
 failure_detector::failure_detector(member self, detector_timing timing, std::uint64_t seed)
     : timing_{timing}, self_id_{self.id}, random_{seed}
 {
-    newest_version_ = self.settings.version;
+    newest_stamp_ = self.settings;
     records_.emplace(self_id_, peer_record{std::move(self), 0});
     updates_.put(self_id_);
     view_ = std::make_shared<membership_view>(1, time_point{}, view_members(time_point{}));
@@ -172,11 +172,11 @@
     const auto* best = &records_.find(self_id_)->second;
     for (const auto& [id, it] : records_)
     {
-        const auto version = it.subject().settings.version;
-        const auto best_version = best->subject().settings.version;
+        const auto& stamp = it.subject().settings;
+        const auto& best_stamp = best->subject().settings;
         const bool later =
             best->subject().id != self_id_ && it.last_message_at > best->last_message_at;
-        if (it.live() && (version > best_version || (version == best_version && later)))
+        if (it.live() && (stamp.newer_than(best_stamp) || (!best_stamp.newer_than(stamp) && later)))
         {
             best = &it;
         }
@@ -300,9 +300,9 @@
 {
     // Gossips only the first holder of a version: an update from each member about each version
     // would exceed the budget for control traffic. The other stamps are sent on their own probes.
-    if (stamp.version > newest_version_)
+    if (stamp.newer_than(newest_stamp_))
     {
-        newest_version_ = stamp.version;
+        newest_stamp_ = stamp;
         announcement_due_ = true;
         updates_.put(holder);
     }
--- a/src/mangovane/membership/failure_detector.hpp
+++ b/src/mangovane/membership/failure_detector.hpp
@@ -106,13 +106,13 @@
     probe_schedule dead_schedule_;
     random_sequence random_;
     std::uint64_t sequence_{0};
-    std::uint64_t newest_version_{0}; ///< Newest settings version received from any member.
-    bool joining_{true};              ///< No member has sent its table yet.
-    bool announcement_due_{false};    ///< `newest_version_` has risen and is not announced yet.
-    bool tables_to_send_{false};      ///< A record may have `table_remaining` > 0.
-    bool records_changed_{true};      ///< Since the last scan by `check_view`; except stamps.
-    bool stamps_changed_{false};      ///< A settings stamp is newer than in the view.
-    time_point next_change_{};        ///< No record's timer expires before this.
+    settings_stamp newest_stamp_;  ///< Newest settings stamp received from any member.
+    bool joining_{true};           ///< No member has sent its table yet.
+    bool announcement_due_{false}; ///< `newest_stamp_` has risen and is not announced yet.
+    bool tables_to_send_{false};   ///< A record may have `table_remaining` > 0.
+    bool records_changed_{true};   ///< Since the last scan by `check_view`; except stamps.
+    bool stamps_changed_{false};   ///< A settings stamp is newer than in the view.
+    time_point next_change_{};     ///< No record's timer expires before this.
     time_point last_tick_{};
     time_point next_probe_{};
     time_point next_dead_probe_{};
--- a/src/mangovane/membership/peer_record.cpp
+++ b/src/mangovane/membership/peer_record.cpp
@@ -104,7 +104,7 @@
 
 bool peer_record::merge_settings(settings_stamp stamp)
 {
-    if (stamp.version <= subject_.settings.version)
+    if (!stamp.newer_than(subject_.settings))
     {
         return false;
     }
--- a/src/mangovane/message/endpoints.hpp
+++ b/src/mangovane/message/endpoints.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "mangovane/core/id.hpp"
+#include "mangovane/core/store_revision.hpp"
 #include "mangovane/message/membership.hpp"
 
 namespace mangovane
@@ -17,8 +18,8 @@
 struct feed_state
 {
     settings_stamp settings;
-    std::uint64_t endpoints_revision{0}; ///< Revision of the registry; 0: none was read.
-    std::uint32_t age_ms{0};             ///< Time since the store last responded to it.
+    store_revision endpoints_revision; ///< Revision of the registry; 0: none was read.
+    std::uint32_t age_ms{0};           ///< Time since the store last responded to it.
 
     auto operator<=>(const feed_state&) const = default;
 };
@@ -26,7 +27,7 @@
 /// Asks for the changes of the endpoint list after a revision.
 struct endpoint_query
 {
-    std::uint64_t known_revision{0}; ///< Revision of the sender's list; 0: none.
+    store_revision known_revision; ///< Revision of the sender's list; 0: none.
 
     auto operator<=>(const endpoint_query&) const = default;
 };
@@ -40,10 +41,10 @@
     std::string domain_name;
     std::string address; ///< `ip:port`
     incarnation epoch{0};
-    std::uint64_t revision{0}; ///< Revision of the registry after the last change of the entry.
-    std::uint32_t cold_ms{0};  ///< Remaining warm-up time.
-    std::uint32_t keep_ms{0};  ///< Time for which a removed entry stays listed.
-    bool leaving{false};       ///< The endpoint is shutting down.
+    store_revision revision;  ///< Revision of the registry after the last change of the entry.
+    std::uint32_t cold_ms{0}; ///< Remaining warm-up time.
+    std::uint32_t keep_ms{0}; ///< Time for which a removed entry stays listed.
+    bool leaving{false};      ///< The endpoint is shutting down.
     bool removed{false};
     std::string version;    ///< Version of its software; empty: unknown.
     std::uint32_t slots{0}; ///< Requests that it processes at a time; 0: unknown.
@@ -54,9 +55,9 @@
 /// Entries that changed between two revisions, or the full list. Long lists are sent in parts.
 struct endpoint_update
 {
-    std::uint64_t since{0};   ///< Revision that the receiver must have; 0: this is the full list.
-    std::uint64_t through{0}; ///< Revision of the receiver's list afterwards.
-    std::uint16_t part{0};    ///< Index, from 0.
+    store_revision since;   ///< Revision that the receiver must have; 0: this is the full list.
+    store_revision through; ///< Revision of the receiver's list afterwards.
+    std::uint16_t part{0};  ///< Index, from 0.
     std::uint16_t parts{1};
     std::vector<endpoint_row> rows; ///< At most `max_update_rows`.
 
--- a/src/mangovane/message/membership.hpp
+++ b/src/mangovane/message/membership.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "mangovane/core/id.hpp"
+#include "mangovane/core/store_revision.hpp"
 
 namespace mangovane
 {
@@ -23,8 +24,16 @@
 /// Version of the settings that an instance has in force.
 struct settings_stamp
 {
-    std::uint64_t version{0}; ///< 0: none yet.
+    store_revision version;   ///< 0: none yet.
     std::uint64_t digest{0};  ///< Hash of the settings' text.
+    std::uint64_t content{0}; ///< The text's own version, which only rises; 0: it states none.
+
+    /// Whether these settings replace the others. The content decides first: a store that has come
+    /// back from an older copy gives old content a higher revision.
+    [[nodiscard]] constexpr bool newer_than(const settings_stamp& other) const noexcept
+    {
+        return content != other.content ? content > other.content : version > other.version;
+    }
 
     auto operator<=>(const settings_stamp&) const = default;
 };
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -262,7 +262,7 @@
             " parts=", part_ids_text(request.shared_parts()),
             " prefix_source=", step.target.prefix_source, " resumes=", step.resumes ? 1 : 0,
             " last_event=", event_text(current_->events.last_id()),
-            " settings=", step.target.settings_version),
+            " settings=", to_log_text(step.target.settings_version)),
         clock::now());
 }
 
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -561,7 +561,7 @@
                      " status=", current.status, " attempts=", record.attempts,
                      " ms=", record.total.count(), " first_ms=", record.first_token.count(),
                      " may_have_run=", current.flow->may_have_run() ? 1 : 0,
-                     " settings=", request.settings->stamp.version,
+                     " settings=", to_log_text(request.settings->stamp.version),
                      record.outcome == "ok" ? std::string{} : cause_text(end_)),
         now);
 }
--- a/src/mangovane/observe/metric_table.cpp
+++ b/src/mangovane/observe/metric_table.cpp
@@ -54,6 +54,8 @@
     {"mangovane_chats_remembered", gauge, "Entries of the chat directory."},
     {"mangovane_view_members", gauge, "Instances in the view."},
     {"mangovane_settings_version", gauge, "Version of the settings in force; 0: none."},
+    {"mangovane_store_era_total", counter,
+     "Times that the store has come back from an older copy, as far as the instance knows."},
     {"mangovane_settings_age_seconds", gauge,
      "Time since the last read of the settings' head at the platform; -1: none."},
     {"mangovane_peer_bytes_sent_total", counter,
--- a/src/mangovane/routing/settings_sync.cpp
+++ b/src/mangovane/routing/settings_sync.cpp
@@ -18,7 +18,7 @@
 outgoing_messages settings_sync::on(instance_id from, const settings_query& msg) const
 {
     const auto current = state_.settings().current();
-    if (!current || current->stamp.version <= msg.known_stamp.version)
+    if (!current || !current->stamp.newer_than(msg.known_stamp))
     {
         return {};
     }
@@ -28,7 +28,7 @@
 void settings_sync::on(instance_id, const settings_content& msg)
 {
     const auto current = state_.settings().current();
-    if (current && current->stamp.version >= msg.stamp.version)
+    if (current && !msg.stamp.newer_than(current->stamp))
     {
         return;
     }
@@ -46,7 +46,7 @@
     state_.settings().observe_version(newest);
     const auto current = state_.settings().current();
     const auto have = current ? current->stamp : settings_stamp{};
-    if (newest.version <= have.version || source == state_.self().id)
+    if (!newest.newer_than(have) || source == state_.self().id)
     {
         return {};
     }
--- a/src/mangovane/routing/settings_sync.hpp
+++ b/src/mangovane/routing/settings_sync.hpp
@@ -16,7 +16,7 @@
 
 /// Parses the text of a settings version.
 using settings_parser =
-    std::function<absl::StatusOr<settings_ptr>(std::string text, std::uint64_t version)>;
+    std::function<absl::StatusOr<settings_ptr>(std::string text, store_revision version)>;
 
 class settings_sync
 {
--- a/src/mangovane/settings/parse.cpp
+++ b/src/mangovane/settings/parse.cpp
@@ -133,7 +133,7 @@
 
 } // namespace
 
-absl::StatusOr<settings_ptr> parse_settings(std::string text, std::uint64_t version)
+absl::StatusOr<settings_ptr> parse_settings(std::string text, store_revision version)
 {
     const auto checked = check_settings(text, check_scope::without_duplicate_keys);
     if (!checked.valid())
--- a/src/mangovane/settings/parse.hpp
+++ b/src/mangovane/settings/parse.hpp
@@ -15,7 +15,7 @@
 /// Validates and resolves a text that `check_settings` has accepted before; duplicate keys are not
 /// searched again. Error: malformed_request, listing every error on a line of its own, with line
 /// number and node path.
-[[nodiscard]] absl::StatusOr<settings_ptr> parse_settings(std::string text, std::uint64_t version);
+[[nodiscard]] absl::StatusOr<settings_ptr> parse_settings(std::string text, store_revision version);
 
 } // namespace mangovane
 
--- a/src/mangovane/settings/registry.cpp
+++ b/src/mangovane/settings/registry.cpp
@@ -10,15 +10,16 @@
 {
     const std::lock_guard lock{mutex_};
     if (current_ && snapshot->stamp.version == current_->stamp.version &&
+        snapshot->stamp.content == current_->stamp.content &&
         snapshot->stamp.digest != current_->stamp.digest)
     {
         return adopt_result::digest_conflict;
     }
-    if (current_ && snapshot->stamp.version <= current_->stamp.version)
+    if (current_ && !snapshot->stamp.newer_than(current_->stamp))
     {
         return adopt_result::not_newer;
     }
-    if (snapshot->stamp.version > newest_observed_.version)
+    if (snapshot->stamp.newer_than(newest_observed_))
     {
         newest_observed_ = snapshot->stamp;
     }
@@ -35,7 +36,7 @@
 void settings_registry::observe_version(settings_stamp stamp)
 {
     const std::lock_guard lock{mutex_};
-    if (stamp.version > newest_observed_.version)
+    if (stamp.newer_than(newest_observed_))
     {
         newest_observed_ = stamp;
     }
@@ -50,7 +51,7 @@
 bool settings_registry::is_current() const
 {
     const std::lock_guard lock{mutex_};
-    return current_ && current_->stamp.version >= newest_observed_.version;
+    return current_ && !newest_observed_.newer_than(current_->stamp);
 }
 
 } // namespace mangovane
--- a/src/mangovane/settings/watcher.cpp
+++ b/src/mangovane/settings/watcher.cpp
@@ -42,7 +42,7 @@
     }
     if (is_text_fetch_due(now, position))
     {
-        fetch_version(registry_.newest_observed().version, now);
+        fetch_version(registry_.newest_observed().version.number, now);
     }
 }
 
@@ -95,7 +95,7 @@
 std::uint64_t settings_watcher::current_version() const
 {
     const auto current = registry_.current();
-    return current ? current->stamp.version : 0;
+    return current ? current->stamp.version.number : 0;
 }
 
 void settings_watcher::read_head(time_point now)
@@ -188,7 +188,7 @@
     registry_.observe_version(stamp);
     const auto current = registry_.current();
     const auto have = current ? current->stamp : settings_stamp{};
-    if (stamp.version <= have.version)
+    if (!stamp.newer_than(have))
     {
         return std::nullopt;
     }
@@ -204,7 +204,7 @@
 std::optional<settings_content> settings_watcher::on_query(const settings_query& msg) const
 {
     const auto current = registry_.current();
-    if (!current || current->stamp.version <= msg.known_stamp.version ||
+    if (!current || !current->stamp.newer_than(msg.known_stamp) ||
         current->text.size() > max_peer_text_bytes)
     {
         return std::nullopt;
@@ -230,10 +230,10 @@
                                   std::string text,
                                   const settings_record* head)
 {
-    auto parsed = parse_settings(std::move(text), stamp.version);
+    auto parsed = parse_settings(std::move(text), stamp.version.number);
     if (!parsed.ok())
     {
-        set_last_error(absl::StrCat("version ", stamp.version,
+        set_last_error(absl::StrCat("version ", stamp.version.number,
                                     " was rejected: ", std::string{parsed.status().message()}));
         return;
     }
@@ -246,9 +246,10 @@
         snapshot = std::move(attributed);
     }
     const auto result = adopt_(std::move(snapshot));
-    set_last_error(result == adopt_result::digest_conflict
-                       ? absl::StrCat("version ", stamp.version, " exists with two different texts")
-                       : std::string{});
+    set_last_error(
+        result == adopt_result::digest_conflict
+            ? absl::StrCat("version ", stamp.version.number, " exists with two different texts")
+            : std::string{});
 }
 
 void settings_watcher::set_last_error(std::string error)
--- a/src/mangovane/store/http_pool.cpp
+++ b/src/mangovane/store/http_pool.cpp
@@ -61,9 +61,9 @@
 
 } // namespace
 
-http_pool::http_pool(asio::io_context& io, std::string address)
-    : strand_{asio::make_strand(io)}, address_{std::move(address)}, endpoint_{
-                                                                        parse_address(address_)}
+http_pool::http_pool(asio::io_context& io, std::string address, std::string kept_field)
+    : strand_{asio::make_strand(io)}, address_{std::move(address)},
+      kept_field_{std::move(kept_field)}, endpoint_{parse_address(address_)}
 {}
 
 void http_pool::send(request req, time_point deadline, handler done)
@@ -221,7 +221,13 @@
     {
         idle_.push_back(idle_connection{conn, clock::now()});
     }
-    co_return http_response{res.result_int(), std::move(res.body())};
+    http_response result{res.result_int(), std::move(res.body())};
+    if (!kept_field_.empty())
+    {
+        const auto value = res[kept_field_];
+        result.field.assign(value.data(), value.size());
+    }
+    co_return result;
 }
 
 } // namespace mangovane
--- a/src/mangovane/store/http_pool.hpp
+++ b/src/mangovane/store/http_pool.hpp
@@ -30,6 +30,7 @@
 {
     unsigned status{0};
     std::string body;
+    std::string field{}; ///< Value of the header field that the pool's owner asked for.
 
     auto operator<=>(const http_response&) const = default;
 };
@@ -48,7 +49,8 @@
     static constexpr seconds max_idle_time{10};
     static constexpr std::uint64_t max_body_bytes = 8ULL * 1024 * 1024; ///< Of a response.
 
-    http_pool(boost::asio::io_context& io, std::string address);
+    /// Responses keep the value of the header field `kept_field`; empty: of none.
+    http_pool(boost::asio::io_context& io, std::string address, std::string kept_field = {});
 
     /// Sends the request on an idle or a new connection, when one is available. The handler is
     /// posted to the context.
@@ -90,6 +92,7 @@
 
     boost::asio::strand<boost::asio::io_context::executor_type> strand_;
     std::string address_;
+    const std::string kept_field_;
     std::optional<boost::asio::ip::tcp::endpoint> endpoint_; ///< Empty if malformed.
     std::vector<idle_connection> idle_;
     std::size_t connections_in_use_{0};                   ///< At most `max_connections`.
--- a/src/mangovane/store/table_reader.hpp
+++ b/src/mangovane/store/table_reader.hpp
@@ -10,6 +10,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "mangovane/core/store_revision.hpp"
 #include "mangovane/core/time.hpp"
 
 namespace mangovane
@@ -19,7 +20,7 @@
 {
     std::string key;
     std::string value; ///< Decoded bytes.
-    std::uint64_t revision{0};
+    store_revision revision;
     bool removed{false};
 
     auto operator<=>(const store_row&) const = default;
@@ -29,8 +30,8 @@
 struct store_rows
 {
     std::vector<store_row> rows;
-    std::uint64_t revision{0}; ///< Revision of the store at the time of the response.
-    bool more{false};          ///< The list continues after the last key.
+    store_revision revision; ///< Revision of the store at the time of the response.
+    bool more{false};        ///< The list continues after the last key.
 
     bool operator==(const store_rows&) const = default;
 };
@@ -50,7 +51,7 @@
                       time_point deadline,
                       rows_handler done) = 0;
 
-    /// Reads the changes of a table after revision `since`; the store waits up to `wait` for one
+    /// Reads the changes of a table after the number `since`; the store waits up to `wait` for one
     /// (long poll).
     virtual void changes(const std::string& table,
                          std::uint64_t since,
--- a/src/mangovane/store/table_watch.cpp
+++ b/src/mangovane/store/table_watch.cpp
@@ -68,6 +68,7 @@
 void table_watch::resume()
 {
     revision_ = std::max(revision_, sink_.resume_revision());
+    era_ = std::max(era_, revision_.era);
     backoff_ = initial_backoff;
     if (revision_ == 0)
     {
@@ -85,6 +86,19 @@
     return reading_;
 }
 
+bool table_watch::drops(const store_rows& response)
+{
+    if (response.revision.era < era_)
+    {
+        const auto delay = std::exchange(backoff_, std::min(backoff_ * 2, max_backoff));
+        schedule_after(delay, revision_.known() ? &table_watch::read_changes
+                                                : &table_watch::read_from_start);
+        return true;
+    }
+    era_ = response.revision.era;
+    return false;
+}
+
 void table_watch::read_table(const std::string& from)
 {
     if (from.empty())
@@ -110,6 +124,16 @@
         fail(page.status());
         return;
     }
+    if (drops(*page))
+    {
+        return;
+    }
+    if (table_revision_ && table_revision_->era != era_)
+    {
+        // The pages before this one are of the era before.
+        read_from_start();
+        return;
+    }
     rows_.insert(rows_.end(), page->rows.begin(), page->rows.end());
     table_revision_ = table_revision_.value_or(page->revision);
     if (page->more && !page->rows.empty())
@@ -127,7 +151,7 @@
 void table_watch::read_changes()
 {
     call_pending_ = true;
-    reader_.changes(table_, revision_, wait_, clock::now() + wait_ + response_margin,
+    reader_.changes(table_, revision_.number, wait_, clock::now() + wait_ + response_margin,
                     [self = shared_from_this()](absl::StatusOr<store_rows> response)
                     {
                         asio::post(self->strand_, [self, response = std::move(response)]
@@ -146,8 +170,19 @@
         fail(response.status());
         return;
     }
+    if (drops(*response))
+    {
+        return;
+    }
     sink_.on_response();
     backoff_ = initial_backoff;
+    if (revision_.era != era_)
+    {
+        // The number that was asked for is of the era before: it says nothing about this one.
+        revision_ = {};
+        read_from_start();
+        return;
+    }
     if (response->rows.empty())
     {
         revision_ = std::max(revision_, response->revision);
@@ -164,7 +199,7 @@
     if (absl::IsOutOfRange(status) && revision_ != 0)
     {
         // The store is reachable but has discarded the history.
-        revision_ = 0;
+        revision_ = {};
         read_from_start();
         return;
     }
--- a/src/mangovane/store/table_watch.hpp
+++ b/src/mangovane/store/table_watch.hpp
@@ -25,10 +25,10 @@
     virtual ~table_sink() = default;
 
     /// The whole table at a revision; some rows may be newer.
-    virtual void on_snapshot(const std::vector<store_row>& rows, std::uint64_t revision) = 0;
+    virtual void on_snapshot(const std::vector<store_row>& rows, store_revision revision) = 0;
 
     /// Changed and removed rows up to a revision.
-    virtual void on_changes(const std::vector<store_row>& rows, std::uint64_t revision) = 0;
+    virtual void on_changes(const std::vector<store_row>& rows, store_revision revision) = 0;
 
     /// The store responded; called before the rows of the response are passed on.
     virtual void on_response() = 0;
@@ -38,7 +38,7 @@
 
     /// Revision up to which the table has been received from other instances; queried before
     /// reading resumes.
-    virtual std::uint64_t resume_revision() = 0;
+    virtual store_revision resume_revision() = 0;
 };
 
 /// Keeps itself alive while a call is pending.
@@ -69,6 +69,9 @@
     void schedule_after(milliseconds delay, void (table_watch::*next)());
     void read_from_start() { read_table({}); }
     [[nodiscard]] bool end_call();
+    /// Whether a response is of an earlier era than one before it. Such a response was delayed, and
+    /// is dropped; the read is repeated.
+    [[nodiscard]] bool drops(const store_rows& response);
 
     boost::asio::strand<boost::asio::io_context::executor_type> strand_;
     table_reader& reader_;
@@ -79,9 +82,10 @@
     std::vector<store_row> rows_; ///< Rows of the pages read so far.
     /// Of the first page. Later pages are newer, but do not show what was removed from earlier
     /// ones.
-    std::optional<std::uint64_t> table_revision_;
-    std::uint64_t revision_{0}; ///< Revision up to which the table is known; 0: unknown.
-    milliseconds backoff_{0};   ///< Delay after the next failure.
+    std::optional<store_revision> table_revision_;
+    store_revision revision_; ///< Revision up to which the table is known; 0: unknown.
+    std::uint64_t era_{0};    ///< Latest era of a response; never decreases.
+    milliseconds backoff_{0}; ///< Delay after the next failure.
     bool reading_{false};
     bool call_pending_{false}; ///< A call or a delay is pending.
 };
--- a/src/mangovane/wire/body_decode.cpp
+++ b/src/mangovane/wire/body_decode.cpp
@@ -26,7 +26,8 @@
 
 settings_stamp from_wire(const wire::SettingsStamp* it)
 {
-    return it == nullptr ? settings_stamp{} : settings_stamp{it->version(), it->digest()};
+    return it == nullptr ? settings_stamp{}
+                         : settings_stamp{{it->era(), it->version()}, it->digest(), it->content()};
 }
 
 std::string from_wire(const flatbuffers::String* it)
@@ -204,12 +205,13 @@
 
 message unpack(const wire::FeedState& it, time_point)
 {
-    return feed_state{from_wire(it.settings()), it.endpoints_revision(), it.age_ms()};
+    return feed_state{from_wire(it.settings()),
+                      store_revision{it.endpoints_era(), it.endpoints_revision()}, it.age_ms()};
 }
 
 message unpack(const wire::EndpointQuery& it, time_point)
 {
-    return endpoint_query{it.have()};
+    return endpoint_query{{it.have_era(), it.have()}};
 }
 
 endpoint_row unpack_row(const wire::EndpointRow& it)
@@ -220,7 +222,7 @@
             from_wire(it.domain_name()),
             from_wire(it.address()),
             it.epoch(),
-            it.revision(),
+            store_revision{it.era(), it.revision()},
             it.cold_ms(),
             it.keep_ms(),
             it.leaving(),
@@ -231,7 +233,8 @@
 
 message unpack(const wire::EndpointUpdate& it, time_point)
 {
-    endpoint_update result{it.since(), it.through(), it.part(), it.parts(), {}};
+    endpoint_update result{
+        {it.since_era(), it.since()}, {it.through_era(), it.through()}, it.part(), it.parts(), {}};
     if (it.rows() == nullptr)
     {
         return result;
--- a/src/mangovane/wire/body_encode.cpp
+++ b/src/mangovane/wire/body_encode.cpp
@@ -21,7 +21,7 @@
 
 wire::SettingsStamp to_wire(const settings_stamp& it)
 {
-    return {it.version, it.digest};
+    return {it.version.number, it.digest, it.version.era, it.content};
 }
 
 template <class Enum>
@@ -195,12 +195,13 @@
 auto pack(builder& buf, const feed_state& it, time_point)
 {
     const auto stamp = to_wire(it.settings);
-    return wire::CreateFeedState(buf, &stamp, it.endpoints_revision, it.age_ms);
+    return wire::CreateFeedState(buf, &stamp, it.endpoints_revision.number, it.age_ms,
+                                 it.endpoints_revision.era);
 }
 
 auto pack(builder& buf, const endpoint_query& it, time_point)
 {
-    return wire::CreateEndpointQuery(buf, it.known_revision);
+    return wire::CreateEndpointQuery(buf, it.known_revision.number, it.known_revision.era);
 }
 
 flatbuffers::Offset<wire::EndpointRow> pack_row(builder& buf, const endpoint_row& it)
@@ -210,8 +211,8 @@
     const auto address = text(buf, it.address);
     const auto version = text(buf, it.version);
     return wire::CreateEndpointRow(buf, name, it.service.value(), it.domain.value(), domain_name,
-                                   address, it.epoch, it.revision, it.cold_ms, it.keep_ms,
-                                   it.leaving, it.removed, version, it.slots);
+                                   address, it.epoch, it.revision.number, it.cold_ms, it.keep_ms,
+                                   it.leaving, it.removed, version, it.slots, it.revision.era);
 }
 
 auto pack(builder& buf, const endpoint_update& it, time_point)
@@ -223,7 +224,8 @@
         rows.push_back(pack_row(buf, row));
     }
     const auto vector = buf.CreateVector(rows);
-    return wire::CreateEndpointUpdate(buf, it.since, it.through, it.part, it.parts, vector);
+    return wire::CreateEndpointUpdate(buf, it.since.number, it.through.number, it.part, it.parts,
+                                      vector, it.since.era, it.through.era);
 }
 
 auto pack(builder& buf, const quarantine_update& it, time_point now)
--- a/src/mangovane/wire/codec.hpp
+++ b/src/mangovane/wire/codec.hpp
@@ -20,7 +20,7 @@
 namespace mangovane
 {
 
-inline constexpr std::uint16_t frame_version = 1;
+inline constexpr std::uint16_t frame_version = 2;
 inline constexpr std::size_t frame_prefix_bytes = 4;
 
 /// Limit on the first frame of a connection, when the sender has not proved the cluster key yet.
--- a/src/mangovane/wire/frame_generated.h
+++ b/src/mangovane/wire/frame_generated.h
@@ -347,15 +347,21 @@
  private:
   uint64_t version_;
   uint64_t digest_;
+  uint64_t era_;
+  uint64_t content_;
 
  public:
   SettingsStamp()
       : version_(0),
-        digest_(0) {
+        digest_(0),
+        era_(0),
+        content_(0) {
   }
-  SettingsStamp(uint64_t _version, uint64_t _digest)
+  SettingsStamp(uint64_t _version, uint64_t _digest, uint64_t _era, uint64_t _content)
       : version_(flatbuffers::EndianScalar(_version)),
-        digest_(flatbuffers::EndianScalar(_digest)) {
+        digest_(flatbuffers::EndianScalar(_digest)),
+        era_(flatbuffers::EndianScalar(_era)),
+        content_(flatbuffers::EndianScalar(_content)) {
   }
   uint64_t version() const {
     return flatbuffers::EndianScalar(version_);
@@ -363,8 +369,14 @@
   uint64_t digest() const {
     return flatbuffers::EndianScalar(digest_);
   }
+  uint64_t era() const {
+    return flatbuffers::EndianScalar(era_);
+  }
+  uint64_t content() const {
+    return flatbuffers::EndianScalar(content_);
+  }
 };
-FLATBUFFERS_STRUCT_END(SettingsStamp, 16);
+FLATBUFFERS_STRUCT_END(SettingsStamp, 32);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) HeldSlot FLATBUFFERS_FINAL_CLASS {
  private:
@@ -2043,7 +2055,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SETTINGS = 4,
     VT_ENDPOINTS_REVISION = 6,
-    VT_AGE_MS = 8
+    VT_AGE_MS = 8,
+    VT_ENDPOINTS_ERA = 10
   };
   const mangovane::wire::SettingsStamp *settings() const {
     return GetStruct<const mangovane::wire::SettingsStamp *>(VT_SETTINGS);
@@ -2054,11 +2067,15 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  uint64_t endpoints_era() const {
+    return GetField<uint64_t>(VT_ENDPOINTS_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<mangovane::wire::SettingsStamp>(verifier, VT_SETTINGS, 8) &&
            VerifyField<uint64_t>(verifier, VT_ENDPOINTS_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ENDPOINTS_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -2076,6 +2093,9 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(FeedState::VT_AGE_MS, age_ms, 0);
   }
+  void add_endpoints_era(uint64_t endpoints_era) {
+    fbb_.AddElement<uint64_t>(FeedState::VT_ENDPOINTS_ERA, endpoints_era, 0);
+  }
   explicit FeedStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2091,8 +2111,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const mangovane::wire::SettingsStamp *settings = nullptr,
     uint64_t endpoints_revision = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t endpoints_era = 0) {
   FeedStateBuilder builder_(_fbb);
+  builder_.add_endpoints_era(endpoints_era);
   builder_.add_endpoints_revision(endpoints_revision);
   builder_.add_age_ms(age_ms);
   builder_.add_settings(settings);
@@ -2102,14 +2124,19 @@
 struct EndpointQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EndpointQueryBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_HAVE = 4
+    VT_HAVE = 4,
+    VT_HAVE_ERA = 6
   };
   uint64_t have() const {
     return GetField<uint64_t>(VT_HAVE, 0);
   }
+  uint64_t have_era() const {
+    return GetField<uint64_t>(VT_HAVE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_HAVE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HAVE_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -2121,6 +2148,9 @@
   void add_have(uint64_t have) {
     fbb_.AddElement<uint64_t>(EndpointQuery::VT_HAVE, have, 0);
   }
+  void add_have_era(uint64_t have_era) {
+    fbb_.AddElement<uint64_t>(EndpointQuery::VT_HAVE_ERA, have_era, 0);
+  }
   explicit EndpointQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2134,8 +2164,10 @@
 
 inline flatbuffers::Offset<EndpointQuery> CreateEndpointQuery(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t have = 0) {
+    uint64_t have = 0,
+    uint64_t have_era = 0) {
   EndpointQueryBuilder builder_(_fbb);
+  builder_.add_have_era(have_era);
   builder_.add_have(have);
   return builder_.Finish();
 }
@@ -2155,7 +2187,8 @@
     VT_LEAVING = 22,
     VT_REMOVED = 24,
     VT_VERSION = 26,
-    VT_SLOTS = 28
+    VT_SLOTS = 28,
+    VT_ERA = 30
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -2196,6 +2229,9 @@
   uint32_t slots() const {
     return GetField<uint32_t>(VT_SLOTS, 0);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_NAME) &&
@@ -2215,6 +2251,7 @@
            VerifyOffset(verifier, VT_VERSION) &&
            verifier.VerifyString(version()) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -2262,6 +2299,9 @@
   void add_slots(uint32_t slots) {
     fbb_.AddElement<uint32_t>(EndpointRow::VT_SLOTS, slots, 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(EndpointRow::VT_ERA, era, 0);
+  }
   explicit EndpointRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2288,8 +2328,10 @@
     bool leaving = false,
     bool removed = false,
     flatbuffers::Offset<flatbuffers::String> version = 0,
-    uint32_t slots = 0) {
+    uint32_t slots = 0,
+    uint64_t era = 0) {
   EndpointRowBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_epoch(epoch);
   builder_.add_domain(domain);
@@ -2320,7 +2362,8 @@
     bool leaving = false,
     bool removed = false,
     const char *version = nullptr,
-    uint32_t slots = 0) {
+    uint32_t slots = 0,
+    uint64_t era = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto domain_name__ = domain_name ? _fbb.CreateString(domain_name) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -2339,7 +2382,8 @@
       leaving,
       removed,
       version__,
-      slots);
+      slots,
+      era);
 }
 
 struct EndpointUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2349,7 +2393,9 @@
     VT_THROUGH = 6,
     VT_PART = 8,
     VT_PARTS = 10,
-    VT_ROWS = 12
+    VT_ROWS = 12,
+    VT_SINCE_ERA = 14,
+    VT_THROUGH_ERA = 16
   };
   uint64_t since() const {
     return GetField<uint64_t>(VT_SINCE, 0);
@@ -2366,6 +2412,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::EndpointRow>> *rows() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::EndpointRow>> *>(VT_ROWS);
   }
+  uint64_t since_era() const {
+    return GetField<uint64_t>(VT_SINCE_ERA, 0);
+  }
+  uint64_t through_era() const {
+    return GetField<uint64_t>(VT_THROUGH_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SINCE, 8) &&
@@ -2375,6 +2427,8 @@
            VerifyOffset(verifier, VT_ROWS) &&
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
+           VerifyField<uint64_t>(verifier, VT_SINCE_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_THROUGH_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -2398,6 +2452,12 @@
   void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::EndpointRow>>> rows) {
     fbb_.AddOffset(EndpointUpdate::VT_ROWS, rows);
   }
+  void add_since_era(uint64_t since_era) {
+    fbb_.AddElement<uint64_t>(EndpointUpdate::VT_SINCE_ERA, since_era, 0);
+  }
+  void add_through_era(uint64_t through_era) {
+    fbb_.AddElement<uint64_t>(EndpointUpdate::VT_THROUGH_ERA, through_era, 0);
+  }
   explicit EndpointUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2415,8 +2475,12 @@
     uint64_t through = 0,
     uint16_t part = 0,
     uint16_t parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::EndpointRow>>> rows = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangovane::wire::EndpointRow>>> rows = 0,
+    uint64_t since_era = 0,
+    uint64_t through_era = 0) {
   EndpointUpdateBuilder builder_(_fbb);
+  builder_.add_through_era(through_era);
+  builder_.add_since_era(since_era);
   builder_.add_through(through);
   builder_.add_since(since);
   builder_.add_rows(rows);
@@ -2431,7 +2495,9 @@
     uint64_t through = 0,
     uint16_t part = 0,
     uint16_t parts = 0,
-    const std::vector<flatbuffers::Offset<mangovane::wire::EndpointRow>> *rows = nullptr) {
+    const std::vector<flatbuffers::Offset<mangovane::wire::EndpointRow>> *rows = nullptr,
+    uint64_t since_era = 0,
+    uint64_t through_era = 0) {
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<mangovane::wire::EndpointRow>>(*rows) : 0;
   return mangovane::wire::CreateEndpointUpdate(
       _fbb,
@@ -2439,7 +2505,9 @@
       through,
       part,
       parts,
-      rows__);
+      rows__,
+      since_era,
+      through_era);
 }
 
 struct QuarantineUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/standin/fleet_store.cpp
+++ b/src/standin/fleet_store.cpp
@@ -57,13 +57,44 @@
 void fleet_store::put(const std::string& table, const std::string& key, const std::string& value)
 {
     const std::lock_guard lock{mutex_};
-    tables_[table][key] = row{value, ++revision_, false};
+    contents_.tables[table][key] = stored_row{value, ++contents_.revision, false};
 }
 
 void fleet_store::remove(const std::string& table, const std::string& key)
 {
     const std::lock_guard lock{mutex_};
-    tables_[table][key] = row{{}, ++revision_, true};
+    contents_.tables[table][key] = stored_row{{}, ++contents_.revision, true};
+}
+
+store_copy fleet_store::copy() const
+{
+    const std::lock_guard lock{mutex_};
+    return contents_;
+}
+
+void fleet_store::come_back_from(const store_copy& older)
+{
+    const std::lock_guard lock{mutex_};
+    contents_ = older;
+    ++era_;
+}
+
+bool fleet_store::lacks(std::uint64_t revision) const
+{
+    const std::lock_guard lock{mutex_};
+    return revision > contents_.revision;
+}
+
+asio::awaitable<void> fleet_store::answer(reply& rep, unsigned status, std::string body) const
+{
+    {
+        const std::lock_guard lock{mutex_};
+        if (era_ != 0)
+        {
+            rep.add_field("Store-Era", std::to_string(era_));
+        }
+    }
+    co_await rep.send(status, std::move(body));
 }
 
 void fleet_store::set_faults(store_faults faults)
@@ -82,7 +113,7 @@
 {
     const std::lock_guard lock{mutex_};
     std::map<std::uint64_t, json::object> ordered;
-    if (const auto it = tables_.find(table); it != tables_.end())
+    if (const auto it = contents_.tables.find(table); it != contents_.tables.end())
     {
         for (const auto& [key, value] : it->second)
         {
@@ -107,8 +138,10 @@
     {
         rows.push_back(std::move(entry));
     }
-    return json::serialize(json::object{
-        {"rows", std::move(rows)}, {"more_pages", false}, {"ver", revision_}, {"now_ms", 1}});
+    return json::serialize(json::object{{"rows", std::move(rows)},
+                                        {"more_pages", false},
+                                        {"ver", contents_.revision},
+                                        {"now_ms", 1}});
 }
 
 std::string fleet_store::list(const std::string& table) const
@@ -119,8 +152,8 @@
 bool fleet_store::has_changes(const std::string& table, std::uint64_t since) const
 {
     const std::lock_guard lock{mutex_};
-    const auto it = tables_.find(table);
-    return it != tables_.end() &&
+    const auto it = contents_.tables.find(table);
+    return it != contents_.tables.end() &&
            std::any_of(it->second.begin(), it->second.end(),
                        [&](const auto& entry) { return entry.second.revision > since; });
 }
@@ -131,11 +164,16 @@
     const auto since = number(parameter(req, "since_rev"));
     const auto until = std::chrono::steady_clock::now() +
                        std::chrono::milliseconds{number(parameter(req, "wait_ms"))};
-    while (!has_changes(table, since) && std::chrono::steady_clock::now() < until)
+    while (!lacks(since) && !has_changes(table, since) && std::chrono::steady_clock::now() < until)
     {
         co_await rep.pause(poll_period);
     }
-    co_await rep.send(200, changes(table, since));
+    if (lacks(since))
+    {
+        co_await answer(rep, 410, "{}");
+        co_return;
+    }
+    co_await answer(rep, 200, changes(table, since));
 }
 
 unsigned fleet_store::write(const std::string& body)
@@ -151,7 +189,7 @@
     for (const auto& it : obj.at("expected_rev").as_array())
     {
         const auto& row = it.as_object();
-        auto& table = tables_[row.at("table").as_string().c_str()];
+        auto& table = contents_.tables[row.at("table").as_string().c_str()];
         const auto found = table.find(row.at("key").as_string().c_str());
         const auto revision =
             found == table.end() || found->second.removed ? 0 : found->second.revision;
@@ -165,14 +203,16 @@
         const auto& entry = it.as_object();
         std::string bytes;
         absl::Base64Unescape(entry.at("value").as_string().c_str(), &bytes);
-        tables_[entry.at("table").as_string().c_str()][entry.at("key").as_string().c_str()] =
-            row{bytes, ++revision_, false};
+        contents_
+            .tables[entry.at("table").as_string().c_str()][entry.at("key").as_string().c_str()] =
+            stored_row{bytes, ++contents_.revision, false};
     }
     for (const auto& it : obj.at("remove").as_array())
     {
         const auto& entry = it.as_object();
-        tables_[entry.at("table").as_string().c_str()][entry.at("key").as_string().c_str()] =
-            row{{}, ++revision_, true};
+        contents_
+            .tables[entry.at("table").as_string().c_str()][entry.at("key").as_string().c_str()] =
+            stored_row{{}, ++contents_.revision, true};
     }
     return 200;
 }
@@ -182,7 +222,7 @@
     const std::string_view target{req.target().data(), req.target().size()};
     if (target.starts_with("/rows-get"))
     {
-        co_await rep.send(200, list(parameter(req, "table")));
+        co_await answer(rep, 200, list(parameter(req, "table")));
     }
     else if (target.starts_with("/rows-feed"))
     {
@@ -191,11 +231,11 @@
     else if (target.starts_with("/rows-tx"))
     {
         const auto status = write(req.body());
-        co_await rep.send(status, "{\"ver\":1,\"now_ms\":1}");
+        co_await answer(rep, status, "{\"ver\":1,\"now_ms\":1}");
     }
     else
     {
-        co_await rep.send(404, "{}");
+        co_await answer(rep, 404, "{}");
     }
 }
 
@@ -230,11 +270,11 @@
     }
     if (faults.down)
     {
-        co_await rep.send(503, "{}");
+        co_await answer(rep, 503, "{}");
     }
     else if (faults.no_history && target.starts_with("/rows-feed"))
     {
-        co_await rep.send(410, "{}");
+        co_await answer(rep, 410, "{}");
     }
     else if (faults.lose_answers && target.starts_with("/rows-tx"))
     {
--- a/src/standin/fleet_store.hpp
+++ b/src/standin/fleet_store.hpp
@@ -25,6 +25,24 @@
     auto operator<=>(const store_faults&) const = default;
 };
 
+struct stored_row
+{
+    std::string value;
+    std::uint64_t revision{0};
+    bool removed{false};
+
+    auto operator<=>(const stored_row&) const = default;
+};
+
+/// Contents of the store at one revision.
+struct store_copy
+{
+    std::map<std::string, std::map<std::string, stored_row>> tables;
+    std::uint64_t revision{1};
+
+    auto operator<=>(const store_copy&) const = default;
+};
+
 class fleet_store
 {
 public:
@@ -34,29 +52,31 @@
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
 
+    /// Keeps a copy of all tables, as the store's backup does.
+    [[nodiscard]] store_copy copy() const;
+
+    /// Comes back from a copy: later writes are lost, their revisions are given out again, and the
+    /// era, which all responses state, rises by one. Before the first return responses have no era.
+    void come_back_from(const store_copy& older);
+
     void set_faults(store_faults faults);
     [[nodiscard]] std::uint64_t calls() const;
 
 private:
-    struct row
-    {
-        std::string value;
-        std::uint64_t revision{0};
-        bool removed{false};
-    };
-
     [[nodiscard]] std::string list(const std::string& table) const;
     [[nodiscard]] std::string changes(const std::string& table, std::uint64_t since) const;
     [[nodiscard]] bool has_changes(const std::string& table, std::uint64_t since) const;
     boost::asio::awaitable<void> feed(const request& req, reply& rep);
     [[nodiscard]] unsigned write(const std::string& body);
     boost::asio::awaitable<void> respond(const request& req, reply& rep);
+    boost::asio::awaitable<void> answer(reply& rep, unsigned status, std::string body) const;
+    [[nodiscard]] bool lacks(std::uint64_t revision) const;
 
     mutable std::mutex mutex_;
-    std::map<std::string, std::map<std::string, row>> tables_; ///< Guarded by `mutex_`.
-    std::uint64_t revision_{1};                                ///< Guarded by `mutex_`.
-    store_faults faults_;                                      ///< Guarded by `mutex_`.
-    std::uint64_t calls_{0};                                   ///< Guarded by `mutex_`.
+    store_copy contents_;    ///< Guarded by `mutex_`.
+    std::uint64_t era_{0};   ///< Number of returns from a copy. Guarded by `mutex_`.
+    store_faults faults_;    ///< Guarded by `mutex_`.
+    std::uint64_t calls_{0}; ///< Guarded by `mutex_`.
 };
 
 } // namespace mangovane::standin
--- a/test/mangovane/membership/endpoint_catalog.cpp
+++ b/test/mangovane/membership/endpoint_catalog.cpp
@@ -310,3 +310,111 @@
         }
     }
 }
+
+namespace
+{
+
+endpoint_change
+entry_at(const std::string& name, store_revision revision, incarnation epoch, bool leaving = false)
+{
+    auto result = make_entry(name, test::model_service, "ikeja-a", revision.number);
+    result.revision = revision;
+    result.info->epoch = epoch;
+    result.info->leaving = leaving;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("an endpoint catalog whose registry comes back from an older copy")
+{
+    // Numbers alone made the catalog ignore the registry until it had passed the number from
+    // before.
+    endpoint_catalog catalog;
+    list_reader view{catalog};
+    const auto find = [&](const std::string& name)
+    {
+        (void)view.count(start + milliseconds{1});
+        return view.list->find(endpoint_id::of(name));
+    };
+    catalog.on_contact(start);
+    catalog.replace({entry_at("one", 40, 7), entry_at("two", 41, 7)}, 50, start);
+    catalog.apply({removal("gone", 45)}, 51, start);
+    catalog.apply({entry_at("left", 46, 7)}, 51, start);
+    catalog.apply({removal("left", 48)}, 51, start);
+    REQUIRE(view.count(start) == 2);
+
+    SUBCASE("takes an endpoint that moved since, by its later start")
+    {
+        catalog.replace({entry_at("one", {1, 17}, 8), entry_at("two", {1, 10}, 7)}, {1, 17}, start);
+        CHECK(catalog.revision() == store_revision{1, 17});
+        CHECK(find("one")->epoch == 8);
+        CHECK(find("one")->address == "10.0.0.1:1017");
+
+        SUBCASE("and ignores what was read in the era before and arrives late")
+        {
+            catalog.replace({entry_at("one", 60, 9)}, 60, start);
+            catalog.apply({entry_at("new", 61, 9)}, 61, start);
+            CHECK(find("one")->epoch == 8);
+            CHECK(find("new") == nullptr);
+        }
+    }
+    SUBCASE("keeps an entry that is newer than its row, until it is written again")
+    {
+        catalog.replace({entry_at("one", {1, 9}, 6), entry_at("two", {1, 10}, 7)}, {1, 16}, start);
+        CHECK(find("one")->epoch == 7);
+        catalog.apply({entry_at("one", {1, 17}, 7, true)}, {1, 17}, start);
+        CHECK(find("one")->leaving);
+
+        SUBCASE("and an endpoint that shuts down is not ready again")
+        {
+            catalog.replace({entry_at("one", {2, 9}, 7), entry_at("two", {2, 10}, 7)}, {2, 16},
+                            start);
+            CHECK(find("one")->leaving);
+        }
+    }
+    SUBCASE("keeps an entry without a row for the grace period, then drops it")
+    {
+        catalog.replace({entry_at("two", {1, 10}, 7)}, {1, 16}, start);
+        CHECK(view.count(start + endpoint_catalog::recovery_grace - milliseconds{1}) == 2);
+        CHECK(view.count(start + endpoint_catalog::recovery_grace) == 1);
+        const auto change = catalog.take_era_change();
+        CHECK(change == era_change{51, {1, 16}, 1, 0, 1});
+        CHECK_FALSE(catalog.take_era_change());
+    }
+    SUBCASE("does not list a removed endpoint again because the copy still has it")
+    {
+        catalog.replace(
+            {entry_at("one", {1, 9}, 7), entry_at("two", {1, 10}, 7), entry_at("left", {1, 12}, 7)},
+            {1, 16}, start);
+        CHECK(find("left") == nullptr);
+        catalog.apply({entry_at("left", {1, 17}, 7)}, {1, 17}, start);
+        CHECK(find("left") != nullptr);
+    }
+    SUBCASE("replicates what it holds to an instance that is in the era before")
+    {
+        endpoint_catalog other;
+        list_reader others{other};
+        other.replace({entry_at("one", 40, 7), entry_at("two", 41, 7)}, 50, start);
+        catalog.replace({entry_at("one", {1, 17}, 8)}, {1, 17}, start);
+        for (const auto& it : catalog.updates_since(other.revision(), start))
+        {
+            CHECK(other.on_update(it, start));
+        }
+        CHECK(other.revision() == store_revision{1, 17});
+        CHECK(others.count(start) == 2);
+        CHECK(others.list->find(endpoint_id::of("one"))->epoch == 8);
+        CHECK(others.count(start + endpoint_catalog::recovery_grace) == 1);
+
+        SUBCASE("and an instance of the era before does not overrule it")
+        {
+            endpoint_catalog late;
+            late.replace({entry_at("one", 60, 9)}, 60, start);
+            for (const auto& it : late.updates_since({}, start))
+            {
+                CHECK(other.on_update(it, start));
+            }
+            CHECK(others.list->find(endpoint_id::of("one"))->epoch == 8);
+        }
+    }
+}
--- a/test/mangovane/settings/watcher.cpp
+++ b/test/mangovane/settings/watcher.cpp
@@ -42,7 +42,7 @@
 
     [[nodiscard]] std::uint64_t version() const
     {
-        return registry.current() ? registry.current()->stamp.version : 0;
+        return registry.current() ? registry.current()->stamp.version.number : 0;
     }
 
     [[nodiscard]] time_point now() const { return time_point{since_epoch}; }
--- a/test/mangovane/store/table_watch.cpp
+++ b/test/mangovane/store/table_watch.cpp
@@ -2,6 +2,7 @@
 // and requests would go on reaching an endpoint that has left.
 #include "mangovane/store/table_watch.hpp"
 
+#include <algorithm>
 #include <map>
 
 #include <doctest/doctest.h>
@@ -69,7 +70,7 @@
 class table_copy final : public table_sink
 {
 public:
-    void on_snapshot(const std::vector<store_row>& list, std::uint64_t revision) override
+    void on_snapshot(const std::vector<store_row>& list, store_revision revision) override
     {
         keys.clear();
         for (const auto& it : list)
@@ -77,8 +78,9 @@
             keys.insert({it.key, it.revision});
         }
         snapshot_revision = revision;
+        ++snapshots;
     }
-    void on_changes(const std::vector<store_row>& list, std::uint64_t) override
+    void on_changes(const std::vector<store_row>& list, store_revision) override
     {
         for (const auto& it : list)
         {
@@ -88,10 +90,12 @@
     }
     void on_response() override {}
     void on_failure(const absl::Status&) override {}
-    std::uint64_t resume_revision() override { return 0; }
+    store_revision resume_revision() override { return resume_at; }
 
-    std::map<std::string, std::uint64_t> keys;
-    std::uint64_t snapshot_revision{0};
+    std::map<std::string, store_revision> keys;
+    store_revision snapshot_revision;
+    store_revision resume_at;
+    std::size_t snapshots{0};
     bool changed{false};
 };
 
@@ -121,7 +125,112 @@
             io.run_for(milliseconds{10});
         }
         CHECK(copy.snapshot_revision == 4);
-        CHECK(copy.keys == std::map<std::string, std::uint64_t>{{"b", 2}, {"c", 3}, {"d", 4}});
+        CHECK(copy.keys == std::map<std::string, store_revision>{{"b", 2}, {"c", 3}, {"d", 4}});
     }
     watch->stop();
 }
+
+namespace
+{
+
+/// A store that answers with a list of given eras and revisions, one after another; the last one
+/// is repeated.
+class scripted_store final : public table_reader
+{
+public:
+    void list(const std::string&, const std::string&, time_point, rows_handler done) override
+    {
+        ++lists;
+        done(next({}));
+    }
+    void changes(const std::string&,
+                 std::uint64_t since,
+                 milliseconds,
+                 time_point,
+                 rows_handler done) override
+    {
+        last_since = since;
+        done(gone ? absl::StatusOr<store_rows>{absl::OutOfRangeError("410")} : next(since));
+        gone = false;
+    }
+
+    std::vector<store_revision> answers;
+    std::size_t lists{0};
+    std::uint64_t last_since{0};
+    bool gone{false}; ///< The next read of changes gets 410.
+
+private:
+    store_rows next(std::uint64_t since)
+    {
+        const auto at = answers[std::min(answered_++, answers.size() - 1)];
+        store_rows result;
+        result.revision = at;
+        if (at.number > since)
+        {
+            result.rows = {{"a", "", at, false}};
+        }
+        return result;
+    }
+
+    std::size_t answered_{0};
+};
+
+} // namespace
+
+TEST_CASE("a table whose store comes back from an older copy")
+{
+    // Rows after a number of the era before are only a part of what changed: the copy lacks some of
+    // the rows that were read, and others have their former values.
+    boost::asio::io_context io;
+    scripted_store store;
+    table_copy copy;
+    const auto watch = std::make_shared<table_watch>(io, store, "servers", milliseconds{10}, copy);
+    const auto run = [&]
+    {
+        watch->start();
+        io.run_for(milliseconds{2500});
+        watch->stop();
+        io.restart();
+        io.run_for(milliseconds{50});
+    };
+
+    SUBCASE("is read as a whole again, also if the store has passed the number that was read")
+    {
+        store.answers = {{0, 16}, {1, 40}};
+        run();
+        CHECK(store.lists == 2);
+        CHECK(copy.snapshot_revision == store_revision{1, 40});
+        CHECK_FALSE(copy.changed);
+    }
+    SUBCASE("is read as a whole again after 410")
+    {
+        store.answers = {{0, 51}, {1, 16}};
+        store.gone = true;
+        run();
+        CHECK(copy.snapshot_revision == store_revision{1, 16});
+    }
+    SUBCASE("does not return to the era before by a response that is late")
+    {
+        store.answers = {{1, 16}, {0, 51}, {0, 52}, {1, 17}};
+        run();
+        CHECK(copy.snapshots == 1);
+        CHECK(copy.snapshot_revision == store_revision{1, 16});
+        CHECK(copy.changed);
+        CHECK(store.last_since == 17);
+    }
+    SUBCASE("is read again when a second era follows at once")
+    {
+        store.answers = {{0, 51}, {1, 16}, {2, 9}, {2, 9}};
+        run();
+        CHECK(copy.snapshot_revision == store_revision{2, 9});
+    }
+    SUBCASE("is not taken from a store of an earlier era than other instances have read")
+    {
+        copy.resume_at = {2, 9};
+        store.answers = {{1, 30}, {1, 31}, {2, 9}};
+        run();
+        CHECK(copy.snapshots == 0);
+        CHECK_FALSE(copy.changed);
+        CHECK(store.last_since == 9);
+    }
+}
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -22,23 +22,23 @@
 class recording_table final : public table_sink
 {
 public:
-    void on_snapshot(const std::vector<store_row>& list, std::uint64_t revision) override
+    void on_snapshot(const std::vector<store_row>& list, store_revision revision) override
     {
         const std::lock_guard lock{mutex_};
         rows_.clear();
         apply_rows(list);
-        known = revision;
+        known = revision.number;
         ++tables;
     }
-    void on_changes(const std::vector<store_row>& list, std::uint64_t revision) override
+    void on_changes(const std::vector<store_row>& list, store_revision revision) override
     {
         const std::lock_guard lock{mutex_};
         apply_rows(list);
-        known = revision;
+        known = revision.number;
     }
     void on_response() override { ++responses; }
     void on_failure(const absl::Status&) override { ++failures; }
-    std::uint64_t resume_revision() override { return known; }
+    store_revision resume_revision() override { return known.load(); }
 
     [[nodiscard]] std::string value(const std::string& key)
     {
--- a/test/platform/store_source.cpp
+++ b/test/platform/store_source.cpp
@@ -181,3 +181,125 @@
         CHECK(core.settings()->stamp.version == evacuation_revision);
     }
 }
+
+namespace
+{
+
+/// An operator sink with its instance, and the rows that the operators write.
+struct operator_fixture
+{
+    operator_fixture() = default;
+
+    std::uint64_t content() { return core.settings()->stamp.content; }
+    std::size_t domains_out() { return core.settings()->domains_out.size(); }
+
+    test::recording_sink sink;
+    forward_core core{test::make_options("127.0.0.1", "ikeja-a"), sink, &decode_settings,
+                      test::start};
+    no_output output;
+    event_log log{output, log_limits{}, clock::now()};
+    discovery_sink discovery{core, log};
+    operator_sink operators{discovery};
+};
+
+store_row config_row(std::uint64_t version, store_revision revision)
+{
+    return {"config", test::configuration_text({.version = version}), revision, false};
+}
+
+store_row evacuation_row(store_revision revision, bool removed = false)
+{
+    return {"evacuate/ikeja-a", "{}", revision, removed};
+}
+
+} // namespace
+
+TEST_CASE("operators' rows in a store that comes back from an older copy")
+{
+    // A change after the return was ignored until the store had passed its revision from before.
+    operator_fixture it;
+    it.operators.on_snapshot({config_row(1, 2)}, 10);
+    it.operators.on_changes({config_row(2, 11)}, 11);
+    it.operators.on_changes({evacuation_row(12)}, 12);
+    REQUIRE(it.content() == 2);
+    REQUIRE(it.domains_out() == 1);
+
+    SUBCASE("what is in force holds, and the next change takes effect")
+    {
+        const auto before = it.core.settings();
+        it.operators.on_snapshot({config_row(1, {1, 2})}, {1, 5});
+        CHECK(it.core.settings() == before);
+        it.operators.on_changes({config_row(3, {1, 6})}, {1, 6});
+        CHECK(it.content() == 3);
+        CHECK(it.domains_out() == 1);
+        CHECK(it.core.settings()->stamp.version == store_revision{1, 6});
+
+        SUBCASE("until the operators write the evacuation again and remove it")
+        {
+            it.operators.on_changes({evacuation_row({1, 7})}, {1, 7});
+            it.operators.on_changes({evacuation_row({1, 8}, true)}, {1, 8});
+            CHECK(it.domains_out() == 0);
+        }
+        SUBCASE("also when the table is read as a whole once more")
+        {
+            it.operators.on_snapshot({config_row(3, {1, 6})}, {1, 9});
+            CHECK(it.domains_out() == 1);
+        }
+    }
+    SUBCASE("equal content under another revision changes nothing")
+    {
+        const auto before = it.core.settings();
+        it.operators.on_snapshot({config_row(1, {1, 2})}, {1, 5});
+        it.operators.on_changes({config_row(2, {1, 6}), evacuation_row({1, 7})}, {1, 7});
+        CHECK(it.core.settings() == before);
+    }
+    SUBCASE("an evacuation that was removed is not ordered again by the copy")
+    {
+        it.operators.on_changes({evacuation_row(13, true)}, 13);
+        it.operators.on_snapshot({config_row(2, {1, 11}), evacuation_row({1, 12})}, {1, 12});
+        CHECK(it.domains_out() == 0);
+        it.operators.on_changes({evacuation_row({1, 14})}, {1, 14});
+        CHECK(it.domains_out() == 1);
+    }
+    SUBCASE("an instance that starts with the copy takes over what others have in force")
+    {
+        operator_fixture fresh;
+        fresh.operators.on_snapshot({config_row(1, {1, 2})}, {1, 5});
+        CHECK(fresh.content() == 1);
+        CHECK(it.core.adopt_settings(fresh.core.settings(), clock::now()) ==
+              adopt_result::not_newer);
+        CHECK(fresh.core.adopt_settings(it.core.settings(), clock::now()) == adopt_result::adopted);
+        fresh.operators.on_response();
+        fresh.operators.on_changes({config_row(3, {1, 6})}, {1, 6});
+        CHECK(fresh.content() == 3);
+        CHECK(fresh.domains_out() == 1);
+    }
+    SUBCASE("two eras that follow each other at once")
+    {
+        it.operators.on_snapshot({config_row(1, {1, 2})}, {1, 5});
+        it.operators.on_snapshot({config_row(1, {2, 2})}, {2, 3});
+        CHECK(it.content() == 2);
+        it.operators.on_changes({config_row(3, {2, 4})}, {2, 4});
+        CHECK(it.content() == 3);
+    }
+}
+
+TEST_CASE("forty changes of the configuration, followed by copies of many ages")
+{
+    constexpr std::uint64_t last = 41;
+    for (std::uint64_t age = 0; age != last; ++age)
+    {
+        CAPTURE(age);
+        operator_fixture it;
+        it.operators.on_snapshot({config_row(1, 2)}, 2);
+        for (std::uint64_t version = 2; version <= last; ++version)
+        {
+            it.operators.on_changes({config_row(version, version + 1)}, version + 1);
+        }
+        const auto copied = last - age;
+        it.operators.on_snapshot({config_row(copied, {1, copied + 1})}, {1, copied + 1});
+        CHECK(it.content() == last);
+        it.operators.on_changes({config_row(last + 1, {1, copied + 2})}, {1, copied + 2});
+        CHECK(it.content() == last + 1);
+    }
+}
--- a/test/stateful/fleet.cpp
+++ b/test/stateful/fleet.cpp
@@ -150,7 +150,7 @@
 
 void fleet::publish_settings()
 {
-    const auto version = current_settings_ ? current_settings_->stamp.version + 1 : 1;
+    const auto version = current_settings_ ? current_settings_->stamp.version.number + 1 : 1;
     auto parsed = parse_settings(settings_text(), version);
     if (!parsed.ok())
     {
--- a/test/stateful/fleet_oracle.cpp
+++ b/test/stateful/fleet_oracle.cpp
@@ -262,7 +262,7 @@
             continue;
         }
         const auto current = it->core->settings().current();
-        const auto version = current ? current->stamp.version : 0;
+        const auto version = current ? current->stamp.version.number : 0;
         if (version < it->settings_version)
         {
             record_violation(absl::StrCat(it->name, " returned to settings version ", version));
