--- a/src/mangovane/daemon/directory_log.cpp
+++ b/src/mangovane/daemon/directory_log.cpp
@@ -55,7 +55,7 @@
 
 std::vector<std::string> directory_changes(const endpoint_directory& before,
                                            const endpoint_directory& after,
-                                           std::uint64_t revision,
+                                           store_revision revision,
                                            time_point now)
 {
     const auto found = compare(before, after);
@@ -63,14 +63,16 @@
     {
         return {absl::StrCat("event=endpoints_replaced listed=", found.listed.size(),
                              " changed=", found.changed.size(), " gone=", found.gone.size(),
-                             " endpoints=", after.all().size(), " revision=", revision)};
+                             " endpoints=", after.all().size(),
+                             " revision=", to_log_text(revision))};
     }
     std::vector<std::string> result;
     const auto add = [&](const char* event, const std::vector<const endpoint_info*>& entries)
     {
         for (const auto* it : entries)
         {
-            result.push_back(absl::StrCat(event, describe(*it, now), " revision=", revision));
+            result.push_back(
+                absl::StrCat(event, describe(*it, now), " revision=", to_log_text(revision)));
         }
     };
     add("event=endpoint_listed ", found.listed);
--- a/src/mangovane/daemon/directory_log.hpp
+++ b/src/mangovane/daemon/directory_log.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "mangovane/core/store_revision.hpp"
 #include "mangovane/core/time.hpp"
 #include "mangovane/membership/endpoint.hpp"
 
@@ -19,7 +20,7 @@
 /// Lines of the differences between two lists, the second at a revision of the registry.
 [[nodiscard]] std::vector<std::string> directory_changes(const endpoint_directory& before,
                                                          const endpoint_directory& after,
-                                                         std::uint64_t revision,
+                                                         store_revision revision,
                                                          time_point now);
 
 } // namespace mangovane
--- a/src/mangovane/rollout/rollout.cpp
+++ b/src/mangovane/rollout/rollout.cpp
@@ -77,7 +77,7 @@
 std::optional<rollout_event>
 rollout::on_report(instance_id from, const rollout_report& report, time_point now)
 {
-    if (report.order != order_.revision || report.version != order_.version)
+    if (!is_same_write(report.order, order_.revision) || report.version != order_.version)
     {
         return std::nullopt;
     }
--- a/src/mangovane/rollout/rollout_registry.cpp
+++ b/src/mangovane/rollout/rollout_registry.cpp
@@ -44,7 +44,8 @@
 
 void rollout_registry::set_order(service_entry& entry, const rollout_order& order, time_point now)
 {
-    if (entry.current && entry.current->state.order().revision >= order.revision)
+    if (entry.current && (entry.current->state.order().revision >= order.revision ||
+                          is_same_order(entry.current->state.order(), order)))
     {
         return;
     }
@@ -221,7 +222,8 @@
     services_.find(report.service,
                    [&](service_entry& it)
                    {
-                       if (!it.current || it.current->state.order().revision != report.order)
+                       if (!it.current ||
+                           !is_same_write(it.current->state.order().revision, report.order))
                        {
                            return;
                        }
--- a/src/mangovane/settings/rollout_order.hpp
+++ b/src/mangovane/settings/rollout_order.hpp
@@ -22,6 +22,21 @@
     auto operator<=>(const rollout_order&) const = default;
 };
 
+/// Whether two revisions can be of one order: a store that comes back older gives the order another
+/// revision in the next era, and the operators write it again.
+[[nodiscard]] inline bool is_same_write(const store_revision& lhs,
+                                        const store_revision& rhs) noexcept
+{
+    return lhs == rhs || lhs.era != rhs.era;
+}
+
+/// Whether both are the same order.
+[[nodiscard]] inline bool is_same_order(const rollout_order& lhs, const rollout_order& rhs)
+{
+    return lhs.service == rhs.service && lhs.version == rhs.version &&
+           lhs.duration == rhs.duration && is_same_write(lhs.revision, rhs.revision);
+}
+
 } // namespace mangovane
 
 #endif
