--- a/test/platform/store_text.cpp
+++ b/test/platform/store_text.cpp
@@ -57,7 +57,8 @@
                         params.cold_time.count(), R"(,"warmup_per_s":)", params.cold_rate,
                         R"(,"engine":{}},
  {"name":"ventanilla","warmup_s":0.0,"warmup_per_s":0.0}],
-"limits":{"max_header_bytes":4096,"max_body_bytes":20000,"header_timeout_ms":)",
+"limits":{"max_header_bytes":)",
+                        params.header_bytes, R"(,"max_body_bytes":20000,"header_timeout_ms":)",
                         params.header_timeout.count(), R"(,"idle_timeout_ms":5000},
 "tenants":[{"name":"desk","api_keys":["key-1"]}]})");
 }
--- a/test/platform/store_text.hpp
+++ b/test/platform/store_text.hpp
@@ -21,6 +21,7 @@
     milliseconds stream_timeout{3000}; ///< Of `review` and `rights`.
     milliseconds call_timeout{800};    ///< Of `grant` and `status`.
     milliseconds header_timeout{1000}; ///< Until a request has been read whole.
+    std::uint32_t header_bytes{4096};  ///< Largest head of a request.
     /// If not 0, there are two more routes with this timeout: `ledger` for bodies and `minutes` for
     /// streams, both for requests that must run at most once.
     milliseconds long_timeout{0};
--- a/test/process/child_process.cpp
+++ b/test/process/child_process.cpp
@@ -10,8 +10,11 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
+#include <system_error>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
@@ -130,6 +133,13 @@
     return 0;
 }
 
+std::size_t child_process::open_descriptors() const
+{
+    std::error_code ec;
+    const std::filesystem::directory_iterator entries{"/proc/" + std::to_string(pid_) + "/fd", ec};
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 std::optional<int> child_process::wait(milliseconds timeout)
 {
     const auto has_ended = [this]
--- a/test/process/child_process.hpp
+++ b/test/process/child_process.hpp
@@ -37,6 +37,9 @@
     /// Largest resident size since the start of the process, in KB; 0 if it has ended.
     [[nodiscard]] std::size_t peak_memory_kb() const;
 
+    /// Number of descriptors that the process has open; 0 if it has ended.
+    [[nodiscard]] std::size_t open_descriptors() const;
+
     /// Exit code of the child; empty if it still runs after `timeout`.
     std::optional<int> wait(milliseconds timeout);
 
