Hold requests as text within a budget of bytes, and enforce the header limit

Cause: Beast parses the lines of a head as they arrive, with an allocation for each field, and does not count parsed bytes against the header limit. Parsed fields were kept while the request was at its endpoint.

A whole head is read before it is parsed, within max_header_bytes (431), and parsed without a suspension. The front end for routes then holds it as compact text, frees the read buffer and frees the copy for the endpoint once written. Read buffers, heads and bodies are charged to a budget (--request-memory-mb, 32); beyond it a request is answered with 503 overloaded (not run) and its connection closed. Trailers are read and dropped. upstream_call keeps the error of its write; nothing uses it yet.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -98,8 +98,15 @@
                 [this](instance_id from, const message& msg)
                 { core.on_message(from, msg, clock::now()); }},
           core{core_options, peers, adapter.parser, clock::now()}, discovery{core, log},
-          services{core, adapter.dialect, log, metrics, {}}, server{io, services},
-          ready_pages{io, [this](const monitoring_request&) { return ready_page(); }},
+          services{core,
+                   adapter.dialect,
+                   log,
+                   metrics,
+                   {},
+                   byte_budget{max_held_response_bytes},
+                   byte_budget{options.request_memory_mb * std::size_t{1024} * 1024}},
+          server{io, services}, ready_pages{io, [this](const monitoring_request&)
+                                            { return ready_page(); }},
           metric_pages{io, [this](const monitoring_request& req) { return operator_page(req); }},
           source{adapter.make_source(io, discovery, options)}, stop_signals{io, SIGTERM, SIGINT},
           reload_signals{io, SIGHUP}, ticker{asio::make_strand(io)}, stop_timer{io}
--- a/src/mangovane/daemon/forward_router_options.cpp
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -52,6 +52,8 @@
     add("store", po::value(&out.store), "ip:port of the platform's store");
     add("seeds", po::value(&raw.seeds), "ip:port of some instances, separated by commas");
     add("threads", po::value(&out.threads)->default_value(2), "threads, 1 to 64");
+    add("request-memory-mb", po::value(&out.request_memory_mb)->default_value(32),
+        "memory for all requests that are read or not answered yet, 1 to 65536");
     add("drain-delay-ms", po::value(&raw.drain_delay_ms)->default_value(2500),
         "from SIGTERM until connections are refused, 0 to 600000");
     add("grace-ms", po::value(&raw.grace_ms)->default_value(8000),
@@ -117,6 +119,7 @@
     }
     const std::array ranges{
         number_range{"threads", static_cast<double>(it.threads), 1, max_threads},
+        number_range{"request-memory-mb", static_cast<double>(it.request_memory_mb), 1, 65536},
         number_range{"drain-delay-ms", static_cast<double>(raw.drain_delay_ms), 0, max_stop_ms},
         number_range{"grace-ms", static_cast<double>(raw.grace_ms), 0, max_stop_ms},
         number_range{"load-factor", it.fleet.bound.factor, 1, 100},
--- a/src/mangovane/daemon/forward_router_options.hpp
+++ b/src/mangovane/daemon/forward_router_options.hpp
@@ -31,6 +31,7 @@
     std::uint32_t threads{2};
     milliseconds drain_delay{2500};  ///< From the stop signal until connections are refused.
     milliseconds grace_period{8000}; ///< From the stop signal until the process ends.
+    std::uint32_t request_memory_mb{32}; ///< For all requests that are read and held.
     fleet_policy fleet;
 
     bool operator==(const forward_router_options&) const = default;
--- a/src/mangovane/net/byte_budget.hpp
+++ b/src/mangovane/net/byte_budget.hpp
@@ -9,6 +9,11 @@
 namespace mangovane
 {
 
+/// Limit on the requests that a process reads and holds. The smallest machines have 112 MB, of
+/// which an idle process takes 12 MB, held responses 16 MB, and state about the fleet grows with
+/// its size.
+inline constexpr std::size_t default_request_budget = std::size_t{32} * 1024 * 1024;
+
 /// Thread-safe.
 class byte_budget
 {
@@ -69,6 +74,16 @@
         return taken;
     }
 
+    /// Gives back what exceeds `n` bytes.
+    void shrink_to(std::size_t n) noexcept
+    {
+        if (n < bytes_)
+        {
+            budget_->give_back(bytes_ - n);
+            bytes_ = n;
+        }
+    }
+
     [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
 
 private:
--- a/src/mangovane/net/caller_reader.cpp
+++ b/src/mangovane/net/caller_reader.cpp
@@ -1,6 +1,9 @@
 // Implementation of the reading side of a caller's connection.
 #include "mangovane/net/caller_reader.hpp"
 
+#include <algorithm>
+#include <cctype>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/error.hpp>
@@ -16,6 +19,19 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+namespace
+{
+
+/// Whether a request may begin with the byte: a method, or an empty line before it.
+bool may_begin_request(char it)
+{
+    const auto byte = static_cast<unsigned char>(it);
+    return std::isalnum(byte) != 0 || it == '\r' ||
+           std::string_view{"!#$%&'*+-.^_`|~"}.find(it) != std::string_view::npos;
+}
+
+} // namespace
+
 asio::awaitable<bool> caller_reader::await_first_byte(time_point idle_deadline, owner_ptr owner)
 {
     if (buffer_.size() != 0)
@@ -95,6 +111,49 @@
     socket_.cancel(ec);
 }
 
+asio::awaitable<boost::system::error_code> caller_reader::read_head_bytes(std::size_t limit)
+{
+    constexpr std::size_t read_bytes = 4096;
+    constexpr std::string_view end_of_head{"\r\n\r\n"};
+    std::size_t searched = 0;
+    while (true)
+    {
+        const auto data = buffer_.cdata();
+        const std::string_view text{static_cast<const char*>(data.data()), data.size()};
+        const auto end = text.find(end_of_head, searched);
+        if (end != std::string_view::npos || (!text.empty() && !may_begin_request(text.front())))
+        {
+            co_return end != std::string_view::npos&& end + end_of_head.size() > limit
+                ? http::make_error_code(http::error::header_limit)
+                : boost::system::error_code{};
+        }
+        if (text.size() >= limit)
+        {
+            co_return http::make_error_code(http::error::header_limit);
+        }
+        searched = text.size() - std::min(text.size(), end_of_head.size() - 1);
+        const auto room =
+            buffer_.try_prepare(std::min(read_bytes, buffer_.max_size() - text.size()));
+        if (!room)
+        {
+            co_return http::make_error_code(http::error::buffer_overflow);
+        }
+        boost::system::error_code ec;
+        const auto n =
+            co_await socket_.async_read_some(*room, asio::redirect_error(asio::use_awaitable, ec));
+        buffer_.commit(n);
+        if (ec == asio::error::eof)
+        {
+            co_return http::make_error_code(buffer_.size() == 0 ? http::error::end_of_stream
+                                                                : http::error::partial_message);
+        }
+        if (ec)
+        {
+            co_return ec;
+        }
+    }
+}
+
 std::optional<error_kind> kind_of_bad_input(const boost::system::error_code& ec)
 {
     if (ec == http::error::body_limit)
--- a/src/mangovane/net/caller_reader.hpp
+++ b/src/mangovane/net/caller_reader.hpp
@@ -8,9 +8,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include "mangovane/core/error_kind.hpp"
+#include "mangovane/net/charged_buffer.hpp"
 #include "mangovane/net/peek.hpp"
 #include "mangovane/net/session_end.hpp"
 #include "mangovane/net/socket_deadline.hpp"
@@ -26,13 +27,13 @@
 public:
     using owner_ptr = std::shared_ptr<void>;
 
-    /// The socket outlives the reader.
-    explicit caller_reader(boost::asio::ip::tcp::socket& socket)
-        : socket_{socket}, deadline_{socket.get_executor()}
+    /// The socket and the budget for requests outlive the reader.
+    caller_reader(boost::asio::ip::tcp::socket& socket, byte_budget& budget)
+        : socket_{socket}, deadline_{socket.get_executor()}, buffer_{budget}
     {}
 
     /// Bytes that were read ahead.
-    [[nodiscard]] boost::beast::flat_buffer& buffer() noexcept { return buffer_; }
+    [[nodiscard]] charged_buffer& buffer() noexcept { return buffer_; }
 
     /// Waits for the first byte of the next request. False if none arrived until the idle deadline,
     /// or for `first_request_wait` while the instance stops.
@@ -43,6 +44,26 @@
     void start_deadline(time_point at, const owner_ptr& owner);
     void stop_deadline();
 
+    /// Reads until the buffer holds the end of a head, or bytes that cannot begin one. The bytes
+    /// are not parsed before, because the parsed fields take up to 20 times as much memory. Errors:
+    /// `header_limit` for a head of more than `limit` bytes, `end_of_stream`, `partial_message`.
+    boost::asio::awaitable<boost::system::error_code> read_head_bytes(std::size_t limit);
+
+    /// Parses a head that `read_head_bytes` has read, without a suspension.
+    template <class Parser>
+    [[nodiscard]] boost::system::error_code parse_head(Parser& parser)
+    {
+        boost::system::error_code ec;
+        parser.eager(false);
+        while (!ec && !parser.is_header_done())
+        {
+            buffer_.consume(parser.put(buffer_.data(), ec));
+        }
+        return ec == boost::beast::http::error::need_more
+                   ? boost::beast::http::make_error_code(boost::beast::http::error::bad_method)
+                   : ec;
+    }
+
     /// Records that a request has been read.
     void on_request_read() noexcept { ++requests_; }
     [[nodiscard]] std::uint32_t requests() const noexcept { return requests_; }
@@ -72,7 +93,7 @@
 
     boost::asio::ip::tcp::socket& socket_;
     socket_deadline deadline_;
-    boost::beast::flat_buffer buffer_;
+    charged_buffer buffer_;
     std::uint32_t requests_{0};
     bool waiting_{false}; ///< `await_first_byte` is pending; `buffer_` is empty.
     bool reading_{false}; ///< Between `start_deadline` and `stop_deadline`.
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket, frontend_services& services)
-    : socket_{std::move(socket)}, services_{services}, reader_{socket_},
+    : socket_{std::move(socket)}, services_{services}, reader_{socket_, services_.held_requests},
       write_deadline_{socket_.get_executor()}, close_deadline_{socket_.get_executor()}
 {}
 
@@ -200,8 +200,8 @@
     beast::error_code ec;
     reader_.start_deadline(clock::now() + services_.limits.callers.idle_timeout,
                            shared_from_this());
-    co_await http::async_read_header(socket_, buffer, p,
-                                     asio::redirect_error(asio::use_awaitable, ec));
+    ec = co_await reader_.read_head_bytes(services_.limits.callers.header_bytes);
+    ec = ec ? ec : reader_.parse_head(p);
     if (!ec)
     {
         reader_.start_deadline(clock::now() + services_.limits.callers.header_timeout,
--- /dev/null
+++ b/src/mangovane/net/charged_buffer.hpp
@@ -0,0 +1,62 @@
+// Read buffer whose memory is charged to a budget.
+#ifndef MANGOVANE_NET_CHARGED_BUFFER_HPP
+#define MANGOVANE_NET_CHARGED_BUFFER_HPP
+
+#include <cstddef>
+#include <optional>
+#include <stdexcept>
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "mangovane/net/byte_budget.hpp"
+
+namespace mangovane
+{
+
+/// A `flat_buffer` for the read operations of Beast, which report `buffer_overflow` when `prepare`
+/// throws `length_error`.
+class charged_buffer : public boost::beast::flat_buffer
+{
+public:
+    using base = boost::beast::flat_buffer;
+
+    /// The budget outlives the buffer.
+    explicit charged_buffer(byte_budget& budget) noexcept : charge_{budget} {}
+
+    mutable_buffers_type prepare(std::size_t n)
+    {
+        const auto result = try_prepare(n);
+        if (!result)
+        {
+            throw std::length_error{"the budget of requests is exhausted"};
+        }
+        return *result;
+    }
+
+    /// Empty if the budget does not have the bytes. `n` is within `max_size`.
+    [[nodiscard]] std::optional<mutable_buffers_type> try_prepare(std::size_t n)
+    {
+        const auto result = base::prepare(n);
+        const auto held = charge_.bytes();
+        exhausted_ = capacity() > held && !charge_.try_grow(capacity() - held);
+        return exhausted_ ? std::nullopt : std::optional{result};
+    }
+
+    /// Frees the memory behind the bytes that were not read.
+    void shrink_to_fit() noexcept
+    {
+        base::shrink_to_fit();
+        charge_.shrink_to(capacity());
+    }
+
+    /// Whether an operation has failed because the budget had no more bytes.
+    [[nodiscard]] bool exhausted() const noexcept { return exhausted_; }
+
+private:
+    byte_reservation charge_; ///< Of the capacity.
+    bool exhausted_{false};
+};
+
+} // namespace mangovane
+
+#endif
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -118,9 +118,11 @@
     {
         resume = resume_point{*current.events.last_id(), current.weights_version};
     }
-    const auto head = services_.dialect.write(current.message, current.flow->request(), step,
+    auto received = current.head.expand();
+    remove_hop_by_hop_fields(received);
+    const auto head = services_.dialect.write(std::move(received), current.flow->request(), step,
                                               resume, clock::now());
-    const bool framed = may_have_body(current.message.method()) || !current.body->empty();
+    const bool framed = may_have_body(current.head.method()) || !current.body->empty();
     const auto length = framed ? std::optional<std::uint64_t>{current.body->size()} : std::nullopt;
     return serialize_head(head, {false, length}, false);
 }
@@ -187,7 +189,7 @@
 asio::awaitable<attempt_result> forward_session::read_answer(const send_step& step)
 {
     auto& current = *current_;
-    const bool head_only = current.message.method() == http::verb::head;
+    const bool head_only = current.head.method() == http::verb::head;
     current.endpoint_error = co_await call_->read_head(head_only);
     if (current.endpoint_error)
     {
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -29,8 +29,14 @@
 constexpr unsigned no_content = 204;
 constexpr unsigned not_modified = 304;
 
-constexpr std::string_view ambiguous_framing =
-    "the message framing or the Host header is ambiguous";
+std::string reason_of_bad_input(bool exhausted, const boost::system::error_code& ec)
+{
+    if (exhausted)
+    {
+        return "the instance holds as many requests as its memory permits";
+    }
+    return ec ? ec.message() : "the message framing or the Host header is ambiguous";
+}
 
 /// Field of a log line that names the cause of the end; empty while the connection goes on.
 std::string cause_text(const std::optional<session_end>& end)
@@ -58,7 +64,7 @@
 } // namespace
 
 forward_session::forward_session(asio::ip::tcp::socket socket, forward_services& services)
-    : socket_{std::move(socket)}, services_{services}, reader_{socket_},
+    : socket_{std::move(socket)}, services_{services}, reader_{socket_, services_.held_requests},
       write_deadline_{socket_.get_executor()}, call_deadline_{socket_.get_executor()}
 {}
 
@@ -233,7 +239,7 @@
     {
         co_return false;
     }
-    current_.emplace();
+    current_.emplace(services_.held_requests);
     request_parser p;
     p.header_limit(limits.header_bytes);
     p.body_limit(limits.body_bytes);
@@ -241,34 +247,30 @@
     buffer.max_size(std::max<std::size_t>(limits.header_bytes, min_read_buffer_bytes));
     error_code ec;
     reader_.start_deadline(clock::now() + limits.header_timeout, shared_from_this());
-    co_await http::async_read_header(socket_, buffer, p,
-                                     asio::redirect_error(asio::use_awaitable, ec));
-    if (!ec && beast::iequals(p.get()[http::field::expect], "100-continue"))
+    ec = co_await reader_.read_head_bytes(limits.header_bytes);
+    ec = ec ? ec : reader_.parse_head(p);
+    const bool ambiguous = !ec && is_ambiguous(p.get().base());
+    bool exhausted = !ec && !hold_head(p);
+    if (!ec && !ambiguous && !exhausted)
     {
-        const bool written = co_await write_to_caller("HTTP/1.1 100 Continue\r\n\r\n");
-        ec = written ? error_code{} : asio::error::broken_pipe;
-    }
-    if (!ec && !p.is_done())
-    {
-        co_await http::async_read(socket_, buffer, p,
-                                  asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await read_body(p);
     }
     reader_.stop_deadline();
-    const bool ambiguous = is_ambiguous(p.get().base());
-    const auto bad = !ec && ambiguous ? error_kind::malformed_request : kind_of_bad_input(ec);
+    exhausted = exhausted || buffer.exhausted() || current_->exhausted;
+    const auto fault =
+        ambiguous ? std::optional{error_kind::malformed_request} : kind_of_bad_input(ec);
+    const auto bad = exhausted ? std::optional{error_kind::overloaded} : fault;
     if (bad)
     {
         note_end(session_end::rejected);
         keep_alive_ = false;
-        std::string reason = ec ? ec.message() : std::string{ambiguous_framing};
-        co_await refuse(*bad, std::move(reason), {});
+        std::string reason = reason_of_bad_input(exhausted, ec);
+        co_await refuse(*bad, std::move(reason), seconds{descriptor_of(*bad).retry_after_s});
     }
     if (ec == asio::error::operation_aborted && reader_.is_cut())
     {
         note_end(session_end::stop_cut);
         services_.stop.count_refused();
-        // The part that was read names the request in the log.
-        current_->message.base() = p.get().base();
         co_await refuse(error_kind::stopping, "the instance stops", {});
         co_return false;
     }
@@ -277,11 +279,50 @@
         note_end(end_of_failed_read(ec, buffer.size() != 0 || p.got_some()));
         co_return false;
     }
-    current_->message = p.release();
-    keep_alive_ = current_->message.keep_alive();
+    // A request that is held takes no read buffer.
+    buffer.shrink_to_fit();
+    current_->body = std::make_shared<const std::string>(std::move(p.get().body()));
     co_return true;
 }
 
+bool forward_session::hold_head(request_parser& p)
+{
+    auto& current = *current_;
+    keep_alive_ = p.get().keep_alive();
+    current.expects_continue = beast::iequals(p.get()[http::field::expect], "100-continue");
+    current.head = held_head{p.get().base()};
+    current.request_id = services_.dialect.request_id(p.get().base());
+    p.get().base().clear();
+    return current.reservation.try_grow(current.head.bytes());
+}
+
+asio::awaitable<forward_session::error_code> forward_session::read_body(request_parser& p)
+{
+    auto& current = *current_;
+    error_code ec;
+    if (current.expects_continue)
+    {
+        const bool written = co_await write_to_caller("HTTP/1.1 100 Continue\r\n\r\n");
+        ec = written ? error_code{} : asio::error::broken_pipe;
+    }
+    const auto& body = p.get().body();
+    std::size_t charged = 0;
+    while (!ec && !p.is_done())
+    {
+        co_await http::async_read_some(socket_, reader_.buffer(), p,
+                                       asio::redirect_error(asio::use_awaitable, ec));
+        // Memory that was reserved for a stated length is used only as the body arrives.
+        const auto taken = std::min(body.capacity(), 2 * body.size());
+        if (taken > charged && !current.reservation.try_grow(taken - charged))
+        {
+            current.exhausted = true;
+            co_return asio::error::no_memory;
+        }
+        charged = std::max(charged, taken);
+    }
+    co_return ec;
+}
+
 asio::awaitable<void> forward_session::serve()
 {
     auto& current = *current_;
@@ -293,15 +334,13 @@
                         seconds{1});
         co_return;
     }
-    auto request = services_.dialect.read(current.message, settings, now);
+    auto request = services_.dialect.read(current.head.expand(), settings, now);
     if (!request.ok())
     {
         std::string reason{request.status().message()};
         co_await refuse(*kind_of(request.status()), std::move(reason), {});
         co_return;
     }
-    current.body = std::make_shared<const std::string>(std::move(current.message.body()));
-    remove_hop_by_hop_fields(current.message);
     const bool admitted = services_.stop.admit(now, request->deadline);
     if (admitted)
     {
@@ -464,8 +503,7 @@
     const auto now = clock::now();
     note_end(session_end::write_timeout);
     services_.observer.on_caller_stall();
-    services_.log.write(absl::StrCat("event=caller_stalled request=",
-                                     services_.dialect.request_id(current_->message),
+    services_.log.write(absl::StrCat("event=caller_stalled request=", current_->request_id,
                                      " ms=", elapsed(since, now).count()),
                         now);
 }
@@ -474,7 +512,7 @@
 {
     auto& current = *current_;
     current.status = answer.head.result_int();
-    const bool bodiless = current.message.method() == http::verb::head ||
+    const bool bodiless = current.head.method() == http::verb::head ||
                           current.status == no_content || current.status == not_modified;
     const auto length = bodiless ? std::nullopt : std::optional<std::uint64_t>{answer.body.size()};
     keep_alive_ = keep_alive();
@@ -502,7 +540,7 @@
         head.set(http::field::retry_after, std::string{absl::StrCat(seconds_after)});
     }
     current_->status = answer.http_status;
-    const bool bodiless = current_->message.method() == http::verb::head;
+    const bool bodiless = current_->head.method() == http::verb::head;
     const auto body = error_body(kind, message);
     keep_alive_ = keep_alive();
     auto bytes = serialize_head(head, {false, body.size()}, keep_alive_);
@@ -532,11 +570,10 @@
     const auto& current = *current_;
     if (!current.flow)
     {
-        services_.log.write(
-            absl::StrCat("event=refused request=", services_.dialect.request_id(current.message),
-                         " target=", std::string{current.message.target()},
-                         " outcome=", absl::string_view{outcome.data(), outcome.size()}),
-            now);
+        services_.log.write(absl::StrCat("event=refused request=", current.request_id,
+                                         " target=", current.head.target(), " outcome=",
+                                         absl::string_view{outcome.data(), outcome.size()}),
+                            now);
         return;
     }
     const auto& request = current.flow->request();
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -15,6 +15,7 @@
 #include "mangovane/net/caller_reader.hpp"
 #include "mangovane/net/event_boundary.hpp"
 #include "mangovane/net/forward_services.hpp"
+#include "mangovane/net/held_head.hpp"
 #include "mangovane/net/http_serialization.hpp"
 #include "mangovane/net/session_end.hpp"
 #include "mangovane/net/socket_deadline.hpp"
@@ -54,8 +55,14 @@
 /// State of the request that is being served.
 struct served_request
 {
-    boost::beast::http::request<boost::beast::http::string_body> message;
+    explicit served_request(byte_budget& budget) noexcept : reservation{budget} {}
+
+    byte_reservation reservation; ///< Covers the head and the body.
+    held_head head;
+    std::string request_id; ///< For logs.
     std::shared_ptr<const std::string> body;
+    bool expects_continue{false};
+    bool exhausted{false}; ///< The body did not fit into the budget.
     std::optional<forward_flow> flow;
     std::optional<buffered_response> error_response; ///< Error response of the last attempt.
     std::string endpoint_name;                       ///< Endpoint of the last attempt.
@@ -103,6 +110,11 @@
     /// Reports the failure, ends the attempt, and answers the request if nothing has been sent.
     boost::asio::awaitable<void> on_failure(std::exception_ptr error);
     boost::asio::awaitable<bool> read_request();
+    /// Keeps the head of the request as text and frees its fields. False if the budget for requests
+    /// does not have the bytes.
+    [[nodiscard]] bool hold_head(request_parser& p);
+    /// Reads the body. Trailers are not kept: they belong to the connection's framing.
+    boost::asio::awaitable<error_code> read_body(request_parser& p);
     boost::asio::awaitable<bool> await_first_byte(const http_limits& limits);
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<bool> execute_step(const forward_step& step, forward_step& next);
--- a/src/mangovane/net/frontend_services.hpp
+++ b/src/mangovane/net/frontend_services.hpp
@@ -11,6 +11,7 @@
 #include <absl/status/statusor.h>
 
 #include "mangovane/idempotency/claim_writer.hpp"
+#include "mangovane/net/byte_budget.hpp"
 #include "mangovane/observe/request_record.hpp"
 #include "mangovane/routing/coordinator.hpp"
 #include "mangovane/settings/policy.hpp"
@@ -53,6 +54,7 @@
     const std::atomic<bool>& ready;
     std::function<std::string()> metrics_text; ///< Prometheus text without account labels.
     frontend_limits limits;
+    byte_budget held_requests{default_request_budget}; ///< Being read, or not answered yet.
     stop_state stop; ///< While the instance stops, responses close the connection.
 };
 
--- a/src/mangovane/net/http_dialect.hpp
+++ b/src/mangovane/net/http_dialect.hpp
@@ -55,7 +55,7 @@
     read(const request_head& head, const settings_ptr& settings, time_point now) const = 0;
 
     /// Request head for an endpoint, without message framing and hop-by-hop fields.
-    [[nodiscard]] virtual request_head write(const request_head& head,
+    [[nodiscard]] virtual request_head write(request_head head,
                                              const forward_request& request,
                                              const send_step& step,
                                              const std::optional<resume_point>& resume,
--- a/src/mangovane/net/http_serialization.cpp
+++ b/src/mangovane/net/http_serialization.cpp
@@ -31,6 +31,15 @@
                    bool keep_alive,
                    std::string& out)
 {
+    // A string that grows in steps takes up to twice its size while the request is sent.
+    constexpr std::size_t separators = 4;
+    constexpr std::size_t framing_bytes = 96;
+    auto size = out.size() + framing_bytes;
+    for (const auto& it : fields)
+    {
+        size += it.name_string().size() + it.value().size() + separators;
+    }
+    out.reserve(size);
     for (const auto& it : fields)
     {
         if (it.name() != http::field::content_length)
--- a/src/mangovane/net/upstream_call.cpp
+++ b/src/mangovane/net/upstream_call.cpp
@@ -42,9 +42,16 @@
     request_body_ = std::move(body);
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(request_head_),
                                                     asio::buffer(*request_body_)};
-    // Errors of the write are ignored: a failed connection makes the read fail too, and the
-    // response may be complete although the request was not written completely.
-    asio::async_write(socket_, buffers, [self = shared_from_this()](error_code, std::size_t) {});
+    // An error does not end the call: the response may be complete although the request was not
+    // written completely.
+    asio::async_write(socket_, buffers,
+                      [self = shared_from_this()](error_code ec, std::size_t)
+                      {
+                          self->write_error_ = ec;
+                          self->written_ = !ec;
+                          self->request_head_ = {};
+                          self->request_body_.reset();
+                      });
 }
 
 asio::awaitable<upstream_call::error_code> upstream_call::read_head(bool head_only)
--- a/src/mangovane/net/upstream_call.hpp
+++ b/src/mangovane/net/upstream_call.hpp
@@ -59,6 +59,13 @@
     /// Whether only the end of the connection tells the end of the response.
     [[nodiscard]] bool ends_with_connection() const { return parser_->need_eof(); }
 
+    /// Why the request could not be written. The write takes the error of a connection that was
+    /// reset, and the read that follows sees an end in order.
+    [[nodiscard]] const error_code& write_error() const noexcept { return write_error_; }
+
+    /// Whether the whole request has been written.
+    [[nodiscard]] bool written() const noexcept { return written_; }
+
     /// Length of the body in bytes; empty if the response does not state it.
     [[nodiscard]] std::optional<std::uint64_t> content_length() const
     {
@@ -84,6 +91,8 @@
     std::optional<endpoint_response_parser> parser_;
     std::string request_head_;                        ///< Alive until written.
     std::shared_ptr<const std::string> request_body_; ///< Alive until written.
+    error_code write_error_;                          ///< Of the request.
+    bool written_{false};                             ///< The whole request.
     bool closed_{false};
 };
 
--- a/test/platform/failing_session.cpp
+++ b/test/platform/failing_session.cpp
@@ -66,7 +66,7 @@
         fail_at(failing_step::read);
         return inner_.read(head, settings, now);
     }
-    request_head write(const request_head& head,
+    request_head write(request_head head,
                        const forward_request& request,
                        const send_step& step,
                        const std::optional<resume_point>& resume,
