Choose endpoints by stated speeds and aged loads where asked

Endpoints state their load in responses (`X-Server-Load`, three or four figures). An instance keeps the statement per incarnation, passes the speed on in the spare bytes of its load digests, and knows from the digests' age how many requests the others will have sent since. With `--placement even`, or `reported` once endpoints state how fast they work, it chooses by `even_placement` and `sticky_even_placement`; `least-loaded`, the default, chooses as before.

Tokens held by an endpoint and prompts still to be read are not counted yet; the load bound uses the known load as before.

--- a/src/mangovane/daemon/forward_router_options.cpp
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -1,8 +1,11 @@
 // Implementation of the forwarding router's options.
 #include "mangovane/daemon/forward_router_options.hpp"
 
+#include <algorithm>
 #include <array>
+#include <optional>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
@@ -29,6 +32,7 @@
 {
     forward_router_options parsed;
     std::string seeds;
+    std::string placement{"least-loaded"};
     std::uint32_t drain_delay_ms{2500};
     std::uint32_t grace_ms{8000};
     std::uint32_t retry_window_s{10};
@@ -70,9 +74,25 @@
         "multiple of the rate that a cold endpoint accepts, 0 to 100");
     add("cold-tolerance", po::value(&fleet.cold_rate_extra)->default_value(0.0),
         "requests per second to a cold endpoint above that rate, 0 to 1000");
+    add("placement", po::value(&raw.placement)->default_value("least-loaded"),
+        "choice of an endpoint: least-loaded; even; or reported: even once endpoints state their "
+        "speed");
     return result;
 }
 
+/// Modes by the text of the option.
+constexpr std::array<std::pair<std::string_view, placement_mode>, 3> placement_modes{
+    {{"least-loaded", placement_mode::least_loaded},
+     {"even", placement_mode::even},
+     {"reported", placement_mode::reported}}};
+
+std::optional<placement_mode> find_placement(std::string_view text)
+{
+    const auto* it = std::find_if(placement_modes.begin(), placement_modes.end(),
+                                  [&](const auto& mode) { return mode.first == text; });
+    return it == placement_modes.end() ? std::nullopt : std::optional{it->second};
+}
+
 struct number_range
 {
     const char* name;
@@ -136,6 +156,11 @@
                                           " to ", range.high));
         }
     }
+    if (!find_placement(raw.placement))
+    {
+        faults.push_back(absl::StrCat("placement '", raw.placement,
+                                      "': must be least-loaded, even or reported"));
+    }
     if (it.cluster_key.size() < min_cluster_key_bytes)
     {
         faults.push_back(absl::StrCat("MANGOVANE_CLUSTER_KEY: must have at least ",
@@ -169,6 +194,7 @@
     out.drain_delay = milliseconds{raw.drain_delay_ms};
     out.grace_period = milliseconds{raw.grace_ms};
     out.fleet.retries.window = seconds{raw.retry_window_s};
+    out.fleet.placement = find_placement(raw.placement).value_or(out.fleet.placement);
     out.seeds = absl::StrSplit(raw.seeds, ',', absl::SkipEmpty());
     const auto faults = check(raw);
     if (!faults.empty())
--- a/src/mangovane/forward/endpoint_chooser.hpp
+++ b/src/mangovane/forward/endpoint_chooser.hpp
@@ -30,6 +30,7 @@
     std::uint32_t load_limit{0};         ///< Load bound in force for the choice.
     std::uint32_t eligible_endpoints{0}; ///< Number of endpoints that were eligible.
     std::uint64_t settings_version{0};   ///< Version of the settings used for the choice.
+    endpoint_load known;                 ///< What was known of its load, with the age.
 
     bool operator==(const dispatch_target&) const = default;
 };
--- a/src/mangovane/forward/endpoint_record.cpp
+++ b/src/mangovane/forward/endpoint_record.cpp
@@ -68,6 +68,19 @@
                                 incarnation epoch,
                                 time_point now) noexcept
 {
+    if (notice.load)
+    {
+        on_incarnation(epoch);
+        stated_ = notice.load;
+        if (notice.load->work_percent != 0)
+        {
+            heard_speed_ = heard_speed_.with(100.0 / notice.load->work_percent, now);
+        }
+    }
+    if (!notice.closing())
+    {
+        return;
+    }
     if (epoch != notice_epoch_)
     {
         notice_epoch_ = epoch;
@@ -79,6 +92,37 @@
     notice_kept_until_ = std::max<time_point>(now + notice_ttl, closed_until_);
 }
 
+void endpoint_record::on_incarnation(incarnation epoch) noexcept
+{
+    if (epoch != load_epoch_)
+    {
+        load_epoch_ = epoch;
+        stated_.reset();
+        heard_speed_ = {};
+        reported_speed_ = {};
+    }
+}
+
+void endpoint_record::on_peer_speed(const endpoint_digest& digest, time_point now) noexcept
+{
+    if (digest.speed != 0)
+    {
+        const auto at = now - digest.speed_age * endpoint_digest::speed_age_unit;
+        reported_speed_ = reported_speed_.newer({digest.speed * endpoint_digest::speed_unit, at});
+    }
+}
+
+endpoint_load endpoint_record::known_load(time_point now) const noexcept
+{
+    endpoint_load result;
+    result.own = in_flight_;
+    result.others = peer_in_flight_;
+    result.others_per_s = (peer_counts_.failures + peer_counts_.successes) / counted_seconds;
+    result.slots = stated_ ? stated_->slots : 0;
+    result.speed = heard_speed_.newer(reported_speed_).expected(now);
+    return result;
+}
+
 void endpoint_record::add_peer_digest(const endpoint_digest& digest) noexcept
 {
     peer_in_flight_ += digest.in_flight;
--- a/src/mangovane/forward/endpoint_record.hpp
+++ b/src/mangovane/forward/endpoint_record.hpp
@@ -6,7 +6,9 @@
 
 #include "mangovane/core/id.hpp"
 #include "mangovane/core/time.hpp"
+#include "mangovane/forward/endpoint_load.hpp"
 #include "mangovane/forward/endpoint_notice.hpp"
+#include "mangovane/forward/stated_speed.hpp"
 #include "mangovane/message/load.hpp"
 
 namespace mangovane
@@ -49,6 +51,12 @@
     void add_peer_digest(const endpoint_digest& digest) noexcept;
     void remove_peer_digest(const endpoint_digest& digest) noexcept;
 
+    /// Takes over the speed of a digest that was just received, if it is newer than what is known.
+    void on_peer_speed(const endpoint_digest& digest, time_point now) noexcept;
+
+    /// Drops what was stated about the load of another incarnation.
+    void on_incarnation(incarnation epoch) noexcept;
+
     /// Admits one request to the endpoint while it is cold; false within `interval` of the last
     /// one. The first is admitted after `first_wait`, which is below `interval` and differs between
     /// instances: otherwise all instances of a large fleet would send their first request in the
@@ -75,6 +83,15 @@
     /// Requests of this instance.
     [[nodiscard]] std::uint32_t in_flight() const noexcept { return in_flight_; }
 
+    /// The load as far as requests and statements tell; the age of the digests is not known here.
+    [[nodiscard]] endpoint_load known_load(time_point now) const noexcept;
+
+    /// Newest statement to this instance; nothing if there is none by this incarnation.
+    [[nodiscard]] const std::optional<stated_load>& stated() const noexcept { return stated_; }
+
+    /// The speed that the endpoint stated to this instance.
+    [[nodiscard]] const stated_speed& heard_speed() const noexcept { return heard_speed_; }
+
     /// Requests in flight over all instances.
     [[nodiscard]] std::uint32_t load() const noexcept { return in_flight_ + peer_in_flight_; }
 
@@ -105,6 +122,9 @@
     /// Longer than an endpoint that is leaving stays listed; the minimum for other notices.
     static constexpr std::chrono::hours notice_ttl{1};
 
+    /// Time that `counts` covers in the mean: one period and half of the next.
+    static constexpr double counted_seconds = 1.5 * 1.5;
+
     void rotate_period(time_point now) noexcept;
     void suspend(duration time, time_point now) noexcept;
 
@@ -121,6 +141,10 @@
     bool leaving_{false};         ///< Never reset in one incarnation.
     time_point closed_until_{};   ///< Never decreases in one incarnation.
     time_point notice_kept_until_{};
+    incarnation load_epoch_{0};         ///< To which the following statements apply.
+    std::optional<stated_load> stated_; ///< Newest to this instance.
+    stated_speed heard_speed_;          ///< Stated to this instance.
+    stated_speed reported_speed_;       ///< Newest in the digests of other instances.
 };
 
 } // namespace mangovane
--- a/src/mangovane/forward/endpoint_tracker.cpp
+++ b/src/mangovane/forward/endpoint_tracker.cpp
@@ -2,6 +2,7 @@
 #include "mangovane/forward/endpoint_tracker.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -17,6 +18,20 @@
     return static_cast<Narrow>(std::min<std::uint32_t>(value, std::numeric_limits<Narrow>::max()));
 }
 
+/// Adds a speed to a digest, unless it is too old to be expressed there.
+void add_speed(endpoint_digest& digest, const stated_speed& speed, time_point now)
+{
+    constexpr auto max = std::numeric_limits<std::uint8_t>::max();
+    if (!speed.known() || now > speed.at + max * endpoint_digest::speed_age_unit)
+    {
+        return;
+    }
+    const auto units = std::lround(speed.value / endpoint_digest::speed_unit);
+    digest.speed = static_cast<std::uint8_t>(std::clamp<long>(units, 1, max));
+    const auto age = std::max(duration{0}, now - speed.at) / endpoint_digest::speed_age_unit;
+    digest.speed_age = static_cast<std::uint8_t>(age);
+}
+
 } // namespace
 
 void endpoint_tracker::on_started(endpoint_id endpoint)
@@ -29,12 +44,20 @@
     records_.with_entry(endpoint, [&](endpoint_record& it) { it.on_finished(outcome, now); });
 }
 
-void endpoint_tracker::add(const load_digest& digest)
+void endpoint_tracker::add(const load_digest& digest, time_point now)
 {
     for (const auto& entry : digest.endpoints)
     {
         records_.with_entry(entry.endpoint,
-                            [&](endpoint_record& it) { it.add_peer_digest(entry); });
+                            [&](endpoint_record& it)
+                            {
+                                it.add_peer_digest(entry);
+                                it.on_peer_speed(entry, now);
+                            });
+        if (entry.speed != 0)
+        {
+            speed_stated_ = true;
+        }
     }
 }
 
@@ -49,12 +72,34 @@
 void endpoint_tracker::on_digest(instance_id from, const load_digest& digest, time_point now)
 {
     const std::lock_guard lock{mutex_};
-    auto& previous = digests_[from];
+    const auto [entry, is_new] = digests_.try_emplace(from);
+    auto& previous = entry->second;
     remove(previous.content);
-    add(digest);
+    add(digest, now);
+    if (!is_new)
+    {
+        on_receipt(previous.received_at, -1);
+    }
+    on_receipt(now, 1);
     previous = received_digest{digest, now};
 }
 
+void endpoint_tracker::on_receipt(time_point at, std::int64_t change)
+{
+    const std::lock_guard lock{receipts_mutex_};
+    receipts_.count += change;
+    receipts_.sum +=
+        change * std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch());
+}
+
+duration endpoint_tracker::mean_digest_age(time_point now)
+{
+    const std::lock_guard lock{receipts_mutex_};
+    return receipts_.count == 0
+               ? duration{0}
+               : std::max(duration{0}, now.time_since_epoch() - receipts_.sum / receipts_.count);
+}
+
 void endpoint_tracker::expire(time_point now)
 {
     const std::lock_guard lock{mutex_};
@@ -64,6 +109,7 @@
         if (now >= current->second.received_at + digest_ttl)
         {
             remove(current->second.content);
+            on_receipt(current->second.received_at, -1);
             digests_.erase(current);
         }
     }
@@ -78,6 +124,10 @@
                                  time_point now)
 {
     records_.with_entry(endpoint, [&](endpoint_record& it) { it.on_notice(notice, epoch, now); });
+    if (notice.load && notice.load->work_percent != 0)
+    {
+        speed_stated_ = true;
+    }
 }
 
 endpoint_snapshot
@@ -85,10 +135,12 @@
 {
     endpoint_snapshot result;
     records_.find(endpoint,
-                  [&](const endpoint_record& it)
+                  [&](endpoint_record& it)
                   {
-                      result = {it.load(), it.suspended(now), it.leaving(epoch),
-                                it.closed_until(epoch), it.counts(now)};
+                      it.on_incarnation(epoch);
+                      result = {it.load(),         it.suspended(now),
+                                it.leaving(epoch), it.closed_until(epoch),
+                                it.counts(now),    it.known_load(now)};
                   });
     return result;
 }
@@ -116,6 +168,7 @@
                     result.endpoints.push_back({id, clamp_to<std::uint16_t>(it.in_flight()),
                                                 clamp_to<std::uint8_t>(own.failures),
                                                 clamp_to<std::uint8_t>(own.successes)});
+                    add_speed(result.endpoints.back(), it.heard_speed(), now);
                 }
             }
         });
--- a/src/mangovane/forward/endpoint_tracker.hpp
+++ b/src/mangovane/forward/endpoint_tracker.hpp
@@ -3,6 +3,8 @@
 #ifndef MANGOVANE_FORWARD_ENDPOINT_TRACKER_HPP
 #define MANGOVANE_FORWARD_ENDPOINT_TRACKER_HPP
 
+#include <atomic>
+#include <cstdint>
 #include <mutex>
 
 #include <absl/container/flat_hash_map.h>
@@ -22,6 +24,7 @@
     bool leaving{false};   ///< It has told this instance that it is leaving.
     time_point closed_until{}; ///< It has told this instance to send nothing until then.
     attempt_counts counts;     ///< Recent attempts of all instances.
+    endpoint_load known;       ///< Without the age of the digests.
 
     auto operator<=>(const endpoint_snapshot&) const = default;
 };
@@ -56,6 +59,12 @@
     [[nodiscard]] bool
     try_admit_cold(endpoint_id endpoint, duration interval, duration first_wait, time_point now);
 
+    /// Mean age of the other instances' digests; 0 if there is none.
+    [[nodiscard]] duration mean_digest_age(time_point now);
+
+    /// Whether an endpoint has ever stated its speed, to this instance or to another one.
+    [[nodiscard]] bool speed_stated() const noexcept { return speed_stated_; }
+
     /// This instance's own requests and recent results, for the other instances. At most
     /// `max_digest_endpoints` endpoints.
     [[nodiscard]] load_digest digest(time_point now);
@@ -71,12 +80,23 @@
         time_point received_at;
     };
 
-    void add(const load_digest& digest);
+    /// Times at which the digests in force were received.
+    struct receipt_times
+    {
+        std::chrono::microseconds sum{0}; ///< Since the origin of the clock.
+        std::int64_t count{0};
+    };
+
+    void add(const load_digest& digest, time_point now);
+    void on_receipt(time_point at, std::int64_t change);
     void remove(const load_digest& digest);
 
     sharded_map<endpoint_id, endpoint_record> records_;
     std::mutex mutex_;
     absl::flat_hash_map<instance_id, received_digest> digests_; ///< Guarded by `mutex_`.
+    std::mutex receipts_mutex_; ///< Of its own: each choice of an endpoint takes it for a moment.
+    receipt_times receipts_;    ///< Guarded by `receipts_mutex_`.
+    std::atomic<bool> speed_stated_{false};
 };
 
 } // namespace mangovane
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -35,6 +35,7 @@
     /// `cold_requests_per_s * cold_rate_factor + cold_rate_extra`.
     double cold_rate_factor{1.5};
     double cold_rate_extra{5}; ///< Requests per second.
+    placement_mode placement{placement_mode::least_loaded};
 
     auto operator<=>(const fleet_policy&) const = default;
 };
@@ -115,7 +116,8 @@
     {
         /// Endpoints that accept new requests and are not excluded.
         std::vector<placement_candidate> candidates;
-        double mean_load{0}; ///< Mean number of requests in flight over all listed endpoints.
+        double others_per_s{0}; ///< Requests that other instances send to the candidates.
+        double mean_load{0};    ///< Mean number of requests in flight over all listed endpoints.
         /// When the first of the endpoints that have closed for a time opens again; max: none has.
         time_point reopens_at{time_point::max()};
     };
@@ -173,6 +175,13 @@
                                                    std::span<const endpoint_id> excluded,
                                                    time_point now);
 
+    /// Whether the even rules choose.
+    [[nodiscard]] bool spreads_evenly() const noexcept;
+
+    /// Load of an endpoint as this instance knows it.
+    [[nodiscard]] endpoint_load
+    load_of(const routing_table& routes, const endpoint_info& endpoint, time_point now);
+
     /// Marks candidates that fail more often than the others. `counts` holds the recent attempts of
     /// each candidate, in the same order.
     static void mark_avoided(std::vector<placement_candidate>& candidates,
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -7,6 +7,20 @@
 namespace mangovane
 {
 
+namespace
+{
+
+const placement_rule& placement_for(bool evenly, bool sticky)
+{
+    if (evenly)
+    {
+        return sticky ? sticky_even_placement() : even_placement();
+    }
+    return sticky ? sticky_placement() : least_loaded_placement();
+}
+
+} // namespace
+
 forward_core::candidate_set forward_core::collect_candidates(const routing_table& routes,
                                                              service_id service,
                                                              std::span<const endpoint_id> excluded,
@@ -20,6 +34,7 @@
         return std::find(suspected_domains.begin(), suspected_domains.end(), it) !=
                suspected_domains.end();
     };
+    const bool evenly = spreads_evenly();
     std::vector<attempt_counts> counts;
     double total = 0;
     for (const auto* it : listed)
@@ -38,7 +53,9 @@
         else
         {
             const bool avoided = snapshot.suspended || is_suspected(it->domain);
-            result.candidates.push_back({it->id, it->domain, snapshot.load, avoided});
+            const double speed = evenly ? snapshot.known.speed : 1;
+            result.candidates.push_back({it->id, it->domain, snapshot.load, avoided, speed});
+            result.others_per_s += snapshot.known.others_per_s;
             counts.push_back(snapshot.counts);
         }
     }
@@ -47,6 +64,24 @@
     return result;
 }
 
+bool forward_core::spreads_evenly() const noexcept
+{
+    const auto mode = options_.fleet.placement;
+    return mode == placement_mode::even ||
+           (mode == placement_mode::reported && tracker_.speed_stated());
+}
+
+endpoint_load
+forward_core::load_of(const routing_table& routes, const endpoint_info& endpoint, time_point now)
+{
+    auto result = tracker_.snapshot_of(endpoint.id, endpoint.epoch, now).known;
+    const auto* service = routes.settings().find_service(endpoint.service);
+    result.age = tracker_.mean_digest_age(now);
+    result.token_capacity = service == nullptr ? 0 : service->token_capacity;
+    result.slots = endpoint.slots != 0 ? endpoint.slots : result.slots;
+    return result;
+}
+
 void forward_core::mark_avoided(std::vector<placement_candidate>& candidates,
                                 const std::vector<attempt_counts>& counts)
 {
@@ -129,11 +164,13 @@
                       { return it.avoided || it.load >= allowed; });
     }
     const auto affinity = request.affinity();
-    const auto& rule = affinity != 0 ? sticky_placement() : least_loaded_placement();
+    const auto& rule = placement_for(spreads_evenly(), affinity != 0);
+    const std::chrono::duration<double> digest_age = tracker_.mean_digest_age(now);
+    const double unreported = eligible.others_per_s * digest_age.count();
     const auto tie_break_seed = hash_combine(options_.seed, ++choice_count_);
-    const auto chosen =
-        rule.choose({eligible.candidates, allowed, affinity, tie_break_seed, options_.self.domain},
-                    [&](const placement_candidate& it) { return admit(*routes, it, now); });
+    const auto chosen = rule.choose(
+        {eligible.candidates, allowed, affinity, tie_break_seed, options_.self.domain, unreported},
+        [&](const placement_candidate& it) { return admit(*routes, it, now); });
     if (!chosen)
     {
         const bool all_closed =
@@ -143,6 +180,7 @@
     }
     const auto& candidate = eligible.candidates[*chosen];
     const auto* endpoint = routes->find(candidate.endpoint);
+    const auto known = load_of(*routes, *endpoint, now);
     tracker_.on_started(candidate.endpoint);
     auto source = prefix_source(*routes, request, *endpoint, now);
     for (const auto prefix : {affinity, request.common_prefix()})
@@ -160,7 +198,8 @@
                            candidate.load,
                            allowed,
                            static_cast<std::uint32_t>(eligible.candidates.size()),
-                           routes->settings().stamp.version};
+                           routes->settings().stamp.version,
+                           known};
 }
 
 const endpoint_info* forward_core::expected_prefix_endpoint(const routing_table& routes,
--- a/src/mangovane/message/load.hpp
+++ b/src/mangovane/message/load.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "mangovane/core/id.hpp"
+#include "mangovane/core/time.hpp"
 
 namespace mangovane
 {
@@ -65,6 +66,14 @@
     std::uint16_t in_flight{0};
     std::uint8_t failures{0};  ///< Recent attempts that failed.
     std::uint8_t successes{0}; ///< Recent attempts that got a response.
+    /// Speed that the endpoint stated to the sender, in units of `speed_unit`; 0: none lately.
+    std::uint8_t speed{0};
+    std::uint8_t speed_age{0};    ///< Age of that statement, in units of `speed_age_unit`.
+    std::uint16_t held_tokens{0}; ///< Of `in_flight`, in units of `held_tokens_unit`, rounded up.
+
+    static constexpr double speed_unit = 0.02; ///< As a multiple of the usual speed.
+    static constexpr milliseconds speed_age_unit{10};
+    static constexpr std::uint64_t held_tokens_unit = 64;
 
     auto operator<=>(const endpoint_digest&) const = default;
 };
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -243,6 +243,10 @@
         return;
     }
     services_.core.on_notice(step.target, notice, now);
+    if (!notice.closing())
+    {
+        return;
+    }
     services_.log.write(
         absl::StrCat("event=endpoint_notice request=", current_->flow->request().request,
                      " endpoint=", step.target.name, " leaving=", notice.leaving ? 1 : 0,
@@ -262,7 +266,9 @@
             " parts=", part_ids_text(request.shared_parts()),
             " prefix_source=", step.target.prefix_source, " resumes=", step.resumes ? 1 : 0,
             " last_event=", event_text(current_->events.last_id()),
-            " settings=", step.target.settings_version),
+            " settings=", step.target.settings_version, " estimate=", step.target.known.estimate(),
+            " age_ms=", std::chrono::duration_cast<milliseconds>(step.target.known.age).count(),
+            " speed=", step.target.known.speed),
         clock::now());
 }
 
--- a/src/mangovane/wire/body_decode.cpp
+++ b/src/mangovane/wire/body_decode.cpp
@@ -197,7 +197,8 @@
     {
         const auto* entry = it.endpoints()->Get(static_cast<std::uint32_t>(k));
         result.endpoints.push_back({endpoint_id{entry->endpoint()}, entry->in_flight(),
-                                    entry->failures(), entry->successes()});
+                                    entry->failures(), entry->successes(), entry->speed(),
+                                    entry->speed_age(), entry->held_tokens()});
     }
     return result;
 }
--- a/src/mangovane/wire/body_encode.cpp
+++ b/src/mangovane/wire/body_encode.cpp
@@ -186,7 +186,7 @@
     for (const auto& entry : it.endpoints)
     {
         entries.emplace_back(entry.endpoint.value(), entry.in_flight, entry.failures,
-                             entry.successes);
+                             entry.successes, entry.speed, entry.speed_age, entry.held_tokens);
     }
     const auto vector = buf.CreateVectorOfStructs(entries);
     return wire::CreateLoadDigest(buf, vector);
--- a/src/mangovane/wire/frame_generated.h
+++ b/src/mangovane/wire/frame_generated.h
@@ -410,7 +410,9 @@
   uint16_t in_flight_;
   uint8_t failures_;
   uint8_t successes_;
-  int32_t padding0__;
+  uint8_t speed_;
+  uint8_t speed_age_;
+  uint16_t held_tokens_;
 
  public:
   EndpointDigest()
@@ -418,16 +420,18 @@
         in_flight_(0),
         failures_(0),
         successes_(0),
-        padding0__(0) {
-    (void)padding0__;
+        speed_(0),
+        speed_age_(0),
+        held_tokens_(0) {
   }
-  EndpointDigest(uint64_t _endpoint, uint16_t _in_flight, uint8_t _failures, uint8_t _successes)
+  EndpointDigest(uint64_t _endpoint, uint16_t _in_flight, uint8_t _failures, uint8_t _successes, uint8_t _speed, uint8_t _speed_age, uint16_t _held_tokens)
       : endpoint_(flatbuffers::EndianScalar(_endpoint)),
         in_flight_(flatbuffers::EndianScalar(_in_flight)),
         failures_(flatbuffers::EndianScalar(_failures)),
         successes_(flatbuffers::EndianScalar(_successes)),
-        padding0__(0) {
-    (void)padding0__;
+        speed_(flatbuffers::EndianScalar(_speed)),
+        speed_age_(flatbuffers::EndianScalar(_speed_age)),
+        held_tokens_(flatbuffers::EndianScalar(_held_tokens)) {
   }
   uint64_t endpoint() const {
     return flatbuffers::EndianScalar(endpoint_);
@@ -441,6 +445,15 @@
   uint8_t successes() const {
     return flatbuffers::EndianScalar(successes_);
   }
+  uint8_t speed() const {
+    return flatbuffers::EndianScalar(speed_);
+  }
+  uint8_t speed_age() const {
+    return flatbuffers::EndianScalar(speed_age_);
+  }
+  uint16_t held_tokens() const {
+    return flatbuffers::EndianScalar(held_tokens_);
+  }
 };
 FLATBUFFERS_STRUCT_END(EndpointDigest, 16);
 
--- a/test/mangovane/daemon/forward_router_options.cpp
+++ b/test/mangovane/daemon/forward_router_options.cpp
@@ -57,6 +57,14 @@
         REQUIRE(it.ok());
         CHECK(it->fleet.retries.ratio == read({})->fleet.retries.ratio);
     }
+    SUBCASE("name the choice of endpoints, which is by the lowest load unless they say otherwise")
+    {
+        CHECK(read({})->fleet.placement == placement_mode::least_loaded);
+        CHECK(read({"--placement", "even"})->fleet.placement == placement_mode::even);
+        CHECK(read({"--placement", "reported"})->fleet.placement == placement_mode::reported);
+        const auto it = read({"--placement", "most-loaded"});
+        CHECK(it.status().message().find("placement 'most-loaded'") != std::string::npos);
+    }
     SUBCASE("that are invalid are all listed with their values")
     {
         const auto it = read({"--threads", "0", "--load-factor", "0.5", "--seeds", "nowhere",
--- a/test/mangovane/forward/endpoint_tracker.cpp
+++ b/test/mangovane/forward/endpoint_tracker.cpp
@@ -61,6 +61,67 @@
             CHECK(tracker.digest(start + seconds{4}).endpoints.empty());
         }
     }
+    SUBCASE("knows the speed that an endpoint states")
+    {
+        const auto notice = [](std::uint32_t work) {
+            return endpoint_notice{false, {}, stated_load{3, 1, 6, work}};
+        };
+        const auto speed = [&](endpoint_tracker& it, time_point now, incarnation epoch = 1)
+        { return it.snapshot_of(engine, epoch, now).known.speed; };
+        tracker.on_notice(engine, 1, notice(0), start);
+        CHECK_FALSE(tracker.speed_stated());
+        tracker.on_notice(engine, 1, notice(200), start);
+        CHECK(tracker.speed_stated());
+        CHECK(speed(tracker, start) == 0.5);
+        CHECK(tracker.snapshot_of(engine, 1, start).known.slots == 6);
+
+        SUBCASE("smoothed over a second")
+        {
+            const auto later = start + milliseconds{100};
+            tracker.on_notice(engine, 1, notice(100), later);
+            CHECK(speed(tracker, later) > 0.5);
+            CHECK(speed(tracker, later) < 0.75);
+            tracker.on_notice(engine, 1, notice(100), later + seconds{1});
+            CHECK(speed(tracker, later + seconds{1}) == 1);
+        }
+        SUBCASE("until the statement is old, and only of this incarnation")
+        {
+            CHECK(speed(tracker, start + seconds{1}) == 0.5);
+            CHECK(speed(tracker, start + seconds{2}) == doctest::Approx(0.75));
+            CHECK(speed(tracker, start + seconds{3}) == 1);
+            CHECK(speed(tracker, start, 2) == 1);
+        }
+        SUBCASE("and passes it on with its age; the newest statement wins")
+        {
+            tracker.on_started(engine);
+            endpoint_tracker other;
+            CHECK(speed(other, start) == 1);
+            const auto at = start + milliseconds{300};
+            other.on_digest(peer, tracker.digest(at), at);
+            CHECK(other.speed_stated());
+            CHECK(speed(other, at) == 0.5);
+            CHECK(speed(other, start + seconds{2}) == doctest::Approx(0.75));
+
+            other.on_notice(engine, 1, notice(125), at);
+            CHECK(speed(other, at) == 0.8);
+            other.on_digest(instance_id::of("slow"), {{{engine, 1, 0, 0, 25, 20}}}, at);
+            CHECK(speed(other, at) == 0.8);
+            // A speed that is too old to be expressed is left out.
+            CHECK(tracker.digest(start + milliseconds{2560}).endpoints.front().speed == 0);
+        }
+    }
+    SUBCASE("knows how old its knowledge of the others is")
+    {
+        CHECK(tracker.mean_digest_age(start) == duration{0});
+        tracker.on_digest(peer, {{{engine, 5, 0, 9}}}, start);
+        tracker.on_digest(instance_id::of("second"), {}, start + milliseconds{200});
+        CHECK(tracker.mean_digest_age(start + milliseconds{400}) == milliseconds{300});
+        CHECK(tracker.snapshot_of(engine, 0, start).known.others_per_s == 4);
+        tracker.on_digest(peer, {}, start + milliseconds{400});
+        CHECK(tracker.mean_digest_age(start + milliseconds{400}) == milliseconds{100});
+        tracker.expire(start + seconds{10});
+        CHECK(tracker.mean_digest_age(start + seconds{10}) == duration{0});
+    }
     SUBCASE("suspends an unreachable endpoint for longer each time")
     {
         const auto fail = [&](time_point now)
--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -215,6 +215,48 @@
             }
         }
     }
+    SUBCASE("that is to spread load evenly once speeds are stated")
+    {
+        auto options = test::make_options("router", "ikeja-a");
+        options.fleet.placement = placement_mode::reported;
+        options.fleet.bound.extra = 1000;
+        forward_core even{options, sink, &read_settings, start};
+        even.adopt_settings(settings, start);
+        even.catalog().replace(entries, 6, start);
+        even.refresh(start);
+        const auto chosen = [&](forward_core& it)
+        {
+            std::vector<std::string> names;
+            for (int n = 0; n != 60; ++n)
+            {
+                const auto request = make_request(settings, "review");
+                const auto target = it.choose(request, {}, choice_purpose::dispatch, start);
+                REQUIRE(target);
+                names.push_back(target->name);
+            }
+            return names;
+        };
+        SUBCASE("chooses as before until then")
+        {
+            const auto names = chosen(even);
+            CHECK(names == chosen(core));
+            CHECK(std::count(names.begin(), names.end(), "engine-0") == 10);
+        }
+        SUBCASE("gives a slow endpoint less")
+        {
+            const auto first =
+                even.choose(make_request(settings, "review"), {}, choice_purpose::dispatch, start);
+            const endpoint_notice slow{false, {}, stated_load{1, 0, 6, 300}};
+            even.on_notice(*first, slow, start);
+            core.on_notice(*first, slow, start);
+            even.finish(first->endpoint, health_outcome::answered, start);
+            const auto names = chosen(even);
+            CHECK(std::count(names.begin(), names.end(), first->name) < 5);
+            // The default ignores speeds.
+            const auto before = chosen(core);
+            CHECK(std::count(before.begin(), before.end(), first->name) == 10);
+        }
+    }
     SUBCASE("sends nothing to an endpoint that has said in a response that it is leaving")
     {
         const auto first =
--- a/test/mangovane/wire/codec.cpp
+++ b/test/mangovane/wire/codec.cpp
@@ -45,7 +45,7 @@
             probe_request{1, instance_id{2}},
             settings_query{{1, 2}},
             settings_content{{1, 2}, "{}"},
-            load_digest{{{endpoint_id{1}, 2, 3, 4}, {endpoint_id{5}, 6, 0, 0}}},
+            load_digest{{{endpoint_id{1}, 2, 3, 4, 50, 6, 700}, {endpoint_id{5}, 6, 0, 0}}},
             feed_state{{1, 2}, 3, 4},
             endpoint_query{1},
             endpoint_update{1,
--- a/test/platform/dialect.cpp
+++ b/test/platform/dialect.cpp
@@ -214,6 +214,25 @@
             CHECK(dialect.notice_of(head, now).leaving);
         }
     }
+    SUBCASE("states the endpoint's load with or without its speed")
+    {
+        const auto load = [&](const std::string& value)
+        {
+            auto head = make_response(200);
+            head.set("X-Server-Load", value);
+            return dialect.notice_of(head, now).load;
+        };
+        CHECK(load("3,1,6") == stated_load{3, 1, 6, 0});
+        CHECK(load("3, 1, 6, 250") == stated_load{3, 1, 6, 250});
+        // Figures that no endpoint can mean would send it all requests, or none.
+        for (const auto* absurd : {"", "3,1", "3,1,0", "3,1,6,0", "3,1,6,9", "3,1,6,1001", "-3,1,6",
+                                   "3,1,6,100,1", "a,b,c", "3,1,4294967296", "200000,1,6"})
+        {
+            CAPTURE(absurd);
+            CHECK_FALSE(load(absurd));
+        }
+        CHECK_FALSE(dialect.notice_of(make_response(200), now).load);
+    }
     SUBCASE("that turns a request away states for how long the endpoint wants no other")
     {
         const auto closed_ms = [&](unsigned status, const std::string& value)
