--- a/test/platform/dialect.cpp
+++ b/test/platform/dialect.cpp
@@ -195,6 +195,16 @@
         head.erase("X-Server-Signature");
         CHECK(class_of(head) == response_class::invalid_response);
     }
+    SUBCASE("is invalid with a status that HTTP does not define (guards against passing it on)")
+    {
+        for (const unsigned status : {99U, 600U, 999U})
+        {
+            CAPTURE(status);
+            auto head = make_response(200);
+            head.result(status);
+            CHECK(class_of(head) == response_class::invalid_response);
+        }
+    }
     SUBCASE("is invalid if it belongs to another request or its body is encoded")
     {
         auto head = make_response(200);
--- a/test/platform/store_text.cpp
+++ b/test/platform/store_text.cpp
@@ -58,8 +58,9 @@
                         R"(,"engine":{}},
  {"name":"ventanilla","warmup_s":0.0,"warmup_per_s":0.0}],
 "limits":{"max_header_bytes":)",
-                        params.header_bytes, R"(,"max_body_bytes":20000,"header_timeout_ms":)",
-                        params.header_timeout.count(), R"(,"idle_timeout_ms":5000},
+                        params.header_bytes, R"(,"max_body_bytes":)", params.body_bytes,
+                        R"(,"header_timeout_ms":)", params.header_timeout.count(),
+                        R"(,"idle_timeout_ms":5000},
 "tenants":[{"name":"desk","api_keys":["key-1"]}]})");
 }
 
--- a/test/platform/store_text.hpp
+++ b/test/platform/store_text.hpp
@@ -22,6 +22,7 @@
     milliseconds call_timeout{800};    ///< Of `grant` and `status`.
     milliseconds header_timeout{1000}; ///< Until a request has been read whole.
     std::uint32_t header_bytes{4096};  ///< Largest head of a request.
+    std::uint64_t body_bytes{20'000};  ///< Largest body of a request.
     /// If not 0, there are two more routes with this timeout: `ledger` for bodies and `minutes` for
     /// streams, both for requests that must run at most once.
     milliseconds long_timeout{0};
