--- a/src/mangovane/forward/list_pacer.hpp
+++ b/src/mangovane/forward/list_pacer.hpp
@@ -38,8 +38,8 @@
     static constexpr std::size_t max_updates = 4;
 
     /// With 16 recipients in a round, 100 instances of a domain are served within 400 ms if queries
-    /// keep arriving, and within 700 ms by ticks alone. A query that makes no progress for 600 ms is
-    /// sent again over a new connection.
+    /// keep arriving, and within 700 ms by ticks alone. A query that makes no progress for 600 ms
+    /// is sent again over a new connection.
     static constexpr milliseconds round_interval{50};
 
     /// A repeated query is not served again within this time: queries are repeated every 150 ms,
