--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -27,9 +27,9 @@
 namespace
 {
 
-absl::StatusOr<settings_ptr> read_settings(const std::string& text, std::uint64_t version)
+absl::StatusOr<settings_ptr> read_settings(const std::string& text, store_revision version)
 {
-    auto result = test::make_settings(version);
+    auto result = test::make_settings(version.number);
     result->text = text;
     return settings_ptr{result};
 }
--- a/test/mangovane/forward/rollout_choice.cpp
+++ b/test/mangovane/forward/rollout_choice.cpp
@@ -37,8 +37,8 @@
 {
     explicit lone_instance(const rollout_policy& rollouts)
         : core{options_with(rollouts), sink,
-               [](const std::string&, std::uint64_t version)
-               { return absl::StatusOr<settings_ptr>{test::make_settings(version)}; },
+               [](const std::string&, store_revision version)
+               { return absl::StatusOr<settings_ptr>{test::make_settings(version.number)}; },
                start}
     {
         core.adopt_settings(test::make_settings(1), start);
