--- a/test/mangovane/wire/codec.cpp
+++ b/test/mangovane/wire/codec.cpp
@@ -353,7 +353,8 @@
         const std::vector<flatbuffers::Offset<void>> bodies(1000, renewal);
         const auto types = buf.CreateVector(std::vector<std::uint8_t>(1000, 5));
         const auto vector = buf.CreateVector(bodies);
-        const auto bytes = finished(buf, wire::CreateFrame(buf, 1, 1, 1, 0, types.o, vector));
+        const auto bytes =
+            finished(buf, wire::CreateFrame(buf, frame_version, 1, 1, 0, types.o, vector));
         CHECK(refusal(bytes) == absl::StatusCode::kInvalidArgument);
     }
 }
