--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -184,7 +184,7 @@
     }
     const auto& candidate = chosen->candidate;
     const auto* endpoint = routes->find(candidate.endpoint);
-    auto known = load_of(*routes, *endpoint, now);
+    const auto known = load_of(*routes, *endpoint, now);
     rollouts_.on_started({request.service, endpoint->version, endpoint->id, 0});
     tracker_.on_started(candidate.endpoint);
     auto source = prefix_source(*routes, request, *endpoint, now);
@@ -195,10 +195,17 @@
             prefixes_.record(prefix, endpoint->id, endpoint->epoch, now);
         }
     }
-    return dispatch_target{candidate.endpoint, endpoint->name,    endpoint->address,
-                           endpoint->epoch,    std::move(source), candidate.load,
-                           chosen->allowed,    chosen->eligible,  routes->settings().stamp.version,
-                           endpoint->version,  std::move(known)};
+    return dispatch_target{candidate.endpoint,
+                           endpoint->name,
+                           endpoint->address,
+                           endpoint->epoch,
+                           std::move(source),
+                           candidate.load,
+                           chosen->allowed,
+                           chosen->eligible,
+                           routes->settings().stamp.version,
+                           endpoint->version,
+                           known};
 }
 
 std::optional<forward_core::chosen_endpoint>
