--- a/src/mangovane/forward/placement_rule.hpp
+++ b/src/mangovane/forward/placement_rule.hpp
@@ -4,6 +4,7 @@
 #define MANGOVANE_FORWARD_PLACEMENT_RULE_HPP
 
 #include <algorithm>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <span>
--- a/src/mangovane/rollout/change_detector.hpp
+++ b/src/mangovane/rollout/change_detector.hpp
@@ -2,6 +2,7 @@
 #ifndef MANGOVANE_ROLLOUT_CHANGE_DETECTOR_HPP
 #define MANGOVANE_ROLLOUT_CHANGE_DETECTOR_HPP
 
+#include <compare>
 #include <cstdint>
 
 namespace mangovane
--- a/src/mangovane/rollout/share_credit.hpp
+++ b/src/mangovane/rollout/share_credit.hpp
@@ -3,6 +3,7 @@
 #define MANGOVANE_ROLLOUT_SHARE_CREDIT_HPP
 
 #include <algorithm>
+#include <compare>
 
 namespace mangovane
 {
--- a/src/mangovane/rollout/share_schedule.hpp
+++ b/src/mangovane/rollout/share_schedule.hpp
@@ -5,6 +5,7 @@
 #define MANGOVANE_ROLLOUT_SHARE_SCHEDULE_HPP
 
 #include <array>
+#include <compare>
 #include <cstddef>
 
 namespace mangovane
--- a/src/mangovane/rollout/version_answers.hpp
+++ b/src/mangovane/rollout/version_answers.hpp
@@ -3,6 +3,7 @@
 #define MANGOVANE_ROLLOUT_VERSION_ANSWERS_HPP
 
 #include <array>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 
