--- a/src/mangovane/forward/endpoint_record.cpp
+++ b/src/mangovane/forward/endpoint_record.cpp
@@ -94,13 +94,16 @@
 
 void endpoint_record::on_incarnation(incarnation epoch) noexcept
 {
-    if (epoch != load_epoch_)
+    if (epoch == load_epoch_)
     {
-        load_epoch_ = epoch;
-        stated_.reset();
-        heard_speed_ = {};
-        reported_speed_ = {};
+        return;
     }
+    // Digests name no incarnation: what was reported before the first one is known is of that one.
+    const bool first = load_epoch_ == 0;
+    load_epoch_ = epoch;
+    stated_.reset();
+    heard_speed_ = {};
+    reported_speed_ = first ? reported_speed_ : stated_speed{};
 }
 
 void endpoint_record::on_peer_speed(const endpoint_digest& digest, time_point now) noexcept
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -377,7 +377,13 @@
                              const endpoint_notice& notice,
                              time_point now)
 {
-    tracker_.on_notice(target.endpoint, target.epoch, notice, now);
+    auto used = notice;
+    if (options_.fleet.placement == placement_mode::least_loaded)
+    {
+        // No choice uses the statement, and passing it on would add to the traffic of digests.
+        used.load.reset();
+    }
+    tracker_.on_notice(target.endpoint, target.epoch, used, now);
 }
 
 void forward_core::on_survived(const forward_request& request, time_point now)
