--- /dev/null
+++ b/src/mangovane/admission/fwd.hpp
@@ -0,0 +1,18 @@
+// Forward declarations of the admission module.
+#ifndef MANGOVANE_ADMISSION_FWD_HPP
+#define MANGOVANE_ADMISSION_FWD_HPP
+
+namespace mangovane
+{
+
+struct admission_decision;
+struct admission_outcome;
+struct admission_policy;
+struct admission_request;
+struct admission_room;
+class account_usage;
+class admission_queue;
+
+} // namespace mangovane
+
+#endif
