Correct what the load value is used for

The comment of endpoint_load claimed that the load bound and refusals use it; they use the number of known requests, and tokens are not counted yet. Only the comment changed; the header was compiled alone.

--- a/src/mangovane/forward/endpoint_load.hpp
+++ b/src/mangovane/forward/endpoint_load.hpp
@@ -9,7 +9,8 @@
 namespace mangovane
 {
 
-/// The load bound, the choice of an endpoint and refusals all use this value.
+/// Used by the choice of an endpoint where load is spread evenly, and by the log. The load bound
+/// and refusals use `requests`; the tokens are not counted yet.
 struct endpoint_load
 {
     std::uint32_t own{0};            ///< Requests of this instance in flight; exact.
