Move the rollout status and its writer into the product

The adapter in platform/ decided what to write about a rollout and in which order to call the store, so another front end could not use either.

rollout/rollout_status now decides on typed rows (status, progress, and their revisions), and store/rollout_writer makes the calls through the interface rollout_table. platform/rollout_rows implements it and keeps the names and the encoding of the rows as they were. The call sequence, its periods and its timeouts are unchanged.

The decision's tests moved with it and check values instead of texts; the texts and the conditions of a write are checked in test/platform/rollout_rows.cpp. New: rows that cannot be parsed, and the writer without a network (a lost answer, a write that came second, a store that lost a final status).

--- a/src/mangovane/rollout/fwd.hpp
+++ b/src/mangovane/rollout/fwd.hpp
@@ -8,9 +8,15 @@
 struct rollout_event;
 struct rollout_log_entry;
 struct rollout_policy;
+struct rollout_progress;
+struct rollout_rows;
+struct rollout_status;
 struct rollout_summary;
 struct rollout_surroundings;
+struct rollout_write;
 struct schedule_step;
+struct status_decision;
+struct store_time;
 struct version_answers;
 struct version_attempt;
 struct version_response;
--- /dev/null
+++ b/src/mangovane/rollout/rollout_status.cpp
@@ -0,0 +1,49 @@
+// Implementation of the rollout status.
+#include "mangovane/rollout/rollout_status.hpp"
+
+namespace mangovane
+{
+
+namespace
+{
+
+std::optional<rollout_state> state_for(const stored_value<rollout_status>& row,
+                                       const std::string& version)
+{
+    const bool same = row.value && row.value->version == version;
+    return same ? std::optional{row.value->state} : std::nullopt;
+}
+
+} // namespace
+
+status_decision
+decide_status(const rollout_summary& rollout, const rollout_rows& rows, const store_time& time)
+{
+    const auto& order = rollout.order;
+    const auto& found = rows.progress.value;
+    const bool known =
+        found && found->version == order.version && is_same_write(found->order, order.revision);
+    if (found && !known && found->order > order.revision)
+    {
+        return {}; // Of an order that this instance does not know yet.
+    }
+    status_decision result;
+    result.stored = known ? state_for(rows.status, order.version) : std::nullopt;
+    // Whoever first sees an order fixes its deadline, from the time of the read.
+    const auto deadline = known ? found->deadline : time.store_now + order.duration;
+    result.deadline = time.read_at + (deadline - time.store_now);
+    const auto state = rollout.completable ? rollout_state::done : rollout.state;
+    const bool final = result.stored && *result.stored != rollout_state::running;
+    if (final || result.stored == state)
+    {
+        return result;
+    }
+    result.write = rollout_write{order.service_name,
+                                 rows.status.revision,
+                                 rows.progress.revision,
+                                 {order.version, state},
+                                 {order.revision, order.version, deadline}};
+    return result;
+}
+
+} // namespace mangovane
--- a/src/mangovane/store/fwd.hpp
+++ b/src/mangovane/store/fwd.hpp
@@ -10,10 +10,13 @@
 class discovery_service;
 class http_platform;
 class http_pool;
+class rollout_table;
+class rollout_writer;
 class table_reader;
 class table_sink;
 class table_watch;
 
+struct rollout_listing;
 struct store_row;
 struct store_rows;
 
