End a cut response of the stand-in as incomplete whatever its length

Cause: the fault `cut` reset the connection in the third event of a stream. A stream of fewer events, or a body without events such as the soak's long bodies, ended as a complete response instead.

Change: the response is cut in its last event if it has fewer than three, and after its head if it has none.

--- a/src/standin/fleet_engine.cpp
+++ b/src/standin/fleet_engine.cpp
@@ -1,6 +1,7 @@
 // Implementation of the stand-in for an endpoint of the platform.
 #include "standin/fleet_engine.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
@@ -87,20 +88,24 @@
     co_await rep.start_chunks(200, "text/event-stream", {});
     const auto first = number(field(req, "Last-Event-ID")) + 1;
     const auto work = work_of(req);
+    const auto cut_event = std::min(first + 2, work.events);
     for (auto n = first; n <= work.events && rep.open(); ++n)
     {
         const auto event = event_text(field(req, "X-Attempt-Id"), n);
-        if (cut && n == first + 2)
+        if (cut && n == cut_event)
         {
             co_await rep.chunk(event.substr(0, event.size() / 2));
-            co_await rep.pause(work.event_interval);
-            rep.reset();
-            co_return;
+            break;
         }
         co_await rep.chunk(event);
         co_await rep.pause_while_connected(work.event_interval);
     }
-    if (rep.open())
+    if (cut)
+    {
+        co_await rep.pause(work.event_interval);
+        rep.reset();
+    }
+    else if (rep.open())
     {
         co_await rep.end_chunks();
     }
--- a/src/standin/fleet_engine.hpp
+++ b/src/standin/fleet_engine.hpp
@@ -23,7 +23,8 @@
     error,            ///< Runs the request and responds 500.
     hang,             ///< Runs the request and sends no response.
     reset,            ///< Runs the request and resets the connection without a response.
-    cut,              ///< Resets the connection in the middle of an event.
+    cut,              ///< Resets the connection in the third event, or the last of fewer, or after
+                      ///< the head of a response without events.
     malformed,        ///< Runs the request and sends bytes that are not HTTP.
     wrong_attempt_id, ///< Responds with the attempt id of another request.
     unsigned_answer,  ///< Responds without `X-Server-Signature`.
@@ -89,6 +90,7 @@
     [[nodiscard]] engine_work work_of(const request& req) const;
     void add_signature(engine_fault fault, const request& req, reply& rep) const;
     boost::asio::awaitable<void> respond(engine_fault fault, const request& req, reply& rep);
+    /// With `cut`, the response never ends as complete.
     boost::asio::awaitable<void> stream(const request& req, reply& rep, bool cut);
     boost::asio::awaitable<void> break_off(const request& req, reply& rep);
     boost::asio::awaitable<void> apply_fault(engine_fault fault, const request& req, reply& rep);
