Let the soak's store come back older among changes of the configuration

Cause: no run of the soak had a store that loses what it has acknowledged, so nothing checked under faults that a configuration does not revert.

Change: runs of the kind `changes` have the fault `store_returns_older`: the store is down for up to a second and comes back from a copy taken 0.5 to 5 s before. What operators and endpoints have written since is written again within two seconds. Each configuration has a route and a key that the next one removes, and the callers that probe a router ask for them. Three new checks: a configuration that was written again is in force within its bound, what was removed is refused within the bound, and a process never again accepts what it has seen removed.

--- a/soak/call_text.cpp
+++ b/soak/call_text.cpp
@@ -16,8 +16,8 @@
 {
 
 /// Indexed by `call_kind`.
-constexpr std::array<std::string_view, 7> route_names{"grant", "status", "review", "rights",
-                                                      "v",     "ledger", "minutes"};
+constexpr std::array<std::string_view, 9> route_names{"grant",  "status",  "review", "rights", "v",
+                                                      "ledger", "minutes", "only",   "turn"};
 
 constexpr standin::engine_work short_work{stream_events, milliseconds{30}, milliseconds{20}};
 
@@ -45,24 +45,39 @@
     return between(random / brief_interval, min_long_work, brief ? max_brief_work : max_long_work);
 }
 
+/// Kind and version, as in the id.
 std::string route_of(const std::string& request)
 {
     return request.substr(0, request.find('-'));
 }
 
+/// The version at the end of `route_of`; empty if the request depends on none.
+std::string version_of(const std::string& request)
+{
+    const auto route = route_of(request);
+    return route.substr(route.find_last_not_of("0123456789") + 1);
+}
+
+void insert_after(std::string& text, std::string_view place, const std::string& added)
+{
+    text.insert(text.find(place) + place.size(), added);
+}
+
 } // namespace
 
 std::string
 make_request_id(call_kind kind, std::uint64_t version, std::size_t caller, std::uint64_t number)
 {
     const auto name = std::string{route_names[static_cast<std::size_t>(kind)]};
-    return kind == call_kind::probe ? absl::StrCat(name, version, "-", caller, "-", number)
+    return depends_on_version(kind) ? absl::StrCat(name, version, "-", caller, "-", number)
                                     : absl::StrCat(name, "-", caller, "-", number);
 }
 
 call_kind kind_of(const std::string& request)
 {
-    const auto it = std::find(route_names.begin(), route_names.end(), route_of(request));
+    auto name = route_of(request);
+    name.resize(name.size() - version_of(request).size());
+    const auto it = std::find(route_names.begin(), route_names.end(), name);
     return it == route_names.end() ? call_kind::probe
                                    : static_cast<call_kind>(it - route_names.begin());
 }
@@ -97,14 +112,30 @@
 
 std::string target_of(const std::string& request)
 {
-    return absl::StrCat("/", route_of(request), "/7?x=", request);
+    const bool common = kind_of(request) == call_kind::removed_key;
+    return absl::StrCat("/", common ? "status" : route_of(request), "/7?x=", request);
+}
+
+std::string key_of(const std::string& request)
+{
+    return kind_of(request) == call_kind::removed_key ? route_of(request) : "key-1";
+}
+
+std::string with_own_parts(std::string configuration, std::uint64_t version)
+{
+    insert_after(configuration, R"("routes":[)",
+                 absl::StrCat(R"({"name":"only)", version, R"(","host":"desk.example","prefix":)",
+                              R"("/only)", version, R"(/","type":"idempotent","timeout_ms":800,)",
+                              R"("goal_ms":300,"service":"ventanilla","max_attempts":2},)"));
+    insert_after(configuration, R"("key-1")", absl::StrCat(R"(,"turn)", version, "\""));
+    return configuration;
 }
 
 std::string body_of(const std::string& request)
 {
-    // Status and probe requests use GET, which has no body.
+    // Status requests and those that depend on a version use GET, which has no body.
     const auto kind = kind_of(request);
-    const bool has_body = kind != call_kind::idempotent && kind != call_kind::probe;
+    const bool has_body = kind != call_kind::idempotent && !depends_on_version(kind);
     return has_body ? "the body of " + request : "";
 }
 
--- a/soak/call_text.hpp
+++ b/soak/call_text.hpp
@@ -20,11 +20,11 @@
 /// Version of the first configuration with a probe route; the initial one has none.
 inline constexpr std::uint64_t first_added_route = 2;
 
-/// `KIND-CALLER-NUMBER`; for probes, the probed version follows the kind.
+/// `KIND-CALLER-NUMBER`; the version follows the kind for requests that depend on one.
 [[nodiscard]] std::string
 make_request_id(call_kind kind, std::uint64_t version, std::size_t caller, std::uint64_t number);
 
-/// Kind of the request; a probe for the routes that configurations add.
+/// Kind of the request.
 [[nodiscard]] call_kind kind_of(const std::string& request);
 
 /// Work of the request at its endpoint. Long work is spread up to the timeout of its route, and a
@@ -38,6 +38,12 @@
 [[nodiscard]] std::string target_of(const std::string& request);
 [[nodiscard]] std::string body_of(const std::string& request);
 
+/// Key that the caller sends.
+[[nodiscard]] std::string key_of(const std::string& request);
+
+/// Adds to the text of a configuration a route and a key that no other version has.
+[[nodiscard]] std::string with_own_parts(std::string configuration, std::uint64_t version);
+
 /// Body of the complete response.
 [[nodiscard]] std::string response_body_of(const std::string& request);
 
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -77,7 +77,7 @@
     result.set("X-Attempt-Id", record.request);
     result.set("X-Deadline-Ms", std::to_string(record.deadline.count()));
     result.set("X-Tenant", "forged");
-    result.set(http::field::authorization, "Bearer key-1");
+    result.set(http::field::authorization, "Bearer " + key_of(record.request));
     if (is_stream(record.kind))
     {
         const auto number = std::to_string(chat);
@@ -121,6 +121,17 @@
     return kinds[pick(kinds.size())];
 }
 
+call_record caller::make_probe()
+{
+    static constexpr std::array kinds{call_kind::probe, call_kind::removed_route,
+                                      call_kind::removed_key};
+    call_record result;
+    result.kind = options_.probes_removed ? kinds[calls_ % kinds.size()] : call_kind::probe;
+    const auto version = fleet_.version();
+    result.version = asks_for_removed(result.kind) ? version - 1 : version;
+    return result;
+}
+
 milliseconds caller::pick_wait()
 {
     if (options_.probed_router)
@@ -186,11 +197,17 @@
                 break;
             }
             call_record record;
-            record.kind = options_.probed_router ? call_kind::probe : pick_kind();
-            record.version = options_.probed_router ? fleet_.version() : 0;
+            if (options_.probed_router)
+            {
+                record = make_probe();
+            }
+            else
+            {
+                record.kind = pick_kind();
+            }
             record.router = router;
             record.process_number = process_number;
-            if (record.kind != call_kind::probe || record.version >= first_added_route)
+            if (!options_.probed_router || fleet_.version() >= first_added_route)
             {
                 record.request =
                     make_request_id(record.kind, record.version, options_.number, ++calls_);
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -24,6 +24,8 @@
     std::uint64_t seed{1};
     /// If set, the caller only probes the configuration of this router.
     std::optional<std::size_t> probed_router;
+    /// The probes also ask for what the configuration in force has removed.
+    bool probes_removed{false};
     /// If set, all connections go to this router.
     std::optional<std::size_t> home_router{};
     /// Sends requests with long work, and uses its connections again at once for as long as the
@@ -72,6 +74,8 @@
     boost::asio::awaitable<bool> read_response(stream& conn, call_record& record);
     boost::asio::awaitable<void> pause(milliseconds time);
     [[nodiscard]] call_kind pick_kind();
+    /// The next probe: of the newest configuration, or of what it has removed.
+    [[nodiscard]] call_record make_probe();
     /// Time between two calls of a connection.
     [[nodiscard]] milliseconds pick_wait();
     [[nodiscard]] std::size_t pick(std::size_t count);
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::array domains{"ikeja-a", "lekki-b", "agege-c"};
 constexpr milliseconds probe_timeout{1000};
+const row_key configuration_row{"op", "config"};
 
 /// Offsets of a router's ports from the first one.
 enum port : int
@@ -146,20 +147,67 @@
 void deployment::configure()
 {
     const auto next = version_ + 1;
-    store_.put("op", "config",
-               test::configuration_text({.version = next,
-                                         .first_added = first_added_route,
-                                         .cold_time = cold_time,
-                                         .cold_rate = cold_rate,
-                                         .long_timeout = long_route_timeout}));
+    auto text = test::configuration_text({.version = next,
+                                          .first_added = first_added_route,
+                                          .cold_time = cold_time,
+                                          .cold_rate = cold_rate,
+                                          .long_timeout = long_route_timeout});
+    write(configuration_row, options_.replaces_parts ? with_own_parts(text, next) : text);
     recorder_.add(operator_change{change_kind::configuration, {}, next, clock::now()});
     version_ = next;
 }
 
 void deployment::list(endpoint& it, const std::string& state, milliseconds cold_left)
 {
-    store_.put("servers", it.name,
-               test::entry_text({it.service, it.link().address(), it.domain, state, cold_left}));
+    write({"servers", it.name},
+          test::entry_text({it.service, it.link().address(), it.domain, state, cold_left}));
+}
+
+void deployment::write(const row_key& key, std::optional<std::string> value)
+{
+    auto& row = written_[key];
+    row = {std::move(value), clock::now()};
+    put_row(key, row.value);
+}
+
+void deployment::put_row(const row_key& key, const std::optional<std::string>& value)
+{
+    if (value)
+    {
+        store_.put(key.table, key.key, *value);
+    }
+    else
+    {
+        store_.remove(key.table, key.key);
+    }
+}
+
+std::vector<row_key> deployment::rows_written_since(time_point at) const
+{
+    std::vector<row_key> result;
+    for (const auto& [key, row] : written_)
+    {
+        if (row.at >= at)
+        {
+            result.push_back(key);
+        }
+    }
+    return result;
+}
+
+void deployment::write_again(const row_key& key, time_point written_by)
+{
+    const auto& row = written_.at(key);
+    if (row.at > written_by)
+    {
+        return;
+    }
+    put_row(key, row.value);
+    if (key == configuration_row)
+    {
+        recorder_.add(
+            operator_change{change_kind::configuration_again, {}, version_, clock::now()});
+    }
 }
 
 void deployment::add_endpoint(const std::string& service, milliseconds cold)
@@ -185,12 +233,12 @@
 void deployment::remove_entry(endpoint& it)
 {
     it.listed = false;
-    store_.remove("servers", it.name);
+    write({"servers", it.name}, std::nullopt);
 }
 
 void deployment::evacuate_domain(const std::string& domain)
 {
-    store_.put("op", "evacuate/" + domain, "{}");
+    write({"op", "evacuate/" + domain}, "{}");
     {
         const std::lock_guard lock{mutex_};
         domain_out_ = domain;
@@ -206,7 +254,7 @@
     }
     // Recorded first, since requests may arrive as soon as the store has applied the change.
     recorder_.add(operator_change{change_kind::domain_back, domain, 0, clock::now()});
-    store_.remove("op", "evacuate/" + domain);
+    write({"op", "evacuate/" + domain}, std::nullopt);
 }
 
 std::vector<endpoint*> deployment::endpoints() const
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -5,8 +5,10 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,12 +30,23 @@
     std::size_t model_endpoints{5};
     std::size_t plain_endpoints{3};
     std::string log_folder; ///< Folder of the router logs; empty: no logs.
+    /// Each configuration has a route and a key that the next one removes.
+    bool replaces_parts{false};
     /// Time after SIGTERM for which a router still accepts connections.
     milliseconds drain_delay{500};
 
     auto operator<=>(const deployment_options&) const = default;
 };
 
+/// Table and key of a row of the store.
+struct row_key
+{
+    std::string table;
+    std::string key;
+
+    auto operator<=>(const row_key&) const = default;
+};
+
 /// An endpoint of a service with its link and its load.
 class endpoint
 {
@@ -105,6 +118,11 @@
     void evacuate_domain(const std::string& domain);
     void restore_domain(const std::string& domain);
 
+    /// Rows that operators and endpoints have written or removed after `at`.
+    [[nodiscard]] std::vector<row_key> rows_written_since(time_point at) const;
+    /// Writes or removes a row as before, unless it was written after `written_by`.
+    void write_again(const row_key& key, time_point written_by);
+
     [[nodiscard]] std::vector<execution_record> executions() const;
 
     /// All endpoints added so far, including removed ones. The pointers stay valid.
@@ -121,6 +139,9 @@
     /// Mean load over `own` and the endpoints of its service that accept new requests.
     [[nodiscard]] double mean_load(const endpoint& own) const;
     void list(endpoint& it, const std::string& state, milliseconds cold_left);
+    /// Writes a row of the store, or removes it if there is no value.
+    void write(const row_key& key, std::optional<std::string> value);
+    void put_row(const row_key& key, const std::optional<std::string>& value);
     boost::asio::awaitable<void>
     serve(endpoint& it, const standin::request& req, standin::reply& rep);
 
@@ -136,6 +157,14 @@
     std::vector<std::unique_ptr<endpoint>> endpoints_; ///< Guarded by `mutex_`; never shrinks.
     std::string domain_out_;                           ///< Evacuated domain. Guarded by `mutex_`.
     std::vector<std::unique_ptr<router>> routers_;     ///< Fixed after construction.
+
+    /// Last write of a row by an operator or an endpoint.
+    struct written_row
+    {
+        std::optional<std::string> value; ///< Empty: the row was removed.
+        time_point at{};
+    };
+    std::map<row_key, written_row> written_; ///< Used by the thread that makes the changes.
 };
 
 } // namespace mangovane::soak
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -70,15 +70,17 @@
     {&fault_injector::pause_router, &fault_injector::continue_router},
     {&fault_injector::busy_cores, &fault_injector::free_cores},
     {&fault_injector::call_burst, &fault_injector::end_outage},
+    {&fault_injector::store_down, &fault_injector::return_older_store},
 }};
 
 fault_injector::fault_injector(deployment& fleet, observation_recorder& recorder, fault_plan plan)
     : fleet_{fleet}, recorder_{recorder}, plan_{std::move(plan)},
-      faulted_routers_(fleet.routers().size())
+      faulted_routers_(fleet.routers().size()), store_return_{fleet, recorder}
 {}
 
 bool fault_injector::advance(time_point now, time_point start)
 {
+    store_return_.advance(now);
     for (auto it = active_faults_.begin(); it != active_faults_.end();)
     {
         if (now < start + it->event.until)
@@ -97,12 +99,14 @@
     {
         active_fault it;
         it.event = plan_.events[next_++];
+        it.begun_at = now;
         (this->*rules[static_cast<std::size_t>(it.event.kind)].begin)(it);
         active_faults_.push_back(it);
     }
     advance_restarts();
     check_processes();
-    return next_ != plan_.events.size() || !active_faults_.empty() || !restarts_.empty();
+    return next_ != plan_.events.size() || !active_faults_.empty() || !restarts_.empty() ||
+           store_return_.pending();
 }
 
 // Selection of the affected router, store or endpoint.
@@ -347,6 +351,12 @@
     end_outage(it);
 }
 
+void fault_injector::return_older_store(active_fault& it)
+{
+    store_return_.come_back(it.begun_at, it.event.random_value, clock::now());
+    restore_store(it);
+}
+
 // Endpoints.
 
 void fault_injector::endpoint_fails(active_fault& it)
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -8,6 +8,7 @@
 #include "soak/busy_threads.hpp"
 #include "soak/deployment.hpp"
 #include "soak/fault_plan.hpp"
+#include "soak/store_return.hpp"
 
 namespace mangovane::soak
 {
@@ -45,6 +46,7 @@
         std::size_t router{0};     ///< Affected router, for kinds that have one.
         endpoint* target{nullptr}; ///< Affected endpoint, for kinds that have one.
         std::optional<std::size_t> outage;
+        time_point begun_at{};
         bool skipped{false}; ///< The target already has a fault, or too few endpoints would remain.
     };
 
@@ -84,6 +86,7 @@
     void store_loses(active_fault& it);
     void store_forgets(active_fault& it);
     void restore_store(active_fault& it);
+    void return_older_store(active_fault& it);
     void endpoint_fails(active_fault& it);
     void endpoint_breaks_off(active_fault& it);
     void endpoint_crashes(active_fault& it);
@@ -123,6 +126,7 @@
     std::vector<bool> faulted_routers_; ///< Routers with an active fault.
     std::vector<unexpected_exit> unexpected_exits_;
     std::optional<busy_threads> busy_;
+    store_return store_return_;
     bool store_faulted_{false};
     bool domain_out_{false};
 };
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -71,6 +71,33 @@
                                         fault_kind::hang_up, fault_kind::drain_endpoint,
                                         fault_kind::add_cold_endpoint};
 
+/// Phases of a plan of changes: faults start in the first one; the second one starts when they have
+/// ended and the settle margin has passed.
+constexpr std::uint64_t changes_begin_ms = 800;
+constexpr std::uint64_t change_faults_end_ms = 4500;
+constexpr std::uint64_t changes_end_ms = 7500;
+constexpr milliseconds quiet_changes_begin{12500};
+constexpr milliseconds quiet_return_delay{700};
+/// After the return of the quiet phase, rows are written again for 2 s, and a configuration must be
+/// in force 2 s later. The rest is time for probes.
+constexpr milliseconds quiet_return_margin{5500};
+/// The last configuration has this long to be in force.
+constexpr milliseconds last_change_duration{2500};
+/// Returns of the store among the faults begin in these windows.
+constexpr std::uint64_t first_return_ms = 2000;
+constexpr std::uint64_t first_return_end_ms = 4000;
+constexpr std::uint64_t second_return_ms = 5500;
+constexpr std::uint64_t second_return_end_ms = 8000;
+/// Time for which the store is down before it comes back older.
+constexpr std::uint64_t min_return_ms = 200;
+constexpr std::uint64_t max_return_ms = 1000;
+constexpr std::uint64_t min_configure_gap_ms = 400;
+constexpr std::uint64_t max_configure_gap_ms = 1500;
+/// Changes that lose a row of each kind when the store comes back older.
+constexpr std::array change_phase_changes{fault_kind::configure, fault_kind::add_cold_endpoint,
+                                          fault_kind::configure, fault_kind::drain_endpoint,
+                                          fault_kind::configure, fault_kind::take_domain_out};
+
 std::uint64_t between(std::mt19937_64& random, std::uint64_t low, std::uint64_t high)
 {
     return low + random() % (high - low);
@@ -94,6 +121,18 @@
     plan.events.push_back({fault_kind::pause_past_idle, pause, pause + length, random()});
 }
 
+/// Draws a fault that is not of the store. With a plan of changes, an overlapping fault of the
+/// store would replace its return.
+fault_kind draw_fault_beside_store(std::mt19937_64& random)
+{
+    fault_kind result{};
+    do
+    {
+        result = static_cast<fault_kind>(random() % first_planned_kind);
+    } while (result >= fault_kind::store_down && result <= fault_kind::store_forgets);
+    return result;
+}
+
 /// Stops routers one after the other, beginning with a drawn one.
 void add_stop_series(fault_plan& plan,
                      std::uint64_t begin_ms,
@@ -112,6 +151,13 @@
     }
 }
 
+/// Lets the store go down at `from` and come back older.
+void add_store_return(fault_plan& plan, milliseconds from, std::mt19937_64& random)
+{
+    const milliseconds length{between(random, min_return_ms, max_return_ms)};
+    plan.events.push_back({fault_kind::store_returns_older, from, from + length, random()});
+}
+
 void sort_by_start(fault_plan& plan)
 {
     std::sort(plan.events.begin(), plan.events.end(),
@@ -129,7 +175,7 @@
         "endpoint_fails", "endpoint_crashes", "endpoint_slow",       "endpoint_silent",
         "stop_router",    "hang_up",          "configure",           "add_cold_endpoint",
         "drain_endpoint", "take_domain_out",  "endpoint_breaks_off", "pause_past_idle",
-        "busy_cores",     "call_burst"};
+        "busy_cores",     "call_burst",       "store_returns_older"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -188,4 +234,35 @@
     return result;
 }
 
+fault_plan make_change_plan(std::uint64_t seed, std::size_t fault_count)
+{
+    std::mt19937_64 random{seed};
+    fault_plan result;
+    for (auto at = changes_begin_ms; at < changes_end_ms;
+         at += between(random, min_configure_gap_ms, max_configure_gap_ms))
+    {
+        const auto kind = change_phase_changes.at(random() % change_phase_changes.size());
+        const milliseconds from{at};
+        const milliseconds length{between(random, min_fault_ms, max_fault_ms)};
+        result.events.push_back({kind, from, from + length, random()});
+    }
+    for (std::size_t n = 0; n != fault_count; ++n)
+    {
+        const auto kind = draw_fault_beside_store(random);
+        const milliseconds from{between(random, changes_begin_ms, change_faults_end_ms)};
+        const milliseconds length{between(random, min_fault_ms, max_fault_ms)};
+        result.events.push_back({kind, from, from + length, random()});
+    }
+    add_store_return(result, milliseconds{between(random, first_return_ms, first_return_end_ms)},
+                     random);
+    add_store_return(result, milliseconds{between(random, second_return_ms, second_return_end_ms)},
+                     random);
+    result.events.push_back({fault_kind::configure, quiet_changes_begin, quiet_changes_begin, 0});
+    add_store_return(result, quiet_changes_begin + quiet_return_delay, random);
+    const auto end = quiet_changes_begin + quiet_return_delay + quiet_return_margin;
+    result.events.push_back({fault_kind::configure, end, end + last_change_duration, 0});
+    sort_by_start(result);
+    return result;
+}
+
 } // namespace mangovane::soak
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -43,9 +43,10 @@
     pause_past_idle,     ///< SIGSTOP for longer than the idle timeout of connections.
     busy_cores,          ///< Threads that compute take cores from the routers.
     call_burst,          ///< Several hundred connections are opened at once.
+    store_returns_older, ///< The store is down for a moment and comes back from an older copy.
 };
 
-inline constexpr std::size_t fault_kind_count = 26;
+inline constexpr std::size_t fault_kind_count = 27;
 inline constexpr std::size_t first_planned_kind = static_cast<std::size_t>(fault_kind::stop_router);
 
 [[nodiscard]] std::string_view name_of(fault_kind kind);
@@ -77,6 +78,10 @@
 [[nodiscard]] fault_plan
 make_stop_plan(std::uint64_t seed, std::size_t fault_count, std::size_t routers);
 
+/// Changes of the configuration and a store that comes back older, among faults; then the same with
+/// no other fault, so that time bounds can be checked.
+[[nodiscard]] fault_plan make_change_plan(std::uint64_t seed, std::size_t fault_count);
+
 } // namespace mangovane::soak
 
 #endif
--- a/soak/fwd.hpp
+++ b/soak/fwd.hpp
@@ -14,17 +14,22 @@
 struct operator_change;
 struct execution_record;
 struct process_end;
+struct row_key;
+struct store_backup;
 struct soak_options;
 struct stop_counts;
 
 class busy_threads;
 class caller;
+class change_checker;
 class deployment;
 class fault_injector;
 class observation_recorder;
 class invariant_checker;
 class link_proxy;
 class outage_log;
+class store_backups;
+class store_return;
 
 } // namespace mangovane::soak
 
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -159,11 +159,10 @@
 
 void invariant_checker::check_denials(std::vector<violation>& out) const
 {
-    // A probe may request a route that doesn't exist yet; every configuration allows all other
-    // requests.
+    // Some requests depend on the configuration in force; every one allows all others.
     for (const auto& it : observed_.calls)
     {
-        if (it.kind != call_kind::probe && is_denial(it.status))
+        if (!depends_on_version(it.kind) && is_denial(it.status))
         {
             out.push_back({"denial", absl::StrCat(it.request, " was answered ", it.status,
                                                   " by router ", it.router)});
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,5 +1,6 @@
 // Fault soak: runs seeded fault plans and prints the violated invariants.
 #include <algorithm>
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -34,9 +35,11 @@
     add("seed", po::value(&line.seed)->default_value(1), "first seed");
     add("count", po::value(&line.count)->default_value(1), "number of seeds to run in sequence");
     add("seeds", po::value(&line.seeds_file),
-        "file of runs to use instead: kind (faults or stops), seed, faults, routers, callers, "
+        "file of runs to use instead: kind (faults, stops or changes), seed, faults, routers, "
+        "callers, "
         "comment");
     add("stops", "run series of stops with long work");
+    add("changes", "run changes of the configuration and a store that comes back older");
     add("brief", po::bool_switch(&line.options.brief), "skip the undisturbed phase of a run");
     add("plant-doubles", po::bool_switch(&line.options.injected.duplicates_requests),
         "send each request to endpoints twice: the run must fail");
@@ -63,13 +66,29 @@
     }
 }
 
+/// Names of the kinds of runs in the file of runs. All but the first are options too; `--faults` is
+/// the number of faults.
+constexpr std::array<std::pair<std::string_view, soak_kind>, 3> kinds{
+    {{"faults", soak_kind::faults}, {"stops", soak_kind::stops}, {"changes", soak_kind::changes}}};
+
 soak_kind kind_of(const std::string& name)
 {
-    if (name != "faults" && name != "stops")
+    const auto* it = std::find_if(kinds.begin(), kinds.end(),
+                                  [&](const auto& known) { return known.first == name; });
+    if (it == kinds.end())
     {
         throw std::invalid_argument{"no kind of soak run: " + name};
     }
-    return name == "stops" ? soak_kind::stops : soak_kind::faults;
+    return it->second;
+}
+
+/// Kind of the runs that the options ask for.
+soak_kind kind_of(const po::variables_map& values)
+{
+    const auto* it = std::find_if(std::next(kinds.begin()), kinds.end(),
+                                  [&](const auto& known)
+                                  { return values.count(std::string{known.first}) != 0; });
+    return it == kinds.end() ? kinds.front().second : it->second;
 }
 
 /// A seed with the options of its run.
@@ -152,7 +171,7 @@
         std::cout << "Runs seeded fault plans against router processes.\n\n" << known;
         return 0;
     }
-    line.options.kind = values.count("stops") != 0 ? soak_kind::stops : soak_kind::faults;
+    line.options.kind = kind_of(values);
     if (values.count("plan") != 0)
     {
         print_plan(line);
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 
 #include "soak/caller.hpp"
+#include "soak/change_checker.hpp"
 #include "soak/fault_injector.hpp"
 
 namespace mangovane::soak
@@ -95,6 +96,7 @@
         {
             const auto probed_router = n < routers ? std::optional{n} : std::nullopt;
             caller_options its{n, seed * 1000 + n, probed_router};
+            its.probes_removed = kind_ == soak_kind::changes;
             its.idle_percent = n % idle_caller_interval == 0 ? idle_percent : 0;
             if (kind_ == soak_kind::stops && !probed_router && n % short_caller_interval != 0)
             {
@@ -143,6 +145,7 @@
         {
             result.drain_delay = default_drain_delay;
         }
+        result.replaces_parts = options.kind == soak_kind::changes;
         return result;
     }
 
@@ -223,7 +226,12 @@
         {
             violations_.insert(std::move(found));
         }
-        timed_checks_ = it.timed_checks();
+        const change_checker changes{observed};
+        for (auto& found : changes.all())
+        {
+            violations_.insert(std::move(found));
+        }
+        timed_checks_ = it.timed_checks() + changes.timed_checks();
         closed_unread_ = it.closed_unread();
         at_stops_ = it.at_stops();
     }
@@ -327,9 +335,15 @@
 
 fault_plan plan_of(std::uint64_t seed, const soak_options& options)
 {
-    return options.kind == soak_kind::stops
-               ? make_stop_plan(seed, options.faults, options.deployment.routers)
-               : make_plan(seed, options.faults, options.brief);
+    switch (options.kind)
+    {
+    case soak_kind::stops:
+        return make_stop_plan(seed, options.faults, options.deployment.routers);
+    case soak_kind::changes:
+        return make_change_plan(seed, options.faults);
+    default:
+        return make_plan(seed, options.faults, options.brief);
+    }
 }
 
 soak_result run_seed(std::uint64_t seed, const soak_options& options)
--- a/soak/run.hpp
+++ b/soak/run.hpp
@@ -15,8 +15,9 @@
 
 enum class soak_kind : std::uint8_t
 {
-    faults, ///< Faults and changes with work that is short against all time bounds.
-    stops,  ///< Series of stops with work that lasts up to the timeouts of the routes.
+    faults,  ///< Faults and changes with work that is short against all time bounds.
+    stops,   ///< Series of stops with work that lasts up to the timeouts of the routes.
+    changes, ///< Changes of the configuration and a store that comes back older, among faults.
 };
 
 struct soak_options
--- a/soak/run_observations.hpp
+++ b/soak/run_observations.hpp
@@ -30,11 +30,25 @@
     idempotent,       ///< Plain, idempotent.
     plain_stream,     ///< Stream, must run at most once.
     resumable_stream, ///< Resumable stream.
-    probe,       ///< Requests the newest route, to find out whether its configuration is active.
-    long_body,   ///< Plain, must run at most once; works for up to the timeout of its route.
-    long_stream, ///< Stream, must run at most once; lasts for up to the timeout of its route.
+    probe,         ///< Requests the newest route, to find out whether its configuration is active.
+    long_body,     ///< Plain, must run at most once; works for up to the timeout of its route.
+    long_stream,   ///< Stream, must run at most once; lasts for up to the timeout of its route.
+    removed_route, ///< Requests the route that only one configuration has.
+    removed_key,   ///< Has the key that only one configuration accepts.
 };
 
+/// Whether the request must be refused once a later configuration than its own is in force.
+[[nodiscard]] constexpr bool asks_for_removed(call_kind kind) noexcept
+{
+    return kind == call_kind::removed_route || kind == call_kind::removed_key;
+}
+
+/// Whether the request depends on the configuration version that its id names.
+[[nodiscard]] constexpr bool depends_on_version(call_kind kind) noexcept
+{
+    return kind == call_kind::probe || asks_for_removed(kind);
+}
+
 [[nodiscard]] constexpr bool has_long_work(call_kind kind) noexcept
 {
     return kind == call_kind::long_body || kind == call_kind::long_stream;
@@ -49,7 +63,7 @@
 [[nodiscard]] constexpr bool may_repeat(call_kind kind) noexcept
 {
     return kind == call_kind::idempotent || kind == call_kind::resumable_stream ||
-           kind == call_kind::probe;
+           depends_on_version(kind);
 }
 
 /// A request as observed by its caller.
@@ -68,7 +82,7 @@
     bool has_signature{false};
     bool body_matches{false}; ///< The body is the complete one of this request.
     bool abandoned{false};    ///< The call exceeded the caller's timeout.
-    std::uint64_t version{0}; ///< Configuration version of a probe.
+    std::uint64_t version{0}; ///< Of requests that depend on a configuration version.
     time_point sending_at{};  ///< Just before the last bytes were written.
     milliseconds deadline{request_deadline};
 
@@ -104,10 +118,12 @@
 
 enum class change_kind : std::uint8_t
 {
-    configuration, ///< `version` is written to the store.
-    drain,         ///< An endpoint announces its drain.
-    domain_out,    ///< A failure domain is evacuated.
-    domain_back,   ///< The domain is restored.
+    configuration,       ///< `version` is written to the store.
+    drain,               ///< An endpoint announces its drain.
+    domain_out,          ///< A failure domain is evacuated.
+    domain_back,         ///< The domain is restored.
+    store_returned,      ///< The store came back from an older copy.
+    configuration_again, ///< `version` is written again after such a return.
 };
 
 /// A change made in the store.
--- a/test/soak/call_text.cpp
+++ b/test/soak/call_text.cpp
@@ -11,10 +11,10 @@
 
 TEST_CASE("the texts and the work of the soak's requests")
 {
-    constexpr std::array kinds{call_kind::single_run,   call_kind::idempotent,
-                               call_kind::plain_stream, call_kind::resumable_stream,
-                               call_kind::probe,        call_kind::long_body,
-                               call_kind::long_stream};
+    constexpr std::array kinds{
+        call_kind::single_run,       call_kind::idempotent,    call_kind::plain_stream,
+        call_kind::resumable_stream, call_kind::probe,         call_kind::long_body,
+        call_kind::long_stream,      call_kind::removed_route, call_kind::removed_key};
 
     SUBCASE("an id tells the kind of the request")
     {
@@ -50,4 +50,19 @@
         }
         CHECK(deadline_of("grant-3-1") == request_deadline);
     }
+    SUBCASE("what a version alone has is asked for by its route or its key")
+    {
+        const auto text =
+            with_own_parts(R"({"routes":[{"name":"v7"}],"tenants":[{"api_keys":["key-1"]}]})", 7);
+        CHECK(text.find(R"("routes":[{"name":"only7")") != std::string::npos);
+        CHECK(text.find(R"("api_keys":["key-1","turn7"])") != std::string::npos);
+
+        const auto route = make_request_id(call_kind::removed_route, 7, 3, 12);
+        CHECK(target_of(route).starts_with("/only7/"));
+        CHECK(key_of(route) == "key-1");
+
+        const auto key = make_request_id(call_kind::removed_key, 7, 3, 12);
+        CHECK(target_of(key).starts_with("/status/"));
+        CHECK(key_of(key) == "turn7");
+    }
 }
