Add uncontrolled callers to the soak's runs of changes

Only a test with an otherwise idle router covered them.

Change: the fault `uncontrolled_callers` lets 100 callers send such requests to one router for 2 to 4 s, beside the other faults. Two checks: the peak memory of that router stays under 29 MB, the target for 300 callers scaled to 100 as in the test of the product, and the router serves ordinary calls from 3 s after them on. Executions of their requests are left out of the other checks, as no caller waits for them.

--- a/soak/call_text.cpp
+++ b/soak/call_text.cpp
@@ -28,6 +28,9 @@
 constexpr std::uint64_t brief_interval = 4; ///< One request in this many has brief work.
 constexpr milliseconds max_brief_work{1000};
 
+constexpr const char* uncontrolled_prefix = "ledger-u";
+constexpr milliseconds uncontrolled_work{1500};
+
 constexpr milliseconds deadline_margin{1000};
 constexpr milliseconds medium_deadline{4000};
 
@@ -65,6 +68,16 @@
 
 } // namespace
 
+std::string make_uncontrolled_id(std::size_t caller, std::uint64_t number)
+{
+    return absl::StrCat(uncontrolled_prefix, caller, "-", number);
+}
+
+bool is_uncontrolled(const std::string& request)
+{
+    return request.starts_with(uncontrolled_prefix);
+}
+
 std::string
 make_request_id(call_kind kind, std::uint64_t version, std::size_t caller, std::uint64_t number)
 {
@@ -84,6 +97,10 @@
 
 standin::engine_work work_of(const std::string& request)
 {
+    if (is_uncontrolled(request))
+    {
+        return {0, milliseconds{0}, uncontrolled_work};
+    }
     const auto kind = kind_of(request);
     if (!has_long_work(kind))
     {
--- a/soak/call_text.hpp
+++ b/soak/call_text.hpp
@@ -20,6 +20,14 @@
 /// Version of the first configuration with a probe route; the initial one has none.
 inline constexpr std::uint64_t first_added_route = 2;
 
+/// Largest head of a request in runs with uncontrolled callers.
+inline constexpr std::uint32_t uncontrolled_header_bytes = 65536;
+
+/// Id of a request of an uncontrolled caller. It has a route of long work, and no caller checks its
+/// response.
+[[nodiscard]] std::string make_uncontrolled_id(std::size_t caller, std::uint64_t number);
+[[nodiscard]] bool is_uncontrolled(const std::string& request);
+
 /// `KIND-CALLER-NUMBER`; the version follows the kind for requests that depend on one.
 [[nodiscard]] std::string
 make_request_id(call_kind kind, std::uint64_t version, std::size_t caller, std::uint64_t number);
--- a/soak/change_checker.cpp
+++ b/soak/change_checker.cpp
@@ -39,6 +39,8 @@
         &change_checker::check_in_force_again,
         &change_checker::check_removed_in_time,
         &change_checker::check_removed_for_good,
+        &change_checker::check_uncontrolled_memory,
+        &change_checker::check_served_after_uncontrolled,
     };
     std::vector<violation> result;
     for (const auto check : checks)
@@ -134,4 +136,42 @@
     }
 }
 
+void change_checker::check_uncontrolled_memory(std::vector<violation>& out) const
+{
+    for (const auto& it : observed_.uncontrolled)
+    {
+        ++timed_checks_;
+        if (it.peak_memory_kb > bounds_.uncontrolled_memory_kb)
+        {
+            out.push_back({"uncontrolled_memory",
+                           absl::StrCat("router ", it.router, " took ", it.peak_memory_kb,
+                                        " KB with uncontrolled callers")});
+        }
+    }
+}
+
+void change_checker::check_served_after_uncontrolled(std::vector<violation>& out) const
+{
+    for (const auto& period : observed_.uncontrolled)
+    {
+        std::size_t sent = 0;
+        bool served = false;
+        for (const auto& it : observed_.calls)
+        {
+            const bool counts =
+                it.router == period.router && !depends_on_version(it.kind) &&
+                it.sending_at >= period.until + bounds_.uncontrolled_end &&
+                observed_.outages.undisturbed(it.router, it.sending_at, it.ended_at, true);
+            sent += counts ? 1 : 0;
+            served = served || (counts && is_served(it) && it.complete);
+        }
+        if (!served && sent >= bounds_.min_calls_after_uncontrolled)
+        {
+            out.push_back({"served_after_uncontrolled",
+                           absl::StrCat("router ", period.router, " served none of ", sent,
+                                        " calls after uncontrolled callers")});
+        }
+    }
+}
+
 } // namespace mangovane::soak
--- a/soak/change_checker.hpp
+++ b/soak/change_checker.hpp
@@ -32,6 +32,11 @@
     /// A process that has served a configuration refuses what that configuration had removed.
     void check_removed_for_good(std::vector<violation>& out) const;
 
+    /// The memory of a router with uncontrolled callers stays under its bound.
+    void check_uncontrolled_memory(std::vector<violation>& out) const;
+    /// A router serves ordinary calls after uncontrolled callers.
+    void check_served_after_uncontrolled(std::vector<violation>& out) const;
+
     /// Whether the router had no outage from before the time span on, and the store none in it.
     [[nodiscard]] bool settled_after_return(const call_record& it, time_point from) const;
 
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -151,6 +151,7 @@
                                           .first_added = first_added_route,
                                           .cold_time = cold_time,
                                           .cold_rate = cold_rate,
+                                          .header_bytes = options_.header_bytes,
                                           .long_timeout = long_route_timeout});
     write(configuration_row, options_.replaces_parts ? with_own_parts(text, next) : text);
     recorder_.add(operator_change{change_kind::configuration, {}, next, clock::now()});
@@ -302,6 +303,10 @@
     {
         for (const auto& run : it->engine.runs())
         {
+            if (is_uncontrolled(run.request))
+            {
+                continue;
+            }
             const bool as_sent = run.target == target_of(run.request) &&
                                  run.body == body_of(run.request) && run.account == "desk" &&
                                  !run.had_key;
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -32,6 +32,7 @@
     std::string log_folder; ///< Folder of the router logs; empty: no logs.
     /// Each configuration has a route and a key that the next one removes.
     bool replaces_parts{false};
+    std::uint32_t header_bytes{4096}; ///< Largest head of a request.
     /// Time after SIGTERM for which a router still accepts connections.
     milliseconds drain_delay{500};
 
@@ -123,12 +124,15 @@
     /// Writes or removes a row as before, unless it was written after `written_by`.
     void write_again(const row_key& key, time_point written_by);
 
+    /// Executions of all requests but those of uncontrolled callers.
     [[nodiscard]] std::vector<execution_record> executions() const;
 
     /// All endpoints added so far, including removed ones. The pointers stay valid.
     [[nodiscard]] std::vector<endpoint*> endpoints() const;
     [[nodiscard]] std::vector<std::unique_ptr<router>>& routers() noexcept { return routers_; }
     [[nodiscard]] standin::fleet_store& store() noexcept { return store_; }
+    /// Context in which proxies and callers run.
+    [[nodiscard]] boost::asio::io_context& io() noexcept { return io_; }
     [[nodiscard]] static std::string domain_of(std::size_t number);
 
     static constexpr seconds cold_time{2};
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -71,6 +71,7 @@
     {&fault_injector::busy_cores, &fault_injector::free_cores},
     {&fault_injector::call_burst, &fault_injector::end_outage},
     {&fault_injector::store_down, &fault_injector::return_older_store},
+    {&fault_injector::begin_uncontrolled_callers, &fault_injector::end_uncontrolled_callers},
 }};
 
 fault_injector::fault_injector(deployment& fleet, observation_recorder& recorder, fault_plan plan)
@@ -421,6 +422,26 @@
     it.outage = recorder_.begin(machine_component, false);
 }
 
+void fault_injector::begin_uncontrolled_callers(active_fault& it)
+{
+    it.skipped = uncontrolled_.has_value();
+    if (!it.skipped)
+    {
+        it.router = it.event.random_value % faulted_routers_.size();
+        // The callers take cores from all processes.
+        it.outage = recorder_.begin(machine_component, false);
+        uncontrolled_.emplace(fleet_.io(), fleet_.address(it.router));
+    }
+}
+
+void fault_injector::end_uncontrolled_callers(active_fault& it)
+{
+    uncontrolled_.reset();
+    const auto memory = fleet_.routers()[it.router]->process->peak_memory_kb();
+    recorder_.add(uncontrolled_period{it.router, it.begun_at, clock::now(), memory});
+    end_outage(it);
+}
+
 // Planned changes.
 
 void fault_injector::configure(active_fault& /*it*/)
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -9,6 +9,7 @@
 #include "soak/deployment.hpp"
 #include "soak/fault_plan.hpp"
 #include "soak/store_return.hpp"
+#include "soak/uncontrolled_callers.hpp"
 
 namespace mangovane::soak
 {
@@ -96,6 +97,8 @@
     void busy_cores(active_fault& it);
     void free_cores(active_fault& it);
     void call_burst(active_fault& it);
+    void begin_uncontrolled_callers(active_fault& it);
+    void end_uncontrolled_callers(active_fault& it);
     void configure(active_fault& it);
     void add_cold_endpoint(active_fault& it);
     void drain_endpoint(active_fault& it);
@@ -127,6 +130,7 @@
     std::vector<unexpected_exit> unexpected_exits_;
     std::optional<busy_threads> busy_;
     store_return store_return_;
+    std::optional<uncontrolled_callers> uncontrolled_;
     bool store_faulted_{false};
     bool domain_out_{false};
 };
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -88,6 +88,13 @@
 constexpr std::uint64_t first_return_end_ms = 4000;
 constexpr std::uint64_t second_return_ms = 5500;
 constexpr std::uint64_t second_return_end_ms = 8000;
+/// Uncontrolled callers begin in this window, by a generator of their own, so that they can be left
+/// out of a plan without changing the rest. They outlast the time in which a head must arrive.
+constexpr std::uint64_t uncontrolled_seed = 0x63726f77;
+constexpr std::uint64_t uncontrolled_begin_ms = 1000;
+constexpr std::uint64_t uncontrolled_begin_end_ms = 5500;
+constexpr std::uint64_t min_uncontrolled_ms = 2000;
+constexpr std::uint64_t max_uncontrolled_ms = 4000;
 /// Time for which the store is down before it comes back older.
 constexpr std::uint64_t min_return_ms = 200;
 constexpr std::uint64_t max_return_ms = 1000;
@@ -175,7 +182,7 @@
         "endpoint_fails", "endpoint_crashes", "endpoint_slow",       "endpoint_silent",
         "stop_router",    "hang_up",          "configure",           "add_cold_endpoint",
         "drain_endpoint", "take_domain_out",  "endpoint_breaks_off", "pause_past_idle",
-        "busy_cores",     "call_burst",       "store_returns_older"};
+        "busy_cores",     "call_burst",       "store_returns_older", "uncontrolled_callers"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -257,6 +264,13 @@
                      random);
     add_store_return(result, milliseconds{between(random, second_return_ms, second_return_end_ms)},
                      random);
+    std::mt19937_64 uncontrolled_random{seed ^ uncontrolled_seed};
+    const milliseconds crowd{
+        between(uncontrolled_random, uncontrolled_begin_ms, uncontrolled_begin_end_ms)};
+    const milliseconds crowd_time{
+        between(uncontrolled_random, min_uncontrolled_ms, max_uncontrolled_ms)};
+    result.events.push_back(
+        {fault_kind::uncontrolled_callers, crowd, crowd + crowd_time, uncontrolled_random()});
     result.events.push_back({fault_kind::configure, quiet_changes_begin, quiet_changes_begin, 0});
     add_store_return(result, quiet_changes_begin + quiet_return_delay, random);
     const auto end = quiet_changes_begin + quiet_return_delay + quiet_return_margin;
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -39,14 +39,15 @@
     add_cold_endpoint,
     drain_endpoint,
     take_domain_out,
-    endpoint_breaks_off, ///< Responses end at any byte.
-    pause_past_idle,     ///< SIGSTOP for longer than the idle timeout of connections.
-    busy_cores,          ///< Threads that compute take cores from the routers.
-    call_burst,          ///< Several hundred connections are opened at once.
-    store_returns_older, ///< The store is down for a moment and comes back from an older copy.
+    endpoint_breaks_off,  ///< Responses end at any byte.
+    pause_past_idle,      ///< SIGSTOP for longer than the idle timeout of connections.
+    busy_cores,           ///< Threads that compute take cores from the routers.
+    call_burst,           ///< Several hundred connections are opened at once.
+    store_returns_older,  ///< The store is down for a moment and comes back from an older copy.
+    uncontrolled_callers, ///< Callers send heads, trailers and empty lines without end to a router.
 };
 
-inline constexpr std::size_t fault_kind_count = 27;
+inline constexpr std::size_t fault_kind_count = 28;
 inline constexpr std::size_t first_planned_kind = static_cast<std::size_t>(fault_kind::stop_router);
 
 [[nodiscard]] std::string_view name_of(fault_kind kind);
@@ -78,8 +79,8 @@
 [[nodiscard]] fault_plan
 make_stop_plan(std::uint64_t seed, std::size_t fault_count, std::size_t routers);
 
-/// Changes of the configuration and a store that comes back older, among faults; then the same with
-/// no other fault, so that time bounds can be checked.
+/// Changes of the configuration and a store that comes back older, among faults and uncontrolled
+/// callers; then the same with no other fault, so that time bounds can be checked.
 [[nodiscard]] fault_plan make_change_plan(std::uint64_t seed, std::size_t fault_count);
 
 } // namespace mangovane::soak
--- a/soak/fwd.hpp
+++ b/soak/fwd.hpp
@@ -16,6 +16,7 @@
 struct process_end;
 struct row_key;
 struct store_backup;
+struct uncontrolled_period;
 struct soak_options;
 struct stop_counts;
 
@@ -30,6 +31,7 @@
 class outage_log;
 class store_backups;
 class store_return;
+class uncontrolled_callers;
 
 } // namespace mangovane::soak
 
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -48,6 +48,13 @@
     std::size_t max_endpoints{2};  ///< Endpoints that may run the same request.
     /// Requests of a run that may be forwarded and end without a complete response.
     std::size_t max_unanswered{3};
+    /// Peak memory of a router with 100 uncontrolled callers: 12 MB when idle, and their part of
+    /// the target of 64 MB for 300 callers.
+    std::size_t uncontrolled_memory_kb{(12 + (64 - 12) * 100 / 300) * std::size_t{1024}};
+    /// Time after such callers in which their connections end.
+    milliseconds uncontrolled_end{3000};
+    /// A router that serves none of this many ordinary calls after them is reported.
+    std::size_t min_calls_after_uncontrolled{10};
     milliseconds grace{8000}; ///< From SIGTERM until the end of the process.
     /// Share of the grace period in which callers may send requests that a stop may cut.
     double sending_share{3.0 / 8};
--- a/soak/observation_recorder.hpp
+++ b/soak/observation_recorder.hpp
@@ -18,6 +18,7 @@
     void add(arrival it) { arrivals_.add(std::move(it)); }
     void add(operator_change it) { changes_.add(std::move(it)); }
     void add(process_end it) { process_ends_.add(it); }
+    void add(uncontrolled_period it) { uncontrolled_.add(it); }
 
     /// Begins and ends an outage.
     [[nodiscard]] std::size_t begin(disturbed_component affected, bool planned)
@@ -43,8 +44,8 @@
     [[nodiscard]] run_observations collect(std::vector<execution_record> executions) const
     {
         run_observations result{
-            calls_.all(), std::move(executions), arrivals_.all(), changes_.all(),
-            {},           process_ends_.all()};
+            calls_.all(), std::move(executions), arrivals_.all(),    changes_.all(),
+            {},           process_ends_.all(),   uncontrolled_.all()};
         const std::lock_guard lock{outage_mutex_};
         result.outages = outages_;
         return result;
@@ -78,6 +79,7 @@
     shared_list<arrival> arrivals_;
     shared_list<operator_change> changes_;
     shared_list<process_end> process_ends_;
+    shared_list<uncontrolled_period> uncontrolled_;
     mutable std::mutex outage_mutex_;
     outage_log outages_; ///< Guarded by `outage_mutex_`.
 };
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -10,6 +10,7 @@
 #include <absl/strings/str_cat.h>
 #include <boost/asio/executor_work_guard.hpp>
 
+#include "soak/call_text.hpp"
 #include "soak/caller.hpp"
 #include "soak/change_checker.hpp"
 #include "soak/fault_injector.hpp"
@@ -145,7 +146,11 @@
         {
             result.drain_delay = default_drain_delay;
         }
-        result.replaces_parts = options.kind == soak_kind::changes;
+        if (options.kind == soak_kind::changes)
+        {
+            result.replaces_parts = true;
+            result.header_bytes = uncontrolled_header_bytes;
+        }
         return result;
     }
 
--- a/soak/run_observations.hpp
+++ b/soak/run_observations.hpp
@@ -148,6 +148,17 @@
     auto operator<=>(const process_end&) const = default;
 };
 
+/// A time in which uncontrolled callers sent to a router.
+struct uncontrolled_period
+{
+    std::size_t router{0};
+    time_point from{};
+    time_point until{};
+    std::size_t peak_memory_kb{0}; ///< Of the process at the end; 0 if there is none.
+
+    auto operator<=>(const uncontrolled_period&) const = default;
+};
+
 struct run_observations
 {
     std::vector<call_record> calls; ///< Ordered by end.
@@ -156,6 +167,7 @@
     std::vector<operator_change> changes;
     outage_log outages;
     std::vector<process_end> process_ends;
+    std::vector<uncontrolled_period> uncontrolled;
 };
 
 } // namespace mangovane::soak
--- a/test/soak/call_text.cpp
+++ b/test/soak/call_text.cpp
@@ -50,6 +50,15 @@
         }
         CHECK(deadline_of("grant-3-1") == request_deadline);
     }
+    SUBCASE("a request of an uncontrolled caller is told from all others")
+    {
+        CHECK(is_uncontrolled(make_uncontrolled_id(3, 12)));
+        CHECK(target_of(make_uncontrolled_id(3, 12)).starts_with("/ledger/"));
+        for (const auto kind : kinds)
+        {
+            CHECK_FALSE(is_uncontrolled(make_request_id(kind, 7, 3, 12)));
+        }
+    }
     SUBCASE("what a version alone has is asked for by its route or its key")
     {
         const auto text =
--- a/test/soak/change_checker.cpp
+++ b/test/soak/change_checker.cpp
@@ -126,6 +126,39 @@
             CHECK(names(observed) == none);
         }
     }
+    SUBCASE("with uncontrolled callers at a router")
+    {
+        observed.uncontrolled = {{0, start - seconds{3}, start, std::size_t{28} * 1024}};
+        observed.calls.assign(10, make_call(call_kind::single_run, 0, milliseconds{3100}, 503));
+
+        SUBCASE("accept that an ordinary call is served afterwards")
+        {
+            observed.calls.back().status = 200;
+            CHECK(names(observed) == none);
+        }
+        SUBCASE("report that no ordinary call is served afterwards")
+        {
+            CHECK(names(observed) == only("served_after_uncontrolled"));
+
+            SUBCASE("but not if too few were sent to tell")
+            {
+                observed.calls.pop_back();
+                CHECK(names(observed) == none);
+            }
+            SUBCASE("nor if the router was disturbed then")
+            {
+                observed.outages.end(observed.outages.begin(0, false, start + seconds{3}),
+                                     start + seconds{4});
+                CHECK(names(observed) == none);
+            }
+        }
+        SUBCASE("report that the router took more memory than its bound")
+        {
+            observed.calls.clear();
+            observed.uncontrolled.front().peak_memory_kb = std::size_t{30} * 1024;
+            CHECK(names(observed) == only("uncontrolled_memory"));
+        }
+    }
 }
 
 TEST_CASE("the copies of the soak's store")
--- a/test/soak/fault_plan.cpp
+++ b/test/soak/fault_plan.cpp
@@ -66,7 +66,8 @@
             {
                 // Another fault of the store would replace its return.
                 CHECK((it.kind < fault_kind::store_down || it.kind > fault_kind::store_forgets));
-                const bool is_fault = static_cast<std::size_t>(it.kind) < first_planned_kind;
+                const bool is_fault = static_cast<std::size_t>(it.kind) < first_planned_kind ||
+                                      it.kind == fault_kind::uncontrolled_callers;
                 CHECK((!is_fault || it.until < quiet_from));
             }
         }
