Choose an endpoint in one pass, without a sort

All rules now share a search for the lowest key that is admitted. It takes one pass and allocates nothing; only after four refusals is the rest sorted. Each thread reuses its candidate lists. The tracker's shards follow the order of the ids, so that a walk over a service's endpoints takes each lock once.

The even rule gave equal keys to endpoints without room, and the search left out all others with the key of a refused one: a request could be refused because one of several equally loaded endpoints was cold. The keys now end with the tie-break, and a test covers it.

--- a/src/bench/decision_command.cpp
+++ b/src/bench/decision_command.cpp
@@ -1,9 +1,10 @@
-// Sub-command `decision`: CPU time of placement decisions, and CPU time and memory of the chat
-// directory, at the fleet size planned for in two years.
+// Sub-command `decision`: CPU time of placement decisions and of endpoint choices, and CPU time and
+// memory of the chat directory, at the fleet size planned for in two years.
 #include <algorithm>
 #include <iostream>
 
 #include "bench/commands.hpp"
+#include "bench/forward_choice.hpp"
 #include "bench/measurement.hpp"
 #include "bench/options.hpp"
 #include "bench/process_cost.hpp"
@@ -104,6 +105,7 @@
     const auto options = parse_options(args);
     std::vector<measurement> measurements;
     measure_strategies(measurements);
+    measure_forward_choice(measurements);
     measure_directory(measurements);
     print_measurements(std::cout, measurements, options.json);
     return 0;
--- a/src/mangovane/core/sharded_map.hpp
+++ b/src/mangovane/core/sharded_map.hpp
@@ -4,6 +4,8 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <mutex>
 #include <utility>
 
@@ -14,9 +16,32 @@
 namespace mangovane
 {
 
+/// Shard of a key, independent of the order of the keys. Mixed once more, because the map inside
+/// the shard uses the low bits of the same hash.
+struct mixed_shards
+{
+    template <std::size_t Shards, class Key>
+    [[nodiscard]] static std::size_t index_of(const Key& key)
+    {
+        return hash_combine(absl::Hash<Key>{}(key), 0) % Shards;
+    }
+};
+
+/// For keys that are hashes of names: consecutive keys are in the same shard, so that a walk over
+/// ordered keys takes the lock of each shard once.
+struct ordered_shards
+{
+    template <std::size_t Shards, class Key>
+    [[nodiscard]] static std::size_t index_of(const Key& key)
+    {
+        constexpr auto keys_per_shard = std::numeric_limits<std::uint64_t>::max() / Shards + 1;
+        return key.value() / keys_per_shard;
+    }
+};
+
 /// Thread-safe hash map. Visitors run under the lock of one shard: they must not block, send
 /// messages or access another sharded map, and return their results by value.
-template <class Key, class Value, std::size_t Shards = 16>
+template <class Key, class Value, std::size_t Shards = 16, class Sharding = mixed_shards>
 class sharded_map
 {
 public:
@@ -60,6 +85,29 @@
                           });
     }
 
+    /// Calls `visitor(item, entry)` for each item, with a pointer to the entry of the key
+    /// `key_of(item)`, or null. Keeps the lock of a shard from one item to the next of that shard.
+    template <class Items, class KeyOf, class Visitor>
+    void find_each(const Items& items, KeyOf&& key_of, Visitor&& visitor)
+    {
+        shard* held = nullptr;
+        std::unique_lock<std::mutex> lock;
+        for (const auto& item : items)
+        {
+            const Key key = key_of(item);
+            auto& next = shards_[index_of(key)];
+            if (held != &next)
+            {
+                // Released first: no thread holds two shards.
+                lock = {};
+                lock = std::unique_lock{next.mutex};
+                held = &next;
+            }
+            const auto it = next.entries.find(key);
+            visitor(item, it == next.entries.end() ? nullptr : &it->second);
+        }
+    }
+
     /// Calls `visitor(map)` for each shard in turn, under one lock at a time.
     template <class Visitor>
     void for_each_shard(Visitor&& visitor)
@@ -88,8 +136,7 @@
 
     [[nodiscard]] static std::size_t index_of(const Key& key)
     {
-        // Mixed once more, because the map inside the shard uses the low bits of the same hash.
-        return hash_combine(absl::Hash<Key>{}(key), 0) % Shards;
+        return Sharding::template index_of<Shards>(key);
     }
 
     std::array<shard, Shards> shards_;
--- a/src/mangovane/forward/endpoint_tracker.hpp
+++ b/src/mangovane/forward/endpoint_tracker.hpp
@@ -6,11 +6,14 @@
 #include <atomic>
 #include <cstdint>
 #include <mutex>
+#include <span>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 
 #include "mangovane/core/sharded_map.hpp"
 #include "mangovane/forward/endpoint_record.hpp"
+#include "mangovane/membership/endpoint.hpp"
 
 namespace mangovane
 {
@@ -55,6 +58,12 @@
     [[nodiscard]] endpoint_snapshot
     snapshot_of(endpoint_id endpoint, incarnation epoch, time_point now);
 
+    /// Calls `visitor` with the current state of each endpoint. Cheapest for endpoints in order of
+    /// id. The visitor runs under a lock: it must not call the tracker.
+    void visit(std::span<const endpoint_info* const> endpoints,
+               time_point now,
+               absl::FunctionRef<void(const endpoint_info&, const endpoint_snapshot&)> visitor);
+
     /// See `endpoint_record::try_admit_cold`.
     [[nodiscard]] bool
     try_admit_cold(endpoint_id endpoint, duration interval, duration first_wait, time_point now);
@@ -91,7 +100,7 @@
     void on_receipt(time_point at, std::int64_t change);
     void remove(const load_digest& digest);
 
-    sharded_map<endpoint_id, endpoint_record> records_;
+    sharded_map<endpoint_id, endpoint_record, 16, ordered_shards> records_;
     std::mutex mutex_;
     absl::flat_hash_map<instance_id, received_digest> digests_; ///< Guarded by `mutex_`.
     std::mutex receipts_mutex_; ///< Of its own: each choice of an endpoint takes it for a moment.
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -117,17 +117,38 @@
     [[nodiscard]] view_ptr view() const { return state_.view(); }
 
 private:
-    /// Endpoints of a service with their loads.
+    /// Endpoints of a service with their loads. Reused for several choices: `clear` keeps the
+    /// memory of the lists.
     struct candidate_set
     {
         /// Endpoints that accept new requests and are not excluded.
         std::vector<placement_candidate> candidates;
+        std::vector<attempt_counts> counts; ///< Recent attempts of each candidate.
         double others_per_s{0}; ///< Requests that other instances send to the candidates.
         double mean_load{0};    ///< Mean number of requests in flight over all listed endpoints.
         /// When the first of the endpoints that have closed for a time opens again; max: none has.
         time_point reopens_at{time_point::max()};
+
+        void clear()
+        {
+            candidates.clear();
+            counts.clear();
+            others_per_s = 0;
+            mean_load = 0;
+            reopens_at = time_point::max();
+        }
+
+        /// Removes the candidates that a replacement must not go to.
+        void keep_unavoided(std::uint32_t allowed)
+        {
+            std::erase_if(candidates, [&](const placement_candidate& it)
+                          { return it.avoided || it.load >= allowed; });
+        }
     };
 
+    /// The set of the calling thread, empty. One choice at a time uses it.
+    [[nodiscard]] static candidate_set& empty_candidate_set();
+
     /// The last digest sent.
     struct sent_digest
     {
@@ -175,12 +196,13 @@
     template <class Message>
     void dispatch(instance_id from, const message& msg, time_point now);
 
-    /// Endpoints of the service, of these versions, that can be chosen.
-    [[nodiscard]] candidate_set collect_candidates(const routing_table& routes,
-                                                   service_id service,
-                                                   const version_set& versions,
-                                                   std::span<const endpoint_id> excluded,
-                                                   time_point now);
+    /// Fills an empty set with the endpoints of the service, of these versions, that can be chosen.
+    void collect_candidates(candidate_set& result,
+                            const routing_table& routes,
+                            service_id service,
+                            const version_set& versions,
+                            std::span<const endpoint_id> excluded,
+                            time_point now);
 
     /// An endpoint with what it was chosen from.
     struct chosen_endpoint
@@ -207,10 +229,8 @@
     [[nodiscard]] endpoint_load
     load_of(const routing_table& routes, const endpoint_info& endpoint, time_point now);
 
-    /// Marks candidates that fail more often than the others. `counts` holds the recent attempts of
-    /// each candidate, in the same order.
-    static void mark_avoided(std::vector<placement_candidate>& candidates,
-                             const std::vector<attempt_counts>& counts);
+    /// Marks candidates that fail more often than the others.
+    static void mark_avoided(candidate_set& set);
 
     /// Whether the endpoint, or its whole domain, is in a cold period.
     [[nodiscard]] bool is_cold(const endpoint_info& endpoint, time_point now);
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -21,13 +21,20 @@
 
 } // namespace
 
-forward_core::candidate_set forward_core::collect_candidates(const routing_table& routes,
-                                                             service_id service,
-                                                             const version_set& versions,
-                                                             std::span<const endpoint_id> excluded,
-                                                             time_point now)
+forward_core::candidate_set& forward_core::empty_candidate_set()
+{
+    thread_local candidate_set result;
+    result.clear();
+    return result;
+}
+
+void forward_core::collect_candidates(candidate_set& result,
+                                      const routing_table& routes,
+                                      service_id service,
+                                      const version_set& versions,
+                                      std::span<const endpoint_id> excluded,
+                                      time_point now)
 {
-    candidate_set result;
     const auto& listed = routes.endpoints().of_service(service);
     const auto suspected_domains = domains_.suspected(now);
     const auto is_suspected = [&](domain_id it)
@@ -36,39 +43,35 @@
                suspected_domains.end();
     };
     const bool evenly = spreads_evenly();
-    std::vector<attempt_counts> counts;
     double total = 0;
     std::size_t permitted = 0;
-    for (const auto* it : listed)
+    const auto add = [&](const endpoint_info& it, const endpoint_snapshot& snapshot)
     {
-        if (!versions.contains(it->version))
+        if (!versions.contains(it.version))
         {
-            continue;
+            return;
         }
         ++permitted;
-        const auto snapshot = tracker_.snapshot_of(it->id, it->epoch, now);
         total += snapshot.load;
-        const bool tried = std::find(excluded.begin(), excluded.end(), it->id) != excluded.end();
-        if (tried || routes.closed(it->id) || snapshot.leaving)
+        const bool tried = std::find(excluded.begin(), excluded.end(), it.id) != excluded.end();
+        if (tried || routes.closed(it) || snapshot.leaving)
         {
-            continue;
+            return;
         }
         if (now < snapshot.closed_until)
         {
             result.reopens_at = std::min(result.reopens_at, snapshot.closed_until);
+            return;
         }
-        else
-        {
-            const bool avoided = snapshot.suspended || is_suspected(it->domain);
-            const double speed = evenly ? snapshot.known.speed : 1;
-            result.candidates.push_back({it->id, it->domain, snapshot.load, avoided, speed});
-            result.others_per_s += snapshot.known.others_per_s;
-            counts.push_back(snapshot.counts);
-        }
-    }
+        const bool avoided = snapshot.suspended || is_suspected(it.domain);
+        const double speed = evenly ? snapshot.known.speed : 1;
+        result.candidates.push_back({it.id, it.domain, snapshot.load, avoided, speed});
+        result.others_per_s += snapshot.known.others_per_s;
+        result.counts.push_back(snapshot.counts);
+    };
+    tracker_.visit(listed, now, add);
     result.mean_load = permitted == 0 ? 0 : total / static_cast<double>(permitted);
-    mark_avoided(result.candidates, counts);
-    return result;
+    mark_avoided(result);
 }
 
 bool forward_core::spreads_evenly() const noexcept
@@ -89,11 +92,10 @@
     return result;
 }
 
-void forward_core::mark_avoided(std::vector<placement_candidate>& candidates,
-                                const std::vector<attempt_counts>& counts)
+void forward_core::mark_avoided(candidate_set& set)
 {
     attempt_counts all;
-    for (const auto& it : counts)
+    for (const auto& it : set.counts)
     {
         all.failures += it.failures;
         all.successes += it.successes;
@@ -103,15 +105,19 @@
         const auto sum = failures + successes;
         return sum == 0 ? 0.0 : static_cast<double>(failures) / sum;
     };
-    for (std::size_t n = 0; n != candidates.size(); ++n)
+    for (std::size_t n = 0; n != set.candidates.size(); ++n)
     {
-        const auto& own = counts[n];
+        const auto& own = set.counts[n];
+        if (own.failures < min_failures)
+        {
+            continue;
+        }
         const auto others =
             failure_rate(all.failures - own.failures, all.successes - own.successes);
         const auto own_rate = failure_rate(own.failures, own.successes);
-        candidates[n].avoided = candidates[n].avoided ||
-                                (own.failures >= min_failures && own_rate >= min_failure_rate &&
-                                 own_rate >= min_failure_ratio * others);
+        set.candidates[n].avoided =
+            set.candidates[n].avoided ||
+            (own_rate >= min_failure_rate && own_rate >= min_failure_ratio * others);
     }
 }
 
@@ -217,12 +223,12 @@
                            time_point& reopens_at,
                            time_point now)
 {
-    auto eligible = collect_candidates(routes, request.service, versions, excluded, now);
+    auto& eligible = empty_candidate_set();
+    collect_candidates(eligible, routes, request.service, versions, excluded, now);
     const auto allowed = options_.fleet.bound.allowed(eligible.mean_load);
     if (purpose == choice_purpose::replacement)
     {
-        std::erase_if(eligible.candidates, [&](const placement_candidate& it)
-                      { return it.avoided || it.load >= allowed; });
+        eligible.keep_unavoided(allowed);
     }
     const auto affinity = request.affinity();
     const auto& rule = placement_for(spreads_evenly(), affinity != 0);
@@ -248,11 +254,12 @@
 {
     const endpoint_info* best = nullptr;
     std::uint64_t best_score = 0;
+    const auto affinity = request.affinity();
     for (const auto* it : routes.endpoints().of_service(request.service))
     {
         const bool recently_cold =
             it->cold_until != time_point{} && now < it->cold_until + recently_cold_time;
-        const auto score = rendezvous_score(request.affinity(), it->id.value());
+        const auto score = rendezvous_score(affinity, it->id.value());
         if (!recently_cold && (best == nullptr || score > best_score) &&
             !tracker_.snapshot_of(it->id, it->epoch, now).suspended)
         {
--- a/src/mangovane/forward/placement_rule.cpp
+++ b/src/mangovane/forward/placement_rule.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <tuple>
 #include <type_traits>
 #include <vector>
@@ -17,37 +16,116 @@
 namespace
 {
 
-using positions = std::vector<std::size_t>;
+/// A number above 0 and at most 1 for a candidate, drawn anew for each choice.
+double draw(const placement_context& context, const placement_candidate& it)
+{
+    constexpr unsigned unused_bits = 11; // A double has 53 significant bits.
+    constexpr double scale = 1.0 / 9007199254740992.0;
+    const auto score = rendezvous_score(context.tie_break_seed, it.endpoint.value());
+    return (static_cast<double>(score >> unused_bits) + 1) * scale;
+}
 
-/// Positions of all candidates, ordered by a key.
+/// A candidate with the key that orders it.
 template <class Key>
-positions ordered_by(std::span<const placement_candidate> candidates, Key key)
-{
-    positions result(candidates.size());
-    std::iota(result.begin(), result.end(), std::size_t{0});
-    std::sort(result.begin(), result.end(),
-              [&](std::size_t lhs, std::size_t rhs)
-              { return key(candidates[lhs]) < key(candidates[rhs]); });
-    return result;
+struct keyed_position
+{
+    Key key;
+    std::size_t position{0};
+};
+
+template <class Key>
+using key_type_of = typename std::invoke_result_t<Key, const placement_candidate&>::value_type;
+
+/// The candidate with the lowest key above `floor`, if there is one.
+template <class Key>
+std::optional<keyed_position<key_type_of<Key>>>
+lowest_above(const std::optional<key_type_of<Key>>& floor,
+             std::span<const placement_candidate> candidates,
+             const Key& key)
+{
+    std::optional<keyed_position<key_type_of<Key>>> best;
+    for (std::size_t n = 0; n != candidates.size(); ++n)
+    {
+        const auto it = key(candidates[n]);
+        if (it && (!best || *it < best->key) && (!floor || *it > *floor))
+        {
+            best = {*it, n};
+        }
+    }
+    return best;
 }
 
-positions by_load(const placement_context& context)
+/// The first candidate above `floor`, in order of the keys, that is admitted. Sorts.
+template <class Key>
+std::optional<std::size_t> first_admitted_above(const key_type_of<Key>& floor,
+                                                std::span<const placement_candidate> candidates,
+                                                const Key& key,
+                                                admission_filter admit)
 {
-    return ordered_by(
-        context.candidates,
-        [&](const placement_candidate& it)
+    std::vector<keyed_position<key_type_of<Key>>> order;
+    for (std::size_t n = 0; n != candidates.size(); ++n)
+    {
+        const auto it = key(candidates[n]);
+        if (it && *it > floor)
         {
-            const auto tie = rendezvous_score(context.tie_break_seed, it.endpoint.value());
-            return std::tuple{it.avoided, it.load, it.domain != context.own_domain, tie};
-        });
+            order.push_back({*it, n});
+        }
+    }
+    std::sort(order.begin(), order.end(),
+              [](const auto& lhs, const auto& rhs) { return lhs.key < rhs.key; });
+    const auto found = std::find_if(order.begin(), order.end(),
+                                    [&](const auto& it) { return admit(candidates[it.position]); });
+    return found == order.end() ? std::nullopt : std::optional{found->position};
 }
 
+/// Candidates that are refused before the rest is sorted. Usually the first one is admitted; many
+/// are refused only while a whole domain is cold.
+constexpr int max_passes = 4;
+
+/// The candidate with the lowest key that is admitted. One pass over the candidates, without a sort
+/// and without allocation, unless one is refused. Keys differ; candidates without a key are left
+/// out.
+template <class Key>
 std::optional<std::size_t>
-first_admitted(const placement_context& context, const positions& order, admission_filter admit)
+lowest_admitted(const placement_context& context, const Key& key, admission_filter admit)
 {
-    const auto it = std::find_if(order.begin(), order.end(),
-                                 [&](std::size_t n) { return admit(context.candidates[n]); });
-    return it == order.end() ? std::nullopt : std::optional{*it};
+    std::optional<key_type_of<Key>> refused;
+    for (int pass = 0; pass != max_passes; ++pass)
+    {
+        const auto lowest = lowest_above(refused, context.candidates, key);
+        if (!lowest || admit(context.candidates[lowest->position]))
+        {
+            return lowest ? std::optional{lowest->position} : std::nullopt;
+        }
+        refused = lowest->key;
+    }
+    return first_admitted_above(*refused, context.candidates, key, admit);
+}
+
+std::optional<std::size_t> choose_least_loaded(const placement_context& context,
+                                               admission_filter admit)
+{
+    using key_type = std::tuple<bool, std::uint32_t, bool, std::uint64_t>;
+    const auto key = [&](const placement_candidate& it)
+    {
+        const auto tie = rendezvous_score(context.tie_break_seed, it.endpoint.value());
+        return std::optional{key_type{it.avoided, it.load, it.domain != context.own_domain, tie}};
+    };
+    return lowest_admitted(context, key, admit);
+}
+
+/// The first candidate in rendezvous order of the prefix that `suits` and is admitted.
+template <class Suits>
+std::optional<std::size_t>
+choose_home(const placement_context& context, const Suits& suits, admission_filter admit)
+{
+    const auto key = [&](const placement_candidate& it)
+    {
+        const bool has_room = !it.avoided && it.load < context.allowed && suits(it);
+        return has_room ? std::optional{~rendezvous_score(context.affinity, it.endpoint.value())}
+                        : std::nullopt;
+    };
+    return lowest_admitted(context, key, admit);
 }
 
 class least_loaded_rule final : public placement_rule
@@ -56,7 +134,7 @@
     [[nodiscard]] std::optional<std::size_t> choose(const placement_context& context,
                                                     admission_filter admit) const override
     {
-        return first_admitted(context, by_load(context), admit);
+        return choose_least_loaded(context, admit);
     }
 };
 
@@ -66,66 +144,27 @@
     [[nodiscard]] std::optional<std::size_t> choose(const placement_context& context,
                                                     admission_filter admit) const override
     {
-        const auto order =
-            ordered_by(context.candidates, [&](const placement_candidate& it)
-                       { return ~rendezvous_score(context.affinity, it.endpoint.value()); });
-        const auto has_room = [&](const placement_candidate& it)
-        { return !it.avoided && it.load < context.allowed && admit(it); };
-        const auto found = first_admitted(context, order, has_room);
-        return found ? found : first_admitted(context, by_load(context), admit);
+        const auto found = choose_home(
+            context, [](const placement_candidate&) { return true; }, admit);
+        return found ? found : choose_least_loaded(context, admit);
     }
 };
 
-/// A number above 0 and at most 1 for a candidate, drawn anew for each choice.
-double draw(const placement_context& context, const placement_candidate& it)
-{
-    constexpr unsigned unused_bits = 11; // A double has 53 significant bits.
-    constexpr double scale = 1.0 / 9007199254740992.0;
-    const auto score = rendezvous_score(context.tie_break_seed, it.endpoint.value());
-    return (static_cast<double>(score >> unused_bits) + 1) * scale;
-}
-
-/// The candidate with the lowest key that is admitted. One pass over the candidates unless one is
-/// not admitted. Candidates without a key are left out.
-template <class Key>
-std::optional<std::size_t>
-lowest_admitted(const placement_context& context, Key key, admission_filter admit)
-{
-    using key_type = typename std::invoke_result_t<Key, const placement_candidate&>::value_type;
-    std::optional<key_type> refused;
-    while (true)
-    {
-        std::optional<key_type> best;
-        std::size_t position = 0;
-        for (std::size_t n = 0; n != context.candidates.size(); ++n)
-        {
-            const auto it = key(context.candidates[n]);
-            if (it && (!refused || *it > *refused) && (!best || *it < *best))
-            {
-                best = it;
-                position = n;
-            }
-        }
-        if (!best || admit(context.candidates[position]))
-        {
-            return best ? std::optional{position} : std::nullopt;
-        }
-        refused = best;
-    }
-}
-
 /// A random choice in proportion to the room of each endpoint; those without room come after the
 /// others, the least loaded first, and avoided ones last.
 std::optional<std::size_t> choose_evenly(const placement_context& context, admission_filter admit)
 {
     const expected_fill fill{context.candidates, context.unreported};
-    using key_type = std::tuple<bool, bool, double>;
+    using key_type = std::tuple<bool, bool, double, std::uint64_t>;
     const auto key = [&](const placement_candidate& it)
     {
         const double room = it.load < context.allowed ? fill.room(it) : 0;
         // The lowest of exponential variables with these rates is a draw in proportion to them.
         const double order = room > 0 ? -std::log(draw(context, it)) / room : it.load / it.speed;
-        return std::optional{key_type{it.avoided, room <= 0, order}};
+        // Without room, many have the same load: keys must differ, or a refusal of one would leave
+        // out the others.
+        const auto tie = rendezvous_score(context.tie_break_seed, it.endpoint.value());
+        return std::optional{key_type{it.avoided, room <= 0, order, tie}};
     };
     return lowest_admitted(context, key, admit);
 }
@@ -157,13 +196,8 @@
         }
         const double slowest =
             min_home_speed * speed / static_cast<double>(context.candidates.size());
-        const auto key = [&](const placement_candidate& it)
-        {
-            const bool suits = !it.avoided && it.load < context.allowed && it.speed >= slowest;
-            return suits ? std::optional{~rendezvous_score(context.affinity, it.endpoint.value())}
-                         : std::nullopt;
-        };
-        const auto found = lowest_admitted(context, key, admit);
+        const auto found = choose_home(
+            context, [&](const placement_candidate& it) { return it.speed >= slowest; }, admit);
         return found ? found : choose_evenly(context, admit);
     }
 };
--- a/src/mangovane/rollout/version_choice.hpp
+++ b/src/mangovane/rollout/version_choice.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include <absl/container/inlined_vector.h>
+
 #include "mangovane/core/id.hpp"
 #include "mangovane/core/time.hpp"
 
@@ -28,7 +30,7 @@
 
 /// Sets in order of preference: the next is for a request for which no endpoint of the one before
 /// can be chosen. Never empty.
-using version_choice = std::vector<version_set>;
+using version_choice = absl::InlinedVector<version_set, 2>;
 
 /// An attempt of a request at an endpoint. It keeps the version that the endpoint had when it was
 /// chosen: under the same name, an endpoint may return with another one.
--- a/src/mangovane/routing/routing_table.cpp
+++ b/src/mangovane/routing/routing_table.cpp
@@ -65,16 +65,17 @@
 std::optional<slot_refusal_reason> routing_table::closed(endpoint_id endpoint) const
 {
     const auto* info = endpoints_->find(endpoint);
-    if (info == nullptr)
-    {
-        return slot_refusal_reason::unknown_endpoint;
-    }
-    if (info->leaving)
+    return info == nullptr ? slot_refusal_reason::unknown_endpoint : closed(*info);
+}
+
+std::optional<slot_refusal_reason> routing_table::closed(const endpoint_info& endpoint) const
+{
+    if (endpoint.leaving)
     {
         return slot_refusal_reason::leaving;
     }
-    if (settings_->domains_out.contains(info->domain) ||
-        settings_->endpoints_drained.contains(endpoint))
+    if (settings_->domains_out.contains(endpoint.domain) ||
+        settings_->endpoints_drained.contains(endpoint.id))
     {
         return slot_refusal_reason::drained;
     }
--- a/src/mangovane/routing/routing_table.hpp
+++ b/src/mangovane/routing/routing_table.hpp
@@ -33,6 +33,9 @@
     /// Reason why an endpoint accepts no new work; no value if it is open.
     [[nodiscard]] std::optional<slot_refusal_reason> closed(endpoint_id endpoint) const;
 
+    /// The same for an endpoint of this table.
+    [[nodiscard]] std::optional<slot_refusal_reason> closed(const endpoint_info& endpoint) const;
+
     [[nodiscard]] const endpoint_info* find(endpoint_id endpoint) const noexcept
     {
         return endpoints_->find(endpoint);
--- a/test/mangovane/forward/even_placement.cpp
+++ b/test/mangovane/forward/even_placement.cpp
@@ -75,6 +75,22 @@
     }
 }
 
+TEST_CASE("an even choice while all endpoints are at the bound")
+{
+    // Guards against a request that is refused because one of several equally loaded endpoints is
+    // cold.
+    const std::vector<placement_candidate> candidates{candidate(1, 9), candidate(2, 9),
+                                                      candidate(3, 9)};
+    for (std::uint64_t seed = 0; seed != 20; ++seed)
+    {
+        const placement_context context{candidates, 4, 0, seed, domain_id{1}};
+        int asked = 0;
+        const auto admit_third = [&](const placement_candidate&) { return ++asked == 3; };
+        CHECK(even_placement().choose(context, admit_third));
+        CHECK(asked == 3);
+    }
+}
+
 TEST_CASE("the room of an endpoint")
 {
     const std::vector<placement_candidate> candidates{candidate(1, 0), candidate(2, 2),
--- a/test/mangovane/forward/placement_rule.cpp
+++ b/test/mangovane/forward/placement_rule.cpp
@@ -3,12 +3,18 @@
 // lose cached prefixes.
 #include "mangovane/forward/placement_rule.hpp"
 
+#include <algorithm>
+#include <numeric>
+#include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <doctest/doctest.h>
 
+#include "mangovane/core/hash.hpp"
+
 using namespace mangovane;
 
 namespace
@@ -37,8 +43,93 @@
     return {candidates, 4, affinity, seed, domain_id::of("lekki-b")};
 }
 
+using positions = std::vector<std::size_t>;
+
+/// The rules as specified: all candidates in an order, and the first one that is admitted.
+template <class Key>
+positions sorted_by(const placement_context& context, Key key)
+{
+    positions result(context.candidates.size());
+    std::iota(result.begin(), result.end(), std::size_t{0});
+    std::sort(result.begin(), result.end(),
+              [&](std::size_t lhs, std::size_t rhs)
+              { return key(context.candidates[lhs]) < key(context.candidates[rhs]); });
+    return result;
+}
+
+std::optional<std::size_t>
+first_of(const placement_context& context, const positions& order, admission_filter admit)
+{
+    const auto it = std::find_if(order.begin(), order.end(),
+                                 [&](std::size_t n) { return admit(context.candidates[n]); });
+    return it == order.end() ? std::nullopt : std::optional{*it};
+}
+
+std::optional<std::size_t> sorted_by_load(const placement_context& context, admission_filter admit)
+{
+    const auto order =
+        sorted_by(context,
+                  [&](const placement_candidate& it)
+                  {
+                      const auto tie =
+                          rendezvous_score(context.tie_break_seed, it.endpoint.value());
+                      return std::tuple{it.avoided, it.load, it.domain != context.own_domain, tie};
+                  });
+    return first_of(context, order, admit);
+}
+
+std::optional<std::size_t> sorted_by_prefix(const placement_context& context,
+                                            admission_filter admit)
+{
+    const auto order =
+        sorted_by(context, [&](const placement_candidate& it)
+                  { return ~rendezvous_score(context.affinity, it.endpoint.value()); });
+    const auto has_room = [&](const placement_candidate& it)
+    { return !it.avoided && it.load < context.allowed && admit(it); };
+    const auto found = first_of(context, order, has_room);
+    return found ? found : sorted_by_load(context, admit);
+}
+
 } // namespace
 
+TEST_CASE("a choice without a sort")
+{
+    // Guards against placements that change with the way in which the rules search: prefixes would
+    // lose their endpoints, and the tests of other parts rely on the same results for a seed.
+    for (std::uint64_t seed = 0; seed != 400; ++seed)
+    {
+        auto candidates = make_candidates(1 + seed % 60);
+        for (auto& it : candidates)
+        {
+            const auto value = hash_combine(seed, it.endpoint.value());
+            it.load = static_cast<std::uint32_t>(value % 7);
+            it.avoided = (value >> 32U) % 5 == 0;
+        }
+        for (const std::uint64_t percent : {100, 60, 5, 0})
+        {
+            const auto context = make_context(candidates, seed + 1, seed);
+            // The same admissions must be asked for, in the same order: one may be consumed.
+            std::vector<endpoint_id> asked;
+            std::vector<endpoint_id> asked_when_sorted;
+            const auto admit_into = [&](std::vector<endpoint_id>& list)
+            {
+                return [&](const placement_candidate& it)
+                {
+                    list.push_back(it.endpoint);
+                    return hash_combine(seed, it.endpoint.value() + 1) % 100 < percent;
+                };
+            };
+            const auto admit = admit_into(asked);
+            const auto admit_sorted = admit_into(asked_when_sorted);
+            CHECK(least_loaded_placement().choose(context, admit) ==
+                  sorted_by_load(context, admit_sorted));
+            CHECK(sticky_placement().choose(context, admit) ==
+                  sorted_by_prefix(context, admit_sorted));
+            CHECK(asked == asked_when_sorted);
+        }
+    }
+}
+
 TEST_CASE("requests that share a prefix")
 {
     auto candidates = make_candidates(12);
