Add a placement mode that spreads only requests without a prefix

Herding is worst at services with few slots and no prompt prefixes, but the existing modes also moved prefixes and traffic between domains. With `--placement plain` the even rule places requests without a prefix, the sticky rule places the others as by default, and no speed is kept, weighed or put into digests.

What a mode does is now a table of policies (`placement_mode.hpp`), which also holds the names of the option. A test shows that requests with a prefix go to the same endpoints as with `least-loaded`, that the others are spread, and that no speed is passed on.

--- a/src/mangovane/daemon/forward_router_options.cpp
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -87,22 +87,18 @@
     add("rollback-ms", po::value(&raw.rollback_ms)->default_value(0),
         "from the 50th bad response of a version to its last request, 0 to 600000");
     add("placement", po::value(&raw.placement)->default_value("least-loaded"),
-        "choice of an endpoint: least-loaded; even; or reported: even once endpoints state their "
-        "speed");
+        "choice of an endpoint: least-loaded; even; reported: even once endpoints state their "
+        "speed; or plain: even for requests without a prompt prefix");
     return result;
 }
 
-/// Modes by the text of the option.
-constexpr std::array<std::pair<std::string_view, placement_mode>, 3> placement_modes{
-    {{"least-loaded", placement_mode::least_loaded},
-     {"even", placement_mode::even},
-     {"reported", placement_mode::reported}}};
-
 std::optional<placement_mode> find_placement(std::string_view text)
 {
-    const auto* it = std::find_if(placement_modes.begin(), placement_modes.end(),
-                                  [&](const auto& mode) { return mode.first == text; });
-    return it == placement_modes.end() ? std::nullopt : std::optional{it->second};
+    const auto* it = std::find_if(placement_policies.begin(), placement_policies.end(),
+                                  [&](const auto& policy) { return policy.name == text; });
+    return it == placement_policies.end()
+               ? std::nullopt
+               : std::optional{static_cast<placement_mode>(it - placement_policies.begin())};
 }
 
 struct number_range
--- a/src/mangovane/forward/endpoint_record.cpp
+++ b/src/mangovane/forward/endpoint_record.cpp
@@ -120,9 +120,9 @@
     endpoint_load result;
     result.own = in_flight_;
     result.others = peer_in_flight_;
-    result.others_per_s = (peer_counts_.failures + peer_counts_.successes) / counted_seconds;
+    result.others_per_s = others_per_s();
     result.slots = stated_ ? stated_->slots : 0;
-    result.speed = heard_speed_.newer(reported_speed_).expected(now);
+    result.speed = speed(now);
     return result;
 }
 
--- a/src/mangovane/forward/endpoint_record.hpp
+++ b/src/mangovane/forward/endpoint_record.hpp
@@ -86,6 +86,18 @@
     /// The load as far as requests and statements tell; the age of the digests is not known here.
     [[nodiscard]] endpoint_load known_load(time_point now) const noexcept;
 
+    /// Requests that the other instances send to the endpoint.
+    [[nodiscard]] double others_per_s() const noexcept
+    {
+        return (peer_counts_.failures + peer_counts_.successes) / counted_seconds;
+    }
+
+    /// Speed to expect, from the newest statement to any instance.
+    [[nodiscard]] double speed(time_point now) const noexcept
+    {
+        return heard_speed_.newer(reported_speed_).expected(now);
+    }
+
     /// Newest statement to this instance; nothing if there is none by this incarnation.
     [[nodiscard]] const std::optional<stated_load>& stated() const noexcept { return stated_; }
 
--- a/src/mangovane/forward/endpoint_tracker.cpp
+++ b/src/mangovane/forward/endpoint_tracker.cpp
@@ -32,14 +32,6 @@
     digest.speed_age = static_cast<std::uint8_t>(age);
 }
 
-endpoint_snapshot make_snapshot(endpoint_record& record, incarnation epoch, time_point now)
-{
-    record.on_incarnation(epoch);
-    return {record.load(),         record.suspended(now),
-            record.leaving(epoch), record.closed_until(epoch),
-            record.counts(now),    record.known_load(now)};
-}
-
 } // namespace
 
 void endpoint_tracker::on_started(endpoint_id endpoint)
@@ -142,21 +134,31 @@
 endpoint_tracker::snapshot_of(endpoint_id endpoint, incarnation epoch, time_point now)
 {
     endpoint_snapshot result;
-    records_.find(endpoint, [&](endpoint_record& it) { result = make_snapshot(it, epoch, now); });
+    records_.find(endpoint,
+                  [&](endpoint_record& it)
+                  {
+                      it.on_incarnation(epoch);
+                      result = {it.load(),         it.suspended(now),
+                                it.leaving(epoch), it.closed_until(epoch),
+                                it.counts(now),    it.known_load(now)};
+                  });
     return result;
 }
 
 void endpoint_tracker::visit(
     std::span<const endpoint_info* const> endpoints,
-    time_point now,
-    absl::FunctionRef<void(const endpoint_info&, const endpoint_snapshot&)> visitor)
+    absl::FunctionRef<void(const endpoint_info&, const endpoint_record&)> visitor)
 {
+    static const endpoint_record no_record;
     records_.find_each(
         endpoints, [](const endpoint_info* it) { return it->id; },
         [&](const endpoint_info* it, endpoint_record* record)
         {
-            visitor(*it, record == nullptr ? endpoint_snapshot{}
-                                           : make_snapshot(*record, it->epoch, now));
+            if (record != nullptr)
+            {
+                record->on_incarnation(it->epoch);
+            }
+            visitor(*it, record == nullptr ? no_record : *record);
         });
 }
 
--- a/src/mangovane/forward/endpoint_tracker.hpp
+++ b/src/mangovane/forward/endpoint_tracker.hpp
@@ -58,11 +58,11 @@
     [[nodiscard]] endpoint_snapshot
     snapshot_of(endpoint_id endpoint, incarnation epoch, time_point now);
 
-    /// Calls `visitor` with the current state of each endpoint. Cheapest for endpoints in order of
-    /// id. The visitor runs under a lock: it must not call the tracker.
+    /// Calls `visitor` with the record of each endpoint, in its current incarnation; an empty one
+    /// if there is none. Cheapest for endpoints in order of id. The visitor runs under a lock: it
+    /// must not call the tracker.
     void visit(std::span<const endpoint_info* const> endpoints,
-               time_point now,
-               absl::FunctionRef<void(const endpoint_info&, const endpoint_snapshot&)> visitor);
+               absl::FunctionRef<void(const endpoint_info&, const endpoint_record&)> visitor);
 
     /// See `endpoint_record::try_admit_cold`.
     [[nodiscard]] bool
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -378,7 +378,7 @@
                              time_point now)
 {
     auto used = notice;
-    if (options_.fleet.placement == placement_mode::least_loaded)
+    if (!policy_of(options_.fleet.placement).uses_speed)
     {
         // No choice uses the statement, and passing it on would add to the traffic of digests.
         used.load.reset();
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -16,6 +16,7 @@
 #include "mangovane/forward/feed_distributor.hpp"
 #include "mangovane/forward/fleet_size.hpp"
 #include "mangovane/forward/local_retry_budget.hpp"
+#include "mangovane/forward/placement_mode.hpp"
 #include "mangovane/forward/placement_rule.hpp"
 #include "mangovane/forward/prefix_locations.hpp"
 #include "mangovane/quarantine/prompt_quarantine.hpp"
@@ -196,12 +197,19 @@
     template <class Message>
     void dispatch(instance_id from, const message& msg, time_point now);
 
+    /// Which endpoints a choice is among.
+    struct candidate_query
+    {
+        const forward_request& request;
+        const version_set& versions;
+        std::span<const endpoint_id> excluded;
+        bool evenly{false}; ///< The even rules choose.
+    };
+
     /// Fills an empty set with the endpoints of the service, of these versions, that can be chosen.
     void collect_candidates(candidate_set& result,
                             const routing_table& routes,
-                            service_id service,
-                            const version_set& versions,
-                            std::span<const endpoint_id> excluded,
+                            const candidate_query& query,
                             time_point now);
 
     /// An endpoint with what it was chosen from.
@@ -222,8 +230,8 @@
                                                               time_point& reopens_at,
                                                               time_point now);
 
-    /// Whether the even rules choose.
-    [[nodiscard]] bool spreads_evenly() const noexcept;
+    /// Whether the even rules choose for a request.
+    [[nodiscard]] bool spreads_evenly(bool has_prefix) const noexcept;
 
     /// Load of an endpoint as this instance knows it.
     [[nodiscard]] endpoint_load
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -30,55 +30,52 @@
 
 void forward_core::collect_candidates(candidate_set& result,
                                       const routing_table& routes,
-                                      service_id service,
-                                      const version_set& versions,
-                                      std::span<const endpoint_id> excluded,
+                                      const candidate_query& query,
                                       time_point now)
 {
-    const auto& listed = routes.endpoints().of_service(service);
+    const auto& listed = routes.endpoints().of_service(query.request.service);
     const auto suspected_domains = domains_.suspected(now);
     const auto is_suspected = [&](domain_id it)
     {
         return std::find(suspected_domains.begin(), suspected_domains.end(), it) !=
                suspected_domains.end();
     };
-    const bool evenly = spreads_evenly();
+    const bool weighs_speed = query.evenly && policy_of(options_.fleet.placement).uses_speed;
+    const auto excluded = query.excluded;
     double total = 0;
     std::size_t permitted = 0;
-    const auto add = [&](const endpoint_info& it, const endpoint_snapshot& snapshot)
+    const auto add = [&](const endpoint_info& it, const endpoint_record& record)
     {
-        if (!versions.contains(it.version))
+        if (!query.versions.contains(it.version))
         {
             return;
         }
         ++permitted;
-        total += snapshot.load;
+        total += record.load();
         const bool tried = std::find(excluded.begin(), excluded.end(), it.id) != excluded.end();
-        if (tried || routes.closed(it) || snapshot.leaving)
+        if (tried || routes.closed(it) || record.leaving(it.epoch))
         {
             return;
         }
-        if (now < snapshot.closed_until)
+        if (const auto closed_until = record.closed_until(it.epoch); now < closed_until)
         {
-            result.reopens_at = std::min(result.reopens_at, snapshot.closed_until);
+            result.reopens_at = std::min(result.reopens_at, closed_until);
             return;
         }
-        const bool avoided = snapshot.suspended || is_suspected(it.domain);
-        const double speed = evenly ? snapshot.known.speed : 1;
-        result.candidates.push_back({it.id, it.domain, snapshot.load, avoided, speed});
-        result.others_per_s += snapshot.known.others_per_s;
-        result.counts.push_back(snapshot.counts);
+        const bool avoided = record.suspended(now) || is_suspected(it.domain);
+        const double speed = weighs_speed ? record.speed(now) : 1;
+        result.candidates.push_back({it.id, it.domain, record.load(), avoided, speed});
+        result.others_per_s += record.others_per_s();
+        result.counts.push_back(record.counts(now));
     };
-    tracker_.visit(listed, now, add);
+    tracker_.visit(listed, add);
     result.mean_load = permitted == 0 ? 0 : total / static_cast<double>(permitted);
     mark_avoided(result);
 }
 
-bool forward_core::spreads_evenly() const noexcept
+bool forward_core::spreads_evenly(bool has_prefix) const noexcept
 {
-    const auto mode = options_.fleet.placement;
-    return mode == placement_mode::even ||
-           (mode == placement_mode::reported && tracker_.speed_stated());
+    return policy_of(options_.fleet.placement).spreads(has_prefix, tracker_.speed_stated());
 }
 
 endpoint_load
@@ -223,15 +220,16 @@
                            time_point& reopens_at,
                            time_point now)
 {
+    const auto affinity = request.affinity();
+    const bool evenly = spreads_evenly(affinity != 0);
     auto& eligible = empty_candidate_set();
-    collect_candidates(eligible, routes, request.service, versions, excluded, now);
+    collect_candidates(eligible, routes, {request, versions, excluded, evenly}, now);
     const auto allowed = options_.fleet.bound.allowed(eligible.mean_load);
     if (purpose == choice_purpose::replacement)
     {
         eligible.keep_unavoided(allowed);
     }
-    const auto affinity = request.affinity();
-    const auto& rule = placement_for(spreads_evenly(), affinity != 0);
+    const auto& rule = placement_for(evenly, affinity != 0);
     const std::chrono::duration<double> digest_age = tracker_.mean_digest_age(now);
     const double unreported = eligible.others_per_s * digest_age.count();
     const auto tie_break_seed = hash_combine(options_.seed, ++choice_count_);
--- a/src/mangovane/forward/placement_rule.hpp
+++ b/src/mangovane/forward/placement_rule.hpp
@@ -73,17 +73,6 @@
 /// chooses as `even_placement` where it leaves the first endpoint.
 [[nodiscard]] const placement_rule& sticky_even_placement() noexcept;
 
-/// For which services the load is spread by the even rules. The others use the least loaded and the
-/// sticky rule.
-enum class placement_mode : std::uint8_t
-{
-    least_loaded, ///< For none.
-    even,         ///< For all.
-    /// For all as soon as endpoints of any service state their speed: the services of a deployment
-    /// share their machines. For none before.
-    reported,
-};
-
 /// Load bound of an endpoint, computed from the mean load over all endpoints of the service.
 struct load_bound
 {
--- a/src/mangovane/routing/routing_table.cpp
+++ b/src/mangovane/routing/routing_table.cpp
@@ -74,8 +74,11 @@
     {
         return slot_refusal_reason::leaving;
     }
-    if (settings_->domains_out.contains(endpoint.domain) ||
-        settings_->endpoints_drained.contains(endpoint.id))
+    // Usually both are empty, and each choice asks for all endpoints of a service.
+    const auto& domains = settings_->domains_out;
+    const auto& drained = settings_->endpoints_drained;
+    if ((!domains.empty() && domains.contains(endpoint.domain)) ||
+        (!drained.empty() && drained.contains(endpoint.id)))
     {
         return slot_refusal_reason::drained;
     }
--- a/test/mangovane/daemon/forward_router_options.cpp
+++ b/test/mangovane/daemon/forward_router_options.cpp
@@ -73,6 +73,7 @@
         CHECK(read({})->fleet.placement == placement_mode::least_loaded);
         CHECK(read({"--placement", "even"})->fleet.placement == placement_mode::even);
         CHECK(read({"--placement", "reported"})->fleet.placement == placement_mode::reported);
+        CHECK(read({"--placement", "plain"})->fleet.placement == placement_mode::plain);
         const auto it = read({"--placement", "most-loaded"});
         CHECK(it.status().message().find("placement 'most-loaded'") != std::string::npos);
     }
--- a/test/mangovane/forward/forward_core.cpp
+++ b/test/mangovane/forward/forward_core.cpp
@@ -257,6 +257,68 @@
             CHECK(std::count(before.begin(), before.end(), first->name) == 10);
         }
     }
+    SUBCASE("that spreads only requests without a prefix evenly")
+    {
+        // Guards against prefixes that leave their endpoints because of a mode that is meant for
+        // services without prefixes.
+        auto options = test::make_options("router", "ikeja-a");
+        options.fleet.placement = placement_mode::plain;
+        test::recording_sink plain_sink;
+        forward_core plain{options, plain_sink, &read_settings, start};
+        plain.adopt_settings(settings, start);
+        plain.catalog().replace(entries, 6, start);
+        plain.refresh(start);
+        const auto name_at = [&](forward_core& it, std::uint64_t chat)
+        {
+            const auto request = make_request(settings, "review", chat);
+            const auto target = it.choose(request, {}, choice_purpose::dispatch, start);
+            REQUIRE(target);
+            return target->name;
+        };
+        SUBCASE("places requests with a prefix as by default, also at the load bound")
+        {
+            for (std::uint64_t n = 0; n != 200; ++n)
+            {
+                const auto chat = n % 4 == 0 ? n + 1 : 7;
+                CHECK(name_at(plain, chat) == name_at(core, chat));
+            }
+        }
+        SUBCASE("spreads the others, which by default all go to the least loaded")
+        {
+            const load_digest others{{{endpoint_id::of("engine-0"), 1, 0, 255},
+                                      {endpoint_id::of("engine-1"), 1, 0, 255},
+                                      {endpoint_id::of("engine-2"), 1, 0, 255},
+                                      {endpoint_id::of("engine-3"), 1, 0, 255},
+                                      {endpoint_id::of("engine-4"), 1, 0, 255}}};
+            const auto chosen_after_digest = [&](forward_core& it)
+            {
+                it.on_message(instance_id::of("router-1"), others, start - seconds{1});
+                std::set<std::string> names;
+                for (int n = 0; n != 30; ++n)
+                {
+                    const auto request = make_request(settings, "review");
+                    const auto target = it.choose(request, {}, choice_purpose::dispatch, start);
+                    REQUIRE(target);
+                    names.insert(target->name);
+                    it.finish(target->endpoint, health_outcome::cancelled, start);
+                }
+                return names;
+            };
+            CHECK(chosen_after_digest(core) == std::set<std::string>{"engine-5"});
+            CHECK(chosen_after_digest(plain).size() > 3);
+        }
+        SUBCASE("passes on no speeds")
+        {
+            const auto target =
+                plain.choose(make_request(settings, "review"), {}, choice_purpose::dispatch, start);
+            REQUIRE(target);
+            plain.on_notice(*target, endpoint_notice{false, {}, stated_load{1, 0, 6, 300}}, start);
+            const auto digest = plain.tracker().digest(start);
+            REQUIRE(digest.endpoints.size() == 1);
+            CHECK(digest.endpoints.front().speed == 0);
+            CHECK_FALSE(plain.tracker().speed_stated());
+        }
+    }
     SUBCASE("sends nothing to an endpoint that has said in a response that it is leaving")
     {
         const auto first =
