Count the tokens that requests hold at endpoints

An engine ends all its streams when the requests that it holds exceed its memory, and no choice knew how much it holds.

With `--placement even` and `reported`, each instance counts the tokens of its own requests exactly, from the choice to the end of the attempt, and takes those of the others from the digests. The digest field is set only for services whose configuration states a capacity. The even rules choose an endpoint that cannot hold a request only if none can, the one with the most free tokens first; a request that is larger than the capacity is refused as `overloaded`.

--- a/src/mangovane/forward/endpoint_chooser.hpp
+++ b/src/mangovane/forward/endpoint_chooser.hpp
@@ -97,6 +97,10 @@
     /// Records the end of an attempt that `choose` started.
     virtual void finish(endpoint_id endpoint, health_outcome outcome, time_point now) = 0;
 
+    /// Records, before `finish`, that the request no longer holds its tokens at the endpoint.
+    /// Without a count of tokens there is nothing to record.
+    virtual void on_tokens_released(endpoint_id /*endpoint*/, const token_counts& /*tokens*/) {}
+
     /// Records, beside `finish`, the end of an attempt at a version of the service, and what it has
     /// shown of the version, if anything. Without rollouts there is nothing to record.
     virtual void on_version_ended(const version_attempt& /*attempt*/,
--- a/src/mangovane/forward/endpoint_load.hpp
+++ b/src/mangovane/forward/endpoint_load.hpp
@@ -10,14 +10,15 @@
 {
 
 /// Used by the choice of an endpoint where load is spread evenly, and by the log. The load bound
-/// and refusals use `requests`; the tokens are not counted yet.
+/// and refusals use `requests`.
 struct endpoint_load
 {
-    std::uint32_t own{0};            ///< Requests of this instance in flight; exact.
-    std::uint32_t others{0};         ///< Those of the other instances, from their digests.
-    duration age{};                  ///< Mean age of these digests.
-    double others_per_s{0};          ///< Requests that the other instances send to the endpoint.
-    std::uint64_t held_tokens{0};    ///< By all requests in flight until they end.
+    std::uint32_t own{0};    ///< Requests of this instance in flight; exact.
+    std::uint32_t others{0}; ///< Those of the other instances, from their digests.
+    duration age{};          ///< Mean age of these digests.
+    double others_per_s{0};  ///< Requests that the other instances send to the endpoint.
+    /// By all requests in flight until they end; 0 where the placement does not count them.
+    std::uint64_t held_tokens{0};
     std::uint64_t token_capacity{0}; ///< 0: unknown.
     std::uint32_t slots{0};          ///< Requests that it processes at a time; 0: unknown.
     double speed{1};                 ///< Multiple of the usual.
@@ -40,6 +41,12 @@
         return token_capacity == 0 || held_tokens + tokens <= token_capacity;
     }
 
+    /// Tokens that the endpoint can hold beside those that it holds.
+    [[nodiscard]] std::uint64_t free_tokens() const noexcept
+    {
+        return token_capacity > held_tokens ? token_capacity - held_tokens : 0;
+    }
+
     auto operator<=>(const endpoint_load&) const = default;
 };
 
--- a/src/mangovane/forward/endpoint_record.cpp
+++ b/src/mangovane/forward/endpoint_record.cpp
@@ -2,6 +2,7 @@
 #include "mangovane/forward/endpoint_record.hpp"
 
 #include <algorithm>
+#include <type_traits>
 
 namespace mangovane
 {
@@ -9,7 +10,8 @@
 namespace
 {
 
-std::uint32_t saturating_sub(std::uint32_t from, std::uint32_t amount)
+template <class Count>
+Count saturating_sub(Count from, std::type_identity_t<Count> amount)
 {
     return from > amount ? from - amount : 0;
 }
@@ -33,6 +35,11 @@
     suspended_until_ = std::max(suspended_until_, now + time);
 }
 
+void endpoint_record::release_tokens(std::uint64_t tokens) noexcept
+{
+    held_tokens_ = saturating_sub(held_tokens_, tokens);
+}
+
 void endpoint_record::on_finished(health_outcome outcome, time_point now) noexcept
 {
     in_flight_ = saturating_sub(in_flight_, 1);
@@ -121,6 +128,7 @@
     result.own = in_flight_;
     result.others = peer_in_flight_;
     result.others_per_s = others_per_s();
+    result.held_tokens = held_tokens();
     result.slots = stated_ ? stated_->slots : 0;
     result.speed = speed(now);
     return result;
@@ -129,6 +137,7 @@
 void endpoint_record::add_peer_digest(const endpoint_digest& digest) noexcept
 {
     peer_in_flight_ += digest.in_flight;
+    peer_held_tokens_ += digest.held_tokens * endpoint_digest::held_tokens_unit;
     peer_counts_.failures += digest.failures;
     peer_counts_.successes += digest.successes;
 }
@@ -136,6 +145,8 @@
 void endpoint_record::remove_peer_digest(const endpoint_digest& digest) noexcept
 {
     peer_in_flight_ = saturating_sub(peer_in_flight_, digest.in_flight);
+    peer_held_tokens_ =
+        saturating_sub(peer_held_tokens_, digest.held_tokens * endpoint_digest::held_tokens_unit);
     peer_counts_.failures = saturating_sub(peer_counts_.failures, digest.failures);
     peer_counts_.successes = saturating_sub(peer_counts_.successes, digest.successes);
 }
--- a/src/mangovane/forward/endpoint_record.hpp
+++ b/src/mangovane/forward/endpoint_record.hpp
@@ -47,6 +47,10 @@
     /// Counts the end of an attempt that was started.
     void on_finished(health_outcome outcome, time_point now) noexcept;
 
+    /// Counts the tokens of a request of this instance, until it ends.
+    void hold_tokens(std::uint64_t tokens) noexcept { held_tokens_ += tokens; }
+    void release_tokens(std::uint64_t tokens) noexcept;
+
     /// Adds or removes another instance's requests and recent results.
     void add_peer_digest(const endpoint_digest& digest) noexcept;
     void remove_peer_digest(const endpoint_digest& digest) noexcept;
@@ -83,6 +87,13 @@
     /// Requests of this instance.
     [[nodiscard]] std::uint32_t in_flight() const noexcept { return in_flight_; }
 
+    /// Tokens held by the requests of this instance, and by those of all.
+    [[nodiscard]] std::uint64_t own_held_tokens() const noexcept { return held_tokens_; }
+    [[nodiscard]] std::uint64_t held_tokens() const noexcept
+    {
+        return held_tokens_ + peer_held_tokens_;
+    }
+
     /// The load as far as requests and statements tell; the age of the digests is not known here.
     [[nodiscard]] endpoint_load known_load(time_point now) const noexcept;
 
@@ -142,6 +153,8 @@
 
     std::uint32_t in_flight_{0};
     std::uint32_t peer_in_flight_{0};
+    std::uint64_t held_tokens_{0};      ///< By requests of this instance.
+    std::uint64_t peer_held_tokens_{0}; ///< By those of the others, from their digests.
     attempt_counts peer_counts_{};
     attempt_counts current_{};  ///< Attempts since `period_start_`.
     attempt_counts previous_{}; ///< Attempts in the period before.
--- a/src/mangovane/forward/endpoint_tracker.cpp
+++ b/src/mangovane/forward/endpoint_tracker.cpp
@@ -18,6 +18,14 @@
     return static_cast<Narrow>(std::min<std::uint32_t>(value, std::numeric_limits<Narrow>::max()));
 }
 
+/// In units of a digest, rounded up.
+std::uint16_t to_token_units(std::uint64_t tokens)
+{
+    constexpr std::uint64_t max = std::numeric_limits<std::uint16_t>::max();
+    constexpr auto unit = endpoint_digest::held_tokens_unit;
+    return static_cast<std::uint16_t>(std::min(max, (tokens + unit - 1) / unit));
+}
+
 /// Adds a speed to a digest, unless it is too old to be expressed there.
 void add_speed(endpoint_digest& digest, const stated_speed& speed, time_point now)
 {
@@ -44,6 +52,16 @@
     records_.with_entry(endpoint, [&](endpoint_record& it) { it.on_finished(outcome, now); });
 }
 
+void endpoint_tracker::on_tokens_held(endpoint_id endpoint, std::uint64_t tokens)
+{
+    records_.with_entry(endpoint, [&](endpoint_record& it) { it.hold_tokens(tokens); });
+}
+
+void endpoint_tracker::on_tokens_released(endpoint_id endpoint, std::uint64_t tokens)
+{
+    records_.find(endpoint, [&](endpoint_record& it) { it.release_tokens(tokens); });
+}
+
 void endpoint_tracker::add(const load_digest& digest, time_point now)
 {
     for (const auto& entry : digest.endpoints)
@@ -172,6 +190,12 @@
 }
 
 load_digest endpoint_tracker::digest(time_point now)
+{
+    return digest(now, [](endpoint_id) { return false; });
+}
+
+load_digest endpoint_tracker::digest(time_point now,
+                                     absl::FunctionRef<bool(endpoint_id)> states_tokens)
 {
     load_digest result;
     records_.for_each_shard(
@@ -185,7 +209,11 @@
                     result.endpoints.push_back({id, clamp_to<std::uint16_t>(it.in_flight()),
                                                 clamp_to<std::uint8_t>(own.failures),
                                                 clamp_to<std::uint8_t>(own.successes)});
-                    add_speed(result.endpoints.back(), it.heard_speed(), now);
+                    auto& entry = result.endpoints.back();
+                    add_speed(entry, it.heard_speed(), now);
+                    const auto tokens = it.own_held_tokens();
+                    entry.held_tokens =
+                        tokens != 0 && states_tokens(id) ? to_token_units(tokens) : 0;
                 }
             }
         });
--- a/src/mangovane/forward/endpoint_tracker.hpp
+++ b/src/mangovane/forward/endpoint_tracker.hpp
@@ -41,6 +41,10 @@
     /// Counts the end of an attempt that was started.
     void on_finished(endpoint_id endpoint, health_outcome outcome, time_point now);
 
+    /// Counts the tokens that a request of this instance holds, from its start to its end.
+    void on_tokens_held(endpoint_id endpoint, std::uint64_t tokens);
+    void on_tokens_released(endpoint_id endpoint, std::uint64_t tokens);
+
     /// Replaces the previous digest of another instance.
     void on_digest(instance_id from, const load_digest& digest, time_point now);
 
@@ -75,7 +79,10 @@
     [[nodiscard]] bool speed_stated() const noexcept { return speed_stated_; }
 
     /// This instance's own requests and recent results, for the other instances. At most
-    /// `max_digest_endpoints` endpoints.
+    /// `max_digest_endpoints` endpoints. Held tokens are stated for the endpoints for which
+    /// `states_tokens` returns true; it is called under a lock and must not call the tracker.
+    [[nodiscard]] load_digest digest(time_point now,
+                                     absl::FunctionRef<bool(endpoint_id)> states_tokens);
     [[nodiscard]] load_digest digest(time_point now);
 
     /// A digest that is not renewed for this long no longer counts: its sender has crashed or is
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -206,7 +206,13 @@
 
 void forward_core::send_digest(time_point now)
 {
-    const auto digest = tracker_.digest(now);
+    const auto routes = state_.routes();
+    const auto states_tokens = [&](endpoint_id it)
+    {
+        const auto* endpoint = routes->find(it);
+        return endpoint != nullptr && token_capacity(*routes, endpoint->service) != 0;
+    };
+    const auto digest = tracker_.digest(now, states_tokens);
     const bool local_due = take_digest_due(true, digest, now);
     const bool remote_due = take_digest_due(false, digest, now);
     if (!local_due && !remote_due)
@@ -400,6 +406,14 @@
     return quarantine_.on_crash(crash, request.identity(), now);
 }
 
+void forward_core::on_tokens_released(endpoint_id endpoint, const token_counts& tokens)
+{
+    if (policy_of(options_.fleet.placement).counts_tokens && tokens.held() != 0)
+    {
+        tracker_.on_tokens_released(endpoint, tokens.held());
+    }
+}
+
 void forward_core::finish(endpoint_id endpoint, health_outcome outcome, time_point now)
 {
     tracker_.on_finished(endpoint, outcome, now);
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -100,6 +100,7 @@
     void on_version_ended(const version_attempt& attempt,
                           const std::optional<version_response>& response,
                           time_point now) override;
+    void on_tokens_released(endpoint_id endpoint, const token_counts& tokens) override;
     /// Records what an endpoint, in the incarnation that was chosen, stated about itself.
     void on_notice(const dispatch_target& target, const endpoint_notice& notice, time_point now);
 
@@ -143,7 +144,7 @@
         void keep_unavoided(std::uint32_t allowed)
         {
             std::erase_if(candidates, [&](const placement_candidate& it)
-                          { return it.avoided || it.load >= allowed; });
+                          { return it.avoided || !it.can_hold || it.load >= allowed; });
         }
     };
 
@@ -233,6 +234,10 @@
     /// Whether the even rules choose for a request.
     [[nodiscard]] bool spreads_evenly(bool has_prefix) const noexcept;
 
+    /// Tokens that an endpoint of the service can hold; 0: unknown, or not counted.
+    [[nodiscard]] std::uint64_t token_capacity(const routing_table& routes,
+                                               service_id service) const;
+
     /// Load of an endpoint as this instance knows it.
     [[nodiscard]] endpoint_load
     load_of(const routing_table& routes, const endpoint_info& endpoint, time_point now);
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -42,6 +42,8 @@
     };
     const bool weighs_speed = query.evenly && policy_of(options_.fleet.placement).uses_speed;
     const auto excluded = query.excluded;
+    const auto capacity = query.evenly ? token_capacity(routes, query.request.service) : 0;
+    const auto tokens = query.request.tokens.held();
     double total = 0;
     std::size_t permitted = 0;
     const auto add = [&](const endpoint_info& it, const endpoint_record& record)
@@ -64,7 +66,9 @@
         }
         const bool avoided = record.suspended(now) || is_suspected(it.domain);
         const double speed = weighs_speed ? record.speed(now) : 1;
-        result.candidates.push_back({it.id, it.domain, record.load(), avoided, speed});
+        const endpoint_load memory{.held_tokens = record.held_tokens(), .token_capacity = capacity};
+        result.candidates.push_back({it.id, it.domain, record.load(), avoided, speed,
+                                     memory.can_hold(tokens), memory.free_tokens()});
         result.others_per_s += record.others_per_s();
         result.counts.push_back(record.counts(now));
     };
@@ -78,6 +82,14 @@
     return policy_of(options_.fleet.placement).spreads(has_prefix, tracker_.speed_stated());
 }
 
+std::uint64_t forward_core::token_capacity(const routing_table& routes, service_id service) const
+{
+    const auto* policy = policy_of(options_.fleet.placement).counts_tokens
+                             ? routes.settings().find_service(service)
+                             : nullptr;
+    return policy == nullptr ? 0 : policy->token_capacity;
+}
+
 endpoint_load
 forward_core::load_of(const routing_table& routes, const endpoint_info& endpoint, time_point now)
 {
@@ -167,6 +179,13 @@
     }
     const auto routes = state_.routes();
     const auto affinity = request.affinity();
+    const auto capacity =
+        spreads_evenly(affinity != 0) ? token_capacity(*routes, request.service) : 0;
+    if (capacity != 0 && request.tokens.held() > capacity)
+    {
+        // No endpoint can hold it, not even alone.
+        return choice_refusal{error_kind::overloaded, {}, {}};
+    }
     const auto key = affinity != 0 ? affinity : hash_bytes(request.request);
     const bool repeated = !excluded.empty() || purpose == choice_purpose::replacement;
     std::optional<chosen_endpoint> chosen;
@@ -190,6 +209,10 @@
     const auto known = load_of(*routes, *endpoint, now);
     rollouts_.on_started({request.service, endpoint->version, endpoint->id, 0});
     tracker_.on_started(candidate.endpoint);
+    if (policy_of(options_.fleet.placement).counts_tokens && request.tokens.held() != 0)
+    {
+        tracker_.on_tokens_held(candidate.endpoint, request.tokens.held());
+    }
     auto source = prefix_source(*routes, request, *endpoint, now);
     for (const auto prefix : {affinity, request.common_prefix()})
     {
--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -189,6 +189,7 @@
                               const std::optional<version_response>& response,
                               time_point now)
 {
+    chooser_.on_tokens_released(endpoint, request_.tokens);
     chooser_.finish(endpoint, outcome, now);
     chooser_.on_version_ended(
         {request_.service, version, endpoint, hash_bytes(request_.route->name)}, response, now);
--- a/src/mangovane/forward/placement_mode.hpp
+++ b/src/mangovane/forward/placement_mode.hpp
@@ -33,6 +33,7 @@
     bool spreads_others{false};   ///< Requests without one are.
     bool needs_speed{false};      ///< Only once a speed has been stated.
     bool uses_speed{false};       ///< Speeds are kept, passed on and weigh in the choice.
+    bool counts_tokens{false};    ///< So are the tokens that endpoints hold.
 
     /// Whether the even rules choose for a request.
     [[nodiscard]] constexpr bool spreads(bool has_prefix, bool speed_stated) const noexcept
@@ -45,10 +46,10 @@
 
 /// By mode.
 inline constexpr std::array<placement_policy, placement_mode_count> placement_policies{{
-    {"least-loaded", false, false, false, false},
-    {"even", true, true, false, true},
-    {"reported", true, true, true, true},
-    {"plain", false, true, false, false},
+    {"least-loaded", false, false, false, false, false},
+    {"even", true, true, false, true, true},
+    {"reported", true, true, true, true, true},
+    {"plain", false, true, false, false, false},
 }};
 
 [[nodiscard]] constexpr const placement_policy& policy_of(placement_mode mode) noexcept
--- a/src/mangovane/forward/placement_rule.cpp
+++ b/src/mangovane/forward/placement_rule.cpp
@@ -16,12 +16,11 @@
 namespace
 {
 
-/// A number above 0 and at most 1 for a candidate, drawn anew for each choice.
-double draw(const placement_context& context, const placement_candidate& it)
+/// The random number of a score: above 0 and at most 1.
+double draw_of(std::uint64_t score)
 {
     constexpr unsigned unused_bits = 11; // A double has 53 significant bits.
     constexpr double scale = 1.0 / 9007199254740992.0;
-    const auto score = rendezvous_score(context.tie_break_seed, it.endpoint.value());
     return (static_cast<double>(score >> unused_bits) + 1) * scale;
 }
 
@@ -151,20 +150,23 @@
 };
 
 /// A random choice in proportion to the room of each endpoint; those without room come after the
-/// others, the least loaded first, and avoided ones last.
+/// others, the least loaded first, and avoided ones after these. Endpoints that cannot hold the
+/// request come last: the one with the most free tokens is the least likely to exceed its memory.
 std::optional<std::size_t> choose_evenly(const placement_context& context, admission_filter admit)
 {
     const expected_fill fill{context.candidates, context.unreported};
-    using key_type = std::tuple<bool, bool, double, std::uint64_t>;
+    using key_type = std::tuple<bool, bool, bool, double, std::uint64_t>;
     const auto key = [&](const placement_candidate& it)
     {
+        // A random number for each choice. Also the end of the key: without room, many endpoints
+        // have the same load, and a refusal of one must not leave out the others.
+        const auto score = rendezvous_score(context.tie_break_seed, it.endpoint.value());
         const double room = it.load < context.allowed ? fill.room(it) : 0;
         // The lowest of exponential variables with these rates is a draw in proportion to them.
-        const double order = room > 0 ? -std::log(draw(context, it)) / room : it.load / it.speed;
-        // Without room, many have the same load: keys must differ, or a refusal of one would leave
-        // out the others.
-        const auto tie = rendezvous_score(context.tie_break_seed, it.endpoint.value());
-        return std::optional{key_type{it.avoided, room <= 0, order, tie}};
+        const double order = room > 0 ? -std::log(draw_of(score)) / room : it.load / it.speed;
+        return std::optional{it.can_hold ? key_type{false, it.avoided, room <= 0, order, score}
+                                         : key_type{true, it.avoided, false,
+                                                    -static_cast<double>(it.free_tokens), score}};
     };
     return lowest_admitted(context, key, admit);
 }
@@ -197,7 +199,9 @@
         const double slowest =
             min_home_speed * speed / static_cast<double>(context.candidates.size());
         const auto found = choose_home(
-            context, [&](const placement_candidate& it) { return it.speed >= slowest; }, admit);
+            context,
+            [&](const placement_candidate& it) { return it.can_hold && it.speed >= slowest; },
+            admit);
         return found ? found : choose_evenly(context, admit);
     }
 };
--- a/src/mangovane/forward/placement_rule.hpp
+++ b/src/mangovane/forward/placement_rule.hpp
@@ -25,6 +25,8 @@
     bool avoided{false}; ///< Suspended, in a suspected domain, or fails more often than the others.
     /// Work that the endpoint does in the same time, as a multiple of the usual; above 0.
     double speed{1};
+    bool can_hold{true};          ///< The request fits beside the tokens that the endpoint holds.
+    std::uint64_t free_tokens{0}; ///< Where the capacity is known.
 
     auto operator<=>(const placement_candidate&) const = default;
 };
@@ -66,11 +68,12 @@
 
 /// Chooses at random, so that instances with the same old knowledge of the loads do not all send
 /// their requests to the same endpoint: an endpoint gets the share of requests that evens out the
-/// loads, given what the others will have sent meanwhile (`expected_fill`).
+/// loads, given what the others will have sent meanwhile (`expected_fill`). An endpoint that cannot
+/// hold the request's tokens is chosen only if none can, the one with the most free tokens first.
 [[nodiscard]] const placement_rule& even_placement() noexcept;
 
-/// As `sticky_placement`, but leaves an endpoint that works much slower than the others, and
-/// chooses as `even_placement` where it leaves the first endpoint.
+/// As `sticky_placement`, but leaves an endpoint that works much slower than the others or cannot
+/// hold the request's tokens, and chooses as `even_placement` where it leaves the first endpoint.
 [[nodiscard]] const placement_rule& sticky_even_placement() noexcept;
 
 /// Load bound of an endpoint, computed from the mean load over all endpoints of the service.
--- a/test/mangovane/forward/even_placement.cpp
+++ b/test/mangovane/forward/even_placement.cpp
@@ -91,6 +91,34 @@
     }
 }
 
+TEST_CASE("an even choice for a request with many tokens")
+{
+    // Guards against an engine that ends all its streams because its memory is exceeded.
+    std::vector<placement_candidate> candidates{candidate(1, 0), candidate(2, 3), candidate(3, 0)};
+    candidates[0].can_hold = false;
+    candidates[0].free_tokens = 500;
+    candidates[2].can_hold = false;
+    candidates[2].free_tokens = 700;
+    std::size_t expected = 1;
+    SUBCASE("goes to the endpoint that can hold it, also at the load bound or avoided")
+    {
+        candidates[1].load = 9;
+        candidates[1].avoided = true;
+    }
+    SUBCASE("goes to the one with the most free tokens if none can")
+    {
+        candidates[1].can_hold = false;
+        expected = 2;
+    }
+    const auto admit_all = [](const placement_candidate&) { return true; };
+    for (std::uint64_t seed = 0; seed != 20; ++seed)
+    {
+        const placement_context context{candidates, 4, seed + 1, seed, domain_id{1}};
+        CHECK(even_placement().choose(context, admit_all) == expected);
+        CHECK(sticky_even_placement().choose(context, admit_all) == expected);
+    }
+}
+
 TEST_CASE("the room of an endpoint")
 {
     const std::vector<placement_candidate> candidates{candidate(1, 0), candidate(2, 2),
