--- a/src/mangovane/forward/endpoint_tracker.hpp
+++ b/src/mangovane/forward/endpoint_tracker.hpp
@@ -6,11 +6,14 @@
 #include <atomic>
 #include <cstdint>
 #include <mutex>
+#include <span>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 
 #include "mangovane/core/sharded_map.hpp"
 #include "mangovane/forward/endpoint_record.hpp"
+#include "mangovane/membership/endpoint.hpp"
 
 namespace mangovane
 {
@@ -38,6 +41,10 @@
     /// Counts the end of an attempt that was started.
     void on_finished(endpoint_id endpoint, health_outcome outcome, time_point now);
 
+    /// Counts the tokens that a request of this instance holds, from its start to its end.
+    void on_tokens_held(endpoint_id endpoint, std::uint64_t tokens);
+    void on_tokens_released(endpoint_id endpoint, std::uint64_t tokens);
+
     /// Replaces the previous digest of another instance.
     void on_digest(instance_id from, const load_digest& digest, time_point now);
 
@@ -55,6 +62,12 @@
     [[nodiscard]] endpoint_snapshot
     snapshot_of(endpoint_id endpoint, incarnation epoch, time_point now);
 
+    /// Calls `visitor` with the record of each endpoint, in its current incarnation; an empty one
+    /// if there is none. Cheapest for endpoints in order of id. The visitor runs under a lock: it
+    /// must not call the tracker.
+    void visit(std::span<const endpoint_info* const> endpoints,
+               absl::FunctionRef<void(const endpoint_info&, const endpoint_record&)> visitor);
+
     /// See `endpoint_record::try_admit_cold`.
     [[nodiscard]] bool
     try_admit_cold(endpoint_id endpoint, duration interval, duration first_wait, time_point now);
@@ -66,7 +79,10 @@
     [[nodiscard]] bool speed_stated() const noexcept { return speed_stated_; }
 
     /// This instance's own requests and recent results, for the other instances. At most
-    /// `max_digest_endpoints` endpoints.
+    /// `max_digest_endpoints` endpoints. Held tokens are stated for the endpoints for which
+    /// `states_tokens` returns true; it is called under a lock and must not call the tracker.
+    [[nodiscard]] load_digest digest(time_point now,
+                                     absl::FunctionRef<bool(endpoint_id)> states_tokens);
     [[nodiscard]] load_digest digest(time_point now);
 
     /// A digest that is not renewed for this long no longer counts: its sender has crashed or is
@@ -91,7 +107,7 @@
     void on_receipt(time_point at, std::int64_t change);
     void remove(const load_digest& digest);
 
-    sharded_map<endpoint_id, endpoint_record> records_;
+    sharded_map<endpoint_id, endpoint_record, 16, ordered_shards> records_;
     std::mutex mutex_;
     absl::flat_hash_map<instance_id, received_digest> digests_; ///< Guarded by `mutex_`.
     std::mutex receipts_mutex_; ///< Of its own: each choice of an endpoint takes it for a moment.
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -16,6 +16,7 @@
 #include "mangovane/forward/feed_distributor.hpp"
 #include "mangovane/forward/fleet_size.hpp"
 #include "mangovane/forward/local_retry_budget.hpp"
+#include "mangovane/forward/placement_mode.hpp"
 #include "mangovane/forward/placement_rule.hpp"
 #include "mangovane/forward/prefix_locations.hpp"
 #include "mangovane/quarantine/prompt_quarantine.hpp"
@@ -99,6 +100,7 @@
     void on_version_ended(const version_attempt& attempt,
                           const std::optional<version_response>& response,
                           time_point now) override;
+    void on_tokens_released(endpoint_id endpoint, const token_counts& tokens) override;
     /// Records what an endpoint, in the incarnation that was chosen, stated about itself.
     void on_notice(const dispatch_target& target, const endpoint_notice& notice, time_point now);
 
@@ -117,17 +119,38 @@
     [[nodiscard]] view_ptr view() const { return state_.view(); }
 
 private:
-    /// Endpoints of a service with their loads.
+    /// Endpoints of a service with their loads. Reused for several choices: `clear` keeps the
+    /// memory of the lists.
     struct candidate_set
     {
         /// Endpoints that accept new requests and are not excluded.
         std::vector<placement_candidate> candidates;
+        std::vector<attempt_counts> counts; ///< Recent attempts of each candidate.
         double others_per_s{0}; ///< Requests that other instances send to the candidates.
         double mean_load{0};    ///< Mean number of requests in flight over all listed endpoints.
         /// When the first of the endpoints that have closed for a time opens again; max: none has.
         time_point reopens_at{time_point::max()};
+
+        void clear()
+        {
+            candidates.clear();
+            counts.clear();
+            others_per_s = 0;
+            mean_load = 0;
+            reopens_at = time_point::max();
+        }
+
+        /// Removes the candidates that a replacement must not go to.
+        void keep_unavoided(std::uint32_t allowed)
+        {
+            std::erase_if(candidates, [&](const placement_candidate& it)
+                          { return it.avoided || !it.can_hold || it.load >= allowed; });
+        }
     };
 
+    /// The set of the calling thread, empty. One choice at a time uses it.
+    [[nodiscard]] static candidate_set& empty_candidate_set();
+
     /// The last digest sent.
     struct sent_digest
     {
@@ -175,12 +198,20 @@
     template <class Message>
     void dispatch(instance_id from, const message& msg, time_point now);
 
-    /// Endpoints of the service, of these versions, that can be chosen.
-    [[nodiscard]] candidate_set collect_candidates(const routing_table& routes,
-                                                   service_id service,
-                                                   const version_set& versions,
-                                                   std::span<const endpoint_id> excluded,
-                                                   time_point now);
+    /// Which endpoints a choice is among.
+    struct candidate_query
+    {
+        const forward_request& request;
+        const version_set& versions;
+        std::span<const endpoint_id> excluded;
+        bool evenly{false}; ///< The even rules choose.
+    };
+
+    /// Fills an empty set with the endpoints of the service, of these versions, that can be chosen.
+    void collect_candidates(candidate_set& result,
+                            const routing_table& routes,
+                            const candidate_query& query,
+                            time_point now);
 
     /// An endpoint with what it was chosen from.
     struct chosen_endpoint
@@ -200,17 +231,19 @@
                                                               time_point& reopens_at,
                                                               time_point now);
 
-    /// Whether the even rules choose.
-    [[nodiscard]] bool spreads_evenly() const noexcept;
+    /// Whether the even rules choose for a request.
+    [[nodiscard]] bool spreads_evenly(bool has_prefix) const noexcept;
+
+    /// Tokens that an endpoint of the service can hold; 0: unknown, or not counted.
+    [[nodiscard]] std::uint64_t token_capacity(const routing_table& routes,
+                                               service_id service) const;
 
     /// Load of an endpoint as this instance knows it.
     [[nodiscard]] endpoint_load
     load_of(const routing_table& routes, const endpoint_info& endpoint, time_point now);
 
-    /// Marks candidates that fail more often than the others. `counts` holds the recent attempts of
-    /// each candidate, in the same order.
-    static void mark_avoided(std::vector<placement_candidate>& candidates,
-                             const std::vector<attempt_counts>& counts);
+    /// Marks candidates that fail more often than the others.
+    static void mark_avoided(candidate_set& set);
 
     /// Whether the endpoint, or its whole domain, is in a cold period.
     [[nodiscard]] bool is_cold(const endpoint_info& endpoint, time_point now);
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -21,61 +21,73 @@
 
 } // namespace
 
-forward_core::candidate_set forward_core::collect_candidates(const routing_table& routes,
-                                                             service_id service,
-                                                             const version_set& versions,
-                                                             std::span<const endpoint_id> excluded,
-                                                             time_point now)
+forward_core::candidate_set& forward_core::empty_candidate_set()
 {
-    candidate_set result;
-    const auto& listed = routes.endpoints().of_service(service);
+    thread_local candidate_set result;
+    result.clear();
+    return result;
+}
+
+void forward_core::collect_candidates(candidate_set& result,
+                                      const routing_table& routes,
+                                      const candidate_query& query,
+                                      time_point now)
+{
+    const auto& listed = routes.endpoints().of_service(query.request.service);
     const auto suspected_domains = domains_.suspected(now);
     const auto is_suspected = [&](domain_id it)
     {
         return std::find(suspected_domains.begin(), suspected_domains.end(), it) !=
                suspected_domains.end();
     };
-    const bool evenly = spreads_evenly();
-    std::vector<attempt_counts> counts;
+    const bool weighs_speed = query.evenly && policy_of(options_.fleet.placement).uses_speed;
+    const auto excluded = query.excluded;
+    const auto capacity = query.evenly ? token_capacity(routes, query.request.service) : 0;
+    const auto tokens = query.request.tokens.held();
     double total = 0;
     std::size_t permitted = 0;
-    for (const auto* it : listed)
+    const auto add = [&](const endpoint_info& it, const endpoint_record& record)
     {
-        if (!versions.contains(it->version))
+        if (!query.versions.contains(it.version))
         {
-            continue;
+            return;
         }
         ++permitted;
-        const auto snapshot = tracker_.snapshot_of(it->id, it->epoch, now);
-        total += snapshot.load;
-        const bool tried = std::find(excluded.begin(), excluded.end(), it->id) != excluded.end();
-        if (tried || routes.closed(it->id) || snapshot.leaving)
-        {
-            continue;
-        }
-        if (now < snapshot.closed_until)
+        total += record.load();
+        const bool tried = std::find(excluded.begin(), excluded.end(), it.id) != excluded.end();
+        if (tried || routes.closed(it) || record.leaving(it.epoch))
         {
-            result.reopens_at = std::min(result.reopens_at, snapshot.closed_until);
+            return;
         }
-        else
+        if (const auto closed_until = record.closed_until(it.epoch); now < closed_until)
         {
-            const bool avoided = snapshot.suspended || is_suspected(it->domain);
-            const double speed = evenly ? snapshot.known.speed : 1;
-            result.candidates.push_back({it->id, it->domain, snapshot.load, avoided, speed});
-            result.others_per_s += snapshot.known.others_per_s;
-            counts.push_back(snapshot.counts);
+            result.reopens_at = std::min(result.reopens_at, closed_until);
+            return;
         }
-    }
+        const bool avoided = record.suspended(now) || is_suspected(it.domain);
+        const double speed = weighs_speed ? record.speed(now) : 1;
+        const endpoint_load memory{.held_tokens = record.held_tokens(), .token_capacity = capacity};
+        result.candidates.push_back({it.id, it.domain, record.load(), avoided, speed,
+                                     memory.can_hold(tokens), memory.free_tokens()});
+        result.others_per_s += record.others_per_s();
+        result.counts.push_back(record.counts(now));
+    };
+    tracker_.visit(listed, add);
     result.mean_load = permitted == 0 ? 0 : total / static_cast<double>(permitted);
-    mark_avoided(result.candidates, counts);
-    return result;
+    mark_avoided(result);
+}
+
+bool forward_core::spreads_evenly(bool has_prefix) const noexcept
+{
+    return policy_of(options_.fleet.placement).spreads(has_prefix, tracker_.speed_stated());
 }
 
-bool forward_core::spreads_evenly() const noexcept
+std::uint64_t forward_core::token_capacity(const routing_table& routes, service_id service) const
 {
-    const auto mode = options_.fleet.placement;
-    return mode == placement_mode::even ||
-           (mode == placement_mode::reported && tracker_.speed_stated());
+    const auto* policy = policy_of(options_.fleet.placement).counts_tokens
+                             ? routes.settings().find_service(service)
+                             : nullptr;
+    return policy == nullptr ? 0 : policy->token_capacity;
 }
 
 endpoint_load
@@ -89,11 +101,10 @@
     return result;
 }
 
-void forward_core::mark_avoided(std::vector<placement_candidate>& candidates,
-                                const std::vector<attempt_counts>& counts)
+void forward_core::mark_avoided(candidate_set& set)
 {
     attempt_counts all;
-    for (const auto& it : counts)
+    for (const auto& it : set.counts)
     {
         all.failures += it.failures;
         all.successes += it.successes;
@@ -103,15 +114,19 @@
         const auto sum = failures + successes;
         return sum == 0 ? 0.0 : static_cast<double>(failures) / sum;
     };
-    for (std::size_t n = 0; n != candidates.size(); ++n)
+    for (std::size_t n = 0; n != set.candidates.size(); ++n)
     {
-        const auto& own = counts[n];
+        const auto& own = set.counts[n];
+        if (own.failures < min_failures)
+        {
+            continue;
+        }
         const auto others =
             failure_rate(all.failures - own.failures, all.successes - own.successes);
         const auto own_rate = failure_rate(own.failures, own.successes);
-        candidates[n].avoided = candidates[n].avoided ||
-                                (own.failures >= min_failures && own_rate >= min_failure_rate &&
-                                 own_rate >= min_failure_ratio * others);
+        set.candidates[n].avoided =
+            set.candidates[n].avoided ||
+            (own_rate >= min_failure_rate && own_rate >= min_failure_ratio * others);
     }
 }
 
@@ -164,6 +179,13 @@
     }
     const auto routes = state_.routes();
     const auto affinity = request.affinity();
+    const auto capacity =
+        spreads_evenly(affinity != 0) ? token_capacity(*routes, request.service) : 0;
+    if (capacity != 0 && request.tokens.held() > capacity)
+    {
+        // No endpoint can hold it, not even alone.
+        return choice_refusal{error_kind::overloaded, {}, {}};
+    }
     const auto key = affinity != 0 ? affinity : hash_bytes(request.request);
     const bool repeated = !excluded.empty() || purpose == choice_purpose::replacement;
     std::optional<chosen_endpoint> chosen;
@@ -187,6 +209,10 @@
     const auto known = load_of(*routes, *endpoint, now);
     rollouts_.on_started({request.service, endpoint->version, endpoint->id, 0});
     tracker_.on_started(candidate.endpoint);
+    if (policy_of(options_.fleet.placement).counts_tokens && request.tokens.held() != 0)
+    {
+        tracker_.on_tokens_held(candidate.endpoint, request.tokens.held());
+    }
     auto source = prefix_source(*routes, request, *endpoint, now);
     for (const auto prefix : {affinity, request.common_prefix()})
     {
@@ -217,15 +243,16 @@
                            time_point& reopens_at,
                            time_point now)
 {
-    auto eligible = collect_candidates(routes, request.service, versions, excluded, now);
+    const auto affinity = request.affinity();
+    const bool evenly = spreads_evenly(affinity != 0);
+    auto& eligible = empty_candidate_set();
+    collect_candidates(eligible, routes, {request, versions, excluded, evenly}, now);
     const auto allowed = options_.fleet.bound.allowed(eligible.mean_load);
     if (purpose == choice_purpose::replacement)
     {
-        std::erase_if(eligible.candidates, [&](const placement_candidate& it)
-                      { return it.avoided || it.load >= allowed; });
+        eligible.keep_unavoided(allowed);
     }
-    const auto affinity = request.affinity();
-    const auto& rule = placement_for(spreads_evenly(), affinity != 0);
+    const auto& rule = placement_for(evenly, affinity != 0);
     const std::chrono::duration<double> digest_age = tracker_.mean_digest_age(now);
     const double unreported = eligible.others_per_s * digest_age.count();
     const auto tie_break_seed = hash_combine(options_.seed, ++choice_count_);
@@ -248,11 +275,12 @@
 {
     const endpoint_info* best = nullptr;
     std::uint64_t best_score = 0;
+    const auto affinity = request.affinity();
     for (const auto* it : routes.endpoints().of_service(request.service))
     {
         const bool recently_cold =
             it->cold_until != time_point{} && now < it->cold_until + recently_cold_time;
-        const auto score = rendezvous_score(request.affinity(), it->id.value());
+        const auto score = rendezvous_score(affinity, it->id.value());
         if (!recently_cold && (best == nullptr || score > best_score) &&
             !tracker_.snapshot_of(it->id, it->epoch, now).suspended)
         {
