Export the state of rollouts as metrics

Operators saw the share and the counts of a rollout only in log lines at steps and at the end.

The labels are the service, the ordered version and the side, so their number is bounded by the number of services. Slow responses of the old version are counted like those of the new one; no decision uses the count.

--- a/src/mangovane/daemon/forward_metrics.hpp
+++ b/src/mangovane/daemon/forward_metrics.hpp
@@ -6,6 +6,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
+
+#include "mangovane/rollout/rollout_registry.hpp"
 
 namespace mangovane
 {
@@ -26,6 +29,10 @@
 /// Samples of the state, as text.
 [[nodiscard]] std::string forward_metrics(const forward_state& state);
 
+/// Samples of the rollouts, as text. Each service has one label value for the ordered version and
+/// two for the sides, so their number is bounded by the number of services.
+[[nodiscard]] std::string rollout_metrics(const std::vector<rollout_summary>& rollouts);
+
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -204,6 +204,7 @@
                               log.dropped(),
                               discovery.endpoints_revision().era};
     return describe_metrics(metrics.text(true) + forward_metrics(state) +
+                            rollout_metrics(core.rollouts().summaries()) +
                             failed_tasks_metric(tasks.failures()));
 }
 
--- a/src/mangovane/daemon/rollout_log.cpp
+++ b/src/mangovane/daemon/rollout_log.cpp
@@ -2,7 +2,7 @@
 #include "mangovane/daemon/rollout_log.hpp"
 
 #include <array>
-#include <string_view>
+#include <string>
 
 #include <absl/strings/str_cat.h>
 
@@ -12,8 +12,6 @@
 namespace
 {
 
-constexpr std::array<absl::string_view, rollout_state_count> states{"running", "done",
-                                                                    "rolled_back"};
 constexpr std::array<absl::string_view, rollout_reason_count> reasons{
     "scheduled",   "failures",     "slowness",      "no_endpoint",
     "no_evidence", "peer_verdict", "stored_status", "in_force"};
@@ -25,7 +23,7 @@
     auto line = absl::StrCat(
         "event=", ended ? "rollout_verdict" : "rollout_step", " service=", order.service_name,
         " to=", order.version, " order=", order.revision.number,
-        " state=", states.at(static_cast<std::size_t>(event.state)),
+        " state=", std::string{rollout_state_names.at(static_cast<std::size_t>(event.state))},
         " reason=", reasons.at(static_cast<std::size_t>(event.reason)), " share=", event.share);
     if (event.verdict.defect != version_defect::none)
     {
--- a/src/mangovane/observe/metric_table.cpp
+++ b/src/mangovane/observe/metric_table.cpp
@@ -44,6 +44,12 @@
     {"mangovane_running_requests", gauge, "Requests accepted and not ended."},
     {"mangovane_quarantined_parts", gauge,
      "Prompt parts whose requests the forwarding router refuses, because they crash endpoints."},
+    {"mangovane_rollout_share", gauge,
+     "Share of a service's requests that the instance sends to the ordered version."},
+    {"mangovane_rollout_state", gauge, "1 for the state of a service's rollout, otherwise 0."},
+    {"mangovane_rollout_responses_total", counter,
+     "Responses since the order at all instances, as far as the instance knows; slow ones are also "
+     "good."},
     {"mangovane_owned_endpoints", gauge, "Endpoints whose ledgers the instance owns."},
     {"mangovane_owned_in_flight", gauge, "Slots in flight at owned endpoints."},
     {"mangovane_owned_in_flight_largest", gauge, "Most slots in flight at one owned endpoint."},
--- a/src/mangovane/rollout/fleet_evidence.cpp
+++ b/src/mangovane/rollout/fleet_evidence.cpp
@@ -152,6 +152,19 @@
     return result;
 }
 
+response_counts fleet_evidence::counts(version_side side) const
+{
+    response_counts result;
+    for (const auto& [route, it] : routes_)
+    {
+        const auto counts = it.counts(side);
+        result.good += counts.good;
+        result.failed += counts.failed;
+        result.slow += counts.slow;
+    }
+    return result;
+}
+
 std::vector<route_answers> fleet_evidence::own_routes() const
 {
     std::vector<route_answers> result;
--- a/src/mangovane/rollout/fleet_evidence.hpp
+++ b/src/mangovane/rollout/fleet_evidence.hpp
@@ -58,6 +58,9 @@
     /// Good responses of the ordered version, over all instances.
     [[nodiscard]] std::uint32_t good_ordered() const;
 
+    /// Counts of a version over all instances and routes.
+    [[nodiscard]] response_counts counts(version_side side) const;
+
     /// Own counts, for a report to the others.
     [[nodiscard]] std::vector<route_answers> own_routes() const;
     [[nodiscard]] std::vector<endpoint_id> own_bad_endpoints() const;
--- a/src/mangovane/rollout/rollout.hpp
+++ b/src/mangovane/rollout/rollout.hpp
@@ -6,7 +6,9 @@
 #ifndef MANGOVANE_ROLLOUT_ROLLOUT_HPP
 #define MANGOVANE_ROLLOUT_ROLLOUT_HPP
 
+#include <array>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -33,6 +35,10 @@
     bool operator==(const rollout_surroundings&) const = default;
 };
 
+/// Names of the states in logs and metrics.
+inline constexpr std::array<std::string_view, rollout_state_count> rollout_state_names{
+    "running", "done", "rolled_back"};
+
 /// Why a rollout took a step or ended, for the log.
 enum class rollout_reason : std::uint8_t
 {
--- a/src/mangovane/rollout/rollout_registry.cpp
+++ b/src/mangovane/rollout/rollout_registry.cpp
@@ -333,8 +333,11 @@
                 if (it.current)
                 {
                     const auto& state = it.current->state;
+                    const auto& evidence = state.evidence();
                     result.push_back({state.order(), state.state(), state.share(), state.deadline(),
-                                      it.current->completable, state.evidence().sums()});
+                                      it.current->completable, evidence.sums(),
+                                      evidence.counts(version_side::current),
+                                      evidence.counts(version_side::ordered)});
                 }
             }
         });
--- a/src/mangovane/rollout/rollout_registry.hpp
+++ b/src/mangovane/rollout/rollout_registry.hpp
@@ -37,6 +37,8 @@
     /// Whether a running rollout is to be written as done.
     bool completable{false};
     std::vector<route_answers> sums;
+    response_counts current; ///< Over all routes.
+    response_counts ordered; ///< Over all routes.
 
     auto operator<=>(const rollout_summary&) const = default;
 };
--- a/src/mangovane/rollout/route_comparison.cpp
+++ b/src/mangovane/rollout/route_comparison.cpp
@@ -51,6 +51,7 @@
     const auto late = ordered.first_bytes.above(threshold);
     const response_sample usual{sums_.current.good(), sums_.current.first_bytes.above(threshold)};
     slow_ += late;
+    slow_current_ += current.first_bytes.above(threshold);
     slowness_.add({ordered.good(), late}, usual.rate());
 }
 
@@ -63,6 +64,13 @@
     return slowness_.detected() ? version_defect::slow : version_defect::none;
 }
 
+response_counts route_comparison::counts(version_side side) const noexcept
+{
+    const bool is_ordered = side == version_side::ordered;
+    const auto& answers = is_ordered ? sums_.ordered : sums_.current;
+    return {answers.good(), answers.failed, is_ordered ? slow_ : slow_current_};
+}
+
 void route_comparison::restart_confirmation() noexcept
 {
     failures_.restart_confirmation();
--- a/src/mangovane/rollout/route_comparison.hpp
+++ b/src/mangovane/rollout/route_comparison.hpp
@@ -30,6 +30,10 @@
     /// The responses since then are as good as those of the version in force.
     [[nodiscard]] bool confirmed() const noexcept;
 
+    /// Counts of a version. Slow are those that were late when they became known: a later change of
+    /// the usual time does not change them.
+    [[nodiscard]] response_counts counts(version_side side) const noexcept;
+
     [[nodiscard]] const route_answers& sums() const noexcept { return sums_; }
 
     /// Whether a response that begins after this time counts as slow.
@@ -57,7 +61,8 @@
     route_answers sums_;
     change_detector failures_;
     change_detector slowness_;
-    std::uint32_t slow_{0}; ///< Late responses of the ordered version.
+    std::uint32_t slow_{0};         ///< Late responses of the ordered version.
+    std::uint32_t slow_current_{0}; ///< Late responses of the version in force.
     /// Recent responses of the version in force, in which older ones weigh less: on a bad day they
     /// fail more often than before.
     double recent_total_{0};
--- a/src/mangovane/rollout/version_answers.hpp
+++ b/src/mangovane/rollout/version_answers.hpp
@@ -54,6 +54,16 @@
     auto operator<=>(const version_answers&) const = default;
 };
 
+/// Counts of one version's responses, for operators.
+struct response_counts
+{
+    std::uint64_t good{0};
+    std::uint64_t failed{0};
+    std::uint64_t slow{0}; ///< Of the good ones.
+
+    auto operator<=>(const response_counts&) const = default;
+};
+
 /// Sum of the counts of two instances.
 [[nodiscard]] version_answers sum_of(const version_answers& lhs,
                                      const version_answers& rhs) noexcept;
--- a/test/mangovane/daemon/metric_names.cpp
+++ b/test/mangovane/daemon/metric_names.cpp
@@ -48,7 +48,7 @@
     metrics.on_session_end("idle");
     return metrics.text(true) + fleet_status_provider{core}.metrics_text() +
            traffic_metrics({}, 0) + settings_age_metric(std::nullopt) + forward_metrics({}) +
-           failed_tasks_metric(0);
+           rollout_metrics({rollout_summary{}}) + failed_tasks_metric(0);
 }
 
 std::string page()
--- a/test/mangovane/rollout/rollout_registry.cpp
+++ b/test/mangovane/rollout/rollout_registry.cpp
@@ -176,6 +176,32 @@
     CHECK(running_at_old(start + seconds{2}) == 0);
 }
 
+TEST_CASE("the summary of a rollout counts the responses of both sides over all instances")
+{
+    rollout_registry registry{policy};
+    registry.observe(service, {{"v1", 3}, {"v2", 3}}, start);
+    registry.set_orders({order_to("v2", 1)}, start);
+    constexpr std::uint32_t usual_responses = 30;
+    for (std::uint32_t n = 0; n != usual_responses; ++n)
+    {
+        registry.on_response(attempt_at("v1"), {false, milliseconds{10}});
+    }
+    registry.on_response(attempt_at("v2"), {false, milliseconds{10}});
+    registry.on_response(attempt_at("v2"), {false, milliseconds{100}});
+    registry.on_response(attempt_at("v2"), {true, milliseconds{0}});
+
+    auto report = report_of(1, rollout_state::running);
+    report.routes.resize(1);
+    report.routes[0].route = 6;
+    report.routes[0].current.failed = 2;
+    registry.on_report(peer, report, start);
+    registry.tick(service, {1, 1, {peer}}, start + milliseconds{100});
+
+    const auto summary = registry.summaries().at(0);
+    CHECK(summary.current == response_counts{usual_responses, 2, 0});
+    CHECK(summary.ordered == response_counts{2, 1, 1});
+}
+
 TEST_CASE("reports are sent")
 {
     rollout_registry registry{policy};
