Write a final rollout status again that the store has lost

Once a final status had been read, the writer read the rows no more. After a store came back from a copy older than that status, the order appeared again without any status, and operators never saw the end.

The writer now gets the store's era with each tick and reads the rows again when it has risen.

--- a/src/mangovane/store/rollout_writer.cpp
+++ b/src/mangovane/store/rollout_writer.cpp
@@ -18,7 +18,7 @@
     return decide_status(rollout, rows, {listing.now, read_at});
 }
 
-void rollout_writer::tick(time_point now)
+void rollout_writer::tick(time_point now, std::uint64_t era)
 {
     const auto rollouts = registry_.summaries();
     const std::lock_guard lock{mutex_};
@@ -26,6 +26,12 @@
     {
         return;
     }
+    if (era > era_)
+    {
+        era_ = era;
+        rows_.reset();
+        next_read_ = now;
+    }
     bool running = false;
     for (const auto& it : rollouts)
     {
--- a/src/mangovane/store/rollout_writer.hpp
+++ b/src/mangovane/store/rollout_writer.hpp
@@ -2,6 +2,7 @@
 #ifndef MANGOVANE_STORE_ROLLOUT_WRITER_HPP
 #define MANGOVANE_STORE_ROLLOUT_WRITER_HPP
 
+#include <cstdint>
 #include <mutex>
 #include <optional>
 
@@ -21,8 +22,9 @@
         : registry_{registry}, table_{table}
     {}
 
-    /// Starts the next call, if one is due.
-    void tick(time_point now);
+    /// Starts the next call, if one is due. `era` is the store's era as far as it is known: a store
+    /// that has come back from an older copy may have lost the rows, also of a final status.
+    void tick(time_point now, std::uint64_t era);
 
     /// Calls are priced: the rows are read this often while a rollout is running, and this long
     /// after a call that failed.
@@ -51,6 +53,7 @@
     std::mutex mutex_;
     bool calling_{false};             ///< Guarded by `mutex_`.
     time_point next_read_{};          ///< Guarded by `mutex_`.
+    std::uint64_t era_{0};            ///< Of the last tick without a call. Guarded by `mutex_`.
     std::optional<stored_rows> rows_; ///< No value: to be read again. Guarded by `mutex_`.
 };
 
--- a/test/mangovane/store/rollout_writer.cpp
+++ b/test/mangovane/store/rollout_writer.cpp
@@ -115,20 +115,20 @@
     {
         rollout_registry registry{rollout_policy{0.1, 50, milliseconds{5000}}};
         rollout_writer writer{registry, table};
-        writer.tick(clock::now());
+        writer.tick(clock::now(), 0);
         CHECK(table.reads == 0);
         CHECK(table.writes.empty());
     }
     SUBCASE("reads the rows before it writes, one call at a time")
     {
         instance it{table};
-        it.writer.tick(it.start);
-        it.writer.tick(it.start);
+        it.writer.tick(it.start, 0);
+        it.writer.tick(it.start, 0);
         CHECK(table.reads == 1);
         CHECK(table.writes.empty());
         table.answer_read();
-        it.writer.tick(it.start);
-        it.writer.tick(it.start);
+        it.writer.tick(it.start, 0);
+        it.writer.tick(it.start, 0);
         REQUIRE(table.writes.size() == 1);
         CHECK(table.writes.back().status.state == rollout_state::running);
         table.answer_write();
@@ -137,12 +137,12 @@
         SUBCASE("and reads again what it has written, then only at intervals")
         {
             const auto now = clock::now();
-            it.writer.tick(now);
+            it.writer.tick(now, 0);
             CHECK(table.reads == 2);
             table.answer_read();
-            it.writer.tick(now);
+            it.writer.tick(now, 0);
             CHECK_FALSE(table.is_waiting());
-            it.writer.tick(now + rollout_writer::read_period);
+            it.writer.tick(now + rollout_writer::read_period, 0);
             CHECK(table.reads == 3);
             CHECK(table.writes.size() == 1);
         }
@@ -150,10 +150,10 @@
         {
             manual_table copy; // What the other reader saw: no rows.
             instance other{copy};
-            other.writer.tick(other.start);
+            other.writer.tick(other.start, 0);
             copy.answer_read();
             other.roll_back();
-            other.writer.tick(other.start);
+            other.writer.tick(other.start, 0);
             REQUIRE(copy.writes.size() == 1);
             const auto before = table.rows;
             table.apply(copy.writes.back());
@@ -164,11 +164,11 @@
     SUBCASE("tries again a short time after a read that failed")
     {
         instance it{table};
-        it.writer.tick(it.start);
+        it.writer.tick(it.start, 0);
         table.fail_read();
-        it.writer.tick(clock::now());
+        it.writer.tick(clock::now(), 0);
         CHECK(table.reads == 1);
-        it.writer.tick(clock::now() + rollout_writer::retry_period);
+        it.writer.tick(clock::now() + rollout_writer::retry_period, 0);
         CHECK(table.reads == 2);
         CHECK(table.writes.empty());
     }
@@ -178,10 +178,10 @@
 {
     manual_table table;
     instance it{table};
-    it.writer.tick(it.start);
+    it.writer.tick(it.start, 0);
     table.answer_read();
     it.roll_back();
-    it.writer.tick(clock::now());
+    it.writer.tick(clock::now(), 0);
     REQUIRE(table.writes.size() == 1);
     CHECK(table.writes.back().status.state == rollout_state::rolled_back);
     const auto retry_time = [] { return clock::now() + rollout_writer::retry_period; };
@@ -189,18 +189,18 @@
     SUBCASE("whose answer is lost is found by reading the rows, and not written twice")
     {
         table.lose_answer();
-        it.writer.tick(retry_time());
+        it.writer.tick(retry_time(), 0);
         table.answer_read();
-        it.writer.tick(retry_time());
+        it.writer.tick(retry_time(), 0);
         CHECK(table.writes.size() == 1);
         CHECK_FALSE(table.is_waiting());
     }
     SUBCASE("that was not stored is written again")
     {
         table.end_write(absl::UnavailableError("down"));
-        it.writer.tick(retry_time());
+        it.writer.tick(retry_time(), 0);
         table.answer_read();
-        it.writer.tick(retry_time());
+        it.writer.tick(retry_time(), 0);
         CHECK(table.writes.size() == 2);
     }
     SUBCASE("that another reader wrote first holds for this one too")
@@ -210,9 +210,9 @@
             rollout_rows{{150, rollout_status{"v2", rollout_state::done}}, {150, progress}};
         table.answer_write();
         CHECK_FALSE(table.applied);
-        it.writer.tick(clock::now());
+        it.writer.tick(clock::now(), 0);
         table.answer_read();
-        it.writer.tick(clock::now());
+        it.writer.tick(clock::now(), 0);
         CHECK(it.state() == rollout_state::done);
         CHECK(table.writes.size() == 1);
         CHECK(table.rows->status.value->state == rollout_state::done);
@@ -220,11 +220,28 @@
     SUBCASE("that a store lost when it came back older is written again")
     {
         table.answer_write();
+        it.writer.tick(clock::now(), 0);
+        table.answer_read();
+        it.writer.tick(clock::now(), 0);
         table.rows.reset();
-        it.writer.tick(clock::now());
+        it.writer.tick(clock::now() + rollout_writer::read_period, 0);
+        REQUIRE_FALSE(table.is_waiting());
+
+        it.writer.tick(clock::now(), 1);
+        REQUIRE(table.is_waiting());
         table.answer_read();
-        it.writer.tick(clock::now());
+        it.writer.tick(clock::now(), 1);
         REQUIRE(table.writes.size() == 2);
         CHECK(table.writes.back().status.state == rollout_state::rolled_back);
+
+        SUBCASE("once")
+        {
+            table.answer_write();
+            it.writer.tick(clock::now(), 1);
+            table.answer_read();
+            it.writer.tick(clock::now() + rollout_writer::read_period, 1);
+            CHECK(table.writes.size() == 2);
+            CHECK_FALSE(table.is_waiting());
+        }
     }
 }
