Test rollouts with real processes that are slow, killed, cut off or come back

The tests covered a version that is bad from the start, a store that is down at the verdict, and a good version.

New, with one failure each: a version that is several times slower; one that becomes bad later; the writer of the status killed after its write, and started again; a failure domain cut off from the other and from the store, with and without requests of its own; a store that comes back older in the middle of a rollout and after its end. Each checks that no request reaches the bad version after the verdict, that the status is final and its row never changes, that the version gets at most 0.1 of the requests + 50, and that it gets nothing later than 5 s after its 50th bad response.

The fleet of the tests can pass other addresses for its links to the routers; cuttable_links serves them by the proxy of the soak. Each domain has one router, as the proxy cannot tell its callers apart.

--- a/test/platform/router_fleet.cpp
+++ b/test/platform/router_fleet.cpp
@@ -49,6 +49,8 @@
 void router_fleet::start(std::size_t n)
 {
     const auto ip = "127.0.1." + std::to_string(n + 1);
+    const router_links direct{store_host_.address(), address(n, 3)};
+    const auto links = params_.links ? params_.links(n, direct) : direct;
     processes[n] = std::make_unique<child_process>(
         std::vector<std::string>{"mangovane-platform",
                                  "--name",
@@ -62,9 +64,11 @@
                                  "--metrics-listen",
                                  address(n, 2),
                                  "--peer-listen",
-                                 address(n, 3),
+                                 direct.peer,
+                                 "--peer-advertise",
+                                 links.peer,
                                  "--store",
-                                 store_host_.address(),
+                                 links.store,
                                  "--seeds",
                                  address(0, 2),
                                  "--retry-slack",
--- a/test/platform/router_fleet.hpp
+++ b/test/platform/router_fleet.hpp
@@ -3,6 +3,7 @@
 #ifndef MANGOVANE_TEST_PLATFORM_ROUTERS_HPP
 #define MANGOVANE_TEST_PLATFORM_ROUTERS_HPP
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,10 +27,25 @@
                                        { return engine.handle(req, rep); }}
     {}
 
+    explicit hosted_engine(standin::fleet_engine_behaviour behaviour)
+        : engine{std::move(behaviour)}, host{
+                                            [this](const standin::request& req, standin::reply& rep)
+                                            { return engine.handle(req, rep); }}
+    {}
+
     standin::fleet_engine engine;
     standin::hosted_server host;
 };
 
+/// Addresses at which a router reaches the store and is reached by the other routers.
+struct router_links
+{
+    std::string store;
+    std::string peer;
+
+    auto operator<=>(const router_links&) const = default;
+};
+
 struct fleet_params
 {
     std::string log_folder;        ///< Each router writes `router-<n>.log` there; empty: none.
@@ -37,6 +53,8 @@
     milliseconds grace_period{5000};
     std::uint32_t retry_slack{100}; ///< Retries per window beside those that requests earn.
     config_params config{};         ///< Configuration at the start.
+    /// Addresses that router `n` gets in place of the direct ones; not set: the direct ones.
+    std::function<router_links(std::size_t n, const router_links& direct)> links{};
 };
 
 class router_fleet
