--- a/src/mangovane/rollout/rollout_registry.cpp
+++ b/src/mangovane/rollout/rollout_registry.cpp
@@ -295,7 +295,8 @@
     {
         return result;
     }
-    const auto period = same_domain ? local_report_period : remote_report_period;
+    const auto period =
+        same_domain ? policy_.local_report_period() : policy_.remote_report_period();
     services_.for_each_shard(
         [&](auto& entries)
         {
@@ -333,8 +334,11 @@
                 if (it.current)
                 {
                     const auto& state = it.current->state;
+                    const auto& evidence = state.evidence();
                     result.push_back({state.order(), state.state(), state.share(), state.deadline(),
-                                      it.current->completable, state.evidence().sums()});
+                                      it.current->completable, evidence.sums(),
+                                      evidence.counts(version_side::current),
+                                      evidence.counts(version_side::ordered)});
                 }
             }
         });
--- a/src/mangovane/rollout/rollout_registry.hpp
+++ b/src/mangovane/rollout/rollout_registry.hpp
@@ -37,6 +37,8 @@
     /// Whether a running rollout is to be written as done.
     bool completable{false};
     std::vector<route_answers> sums;
+    response_counts current; ///< Over all routes.
+    response_counts ordered; ///< Over all routes.
 
     auto operator<=>(const rollout_summary&) const = default;
 };
@@ -94,9 +96,6 @@
 
     [[nodiscard]] std::vector<rollout_summary> summaries();
 
-    static constexpr milliseconds local_report_period{500};
-    static constexpr milliseconds remote_report_period{1000};
-
     /// Reports are sent for this long after the end, for instances that were cut off or paused.
     static constexpr milliseconds report_after_end{10'000};
 
