Order rollouts in the soak's runs of changes

Cause: rollouts had no run with faults of routers, links and the store around them, so nothing checked their bounds there.

Checks: a bad version stays within its share and tolerance, gets no request that was sent 5 s after its 50th failure, and a final status changes only when the store comes back without it, after which it is written again within 5 s. The mean load of the soak's endpoints is taken for each version.

--- a/soak/call_text.cpp
+++ b/soak/call_text.cpp
@@ -127,6 +127,11 @@
     return std::min(choices.at(choice), long_route_timeout);
 }
 
+bool fails_at_bad_version(const std::string& request)
+{
+    return hash_combine(hash_bytes(request), 2) % 2 == 0;
+}
+
 std::string target_of(const std::string& request)
 {
     const bool common = kind_of(request) == call_kind::removed_key;
--- a/soak/call_text.hpp
+++ b/soak/call_text.hpp
@@ -43,6 +43,10 @@
 /// the work, or a fixed shorter one, which the work may exceed.
 [[nodiscard]] milliseconds deadline_of(const std::string& request);
 
+/// Whether an endpoint of a bad version answers the request with a failure, as it does with half of
+/// them.
+[[nodiscard]] bool fails_at_bad_version(const std::string& request);
+
 [[nodiscard]] std::string target_of(const std::string& request);
 [[nodiscard]] std::string body_of(const std::string& request);
 
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -19,6 +19,11 @@
 
 constexpr std::array domains{"ikeja-a", "lekki-b", "agege-c"};
 constexpr milliseconds probe_timeout{1000};
+
+/// The bounds of rollouts, which the rollout checker applies.
+constexpr std::array rollout_words{"--rollout-share=0.1", "--rollout-tolerance=50",
+                                   "--rollback-ms=5000"};
+constexpr const char* first_version = "v1";
 const row_key configuration_row{"op", "config"};
 
 /// Offsets of a router's ports from the first one.
@@ -44,6 +49,16 @@
     std::atomic<int>& count_;
 };
 
+standin::fleet_engine_behaviour behaviour_of(const std::string& name, bool bad)
+{
+    standin::fleet_engine_behaviour result{name, {}, work_of, {}};
+    if (bad)
+    {
+        result.fails = fails_at_bad_version;
+    }
+    return result;
+}
+
 int free_port()
 {
     const auto address = test::free_address();
@@ -54,14 +69,14 @@
 
 endpoint::endpoint(asio::io_context& io,
                    std::size_t its_number,
-                   std::string its_service,
                    std::string its_domain,
-                   milliseconds cold_time)
-    : number{its_number}, service{std::move(its_service)}, name{service + "-" +
-                                                                std::to_string(number)},
-      domain{std::move(its_domain)}, engine{{name, {}, work_of}}, cold_until_{clock::now() +
-                                                                              cold_time},
-      host_{[this](const standin::request& req, standin::reply& rep) { return handle(req, rep); }},
+                   const endpoint_params& params)
+    : number{its_number}, service{params.service}, name{service + "-" + std::to_string(number)},
+      domain{std::move(its_domain)}, version{params.version}, bad{params.bad}, engine{behaviour_of(
+                                                                                   name, bad)},
+      cold_until_{clock::now() + params.cold_time}, host_{[this](const standin::request& req,
+                                                                 standin::reply& rep)
+                                                          { return handle(req, rep); }},
       link_{io, "127.0.0.1:0", host_.address()}
 {}
 
@@ -82,11 +97,11 @@
     configure();
     for (std::size_t n = 0; n != options_.model_endpoints; ++n)
     {
-        add_endpoint("dictamen", milliseconds{0});
+        add_endpoint({"dictamen"});
     }
     for (std::size_t n = 0; n != options_.plain_endpoints; ++n)
     {
-        add_endpoint("ventanilla", milliseconds{0});
+        add_endpoint({"ventanilla"});
     }
     for (std::size_t n = 0; n != options_.routers; ++n)
     {
@@ -114,7 +129,7 @@
     auto& it = *routers_[n];
     ++it.process_number;
     const auto ip = "127.0.4." + std::to_string(n + 1);
-    const std::vector<std::string> words{
+    std::vector<std::string> words{
         "mangovane-platform",
         "--name=" + ip,
         "--domain=" + domain_of(n),
@@ -132,6 +147,10 @@
         "--drain-delay-ms=" + std::to_string(options_.drain_delay.count()),
         "--grace-ms=7800",
     };
+    if (options_.rollouts)
+    {
+        words.insert(words.end(), rollout_words.begin(), rollout_words.end());
+    }
     const auto log = options_.log_folder.empty()
                          ? std::string{"/dev/null"}
                          : options_.log_folder + "/router-" + std::to_string(n) + ".log";
@@ -160,8 +179,10 @@
 
 void deployment::list(endpoint& it, const std::string& state, milliseconds cold_left)
 {
-    write({"servers", it.name},
-          test::entry_text({it.service, it.link().address(), it.domain, state, cold_left}));
+    const std::string written_version{"\"v1\""};
+    auto text = test::entry_text({it.service, it.link().address(), it.domain, state, cold_left});
+    text.replace(text.find(written_version), written_version.size(), "\"" + it.version + "\"");
+    write({"servers", it.name}, std::move(text));
 }
 
 void deployment::write(const row_key& key, std::optional<std::string> value)
@@ -211,17 +232,49 @@
     }
 }
 
-void deployment::add_endpoint(const std::string& service, milliseconds cold)
+std::string deployment::version_of(const std::string& service) const
+{
+    const auto found = versions_.find(service);
+    return found == versions_.end() ? first_version : found->second;
+}
+
+void deployment::set_version(const std::string& service, const std::string& version)
+{
+    versions_[service] = version;
+}
+
+void deployment::order_rollout(const rollout_order& order)
+{
+    const auto duration_s = std::chrono::duration_cast<seconds>(order.duration).count();
+    write({"op", "rollout/" + order.service}, R"({"service":")" + order.service + R"(","to":")" +
+                                                  order.to + R"(","duration_s":)" +
+                                                  std::to_string(duration_s) + "}");
+}
+
+std::string deployment::rollout_status(const std::string& service) const
+{
+    return store_.value_of("status", "rollout/" + service);
+}
+
+void deployment::stop_at_once(endpoint& it)
+{
+    it.leaving = true;
+    it.link().set({milliseconds{0}, false, false, true});
+    it.link().reset_all();
+    remove_entry(it);
+}
+
+void deployment::add_endpoint(const endpoint_params& params)
 {
     std::unique_lock lock{mutex_};
     const auto number = endpoints_.size();
     auto& it = *endpoints_.emplace_back(
-        std::make_unique<endpoint>(io_, number, service, domain_of(number), cold));
+        std::make_unique<endpoint>(io_, number, domain_of(number), params));
     lock.unlock();
     it.handle = [this, &it](const standin::request& req, standin::reply& rep)
     { return serve(it, req, rep); };
     it.listed = true;
-    list(it, "ready", cold);
+    list(it, "ready", params.cold_time);
 }
 
 void deployment::drain(endpoint& it)
@@ -279,7 +332,9 @@
         // Leaving and evacuated endpoints don't count: while most of a service is in these states,
         // the rest receives all of the load.
         const bool takes_work = it->listed && !it->leaving && it->domain != domain_out_;
-        const bool counts = it->service == own.service && (takes_work || it.get() == &own);
+        // Each version of a service in a rollout has a share of the load of its own.
+        const bool same = it->service == own.service && it->version == own.version;
+        const bool counts = same && (takes_work || it.get() == &own);
         total += counts ? it->active.load() : 0;
         count += counts ? 1 : 0;
     }
@@ -310,8 +365,9 @@
             const bool as_sent = run.target == target_of(run.request) &&
                                  run.body == body_of(run.request) && run.account == "desk" &&
                                  !run.had_key;
-            result.push_back(
-                {run.request, it->name, it->domain, run.at, as_sent, it->number, run.ended_at});
+            result.push_back({run.request, it->name, it->domain, run.at, as_sent, it->number,
+                              run.ended_at, it->service, it->version,
+                              it->bad && fails_at_bad_version(run.request)});
         }
     }
     std::sort(result.begin(), result.end(),
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -33,6 +33,7 @@
     /// Each configuration has a route and a key that the next one removes.
     bool replaces_parts{false};
     std::uint32_t header_bytes{4096}; ///< Largest head of a request.
+    bool rollouts{false};             ///< Routers have the options of rollouts.
     /// Time after SIGTERM for which a router still accepts connections.
     milliseconds drain_delay{500};
 
@@ -48,15 +49,24 @@
     auto operator<=>(const row_key&) const = default;
 };
 
+struct endpoint_params
+{
+    std::string service;
+    std::string version{"v1"};
+    milliseconds cold_time{0};
+    bool bad{false}; ///< A part of its responses are failures.
+
+    auto operator<=>(const endpoint_params&) const = default;
+};
+
 /// An endpoint of a service with its link and its load.
 class endpoint
 {
 public:
     endpoint(boost::asio::io_context& io,
              std::size_t number,
-             std::string service,
              std::string domain,
-             milliseconds cold_time);
+             const endpoint_params& params);
 
     [[nodiscard]] bool cold(time_point now) const { return now < cold_until_; }
 
@@ -67,6 +77,8 @@
     const std::string service;
     const std::string name;
     const std::string domain;
+    const std::string version;
+    const bool bad;
     standin::fleet_engine engine;
     std::atomic<int> active{0};       ///< Active requests.
     std::atomic<bool> leaving{false}; ///< It has announced its drain.
@@ -110,8 +122,17 @@
     void configure();
     [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
 
-    void add_endpoint(const std::string& service, milliseconds cold_time);
+    void add_endpoint(const endpoint_params& params);
     void drain(endpoint& it);
+    /// Ends an endpoint without draining it, and removes its row.
+    void stop_at_once(endpoint& it);
+
+    /// Version of a service that is in force; of its endpoints that are added later.
+    [[nodiscard]] std::string version_of(const std::string& service) const;
+    void set_version(const std::string& service, const std::string& version);
+    void order_rollout(const rollout_order& order);
+    /// Text of the status row; empty if there is none.
+    [[nodiscard]] std::string rollout_status(const std::string& service) const;
 
     /// Removes the row of an endpoint, which continues to serve.
     void remove_entry(endpoint& it);
@@ -168,6 +189,8 @@
         std::optional<std::string> value; ///< Empty: the row was removed.
         time_point at{};
     };
+    /// By service; `v1` for those without an entry. Used by the thread that makes the changes.
+    std::map<std::string, std::string> versions_;
     std::map<row_key, written_row> written_; ///< Used by the thread that makes the changes.
 };
 
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -2,9 +2,10 @@
 #include "soak/fault_injector.hpp"
 
 #include <algorithm>
-#include <array>
 #include <csignal>
 
+#include "soak/fault_variants.hpp"
+
 namespace mangovane::soak
 {
 
@@ -20,27 +21,6 @@
 /// A drain is skipped if it would leave fewer endpoints in the service.
 constexpr int min_endpoints = 2;
 
-/// Holds requests, responses, or both.
-link_condition cut_of(std::uint64_t random_value)
-{
-    const auto way = random_value % 3;
-    return {milliseconds{0}, way != 1, way != 2, false};
-}
-
-standin::engine_fault engine_fault_of(std::uint64_t random_value)
-{
-    static constexpr std::array faults{standin::engine_fault::full,
-                                       standin::engine_fault::error,
-                                       standin::engine_fault::hang,
-                                       standin::engine_fault::reset,
-                                       standin::engine_fault::cut,
-                                       standin::engine_fault::malformed,
-                                       standin::engine_fault::wrong_attempt_id,
-                                       standin::engine_fault::unsigned_answer,
-                                       standin::engine_fault::ambiguous};
-    return faults[random_value % faults.size()];
-}
-
 } // namespace
 
 const std::array<fault_injector::fault_rule, fault_kind_count> fault_injector::rules{{
@@ -72,16 +52,19 @@
     {&fault_injector::call_burst, &fault_injector::end_outage},
     {&fault_injector::store_down, &fault_injector::return_older_store},
     {&fault_injector::begin_uncontrolled_callers, &fault_injector::end_uncontrolled_callers},
+    {&fault_injector::order_rollout, &fault_injector::end_outage},
 }};
 
 fault_injector::fault_injector(deployment& fleet, observation_recorder& recorder, fault_plan plan)
     : fleet_{fleet}, recorder_{recorder}, plan_{std::move(plan)},
-      faulted_routers_(fleet.routers().size()), store_return_{fleet, recorder}
+      faulted_routers_(fleet.routers().size()), store_return_{fleet, recorder}, rollouts_{fleet,
+                                                                                          recorder}
 {}
 
 bool fault_injector::advance(time_point now, time_point start)
 {
     store_return_.advance(now);
+    rollouts_.advance(now);
     for (auto it = active_faults_.begin(); it != active_faults_.end();)
     {
         if (now < start + it->event.until)
@@ -107,7 +90,7 @@
     advance_restarts();
     check_processes();
     return next_ != plan_.events.size() || !active_faults_.empty() || !restarts_.empty() ||
-           store_return_.pending();
+           store_return_.pending() || rollouts_.pending();
 }
 
 // Selection of the affected router, store or endpoint.
@@ -451,17 +434,26 @@
 
 void fault_injector::add_cold_endpoint(active_fault& /*it*/)
 {
-    fleet_.add_endpoint("dictamen", deployment::cold_time);
+    const std::string service{"dictamen"};
+    fleet_.add_endpoint({service, fleet_.version_of(service), deployment::cold_time});
+}
+
+void fault_injector::order_rollout(active_fault& it)
+{
+    rollouts_.begin(it.event.random_value);
 }
 
 void fault_injector::drain_endpoint(active_fault& it)
 {
     const auto all = fleet_.endpoints();
     auto* chosen = all[it.event.random_value % all.size()];
-    const auto staying =
-        std::count_if(all.begin(), all.end(),
-                      [&](const endpoint* other)
-                      { return other->service == chosen->service && !other->leaving; });
+    const auto staying = std::count_if(all.begin(), all.end(),
+                                       [&](const endpoint* other)
+                                       {
+                                           return other->service == chosen->service &&
+                                                  other->version == chosen->version &&
+                                                  !other->leaving;
+                                       });
     it.skipped = chosen->leaving || staying <= min_endpoints;
     if (!it.skipped)
     {
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -8,6 +8,7 @@
 #include "soak/busy_threads.hpp"
 #include "soak/deployment.hpp"
 #include "soak/fault_plan.hpp"
+#include "soak/rollout_driver.hpp"
 #include "soak/store_return.hpp"
 #include "soak/uncontrolled_callers.hpp"
 
@@ -101,6 +102,7 @@
     void end_uncontrolled_callers(active_fault& it);
     void configure(active_fault& it);
     void add_cold_endpoint(active_fault& it);
+    void order_rollout(active_fault& it);
     void drain_endpoint(active_fault& it);
     void remove_endpoint(active_fault& it);
     void take_domain_out(active_fault& it);
@@ -130,6 +132,7 @@
     std::vector<unexpected_exit> unexpected_exits_;
     std::optional<busy_threads> busy_;
     store_return store_return_;
+    rollout_driver rollouts_;
     std::optional<uncontrolled_callers> uncontrolled_;
     bool store_faulted_{false};
     bool domain_out_{false};
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -95,6 +95,11 @@
 constexpr std::uint64_t uncontrolled_begin_end_ms = 5500;
 constexpr std::uint64_t min_uncontrolled_ms = 2000;
 constexpr std::uint64_t max_uncontrolled_ms = 4000;
+/// A rollout is ordered in this window, by a generator of its own. It ends before the undisturbed
+/// return of the store, which then loses its final status or not.
+constexpr std::uint64_t rollout_seed = 0x726f6c6c;
+constexpr std::uint64_t rollout_begin_ms = 500;
+constexpr std::uint64_t rollout_begin_end_ms = 1500;
 /// Time for which the store is down before it comes back older.
 constexpr std::uint64_t min_return_ms = 200;
 constexpr std::uint64_t max_return_ms = 1000;
@@ -182,7 +187,8 @@
         "endpoint_fails", "endpoint_crashes", "endpoint_slow",       "endpoint_silent",
         "stop_router",    "hang_up",          "configure",           "add_cold_endpoint",
         "drain_endpoint", "take_domain_out",  "endpoint_breaks_off", "pause_past_idle",
-        "busy_cores",     "call_burst",       "store_returns_older", "uncontrolled_callers"};
+        "busy_cores",     "call_burst",       "store_returns_older", "uncontrolled_callers",
+        "order_rollout"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -271,6 +277,9 @@
         between(uncontrolled_random, min_uncontrolled_ms, max_uncontrolled_ms)};
     result.events.push_back(
         {fault_kind::uncontrolled_callers, crowd, crowd + crowd_time, uncontrolled_random()});
+    std::mt19937_64 rollout_random{seed ^ rollout_seed};
+    const milliseconds order{between(rollout_random, rollout_begin_ms, rollout_begin_end_ms)};
+    result.events.push_back({fault_kind::order_rollout, order, order, rollout_random()});
     result.events.push_back({fault_kind::configure, quiet_changes_begin, quiet_changes_begin, 0});
     add_store_return(result, quiet_changes_begin + quiet_return_delay, random);
     const auto end = quiet_changes_begin + quiet_return_delay + quiet_return_margin;
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -45,9 +45,10 @@
     call_burst,           ///< Several hundred connections are opened at once.
     store_returns_older,  ///< The store is down for a moment and comes back from an older copy.
     uncontrolled_callers, ///< Callers send heads, trailers and empty lines without end to a router.
+    order_rollout,        ///< Endpoints of a new version start, and an operator orders it.
 };
 
-inline constexpr std::size_t fault_kind_count = 28;
+inline constexpr std::size_t fault_kind_count = 29;
 inline constexpr std::size_t first_planned_kind = static_cast<std::size_t>(fault_kind::stop_router);
 
 [[nodiscard]] std::string_view name_of(fault_kind kind);
@@ -79,8 +80,8 @@
 [[nodiscard]] fault_plan
 make_stop_plan(std::uint64_t seed, std::size_t fault_count, std::size_t routers);
 
-/// Changes of the configuration and a store that comes back older, among faults and uncontrolled
-/// callers; then the same with no other fault, so that time bounds can be checked.
+/// Changes of the configuration, a rollout and a store that comes back older, among faults and
+/// uncontrolled callers; then the same with no other fault, so that time bounds can be checked.
 [[nodiscard]] fault_plan make_change_plan(std::uint64_t seed, std::size_t fault_count);
 
 } // namespace mangovane::soak
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -55,6 +55,12 @@
     milliseconds uncontrolled_end{3000};
     /// A router that serves none of this many ordinary calls after them is reported.
     std::size_t min_calls_after_uncontrolled{10};
+    double canary_share{0.1};    ///< Of a bad version, in the requests of its service.
+    double canary_tolerance{50}; ///< Requests added to it.
+    milliseconds rollback{5000}; ///< From the failures below until no request is sent there.
+    std::size_t failures_before_rollback{50};
+    /// Time in which a final status that a store came back without is written again.
+    milliseconds status_again{5000};
     milliseconds grace{8000}; ///< From SIGTERM until the end of the process.
     /// Share of the grace period in which callers may send requests that a stop may cut.
     double sending_share{3.0 / 8};
--- a/soak/observation_recorder.hpp
+++ b/soak/observation_recorder.hpp
@@ -19,6 +19,8 @@
     void add(operator_change it) { changes_.add(std::move(it)); }
     void add(process_end it) { process_ends_.add(it); }
     void add(uncontrolled_period it) { uncontrolled_.add(it); }
+    void add(rollout_order it) { rollouts_.add(std::move(it)); }
+    void add(status_change it) { status_changes_.add(std::move(it)); }
 
     /// Begins and ends an outage.
     [[nodiscard]] std::size_t begin(disturbed_component affected, bool planned)
@@ -44,8 +46,8 @@
     [[nodiscard]] run_observations collect(std::vector<execution_record> executions) const
     {
         run_observations result{
-            calls_.all(), std::move(executions), arrivals_.all(),    changes_.all(),
-            {},           process_ends_.all(),   uncontrolled_.all()};
+            calls_.all(),        std::move(executions), arrivals_.all(), changes_.all(),       {},
+            process_ends_.all(), uncontrolled_.all(),   rollouts_.all(), status_changes_.all()};
         const std::lock_guard lock{outage_mutex_};
         result.outages = outages_;
         return result;
@@ -80,6 +82,8 @@
     shared_list<operator_change> changes_;
     shared_list<process_end> process_ends_;
     shared_list<uncontrolled_period> uncontrolled_;
+    shared_list<rollout_order> rollouts_;
+    shared_list<status_change> status_changes_;
     mutable std::mutex outage_mutex_;
     outage_log outages_; ///< Guarded by `outage_mutex_`.
 };
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -14,6 +14,7 @@
 #include "soak/caller.hpp"
 #include "soak/change_checker.hpp"
 #include "soak/fault_injector.hpp"
+#include "soak/rollout_checker.hpp"
 
 namespace mangovane::soak
 {
@@ -149,6 +150,7 @@
         if (options.kind == soak_kind::changes)
         {
             result.replaces_parts = true;
+            result.rollouts = true;
             result.header_bytes = uncontrolled_header_bytes;
         }
         return result;
@@ -236,6 +238,10 @@
         {
             violations_.insert(std::move(found));
         }
+        for (auto& found : rollout_checker{observed}.all())
+        {
+            violations_.insert(std::move(found));
+        }
         timed_checks_ = it.timed_checks() + changes.timed_checks();
         closed_unread_ = it.closed_unread();
         at_stops_ = it.at_stops();
--- a/soak/run_observations.hpp
+++ b/soak/run_observations.hpp
@@ -100,6 +100,9 @@
     bool as_sent{true};
     std::size_t endpoint_number{0};
     time_point ended_at{time_point::max()}; ///< End of the work; `max` while it lasts.
+    std::string service{};
+    std::string version{}; ///< Of the endpoint.
+    bool failed{false};    ///< The endpoint answered with a failure, as its version is bad.
 
     auto operator<=>(const execution_record&) const = default;
 };
@@ -159,6 +162,33 @@
     auto operator<=>(const uncontrolled_period&) const = default;
 };
 
+/// A rollout that an operator has ordered.
+struct rollout_order
+{
+    std::string service;
+    std::string from;
+    std::string to;
+    time_point at{}; ///< The store has acknowledged the order.
+    milliseconds duration{0};
+    bool bad{false}; ///< A part of the responses of the new version are failures.
+
+    auto operator<=>(const rollout_order&) const = default;
+};
+
+/// Final states of a rollout in its status row.
+inline constexpr const char* rollout_done = "done";
+inline constexpr const char* rollout_rolled_back = "rolled_back";
+
+/// A state that the store's status row of a rollout has taken; empty: there is no row for it.
+struct status_change
+{
+    std::string version;
+    std::string state;
+    time_point at{};
+
+    auto operator<=>(const status_change&) const = default;
+};
+
 struct run_observations
 {
     std::vector<call_record> calls; ///< Ordered by end.
@@ -168,6 +198,8 @@
     outage_log outages;
     std::vector<process_end> process_ends;
     std::vector<uncontrolled_period> uncontrolled;
+    std::vector<rollout_order> rollouts;
+    std::vector<status_change> status_changes;
 };
 
 } // namespace mangovane::soak
--- a/src/standin/fleet_engine.cpp
+++ b/src/standin/fleet_engine.cpp
@@ -55,6 +55,14 @@
     return fault_;
 }
 
+engine_fault fleet_engine::fault_of(const request& req)
+{
+    const auto result = consume_fault();
+    const bool fails = result == engine_fault::none && behaviour_.fails &&
+                       behaviour_.fails(field(req, "X-Attempt-Id"));
+    return fails ? engine_fault::error : result;
+}
+
 std::vector<engine_run> fleet_engine::runs() const
 {
     const std::lock_guard lock{mutex_};
@@ -220,7 +228,7 @@
         co_await rep.send(421, "{}");
         co_return;
     }
-    const auto fault = consume_fault();
+    const auto fault = fault_of(req);
     if (fault == engine_fault::full)
     {
         rep.add_field("X-Not-Executed", "1");
--- a/src/standin/fleet_engine.hpp
+++ b/src/standin/fleet_engine.hpp
@@ -49,6 +49,8 @@
     engine_work work; ///< Of requests for which `work_of` is not set.
     /// Work of a request by its id.
     std::function<engine_work(const std::string& request)> work_of{};
+    /// Whether a request without another fault gets `engine_fault::error`, by its id.
+    std::function<bool(const std::string& request)> fails{};
 };
 
 /// A request that an endpoint ran.
@@ -84,6 +86,7 @@
 
 private:
     [[nodiscard]] engine_fault consume_fault();
+    [[nodiscard]] engine_fault fault_of(const request& req);
     /// Records a run and returns its index.
     [[nodiscard]] std::size_t record(const request& req);
     void record_end(std::size_t run);
