--- a/test/mangovane/forward/held_tokens.cpp
+++ b/test/mangovane/forward/held_tokens.cpp
@@ -10,6 +10,7 @@
 
 #include "mangovane/forward/forward_core.hpp"
 #include "mangovane/forward/forward_fixture.hpp"
+#include "mangovane/forward/forward_flow.hpp"
 
 using namespace mangovane;
 using test::make_entry;
@@ -131,6 +132,28 @@
         it.core.finish(first->endpoint, health_outcome::answered, start);
         CHECK(it.held() == 0);
     }
+    SUBCASE("are released by the flow of the request, however it ends")
+    {
+        it.core.on_tokens_released(first->endpoint, {5'000, 1'001});
+        auto request = test::make_request(it.settings, "review");
+        request.tokens = {700, 60};
+        forward_flow flow{request, it.core};
+        CHECK(std::holds_alternative<send_step>(flow.start(start)));
+        CHECK(it.held() == 760);
+        SUBCASE("with a response")
+        {
+            (void)flow.on_result(attempt_result::delivered, start);
+        }
+        SUBCASE("without its caller")
+        {
+            flow.abandon(start);
+        }
+        SUBCASE("with a failure")
+        {
+            (void)flow.on_result(attempt_result::error, start);
+        }
+        CHECK(it.held() == 0);
+    }
     SUBCASE("keep requests away that would exceed the capacity, while others can hold them")
     {
         const auto second = it.choose(5'000, 0);
