Explain where a request would go

Operators could see only after the fact, in the log, why a request went to an endpoint. `GET /explain` on the metrics address and `mangovanectl explain ADDRESS` now tell where a request would go and why, without sending it: the route, the versions, the rule, each endpoint with its load and the reason why it is excluded or avoided, the prefix source, or the refusal.

The answer comes from the code that chooses. The steps with an effect have a counterpart without one: the versions of a rollout and the admission of a cold endpoint are tried on a copy, the quarantine is not extended, and the seed of the next choice is read but not advanced. `choose_among` takes the seed and the admission, so that both paths share it.

The id of a prompt part is read by one function of the product, and GET requests of mangovanectl by one client.

A test asks before each of 59 choices in each placement mode, with a cold endpoint: the choice is the one explained, and the one at an instance that was not asked.

--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -45,6 +45,14 @@
         "seconds to wait until the change is in force on every instance");
     add("count", po::value(&out.max_changes)->default_value(20),
         "maximum number of changes shown by history");
+    add("host", po::value(&out.explained["host"]), "host of the request to explain");
+    add("path", po::value(&out.explained["path"]), "its path");
+    add("account", po::value(&out.explained["account"]), "name of its account");
+    add("urgency", po::value(&out.explained["urgency"]), "its urgency, 0 to 9");
+    add("prompt", po::value(&out.explained["prompt"]), "parts of its prompt: ID:TOKENS,...");
+    add("tokens", po::value(&out.explained["tokens"]), "its tokens: IN,OUT");
+    add("request", po::value(&out.explained["request"]),
+        "its id, which selects one of the services of a route");
     add("markdown", po::bool_switch(&out.markdown), "print the schema as Markdown");
     return result;
 }
--- a/src/ctl/command_line.hpp
+++ b/src/ctl/command_line.hpp
@@ -3,6 +3,7 @@
 #define MANGOVANE_CTL_COMMAND_LINE_HPP
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
     std::optional<std::uint64_t> base;   ///< Version that the change is based on.
     std::optional<std::uint32_t> wait_s; ///< Seconds to wait for the change to be in force.
     std::uint32_t max_changes{20};       ///< Shown by `settings history`.
+    /// Request to explain: parameters by name; empty: not given.
+    std::map<std::string, std::string> explained;
     bool json{false};
     bool markdown{false}; ///< Print the schema as Markdown.
     bool help{false};
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -21,6 +21,7 @@
 int endpoint_drain(command_context& context);
 int endpoint_undrain(command_context& context);
 int status(command_context& context);
+int explain(command_context& context);
 
 /// A change with author, base and id from the flags; the id is random if none is given.
 [[nodiscard]] settings_change new_change(const command_context& context);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -59,6 +59,8 @@
             "resume sending requests to an endpoint"},
     command{"status", "", "", needs_operator, &status,
             "print the instances and endpoints of the fleet"},
+    command{"explain", "", "ADDRESS", needs_nothing, &explain,
+            "print where the instance with this metrics address would send a request, and why"},
 };
 
 void print_help(std::ostream& out)
--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -9,12 +9,11 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
-#include <boost/asio/io_context.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/status.hpp>
 
 #include "ctl/command_context.hpp"
 #include "ctl/command_line.hpp"
+#include "ctl/http_get.hpp"
 #include "mangovane/core/time.hpp"
 #include "mangovane/net/address.hpp"
 #include "mangovane/net/status_json.hpp"
@@ -25,71 +24,9 @@
 namespace
 {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
+namespace http = boost::beast::http;
 
-constexpr seconds status_timeout{5};
 constexpr milliseconds status_poll_period{250};
-constexpr std::uint64_t max_status_bytes = 16ULL * 1024 * 1024;
-
-/// One GET request on a new connection. Each completed step starts the next.
-class status_request
-{
-public:
-    status_request(const std::string& address, const std::string& key)
-        : request_{http::verb::get, "/operator/status", 11}
-    {
-        request_.set(http::field::host, address);
-        request_.set(http::field::authorization, absl::StrCat("Bearer ", key));
-        request_.keep_alive(false);
-        parser_.body_limit(max_status_bytes);
-    }
-
-    /// Blocks until the response is read; returns the error of the step that failed.
-    beast::error_code run(const asio::ip::tcp::endpoint& endpoint);
-
-    [[nodiscard]] const http::response<http::string_body>& reply() const { return parser_.get(); }
-
-private:
-    template <class Next>
-    auto step(Next next)
-    {
-        return [this, next](beast::error_code ec, auto&&...)
-        {
-            error_ = ec;
-            if (!ec)
-            {
-                next();
-            }
-        };
-    }
-
-    void read()
-    {
-        http::async_read(stream_, buf_, parser_, step([] {}));
-    }
-
-    void write()
-    {
-        http::async_write(stream_, request_, step([this] { read(); }));
-    }
-
-    asio::io_context io_;
-    beast::tcp_stream stream_{io_};
-    beast::flat_buffer buf_;
-    http::request<http::empty_body> request_;
-    http::response_parser<http::string_body> parser_;
-    beast::error_code error_;
-};
-
-beast::error_code status_request::run(const asio::ip::tcp::endpoint& endpoint)
-{
-    stream_.expires_after(status_timeout);
-    stream_.async_connect(endpoint, step([this] { write(); }));
-    io_.run();
-    return error_;
-}
 
 bool is_live(const instance_status& instance)
 {
@@ -156,23 +93,23 @@
     {
         return absl::InvalidArgumentError("--operator must be ip:port");
     }
-    status_request call{address, key};
-    if (const auto ec = call.run(*endpoint))
+    const auto reply = http_get(*endpoint, "/operator/status", key);
+    if (!reply.ok())
     {
         return absl::UnavailableError(
-            absl::StrCat("operator API at ", address, ": ", ec.message()));
+            absl::StrCat("operator API at ", address, ": ", reply.status().message()));
     }
-    if (call.reply().result() == http::status::unauthorized)
+    if (reply->result() == http::status::unauthorized)
     {
         return absl::PermissionDeniedError(
             absl::StrCat(address, " rejected the key in MANGOVANE_CLUSTER_KEY"));
     }
-    if (call.reply().result() != http::status::ok)
+    if (reply->result() != http::status::ok)
     {
         return absl::UnavailableError(
-            absl::StrCat(address, " responded with HTTP status ", call.reply().result_int()));
+            absl::StrCat(address, " responded with HTTP status ", reply->result_int()));
     }
-    return parse_status(call.reply().body());
+    return parse_status(reply->body());
 }
 
 int wait_for_version(const std::string& address,
--- a/src/mangovane/core/prompt_part.hpp
+++ b/src/mangovane/core/prompt_part.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace mangovane
 {
@@ -29,6 +30,10 @@
     std::uint64_t whole{0};
 };
 
+/// Id of a part by the name that callers give it: the number that the name denotes in hexadecimal,
+/// so that logs and operators' pages show it as the caller wrote it; the hash of any other name.
+[[nodiscard]] std::uint64_t prompt_part_id(std::string_view name);
+
 /// Ids of parts in hexadecimal, separated by commas, for logs; "none" when there are none.
 [[nodiscard]] std::string part_ids_text(std::span<const prompt_part> parts);
 
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -17,6 +17,7 @@
 #include <unistd.h>
 
 #include "mangovane/daemon/control_metrics.hpp"
+#include "mangovane/daemon/explain_page.hpp"
 #include "mangovane/daemon/forward_metrics.hpp"
 #include "mangovane/daemon/process.hpp"
 #include "mangovane/daemon/quarantine_pages.hpp"
@@ -209,7 +210,12 @@
 
 monitoring_response forward_router::state::operator_page(const monitoring_request& req)
 {
-    auto page = quarantine_page(core.quarantine(), req, clock::now());
+    const auto now = clock::now();
+    auto page = quarantine_page(core.quarantine(), req, now);
+    if (!page)
+    {
+        page = explain_page(core, req, now);
+    }
     return page ? std::move(*page) : monitoring_response{200, {}, metrics_text()};
 }
 
--- a/src/mangovane/forward/endpoint_tracker.cpp
+++ b/src/mangovane/forward/endpoint_tracker.cpp
@@ -189,6 +189,16 @@
                                { return it.try_admit_cold(interval, first_wait, now); });
 }
 
+bool endpoint_tracker::would_admit_cold(endpoint_id endpoint,
+                                        duration interval,
+                                        duration first_wait,
+                                        time_point now)
+{
+    endpoint_record copy;
+    records_.find(endpoint, [&](const endpoint_record& it) { copy = it; });
+    return copy.try_admit_cold(interval, first_wait, now);
+}
+
 load_digest endpoint_tracker::digest(time_point now)
 {
     return digest(now, [](endpoint_id) { return false; });
--- a/src/mangovane/forward/endpoint_tracker.hpp
+++ b/src/mangovane/forward/endpoint_tracker.hpp
@@ -72,6 +72,10 @@
     [[nodiscard]] bool
     try_admit_cold(endpoint_id endpoint, duration interval, duration first_wait, time_point now);
 
+    /// What `try_admit_cold` would return now, without an effect.
+    [[nodiscard]] bool
+    would_admit_cold(endpoint_id endpoint, duration interval, duration first_wait, time_point now);
+
     /// Mean age of the other instances' digests; 0 if there is none.
     [[nodiscard]] duration mean_digest_age(time_point now);
 
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "mangovane/forward/choice_explanation.hpp"
 #include "mangovane/forward/domain_reachability.hpp"
 #include "mangovane/forward/endpoint_chooser.hpp"
 #include "mangovane/forward/endpoint_tracker.hpp"
@@ -96,6 +97,10 @@
                                          std::span<const endpoint_id> excluded,
                                          choice_purpose purpose,
                                          time_point now) override;
+    /// What `choose` would do with the request now, and what it would be based on. Has no effect on
+    /// any choice.
+    [[nodiscard]] choice_explanation explain(const forward_request& request, time_point now);
+
     void finish(endpoint_id endpoint, health_outcome outcome, time_point now) override;
     void on_version_ended(const version_attempt& attempt,
                           const std::optional<version_response>& response,
@@ -207,6 +212,13 @@
         bool evenly{false}; ///< The even rules choose.
     };
 
+    /// Why an endpoint is no candidate.
+    [[nodiscard]] static exclusion exclusion_of(const routing_table& routes,
+                                                const candidate_query& query,
+                                                const endpoint_info& endpoint,
+                                                const endpoint_record& record,
+                                                time_point now);
+
     /// Fills an empty set with the endpoints of the service, of these versions, that can be chosen.
     void collect_candidates(candidate_set& result,
                             const routing_table& routes,
@@ -221,16 +233,32 @@
         std::uint32_t eligible{0};
     };
 
-    /// Chooses among the endpoints of these versions; if there is none, returns when the first of
-    /// them opens again (max: unknown) in `reopens_at`.
-    [[nodiscard]] std::optional<chosen_endpoint> choose_among(const routing_table& routes,
-                                                              const forward_request& request,
-                                                              const version_set& versions,
-                                                              std::span<const endpoint_id> excluded,
+    /// Collects the endpoints into an empty set and chooses one of them.
+    [[nodiscard]] std::optional<chosen_endpoint> choose_among(candidate_set& eligible,
+                                                              const routing_table& routes,
+                                                              const candidate_query& query,
                                                               choice_purpose purpose,
-                                                              time_point& reopens_at,
+                                                              std::uint64_t tie_break_seed,
+                                                              admission_filter admit,
                                                               time_point now);
 
+    /// The rule that chooses for a request.
+    [[nodiscard]] static const placement_rule& rule_for(const candidate_query& query) noexcept;
+
+    /// Whether no endpoint of the service can hold the request's tokens, not even alone.
+    [[nodiscard]] bool is_too_large(const routing_table& routes,
+                                    const forward_request& request) const;
+
+    /// Requests that others have sent to the candidates since their digests, as estimated.
+    [[nodiscard]] double unreported_at(const candidate_set& set, time_point now);
+
+    /// Makes the list of an explanation.
+    void describe_endpoints(choice_explanation& result,
+                            const routing_table& routes,
+                            const candidate_query& query,
+                            const candidate_set& eligible,
+                            time_point now);
+
     /// Whether the even rules choose for a request.
     [[nodiscard]] bool spreads_evenly(bool has_prefix) const noexcept;
 
@@ -248,11 +276,26 @@
     /// Whether the endpoint, or its whole domain, is in a cold period.
     [[nodiscard]] bool is_cold(const endpoint_info& endpoint, time_point now);
 
+    /// How often this instance may send a request to a cold endpoint.
+    struct cold_limit
+    {
+        duration interval{};
+        duration first_wait{}; ///< Before the first request.
+    };
+
+    /// Nothing if the endpoint is warm or takes any number of requests.
+    [[nodiscard]] std::optional<cold_limit>
+    cold_limit_of(const routing_table& routes, const endpoint_info& endpoint, time_point now);
+
     /// Whether a request may go to the candidate; for a cold endpoint, consumes this
     /// instance's next admission.
     [[nodiscard]] bool
     admit(const routing_table& routes, const placement_candidate& candidate, time_point now);
 
+    /// The same without consuming it.
+    [[nodiscard]] bool
+    would_admit(const routing_table& routes, const placement_candidate& candidate, time_point now);
+
     /// Starts a cold period for each domain that the older settings disabled and the newer ones
     /// enable.
     void start_cold_periods(const settings_snapshot& before,
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -7,20 +7,6 @@
 namespace mangovane
 {
 
-namespace
-{
-
-const placement_rule& placement_for(bool evenly, bool sticky)
-{
-    if (evenly)
-    {
-        return sticky ? sticky_even_placement() : even_placement();
-    }
-    return sticky ? sticky_placement() : least_loaded_placement();
-}
-
-} // namespace
-
 forward_core::candidate_set& forward_core::empty_candidate_set()
 {
     thread_local candidate_set result;
@@ -41,27 +27,25 @@
                suspected_domains.end();
     };
     const bool weighs_speed = query.evenly && policy_of(options_.fleet.placement).uses_speed;
-    const auto excluded = query.excluded;
     const auto capacity = query.evenly ? token_capacity(routes, query.request.service) : 0;
     const auto tokens = query.request.tokens.held();
     double total = 0;
     std::size_t permitted = 0;
     const auto add = [&](const endpoint_info& it, const endpoint_record& record)
     {
-        if (!query.versions.contains(it.version))
+        const auto excluded = exclusion_of(routes, query, it, record, now);
+        if (excluded == exclusion::other_version)
         {
             return;
         }
         ++permitted;
         total += record.load();
-        const bool tried = std::find(excluded.begin(), excluded.end(), it.id) != excluded.end();
-        if (tried || routes.closed(it) || record.leaving(it.epoch))
+        if (excluded == exclusion::closed)
         {
-            return;
+            result.reopens_at = std::min(result.reopens_at, record.closed_until(it.epoch));
         }
-        if (const auto closed_until = record.closed_until(it.epoch); now < closed_until)
+        if (excluded != exclusion::none)
         {
-            result.reopens_at = std::min(result.reopens_at, closed_until);
             return;
         }
         const bool avoided = record.suspended(now) || is_suspected(it.domain);
@@ -77,6 +61,32 @@
     mark_avoided(result);
 }
 
+exclusion forward_core::exclusion_of(const routing_table& routes,
+                                     const candidate_query& query,
+                                     const endpoint_info& endpoint,
+                                     const endpoint_record& record,
+                                     time_point now)
+{
+    if (!query.versions.contains(endpoint.version))
+    {
+        return exclusion::other_version;
+    }
+    const auto& tried = query.excluded;
+    if (std::find(tried.begin(), tried.end(), endpoint.id) != tried.end())
+    {
+        return exclusion::tried;
+    }
+    if (const auto reason = routes.closed(endpoint))
+    {
+        return *reason == slot_refusal_reason::leaving ? exclusion::leaving : exclusion::drained;
+    }
+    if (record.leaving(endpoint.epoch))
+    {
+        return exclusion::leaving;
+    }
+    return now < record.closed_until(endpoint.epoch) ? exclusion::closed : exclusion::none;
+}
+
 bool forward_core::spreads_evenly(bool has_prefix) const noexcept
 {
     return policy_of(options_.fleet.placement).spreads(has_prefix, tracker_.speed_stated());
@@ -149,22 +159,62 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds_apart});
 }
 
-bool forward_core::admit(const routing_table& routes,
-                         const placement_candidate& candidate,
-                         time_point now)
+std::optional<forward_core::cold_limit> forward_core::cold_limit_of(const routing_table& routes,
+                                                                    const endpoint_info& endpoint,
+                                                                    time_point now)
 {
-    const auto* endpoint = routes.find(candidate.endpoint);
-    const auto* service = routes.settings().find_service(endpoint->service);
+    const auto* service = routes.settings().find_service(endpoint.service);
     const bool bounded = service != nullptr && service->cold_requests_per_s > 0;
-    if (!bounded || !is_cold(*endpoint, now))
+    if (!bounded || !is_cold(endpoint, now))
     {
-        return true;
+        return std::nullopt;
     }
     const auto interval = cold_request_interval(*service);
-    const auto offset = hash_combine(options_.self.id.value(), candidate.endpoint.value());
+    const auto offset = hash_combine(options_.self.id.value(), endpoint.id.value());
     const duration first_wait{static_cast<duration::rep>(
         offset % static_cast<std::uint64_t>(std::max<duration::rep>(interval.count(), 1)))};
-    return tracker_.try_admit_cold(candidate.endpoint, interval, first_wait, now);
+    return cold_limit{interval, first_wait};
+}
+
+bool forward_core::admit(const routing_table& routes,
+                         const placement_candidate& candidate,
+                         time_point now)
+{
+    const auto limit = cold_limit_of(routes, *routes.find(candidate.endpoint), now);
+    return !limit ||
+           tracker_.try_admit_cold(candidate.endpoint, limit->interval, limit->first_wait, now);
+}
+
+bool forward_core::would_admit(const routing_table& routes,
+                               const placement_candidate& candidate,
+                               time_point now)
+{
+    const auto limit = cold_limit_of(routes, *routes.find(candidate.endpoint), now);
+    return !limit ||
+           tracker_.would_admit_cold(candidate.endpoint, limit->interval, limit->first_wait, now);
+}
+
+bool forward_core::is_too_large(const routing_table& routes, const forward_request& request) const
+{
+    const auto capacity =
+        spreads_evenly(request.affinity() != 0) ? token_capacity(routes, request.service) : 0;
+    return capacity != 0 && request.tokens.held() > capacity;
+}
+
+const placement_rule& forward_core::rule_for(const candidate_query& query) noexcept
+{
+    const bool sticky = query.request.affinity() != 0;
+    if (query.evenly)
+    {
+        return sticky ? sticky_even_placement() : even_placement();
+    }
+    return sticky ? sticky_placement() : least_loaded_placement();
+}
+
+double forward_core::unreported_at(const candidate_set& set, time_point now)
+{
+    const std::chrono::duration<double> digest_age = tracker_.mean_digest_age(now);
+    return set.others_per_s * digest_age.count();
 }
 
 dispatch_choice forward_core::choose(const forward_request& request,
@@ -179,24 +229,27 @@
     }
     const auto routes = state_.routes();
     const auto affinity = request.affinity();
-    const auto capacity =
-        spreads_evenly(affinity != 0) ? token_capacity(*routes, request.service) : 0;
-    if (capacity != 0 && request.tokens.held() > capacity)
+    if (is_too_large(*routes, request))
     {
-        // No endpoint can hold it, not even alone.
         return choice_refusal{error_kind::overloaded, {}, {}};
     }
     const auto key = affinity != 0 ? affinity : hash_bytes(request.request);
     const bool repeated = !excluded.empty() || purpose == choice_purpose::replacement;
     std::optional<chosen_endpoint> chosen;
     auto reopens_at = time_point::max();
+    const auto admitted = [&](const placement_candidate& it) { return admit(*routes, it, now); };
     for (const auto& versions : rollouts_.choose(request.service, key, repeated, now))
     {
-        chosen = choose_among(*routes, request, versions, excluded, purpose, reopens_at, now);
+        const candidate_query query{request, versions, excluded, spreads_evenly(affinity != 0)};
+        const auto seed = hash_combine(options_.seed, ++choice_count_);
+        auto& eligible = empty_candidate_set();
+        chosen = choose_among(eligible, *routes, query, purpose, seed, admitted, now);
         if (chosen)
         {
             break;
         }
+        reopens_at =
+            eligible.candidates.empty() ? std::min(reopens_at, eligible.reopens_at) : reopens_at;
     }
     if (!chosen)
     {
@@ -235,34 +288,26 @@
 }
 
 std::optional<forward_core::chosen_endpoint>
-forward_core::choose_among(const routing_table& routes,
-                           const forward_request& request,
-                           const version_set& versions,
-                           std::span<const endpoint_id> excluded,
+forward_core::choose_among(candidate_set& eligible,
+                           const routing_table& routes,
+                           const candidate_query& query,
                            choice_purpose purpose,
-                           time_point& reopens_at,
+                           std::uint64_t tie_break_seed,
+                           admission_filter admit,
                            time_point now)
 {
-    const auto affinity = request.affinity();
-    const bool evenly = spreads_evenly(affinity != 0);
-    auto& eligible = empty_candidate_set();
-    collect_candidates(eligible, routes, {request, versions, excluded, evenly}, now);
+    collect_candidates(eligible, routes, query, now);
     const auto allowed = options_.fleet.bound.allowed(eligible.mean_load);
     if (purpose == choice_purpose::replacement)
     {
         eligible.keep_unavoided(allowed);
     }
-    const auto& rule = placement_for(evenly, affinity != 0);
-    const std::chrono::duration<double> digest_age = tracker_.mean_digest_age(now);
-    const double unreported = eligible.others_per_s * digest_age.count();
-    const auto tie_break_seed = hash_combine(options_.seed, ++choice_count_);
-    const auto chosen = rule.choose(
-        {eligible.candidates, allowed, affinity, tie_break_seed, options_.self.domain, unreported},
-        [&](const placement_candidate& it) { return admit(routes, it, now); });
+    const auto chosen =
+        rule_for(query).choose({eligible.candidates, allowed, query.request.affinity(),
+                                tie_break_seed, options_.self.domain, unreported_at(eligible, now)},
+                               admit);
     if (!chosen)
     {
-        reopens_at =
-            eligible.candidates.empty() ? std::min(reopens_at, eligible.reopens_at) : reopens_at;
         return std::nullopt;
     }
     return chosen_endpoint{eligible.candidates[*chosen], allowed,
--- a/src/mangovane/forward/placement_rule.cpp
+++ b/src/mangovane/forward/placement_rule.cpp
@@ -130,6 +130,8 @@
 class least_loaded_rule final : public placement_rule
 {
 public:
+    [[nodiscard]] std::string_view name() const noexcept override { return "least_loaded"; }
+
     [[nodiscard]] std::optional<std::size_t> choose(const placement_context& context,
                                                     admission_filter admit) const override
     {
@@ -140,6 +142,8 @@
 class sticky_rule final : public placement_rule
 {
 public:
+    [[nodiscard]] std::string_view name() const noexcept override { return "sticky"; }
+
     [[nodiscard]] std::optional<std::size_t> choose(const placement_context& context,
                                                     admission_filter admit) const override
     {
@@ -174,6 +178,8 @@
 class even_rule final : public placement_rule
 {
 public:
+    [[nodiscard]] std::string_view name() const noexcept override { return "even"; }
+
     [[nodiscard]] std::optional<std::size_t> choose(const placement_context& context,
                                                     admission_filter admit) const override
     {
@@ -188,6 +194,8 @@
 class sticky_even_rule final : public placement_rule
 {
 public:
+    [[nodiscard]] std::string_view name() const noexcept override { return "sticky_even"; }
+
     [[nodiscard]] std::optional<std::size_t> choose(const placement_context& context,
                                                     admission_filter admit) const override
     {
--- a/src/mangovane/forward/placement_rule.hpp
+++ b/src/mangovane/forward/placement_rule.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 
 #include <absl/functional/function_ref.h>
 
@@ -54,6 +55,9 @@
 public:
     virtual ~placement_rule() = default;
 
+    /// For operators.
+    [[nodiscard]] virtual std::string_view name() const noexcept = 0;
+
     /// Position of the chosen candidate; nothing when none is admitted.
     [[nodiscard]] virtual std::optional<std::size_t> choose(const placement_context& context,
                                                             admission_filter admit) const = 0;
--- a/src/mangovane/quarantine/prompt_quarantine.cpp
+++ b/src/mangovane/quarantine/prompt_quarantine.cpp
@@ -239,7 +239,9 @@
     return response;
 }
 
-std::optional<part_verdict> prompt_quarantine::check(const prompt_identity& prompt, time_point now)
+template <class Visitor>
+std::optional<part_verdict> prompt_quarantine::last_verdict(const prompt_identity& prompt,
+                                                            const Visitor& visitor) const
 {
     const auto current = verdicts();
     if (current->empty())
@@ -252,7 +254,7 @@
         if (const auto* found = find_verdict(*current, part))
         {
             result = found->verdict;
-            records_.find(part, [&](part_record& it) { it.keep(now + refusal_hold); });
+            visitor(part);
         }
     };
     for (const auto& [part, tokens] : prompt.shared)
@@ -263,6 +265,18 @@
     return result;
 }
 
+std::optional<part_verdict> prompt_quarantine::check(const prompt_identity& prompt, time_point now)
+{
+    return last_verdict(
+        prompt, [&](std::uint64_t part)
+        { records_.find(part, [&](part_record& it) { it.keep(now + refusal_hold); }); });
+}
+
+std::optional<part_verdict> prompt_quarantine::preview(const prompt_identity& prompt) const
+{
+    return last_verdict(prompt, [](std::uint64_t) {});
+}
+
 bool prompt_quarantine::lift(std::uint64_t part, time_point now)
 {
     const auto current = verdicts();
--- a/src/mangovane/quarantine/prompt_quarantine.hpp
+++ b/src/mangovane/quarantine/prompt_quarantine.hpp
@@ -78,6 +78,9 @@
     /// extend the quarantine: it ends only when no more of them come.
     [[nodiscard]] std::optional<part_verdict> check(const prompt_identity& prompt, time_point now);
 
+    /// The same without an effect on the quarantine.
+    [[nodiscard]] std::optional<part_verdict> preview(const prompt_identity& prompt) const;
+
     /// Ends the quarantine of a part, at all instances once they are told; only crashes from now on
     /// count, also against the parts whose crashes it explained. Returns whether it was refused.
     bool lift(std::uint64_t part, time_point now);
@@ -146,6 +149,12 @@
     template <class Visitor>
     void update_record(std::uint64_t part, time_point now, Visitor&& visitor);
 
+    /// The verdict on the last part of the prompt that is refused; calls `visitor` with each such
+    /// part.
+    template <class Visitor>
+    [[nodiscard]] std::optional<part_verdict> last_verdict(const prompt_identity& prompt,
+                                                           const Visitor& visitor) const;
+
     /// Finds the parts that are refused, without those whose crashes another one explains, and
     /// logs what changed.
     void update_verdicts(time_point now);
--- a/src/mangovane/rollout/rollout_registry.cpp
+++ b/src/mangovane/rollout/rollout_registry.cpp
@@ -114,20 +114,22 @@
 rollout_registry::choose(service_id service, std::uint64_t key, bool repeated, time_point now)
 {
     version_choice result;
-    const auto visitor = [&](service_entry& it)
+    const auto visitor = [&](service_entry& it) { result = choose_for(it, key, repeated, now); };
+    if (!enabled() || !services_.find(service, visitor))
     {
-        if (it.current && it.current->state.state() == rollout_state::running)
-        {
-            result = choose_in_rollout(it, key, repeated);
-            return;
-        }
-        it.versions.release_held(now);
-        result.push_back({false, it.versions.with_standing(version_standing::allowed)});
-        auto held = it.versions.with_standing(version_standing::held);
-        if (!held.empty())
-        {
-            result.push_back({false, std::move(held)});
-        }
+        result.push_back({true, {}});
+    }
+    return result;
+}
+
+version_choice
+rollout_registry::preview(service_id service, std::uint64_t key, bool repeated, time_point now)
+{
+    version_choice result;
+    const auto visitor = [&](const service_entry& it)
+    {
+        auto copy = it;
+        result = choose_for(copy, key, repeated, now);
     };
     if (!enabled() || !services_.find(service, visitor))
     {
@@ -136,6 +138,24 @@
     return result;
 }
 
+version_choice
+rollout_registry::choose_for(service_entry& entry, std::uint64_t key, bool repeated, time_point now)
+{
+    if (entry.current && entry.current->state.state() == rollout_state::running)
+    {
+        return choose_in_rollout(entry, key, repeated);
+    }
+    entry.versions.release_held(now);
+    version_choice result;
+    result.push_back({false, entry.versions.with_standing(version_standing::allowed)});
+    auto held = entry.versions.with_standing(version_standing::held);
+    if (!held.empty())
+    {
+        result.push_back({false, std::move(held)});
+    }
+    return result;
+}
+
 version_choice
 rollout_registry::choose_in_rollout(service_entry& entry, std::uint64_t key, bool repeated)
 {
--- a/src/mangovane/rollout/rollout_registry.hpp
+++ b/src/mangovane/rollout/rollout_registry.hpp
@@ -62,6 +62,10 @@
     [[nodiscard]] version_choice
     choose(service_id service, std::uint64_t key, bool repeated, time_point now);
 
+    /// What `choose` would return now, without counting the request.
+    [[nodiscard]] version_choice
+    preview(service_id service, std::uint64_t key, bool repeated, time_point now);
+
     /// An attempt starts or ends, whether or not a rollout is running: requests that were sent
     /// before an order must have ended before the endpoints of their version stop.
     void on_started(const version_attempt& attempt);
@@ -125,6 +129,8 @@
     /// Puts the end of a rollout into force, if the event is one, and logs the event.
     void apply(service_entry& entry, const std::optional<rollout_event>& event, time_point now);
     [[nodiscard]] static version_choice
+    choose_for(service_entry& entry, std::uint64_t key, bool repeated, time_point now);
+    [[nodiscard]] static version_choice
     choose_in_rollout(service_entry& entry, std::uint64_t key, bool repeated);
 
     const rollout_policy policy_;
