Hold requests of a service without room in the front end for routes

Cause: admission_queue was built, but no front end asked it. A service that is asked for more than it can process got all requests, and answered them too late.

What cannot start in time is refused at once with `overloaded` and a Retry-After of the expected time. The option is off by default; a list of words switches it on if it contains `pressure`.

--- a/src/mangovane/admission/admission_queue.cpp
+++ b/src/mangovane/admission/admission_queue.cpp
@@ -270,15 +270,39 @@
     return result;
 }
 
-void admission_queue::remove(std::uint64_t ticket)
+std::vector<admission_outcome> admission_queue::release_all()
+{
+    auto result = std::exchange(displaced_, {});
+    for (const auto& it : waiting_)
+    {
+        result.push_back({it.ticket, {}});
+    }
+    waiting_.clear();
+    bytes_ = 0;
+    return result;
+}
+
+std::optional<admission_decision>
+admission_queue::expire(std::uint64_t ticket, const admission_room& room, time_point now)
+{
+    if (!remove(ticket))
+    {
+        return std::nullopt;
+    }
+    return refusal(admission_reason::too_late, ticket, room, now);
+}
+
+bool admission_queue::remove(std::uint64_t ticket)
 {
     const auto it =
         std::find_if(waiting_.begin(), waiting_.end(),
                      [&](const admission_request& entry) { return entry.ticket == ticket; });
-    if (it != waiting_.end())
+    if (it == waiting_.end())
     {
-        take(it);
+        return false;
     }
+    take(it);
+    return true;
 }
 
 } // namespace mangovane
--- a/src/mangovane/admission/admission_queue.hpp
+++ b/src/mangovane/admission/admission_queue.hpp
@@ -44,9 +44,20 @@
     [[nodiscard]] std::vector<admission_outcome> release(const admission_room& room,
                                                          time_point now);
 
+    /// Sends all requests that wait, in their order of arrival: their service is not restricted any
+    /// more.
+    [[nodiscard]] std::vector<admission_outcome> release_all();
+
+    /// Refuses a request that has waited as long as it can; nothing if it does not wait any more.
+    [[nodiscard]] std::optional<admission_decision>
+    expire(std::uint64_t ticket, const admission_room& room, time_point now);
+
     /// The caller of a waiting request has left, or the request is answered otherwise.
-    void remove(std::uint64_t ticket);
+    /// Returns whether the request was waiting.
+    bool remove(std::uint64_t ticket);
 
+    /// Whether no request waits and no outcome is to be reported.
+    [[nodiscard]] bool idle() const noexcept { return waiting_.empty() && displaced_.empty(); }
     [[nodiscard]] std::size_t waiting() const noexcept { return waiting_.size(); }
     [[nodiscard]] std::uint64_t waiting_bytes() const noexcept { return bytes_; }
 
--- a/src/mangovane/admission/admission_request.hpp
+++ b/src/mangovane/admission/admission_request.hpp
@@ -2,8 +2,11 @@
 #ifndef MANGOVANE_ADMISSION_ADMISSION_REQUEST_HPP
 #define MANGOVANE_ADMISSION_ADMISSION_REQUEST_HPP
 
+#include <array>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 #include "mangovane/core/id.hpp"
 #include "mangovane/core/time.hpp"
@@ -55,6 +58,17 @@
 
 inline constexpr std::size_t admission_reason_count = 4;
 
+/// Name in logs and metrics.
+[[nodiscard]] constexpr std::string_view name_of(admission_reason reason) noexcept
+{
+    constexpr std::array<std::string_view, admission_reason_count> names{"none", "too_late",
+                                                                         "queue_full", "displaced"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
+inline constexpr std::array<admission_reason, admission_reason_count - 1> admission_refusal_reasons{
+    admission_reason::too_late, admission_reason::queue_full, admission_reason::displaced};
+
 struct admission_decision
 {
     admission_verdict verdict{admission_verdict::send};
@@ -64,6 +78,18 @@
     auto operator<=>(const admission_decision&) const = default;
 };
 
+/// The decision on a request that arrives, with what it was based on, for logs.
+struct admission_answer
+{
+    admission_decision decision;
+    std::uint64_t ticket{0};
+    std::uint32_t place{0}; ///< Requests that wait, with this one.
+    double free{0};         ///< Requests that the service can take now; negative: overload.
+    duration age{};         ///< Of what is known of the other instances' requests.
+
+    auto operator<=>(const admission_answer&) const = default;
+};
+
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/admission/fwd.hpp
+++ b/src/mangovane/admission/fwd.hpp
@@ -5,13 +5,17 @@
 namespace mangovane
 {
 
+struct admission_answer;
 struct admission_decision;
 struct admission_outcome;
 struct admission_policy;
 struct admission_request;
 struct admission_room;
 class account_usage;
+class admission_gate;
 class admission_queue;
+class admission_statistics;
+class response_times;
 
 } // namespace mangovane
 
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -68,6 +68,7 @@
     result.self = make_self(options.name, options.domain, options.peer_advertise);
     result.fleet = options.fleet;
     result.rollouts = options.rollouts;
+    result.admission = options.admission;
     result.seed = hash_combine(result.self.id.value(), result.self.epoch);
     return result;
 }
@@ -113,6 +114,10 @@
           source{adapter.make_source(io, discovery, options)}, stop_signals{io, SIGTERM, SIGINT},
           reload_signals{io, SIGHUP}, ticker{asio::make_strand(io)}, stop_timer{io}
     {
+        if (core.admission().enabled())
+        {
+            services.waits = std::make_shared<admission_waits>(io, core);
+        }
         tasks.on_failure(
             [this](std::string_view task, std::string_view reason)
             {
@@ -127,6 +132,7 @@
     [[nodiscard]] monitoring_response ready_page() const;
     [[nodiscard]] monitoring_response operator_page(const monitoring_request& req);
     [[nodiscard]] std::string metrics_text();
+    [[nodiscard]] std::string admission_metrics();
     void tick();
     void log_pause(time_point now);
     void apply_view(time_point now);
@@ -203,10 +209,16 @@
                               traffic.bytes_received,
                               log.dropped(),
                               discovery.endpoints_revision().era};
-    return describe_metrics(metrics.text(true) + forward_metrics(state) +
+    return describe_metrics(metrics.text(true) + forward_metrics(state) + admission_metrics() +
                             failed_tasks_metric(tasks.failures()));
 }
 
+std::string forward_router::state::admission_metrics()
+{
+    auto& admission = core.admission();
+    return admission.enabled() ? admission.statistics().text(admission.waiting()) : std::string{};
+}
+
 monitoring_response forward_router::state::operator_page(const monitoring_request& req)
 {
     auto page = quarantine_page(core.quarantine(), req, clock::now());
--- a/src/mangovane/daemon/forward_router_options.cpp
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -13,6 +13,7 @@
 #include <absl/strings/str_split.h>
 #include <boost/program_options.hpp>
 
+#include "mangovane/daemon/admission_option.hpp"
 #include "mangovane/net/address.hpp"
 
 namespace mangovane
@@ -35,6 +36,7 @@
     forward_router_options parsed;
     std::string seeds;
     std::string placement{"least-loaded"};
+    std::string admission{"off"};
     std::uint32_t drain_delay_ms{2500};
     std::uint32_t grace_ms{8000};
     std::uint32_t retry_window_s{10};
@@ -89,6 +91,9 @@
     add("placement", po::value(&raw.placement)->default_value("least-loaded"),
         "choice of an endpoint: least-loaded; even; or reported: even once endpoints state their "
         "speed");
+    add("admission", po::value(&raw.admission)->default_value("off"),
+        "requests of a service without room: off: sent all the same; queue: wait in order or are "
+        "refused; a list of words: queue if it contains pressure");
     return result;
 }
 
@@ -177,6 +182,11 @@
         faults.push_back(absl::StrCat("placement '", raw.placement,
                                       "': must be least-loaded, even or reported"));
     }
+    if (!find_admission(raw.admission))
+    {
+        faults.push_back(
+            absl::StrCat("admission '", raw.admission, "': must be off, queue or a list of words"));
+    }
     if (it.cluster_key.size() < min_cluster_key_bytes)
     {
         faults.push_back(absl::StrCat("MANGOVANE_CLUSTER_KEY: must have at least ",
@@ -212,6 +222,7 @@
     out.rollouts.rollback_time = milliseconds{raw.rollback_ms};
     out.fleet.retries.window = seconds{raw.retry_window_s};
     out.fleet.placement = find_placement(raw.placement).value_or(out.fleet.placement);
+    out.admission.enabled = find_admission(raw.admission).value_or(false);
     out.seeds = absl::StrSplit(raw.seeds, ',', absl::SkipEmpty());
     const auto faults = check(raw);
     if (!faults.empty())
--- a/src/mangovane/daemon/forward_router_options.hpp
+++ b/src/mangovane/daemon/forward_router_options.hpp
@@ -33,6 +33,7 @@
     milliseconds grace_period{8000};     ///< From the stop signal until the process ends.
     std::uint32_t request_memory_mb{32}; ///< For all requests that are read and held.
     fleet_policy fleet;
+    admission_policy admission;
     rollout_policy rollouts; ///< Not enabled unless the deployment states its share.
 
     bool operator==(const forward_router_options&) const = default;
--- a/src/mangovane/forward/endpoint_chooser.hpp
+++ b/src/mangovane/forward/endpoint_chooser.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <variant>
 
+#include "mangovane/admission/admission_request.hpp"
 #include "mangovane/core/error_kind.hpp"
 #include "mangovane/forward/endpoint_record.hpp"
 #include "mangovane/forward/forward_request.hpp"
@@ -87,6 +88,31 @@
 public:
     virtual ~endpoint_chooser() = default;
 
+    /// Whether the request may be sent now, before its first attempt. Without admission, each one
+    /// may.
+    [[nodiscard]] virtual admission_answer ask_admission(const forward_request& /*request*/,
+                                                         time_point /*now*/)
+    {
+        return {};
+    }
+
+    /// The wait that `ask_admission` advised has ended with an outcome, or because the caller or
+    /// this instance ends the request, which frees its place.
+    virtual void
+    on_wait_ended(const forward_request& /*request*/, std::uint64_t /*ticket*/, time_point /*now*/)
+    {}
+
+    /// The wait has ended without an outcome, as the request cannot wait longer. Frees its place
+    /// and returns the refusal.
+    [[nodiscard]] virtual admission_decision
+    expire_wait(const forward_request& /*request*/, std::uint64_t /*ticket*/, time_point /*now*/)
+    {
+        return {};
+    }
+
+    /// Records the time that the complete response of the last attempt has taken.
+    virtual void on_delivered(const forward_request& /*request*/, duration /*time*/) {}
+
     /// Chooses an endpoint and counts the attempt as started there. Endpoints in `excluded` are not
     /// chosen.
     [[nodiscard]] virtual dispatch_choice choose(const forward_request& request,
--- a/src/mangovane/forward/endpoint_record.cpp
+++ b/src/mangovane/forward/endpoint_record.cpp
@@ -120,7 +120,7 @@
     endpoint_load result;
     result.own = in_flight_;
     result.others = peer_in_flight_;
-    result.others_per_s = (peer_counts_.failures + peer_counts_.successes) / counted_seconds;
+    result.others_per_s = ended_per_s(peer_counts_);
     result.slots = stated_ ? stated_->slots : 0;
     result.speed = heard_speed_.newer(reported_speed_).expected(now);
     return result;
--- a/src/mangovane/forward/endpoint_record.hpp
+++ b/src/mangovane/forward/endpoint_record.hpp
@@ -109,6 +109,12 @@
     /// soon. Notices are kept for `notice_ttl`.
     [[nodiscard]] bool is_removable(time_point now) const noexcept;
 
+    /// Rate at which recent attempts of a number have ended.
+    [[nodiscard]] static double ended_per_s(const attempt_counts& counts) noexcept
+    {
+        return (counts.failures + counts.successes) / counted_seconds;
+    }
+
     auto operator<=>(const endpoint_record&) const = default;
 
 private:
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -16,7 +16,8 @@
                                                         options_.seed},
       settings_sync_{state_, std::move(parser), settings_query_interval},
       feed_{state_, catalog_, now}, retries_{options_.fleet.retries}, fleet_size_{now},
-      quarantine_{options_.seed}, rollouts_{options_.rollouts}
+      quarantine_{options_.seed}, rollouts_{options_.rollouts}, admission_{options_.admission,
+                                                                           options_.seed}
 {}
 
 adopt_result forward_core::adopt_settings(settings_ptr settings, time_point now)
@@ -173,6 +174,10 @@
     send(settings_sync_.tick(now));
     refresh(now);
     fleet_size_.record(static_cast<std::uint32_t>(view()->members().size()), now);
+    if (admission_.enabled())
+    {
+        live_instances_.record(count_live(), has_lost_member(), now);
+    }
     send_digest(now);
     send_quarantine(now);
     tick_rollouts(now);
@@ -380,8 +385,13 @@
     auto used = notice;
     if (options_.fleet.placement == placement_mode::least_loaded)
     {
-        // No choice uses the statement, and passing it on would add to the traffic of digests.
-        used.load.reset();
+        // No choice uses the statement, and passing its speed on would add to the traffic of
+        // digests. Admission needs the slots.
+        used.load = admission_.enabled() ? used.load : std::nullopt;
+        if (used.load)
+        {
+            used.load->work_percent = 0;
+        }
     }
     tracker_.on_notice(target.endpoint, target.epoch, used, now);
 }
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -10,11 +10,14 @@
 #include <string>
 #include <vector>
 
+#include "mangovane/admission/admission_gate.hpp"
+#include "mangovane/admission/response_times.hpp"
 #include "mangovane/forward/domain_reachability.hpp"
 #include "mangovane/forward/endpoint_chooser.hpp"
 #include "mangovane/forward/endpoint_tracker.hpp"
 #include "mangovane/forward/feed_distributor.hpp"
 #include "mangovane/forward/fleet_size.hpp"
+#include "mangovane/forward/live_instances.hpp"
 #include "mangovane/forward/local_retry_budget.hpp"
 #include "mangovane/forward/placement_rule.hpp"
 #include "mangovane/forward/prefix_locations.hpp"
@@ -48,13 +51,14 @@
     fleet_policy fleet;
     std::uint64_t seed{1};
     rollout_policy rollouts;
+    admission_policy admission;
 
     bool operator==(const forward_options&) const = default;
 };
 
 /// Decisions of an instance that forwards by routes; the choice of endpoints is in
-/// forward_core_choice.cpp. `coordinator` takes this role at an instance
-/// whose endpoints have owners that grant slots.
+/// forward_core_choice.cpp, admission in forward_core_room.cpp. `coordinator` takes this role at an
+/// instance whose endpoints have owners that grant slots.
 class forward_core final : public endpoint_chooser
 {
 public:
@@ -91,6 +95,23 @@
     /// Counts an accepted request; it earns a share of the retry budget.
     void on_accepted(const forward_request& request);
 
+    [[nodiscard]] admission_answer ask_admission(const forward_request& request,
+                                                 time_point now) override;
+    void
+    on_wait_ended(const forward_request& request, std::uint64_t ticket, time_point now) override;
+    [[nodiscard]] admission_decision
+    expire_wait(const forward_request& request, std::uint64_t ticket, time_point now) override;
+    void on_delivered(const forward_request& request, duration time) override;
+
+    /// Requests of all services whose wait for admission ends now. Call at short intervals while
+    /// requests wait.
+    [[nodiscard]] std::vector<admission_outcome> release_waiting(time_point now);
+
+    /// Room of a service over its endpoints that accept requests and are not avoided. Endpoints of
+    /// all versions count: while a rollout runs, the room may seem larger than it is.
+    [[nodiscard]] service_room room_of(service_id service, time_point now);
+    [[nodiscard]] admission_gate& admission() noexcept { return admission_; }
+
     [[nodiscard]] dispatch_choice choose(const forward_request& request,
                                          std::span<const endpoint_id> excluded,
                                          choice_purpose purpose,
@@ -207,6 +228,22 @@
     [[nodiscard]] endpoint_load
     load_of(const routing_table& routes, const endpoint_info& endpoint, time_point now);
 
+    /// The number of live instances, with this one.
+    [[nodiscard]] std::uint32_t count_live() const;
+    /// Whether an instance has been lost that has not left on its own.
+    [[nodiscard]] bool has_lost_member() const;
+
+    /// The endpoint's state if it accepts requests and is not suspended; otherwise nothing.
+    [[nodiscard]] std::optional<endpoint_snapshot>
+    usable_endpoint(const routing_table& routes,
+                    const endpoint_info& endpoint,
+                    const std::vector<domain_id>& suspected,
+                    time_point now);
+
+    /// Whether an endpoint fails so much more often than the others that it is avoided. `all`
+    /// includes its own attempts.
+    [[nodiscard]] static bool fails_often(const attempt_counts& own, const attempt_counts& all);
+
     /// Marks candidates that fail more often than the others. `counts` holds the recent attempts of
     /// each candidate, in the same order.
     static void mark_avoided(std::vector<placement_candidate>& candidates,
@@ -280,8 +317,12 @@
     fleet_size fleet_size_;
     prompt_quarantine quarantine_;
     rollout_registry rollouts_;
-    std::mutex endpoints_mutex_; ///< Orders the changes of the list in force.
-    std::mutex rollouts_mutex_;  ///< Orders the changes of the rollouts' orders and versions.
+    live_instances live_instances_;
+    admission_gate admission_;
+    response_times response_times_;
+    std::atomic<std::uint64_t> ticket_count_{0}; ///< Of admission.
+    std::mutex endpoints_mutex_;                 ///< Orders the changes of the list in force.
+    std::mutex rollouts_mutex_; ///< Orders the changes of the rollouts' orders and versions.
     std::mutex mutex_;
     /// End of the cold period of each re-enabled domain. Guarded by `mutex_`.
     absl::flat_hash_map<domain_id, time_point> cold_domains_;
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -98,20 +98,9 @@
         all.failures += it.failures;
         all.successes += it.successes;
     }
-    const auto failure_rate = [](std::uint32_t failures, std::uint32_t successes)
-    {
-        const auto sum = failures + successes;
-        return sum == 0 ? 0.0 : static_cast<double>(failures) / sum;
-    };
     for (std::size_t n = 0; n != candidates.size(); ++n)
     {
-        const auto& own = counts[n];
-        const auto others =
-            failure_rate(all.failures - own.failures, all.successes - own.successes);
-        const auto own_rate = failure_rate(own.failures, own.successes);
-        candidates[n].avoided = candidates[n].avoided ||
-                                (own.failures >= min_failures && own_rate >= min_failure_rate &&
-                                 own_rate >= min_failure_ratio * others);
+        candidates[n].avoided = candidates[n].avoided || fails_often(counts[n], all);
     }
 }
 
--- a/src/mangovane/forward/forward_flow.cpp
+++ b/src/mangovane/forward/forward_flow.cpp
@@ -44,7 +44,52 @@
 
 forward_step forward_flow::start(time_point now)
 {
-    return send(false, now);
+    if (now >= request_.deadline)
+    {
+        return after_timeout(now);
+    }
+    admission_ = chooser_.ask_admission(request_, now);
+    waiting_ = admission_.decision.verdict == admission_verdict::wait;
+    if (waiting_)
+    {
+        return wait_step{admission_.ticket, admission_.decision.at};
+    }
+    return after_admission(admission_.decision, now);
+}
+
+forward_step forward_flow::on_admission(const admission_decision& decision, time_point now)
+{
+    end_wait(now);
+    return after_admission(decision, now);
+}
+
+forward_step forward_flow::after_admission(const admission_decision& decision, time_point now)
+{
+    const bool refused = decision.verdict == admission_verdict::refuse && !stopping_;
+    return refused ? refuse(decision, now) : send(false, now);
+}
+
+forward_step forward_flow::on_wait_over(bool caller_left, time_point now)
+{
+    std::optional<admission_decision> expired;
+    if (!caller_left && !stopping_)
+    {
+        expired = chooser_.expire_wait(request_, admission_.ticket, now);
+    }
+    end_wait(now);
+    if (caller_left)
+    {
+        return finish_step{false};
+    }
+    return expired ? refuse(*expired, now) : refuse(error_kind::stopping);
+}
+
+void forward_flow::end_wait(time_point now)
+{
+    if (std::exchange(waiting_, false))
+    {
+        chooser_.on_wait_ended(request_, admission_.ticket, now);
+    }
 }
 
 dispatch_choice forward_flow::choose(choice_purpose purpose, time_point now)
@@ -138,6 +183,7 @@
     {
         report_end(endpoint_, version_, health_outcome::cancelled, std::nullopt, now);
     }
+    end_wait(now);
     release_prepared(now);
 }
 
@@ -234,6 +280,7 @@
 forward_step forward_flow::after_delivered(time_point now)
 {
     on_survived(now);
+    chooser_.on_delivered(request_, now - sent_at_);
     return finish_step{true};
 }
 
@@ -335,6 +382,14 @@
     return result;
 }
 
+forward_step forward_flow::refuse(const admission_decision& decision, time_point now) const
+{
+    // Nothing has been sent. The queue has spread the advised times already.
+    const auto delay = std::max<duration>(decision.at - now, milliseconds{1});
+    return refuse_step{
+        error_kind::overloaded, std::chrono::ceil<milliseconds>(delay), {}, decision.reason};
+}
+
 error_kind forward_flow::resolve_error(error_kind kind) const noexcept
 {
     if (possible_runs_ == 0)
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -51,6 +51,16 @@
     bool operator==(const send_step&) const = default;
 };
 
+/// Holds the request until its service has room. Report the outcome for the ticket, or the end of
+/// the wait: at `until`, when the caller leaves, or when the instance stops.
+struct wait_step
+{
+    std::uint64_t ticket{0};
+    time_point until;
+
+    auto operator<=>(const wait_step&) const = default;
+};
+
 /// Relays the response of the last attempt, which reports a failure.
 struct relay_error_step
 {
@@ -63,6 +73,8 @@
     error_kind kind{error_kind::internal};
     milliseconds retry_after{0};         ///< Delay advised to the caller; 0: none.
     std::optional<part_verdict> verdict; ///< Why, if a part of the prompt is quarantined.
+    /// Why, if the service has no room for the request.
+    admission_reason admission{admission_reason::none};
 
     auto operator<=>(const refuse_step&) const = default;
 };
@@ -75,7 +87,7 @@
     auto operator<=>(const finish_step&) const = default;
 };
 
-using forward_step = std::variant<send_step, relay_error_step, refuse_step, finish_step>;
+using forward_step = std::variant<send_step, relay_error_step, refuse_step, finish_step, wait_step>;
 
 class forward_flow
 {
@@ -88,6 +100,15 @@
     /// Returns the first step.
     [[nodiscard]] forward_step start(time_point now);
 
+    /// Returns the step after the wait of a `wait_step` has ended with an outcome,
+    [[nodiscard]] forward_step on_admission(const admission_decision& decision, time_point now);
+
+    /// or without one.
+    [[nodiscard]] forward_step on_wait_over(bool caller_left, time_point now);
+
+    /// The answer to the request for admission, which is asked for before the first attempt.
+    [[nodiscard]] const admission_answer& admission() const noexcept { return admission_; }
+
     /// Returns the only step of a request that the instance is too late to accept, as it stops.
     [[nodiscard]] forward_step refuse_late() const { return refuse(error_kind::stopping); }
 
@@ -154,6 +175,7 @@
     struct result_rule;
 
     [[nodiscard]] forward_step send(bool resumes, time_point now);
+    [[nodiscard]] forward_step after_admission(const admission_decision& decision, time_point now);
     void on_survived(time_point now);
     [[nodiscard]] forward_step after_delivered(time_point now);
     [[nodiscard]] forward_step after_not_sent(time_point now);
@@ -206,12 +228,18 @@
     /// Refuses with an error, or ends the response if part of it has been sent.
     [[nodiscard]] forward_step refuse(error_kind kind) const;
     [[nodiscard]] forward_step refuse(const choice_refusal& refusal, time_point now) const;
+    [[nodiscard]] forward_step refuse(const admission_decision& decision, time_point now) const;
+
+    /// Records the end of a wait, so that its place is free.
+    void end_wait(time_point now);
 
     /// Error to report: replaces a kind that means "not run" when the request may have run.
     [[nodiscard]] error_kind resolve_error(error_kind kind) const noexcept;
 
     forward_request request_;
     endpoint_chooser& chooser_;
+    admission_answer admission_;
+    bool waiting_{false};               ///< For admission.
     std::vector<endpoint_id> excluded_; ///< Endpoints already tried.
     endpoint_id endpoint_;              ///< Endpoint of the current attempt.
     incarnation epoch_{0};              ///< Its incarnation when it was chosen.
--- a/src/mangovane/forward/forward_request.hpp
+++ b/src/mangovane/forward/forward_request.hpp
@@ -41,6 +41,7 @@
     /// In order; the last part is specific to this request or its chat.
     std::vector<prompt_part> prompt;
     token_counts tokens;
+    std::uint64_t bytes{0}; ///< Of its head and body, which the instance holds.
     time_point accepted_at;
     time_point deadline; ///< Deadline of the caller or of the route, whichever is earlier.
 
--- a/src/mangovane/net/forward_services.hpp
+++ b/src/mangovane/net/forward_services.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "mangovane/forward/forward_core.hpp"
+#include "mangovane/net/admission_waits.hpp"
 #include "mangovane/net/byte_budget.hpp"
 #include "mangovane/net/crash_check.hpp"
 #include "mangovane/net/endpoint_connections.hpp"
@@ -50,6 +51,7 @@
     stop_state stop; ///< While the instance stops, responses close the connection.
     /// Shared with the calls, some of which are destroyed only with their executor.
     std::shared_ptr<endpoint_connections> connections{std::make_shared<endpoint_connections>()};
+    std::shared_ptr<admission_waits> waits; ///< Null: no request waits for admission.
 };
 
 } // namespace mangovane
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -137,6 +137,7 @@
     if (current_->flow)
     {
         current_->flow->abandon(clock::now());
+        leave_wait();
     }
     if (current_->status != 0)
     {
@@ -188,6 +189,7 @@
     note_end(session_end::stop_cut);
     report_cut();
     current_->flow->on_stop();
+    wake();
     if (call_)
     {
         call_->close();
@@ -346,6 +348,7 @@
     {
         services_.core.on_accepted(*request);
     }
+    request->bytes = current.head.bytes() + current.body->size();
     current.flow.emplace(std::move(*request), services_.core);
     watch_caller();
     auto step = admitted ? current.flow->start(now) : current.flow->refuse_late();
@@ -372,6 +375,12 @@
         next = current.flow->on_result(result, clock::now());
         co_return true;
     }
+    if (const auto* it = std::get_if<wait_step>(&step))
+    {
+        auto following = co_await await_turn(*it);
+        next = std::move(following);
+        co_return true;
+    }
     if (std::holds_alternative<relay_error_step>(step))
     {
         const bool written = co_await write_buffered(*current.error_response);
@@ -380,6 +389,7 @@
     else if (const auto* it = std::get_if<refuse_step>(&step))
     {
         log_quarantine(*it);
+        log_admission_refusal(*it);
         co_await refuse(it->kind,
                         "operators find the reason in the instance's log under this request id",
                         it->retry_after);
@@ -421,6 +431,7 @@
 {
     note_end(session_end::caller_left);
     caller_disconnected_ = true;
+    wake();
     if (call_)
     {
         call_->close();
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -140,6 +140,17 @@
     void report_cut();
     [[nodiscard]] bool keep_alive() const;
 
+    // Implemented in forward_wait.cpp: waits for admission.
+    boost::asio::awaitable<forward_step> await_turn(const wait_step& step);
+    /// Forgets the wait that has ended, if there was one.
+    void leave_wait();
+    /// Ends a wait, if there is one.
+    void wake() const;
+    void log_wait(const wait_step& step) const;
+    void log_admission_refusal(const refuse_step& step) const;
+    /// What the lines of waits and refusals have in common.
+    [[nodiscard]] std::string admission_text() const;
+
     // Implemented in forward_attempt.cpp: attempts at endpoints.
     boost::asio::awaitable<attempt_result> attempt(const send_step& step);
     /// Whether the process of the current attempt's endpoint has ended. Asks once per attempt.
@@ -188,6 +199,7 @@
     socket_deadline write_deadline_;         ///< For data that the caller has to accept.
     socket_deadline call_deadline_;          ///< For the current attempt.
     std::shared_ptr<upstream_call> call_;    ///< Null between attempts.
+    std::shared_ptr<admission_wait> wait_;   ///< Null unless a request waits for admission.
     std::optional<current_request> current_; ///< Empty between requests.
     std::optional<bool> endpoint_has_ended_; ///< See `endpoint_has_ended`; empty: not asked yet.
     time_point call_timeout_at_{};           ///< When `call_deadline_` expires.
--- a/src/mangovane/net/fwd.hpp
+++ b/src/mangovane/net/fwd.hpp
@@ -5,6 +5,7 @@
 namespace mangovane
 {
 
+class admission_waits;
 class native_server;
 class caller_reader;
 class caller_session;
@@ -14,6 +15,7 @@
 class operator_server;
 class task_monitor;
 class status_source;
+struct admission_wait;
 struct operator_services;
 class peer_network;
 struct frontend_services;
--- a/src/mangovane/observe/latency_histogram.cpp
+++ b/src/mangovane/observe/latency_histogram.cpp
@@ -52,14 +52,15 @@
                                     const std::string& labels,
                                     std::string& out) const
 {
+    const std::string first = labels.empty() ? std::string{} : labels + ",";
     std::uint64_t cumulative = 0;
     for (std::size_t n = 0; n != latency_buckets_ms.size(); ++n)
     {
         cumulative += buckets_[n];
-        absl::StrAppend(&out, name, "_bucket{", labels, ",le=\"", latency_buckets_ms[n] / 1000.0,
+        absl::StrAppend(&out, name, "_bucket{", first, "le=\"", latency_buckets_ms[n] / 1000.0,
                         "\"} ", cumulative, "\n");
     }
-    absl::StrAppend(&out, name, "_bucket{", labels, ",le=\"+Inf\"} ", count(), "\n");
+    absl::StrAppend(&out, name, "_bucket{", first, "le=\"+Inf\"} ", count(), "\n");
     absl::StrAppend(&out, name, "_sum{", labels, "} ",
                     (acc::sum(accumulator_) + merged_sum_ms_) / 1000.0, "\n");
     absl::StrAppend(&out, name, "_count{", labels, "} ", count(), "\n");
--- a/test/mangovane/daemon/forward_router_options.cpp
+++ b/test/mangovane/daemon/forward_router_options.cpp
@@ -76,6 +76,44 @@
         const auto it = read({"--placement", "most-loaded"});
         CHECK(it.status().message().find("placement 'most-loaded'") != std::string::npos);
     }
+    SUBCASE("switch admission on only where a deployment asks for it (guards against requests that "
+            "are held back in any other one)")
+    {
+        const auto enabled = [](const char* text)
+        {
+            const auto it = read({"--admission", text});
+            return it.ok() && it->admission.enabled;
+        };
+        CHECK_FALSE(read({})->admission.enabled);
+        CHECK_FALSE(enabled("off"));
+        CHECK(enabled("queue"));
+
+        SUBCASE("by a word in a list")
+        {
+            CHECK(enabled("pressure"));
+            CHECK(enabled("takeover,pressure"));
+            CHECK(enabled("takeover, pressure"));
+            CHECK(enabled(R"(["takeover", "pressure"])"));
+            CHECK(read({"--admission", R"(["takeover"])"})->admission.enabled == false);
+            CHECK(read({"--admission", "[]"})->admission.enabled == false);
+            CHECK(read({"--admission", "pressureless,low-pressure"})->admission.enabled == false);
+        }
+        SUBCASE("and are refused if they are no list")
+        {
+            for (const auto* it : {"[\"pressure\"", "pressure,,", "two words", "[1]"})
+            {
+                CHECK_FALSE(read({"--admission", it}).ok());
+            }
+        }
+        SUBCASE("and not by an empty value in the environment")
+        {
+            ::setenv("MANGOVANE_ADMISSION", "", 1);
+            const auto it = read({});
+            ::unsetenv("MANGOVANE_ADMISSION");
+            REQUIRE(it.ok());
+            CHECK_FALSE(it->admission.enabled);
+        }
+    }
     SUBCASE("that are invalid are all listed with their values")
     {
         const auto it = read({"--threads", "0", "--load-factor", "0.5", "--seeds", "nowhere",
--- a/test/mangovane/daemon/metric_names.cpp
+++ b/test/mangovane/daemon/metric_names.cpp
@@ -9,6 +9,7 @@
 
 #include <doctest/doctest.h>
 
+#include "mangovane/admission/admission_statistics.hpp"
 #include "mangovane/daemon/control_metrics.hpp"
 #include "mangovane/daemon/fleet_status_provider.hpp"
 #include "mangovane/daemon/forward_metrics.hpp"
@@ -48,7 +49,7 @@
     metrics.on_session_end("idle");
     return metrics.text(true) + fleet_status_provider{core}.metrics_text() +
            traffic_metrics({}, 0) + settings_age_metric(std::nullopt) + forward_metrics({}) +
-           failed_tasks_metric(0);
+           admission_statistics{}.text(0) + failed_tasks_metric(0);
 }
 
 std::string page()
--- a/test/mangovane/forward/forward_flow.cpp
+++ b/test/mangovane/forward/forward_flow.cpp
@@ -62,6 +62,23 @@
         return true;
     }
 
+    admission_answer ask_admission(const forward_request&, time_point) override
+    {
+        ++asked;
+        return answer;
+    }
+    void on_wait_ended(const forward_request&, std::uint64_t ticket, time_point) override
+    {
+        ended_waits.push_back(ticket);
+    }
+    admission_decision expire_wait(const forward_request&, std::uint64_t, time_point now) override
+    {
+        return {admission_verdict::refuse, admission_reason::too_late, now + milliseconds{250}};
+    }
+
+    admission_answer answer; ///< To requests for admission.
+    int asked{0};
+    std::vector<std::uint64_t> ended_waits;
     std::vector<std::string> endpoints{"one", "two", "three", "four", "five"};
     std::string busy_endpoint; ///< Accepts requests, but is not expected to start them at once.
     std::vector<health_outcome> outcomes;
@@ -537,3 +554,97 @@
         CHECK(chooser.outcomes.back() == outcome);
     }
 }
+
+TEST_CASE("admission of a request to a service without room")
+{
+    constexpr std::uint64_t ticket = 7;
+    const auto until = start + milliseconds{400};
+    const auto later = start + milliseconds{100};
+    fake_chooser chooser;
+    chooser.answer = {{admission_verdict::wait, admission_reason::none, until}, ticket};
+    forward_flow flow{test::make_request(settings, "status"), chooser};
+
+    SUBCASE("that is advised to wait: it starts no attempt and holds no endpoint")
+    {
+        REQUIRE(flow.start(start) == forward_step{wait_step{ticket, until}});
+        CHECK(chooser.started == 0);
+
+        SUBCASE("and is sent when its turn comes")
+        {
+            CHECK(sent_to(flow.on_admission({}, later)) == "one");
+            CHECK(chooser.ended_waits == std::vector{ticket});
+
+            SUBCASE("but never waits again (guards against a retry that queues twice)")
+            {
+                CHECK(sent_to(flow.on_result(attempt_result::not_sent, later)) == "two");
+                CHECK(chooser.asked == 1);
+            }
+        }
+        SUBCASE("and is refused, without an attempt, when it loses its place")
+        {
+            const admission_decision lost{admission_verdict::refuse, admission_reason::displaced,
+                                          later + milliseconds{321}};
+            const auto step = flow.on_admission(lost, later);
+            const auto* it = std::get_if<refuse_step>(&step);
+            REQUIRE(it != nullptr);
+            CHECK(it->kind == error_kind::overloaded);
+            CHECK(it->retry_after == milliseconds{321});
+            CHECK(it->admission == admission_reason::displaced);
+            CHECK(chooser.started == 0);
+            CHECK_FALSE(flow.may_have_run());
+        }
+        SUBCASE("and is refused when its turn has not come in time")
+        {
+            const auto step = flow.on_wait_over(false, until);
+            const auto* it = std::get_if<refuse_step>(&step);
+            REQUIRE(it != nullptr);
+            CHECK(it->kind == error_kind::overloaded);
+            CHECK(it->admission == admission_reason::too_late);
+            CHECK(it->retry_after == milliseconds{250});
+            CHECK(chooser.ended_waits == std::vector{ticket});
+        }
+        SUBCASE("and frees its place when its caller leaves")
+        {
+            CHECK(flow.on_wait_over(true, later) == forward_step{finish_step{false}});
+            CHECK(chooser.ended_waits == std::vector{ticket});
+            CHECK(chooser.started == 0);
+        }
+        SUBCASE("and is refused as not run when the instance stops")
+        {
+            flow.on_stop();
+
+            SUBCASE("while it waits")
+            {
+                CHECK(refused_with(flow.on_wait_over(false, later)) == error_kind::stopping);
+            }
+            SUBCASE("as its turn comes")
+            {
+                CHECK(refused_with(flow.on_admission({}, later)) == error_kind::stopping);
+            }
+            CHECK(chooser.ended_waits == std::vector{ticket});
+            CHECK(chooser.started == 0);
+        }
+        SUBCASE("and frees its place when the session fails")
+        {
+            flow.abandon(later);
+            CHECK(chooser.ended_waits == std::vector{ticket});
+        }
+        SUBCASE("and is not sent after its deadline")
+        {
+            const auto late = flow.request().deadline;
+            CHECK(refused_with(flow.on_admission({}, late)) == error_kind::deadline_exceeded);
+            CHECK(chooser.started == 0);
+        }
+    }
+    SUBCASE("that is refused at once gets the time at which room is expected")
+    {
+        chooser.answer.decision = {admission_verdict::refuse, admission_reason::too_late,
+                                   start + milliseconds{900}};
+        const auto step = flow.start(start);
+        const auto* it = std::get_if<refuse_step>(&step);
+        REQUIRE(it != nullptr);
+        CHECK(it->kind == error_kind::overloaded);
+        CHECK(it->retry_after == milliseconds{900});
+        CHECK(chooser.ended_waits.empty());
+    }
+}
