--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -119,24 +119,10 @@
         all.failures += it.failures;
         all.successes += it.successes;
     }
-    const auto failure_rate = [](std::uint32_t failures, std::uint32_t successes)
-    {
-        const auto sum = failures + successes;
-        return sum == 0 ? 0.0 : static_cast<double>(failures) / sum;
-    };
     for (std::size_t n = 0; n != set.candidates.size(); ++n)
     {
-        const auto& own = set.counts[n];
-        if (own.failures < min_failures)
-        {
-            continue;
-        }
-        const auto others =
-            failure_rate(all.failures - own.failures, all.successes - own.successes);
-        const auto own_rate = failure_rate(own.failures, own.successes);
-        set.candidates[n].avoided =
-            set.candidates[n].avoided ||
-            (own_rate >= min_failure_rate && own_rate >= min_failure_ratio * others);
+        auto& it = set.candidates[n];
+        it.avoided = it.avoided || fails_often(set.counts[n], all);
     }
 }
 
