Spare the square root for endpoints of usual speed

The even rule computed the capacity of each endpoint several times in each choice. At the usual speed it is 1.

--- a/src/mangovane/forward/expected_fill.hpp
+++ b/src/mangovane/forward/expected_fill.hpp
@@ -32,7 +32,8 @@
     /// longer even if the endpoint has nothing else to do.
     [[nodiscard]] static double capacity(const placement_candidate& it) noexcept
     {
-        return it.speed * std::sqrt(it.speed);
+        // Most endpoints work at the usual speed, and the square root is a large part of the cost.
+        return it.speed == 1 ? 1 : it.speed * std::sqrt(it.speed);
     }
 
 private:
