Explain the admission of a request

Change: admission_gate::is_open is the question that ask begins with; the explanation holds its answer with the room that it is based on, and null where admission is off. It takes no place in the queue.

--- a/src/mangovane/admission/admission_gate.cpp
+++ b/src/mangovane/admission/admission_gate.cpp
@@ -27,10 +27,8 @@
                                      time_point now)
 {
     const auto room = known.assumed();
-    bool waiting = false;
-    services_.find(service, [&](const service_entry& it) { waiting = !it.queue.idle(); });
     admission_answer answer{{}, request.ticket, 0, room.free(), room.age};
-    if (has_room(room) && !waiting)
+    if (is_open(service, known))
     {
         return answer;
     }
@@ -54,6 +52,13 @@
     return answer;
 }
 
+bool admission_gate::is_open(service_id service, const service_room& room)
+{
+    bool idle = true;
+    services_.find(service, [&](const service_entry& it) { idle = it.queue.idle(); });
+    return idle && has_room(room.assumed());
+}
+
 std::vector<service_id> admission_gate::services_waiting()
 {
     std::vector<service_id> result;
@@ -115,6 +120,13 @@
                                               now + admission_queue::min_retry_delay});
 }
 
+std::size_t admission_gate::waiting(service_id service)
+{
+    std::size_t result = 0;
+    services_.find(service, [&](const service_entry& it) { result = it.queue.waiting(); });
+    return result;
+}
+
 std::size_t admission_gate::waiting()
 {
     std::size_t result = 0;
--- a/src/mangovane/admission/admission_gate.hpp
+++ b/src/mangovane/admission/admission_gate.hpp
@@ -52,8 +52,12 @@
     [[nodiscard]] admission_decision
     expire(service_id service, std::uint64_t ticket, const service_room& room, time_point now);
 
-    /// Requests that wait now.
+    /// Whether `ask` would send a request at once, without a place in the queue.
+    [[nodiscard]] bool is_open(service_id service, const service_room& room);
+
+    /// Requests that wait now, in all and for one service.
     [[nodiscard]] std::size_t waiting();
+    [[nodiscard]] std::size_t waiting(service_id service);
 
     [[nodiscard]] admission_statistics& statistics() noexcept { return statistics_; }
 
--- a/src/mangovane/daemon/explain_page.cpp
+++ b/src/mangovane/daemon/explain_page.cpp
@@ -218,6 +218,18 @@
     return result;
 }
 
+json::value admission_json(const std::optional<explained_admission>& it)
+{
+    if (!it)
+    {
+        return nullptr;
+    }
+    const auto age = std::chrono::duration_cast<milliseconds>(it->room.age).count();
+    return json::object{{"open", it->open},          {"waiting", it->waiting},
+                        {"slots", it->room.slots},   {"in_flight", it->room.in_flight},
+                        {"share", it->room.share()}, {"age_ms", age}};
+}
+
 json::object to_json(const choice_explanation& it, const forward_request& request, time_point now)
 {
     json::array endpoints;
@@ -238,6 +250,7 @@
             {"chosen", it.chosen},
             {"prefix_source", it.prefix_source},
             {"refusal", refusal_json(it.refusal, now)},
+            {"admission", admission_json(it.admission)},
             {"endpoint_count", it.endpoint_count},
             {"endpoints", std::move(endpoints)}};
 }
--- a/src/mangovane/forward/choice_explanation.hpp
+++ b/src/mangovane/forward/choice_explanation.hpp
@@ -11,6 +11,7 @@
 
 #include "mangovane/forward/endpoint_chooser.hpp"
 #include "mangovane/forward/endpoint_load.hpp"
+#include "mangovane/forward/service_room.hpp"
 
 namespace mangovane
 {
@@ -49,6 +50,17 @@
     bool operator==(const explained_endpoint&) const = default;
 };
 
+/// Admission of the request to its service.
+struct explained_admission
+{
+    service_room room;
+    std::size_t waiting{0}; ///< Requests that wait for the service at this instance.
+    /// Whether the request would be sent at once; otherwise it would wait or be refused.
+    bool open{true};
+
+    auto operator<=>(const explained_admission&) const = default;
+};
+
 struct choice_explanation
 {
     /// Endpoints that are listed; further ones are only counted.
@@ -67,6 +79,8 @@
     std::string chosen;                        ///< Name of the endpoint; empty: none.
     std::string prefix_source;                 ///< Empty: none.
     std::optional<choice_refusal> refusal;     ///< Why no endpoint is chosen.
+    /// Empty where admission is off or the service's room is unknown: every request is sent.
+    std::optional<explained_admission> admission;
 
     bool operator==(const choice_explanation&) const = default;
 };
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -273,6 +273,10 @@
     /// Requests that others have sent to the candidates since their digests, as estimated.
     [[nodiscard]] double unreported_at(const candidate_set& set, time_point now);
 
+    /// What `ask_admission` would be based on; nothing where it sends every request.
+    [[nodiscard]] std::optional<explained_admission> explain_admission(service_id service,
+                                                                       time_point now);
+
     /// Makes the list of an explanation.
     void describe_endpoints(choice_explanation& result,
                             const routing_table& routes,
--- a/src/mangovane/forward/forward_core_explain.cpp
+++ b/src/mangovane/forward/forward_core_explain.cpp
@@ -15,6 +15,7 @@
     const auto* service = routes->settings().find_service(request.service);
     result.service = service == nullptr ? std::string{} : service->name;
     result.settings_version = routes->settings().stamp.version;
+    result.admission = explain_admission(request.service, now);
     const auto affinity = request.affinity();
     const auto key = affinity != 0 ? affinity : hash_bytes(request.request);
     result.versions = rollouts_.preview(request.service, key, false, now);
@@ -73,6 +74,18 @@
     return result;
 }
 
+std::optional<explained_admission> forward_core::explain_admission(service_id service,
+                                                                   time_point now)
+{
+    const auto room = admission_.enabled() ? room_of(service, now) : service_room{};
+    if (!room.known())
+    {
+        return std::nullopt;
+    }
+    const auto waiting = admission_.waiting(service);
+    return explained_admission{room, waiting, admission_.is_open(service, room)};
+}
+
 void forward_core::describe_endpoints(choice_explanation& result,
                                       const routing_table& routes,
                                       const candidate_query& query,
--- a/test/mangovane/daemon/explain_page.cpp
+++ b/test/mangovane/daemon/explain_page.cpp
@@ -124,6 +124,54 @@
     }
 }
 
+TEST_CASE("the admission in an explanation")
+{
+    constexpr std::uint32_t slots = 6;
+    const auto settings = test::make_settings(10);
+    test::recording_sink sink;
+    auto options = test::make_options("router", "ikeja-a");
+    std::uint32_t stated = slots;
+    SUBCASE("is left out where it is off") {}
+    SUBCASE("is left out where the slots are unknown")
+    {
+        options.admission.enabled = true;
+        stated = 0;
+    }
+    SUBCASE("tells the room, and whether the request would be sent at once")
+    {
+        options.admission.enabled = true;
+    }
+    forward_core core{options, sink, {}, start};
+    auto entry = test::make_entry("engine", test::model_service, "ikeja-a", 1);
+    entry.info->slots = stated;
+    core.catalog().replace({entry}, 1, start);
+    core.adopt_settings(settings, start);
+    core.refresh(start);
+
+    const auto explain = [&]
+    {
+        const auto page = *explain_page(core, {"GET", "/explain?" + plain_request}, start);
+        return json::parse(page.body).as_object().at("admission");
+    };
+    const auto admission = explain();
+    const bool expected = options.admission.enabled && stated != 0;
+    REQUIRE(admission.is_object() == expected);
+    if (!expected)
+    {
+        return;
+    }
+    CHECK(admission.at("open").as_bool());
+    CHECK(admission.at("slots").to_number<double>() == slots);
+
+    // Far more requests of another instance than the endpoint can process.
+    load_digest digest;
+    digest.endpoints.push_back({endpoint_id::of("engine"), 10 * slots, 0, 1});
+    core.on_message(instance_id::of("other"), digest, start);
+    CHECK_FALSE(explain().at("open").as_bool());
+    CHECK(explain().at("in_flight").to_number<double>() == 10 * slots);
+    CHECK(core.admission().waiting() == 0);
+}
+
 TEST_CASE("the page that explains a choice")
 {
     instance it{placement_mode::least_loaded};
