Do not move the traffic to a version that few requests speak against

With 20 requests a second on three routes, a version of which 30% of the responses fail (or are slow) was moved to for lack of time at 0.75 of the duration and done a second later: it got 233 requests where 130 are allowed. No single route had enough evidence for a verdict.

At that moment the responses of all routes together must now speak rather for the version than against it (the sum of the log-likelihood ratios since the order); otherwise it is rolled back for lack of evidence. The path with confirmation on each route is unchanged.

--- a/src/mangovane/rollout/change_detector.hpp
+++ b/src/mangovane/rollout/change_detector.hpp
@@ -38,6 +38,9 @@
     /// The responses since `restart_confirmation` show the usual rate.
     [[nodiscard]] bool confirmed() const noexcept;
 
+    /// Log-likelihood ratio of all responses for a raised rate; those of independent samples add.
+    [[nodiscard]] double balance() const noexcept { return balance_; }
+
     auto operator<=>(const change_detector&) const = default;
 
     /// Probability of a verdict against a version whose rate is usual.
@@ -55,6 +58,7 @@
 private:
     double evidence_{0};     ///< Log-likelihood ratio for a raised rate; never negative.
     double confirmation_{0}; ///< The same since the last restart; negative for the usual rate.
+    double balance_{0};      ///< The same since the start; negative for the usual rate.
 };
 
 } // namespace mangovane
--- a/src/mangovane/rollout/fleet_evidence.cpp
+++ b/src/mangovane/rollout/fleet_evidence.cpp
@@ -142,6 +142,18 @@
                                        });
 }
 
+bool fleet_evidence::leans_sound() const
+{
+    double failures = 0;
+    double slowness = 0;
+    for (const auto& [route, it] : routes_)
+    {
+        failures += it.failure_balance();
+        slowness += it.slowness_balance();
+    }
+    return failures <= 0 && slowness <= 0;
+}
+
 std::uint32_t fleet_evidence::good_ordered() const
 {
     std::uint32_t result = 0;
--- a/src/mangovane/rollout/fleet_evidence.hpp
+++ b/src/mangovane/rollout/fleet_evidence.hpp
@@ -55,6 +55,10 @@
     /// sound version, and at least one does.
     [[nodiscard]] bool confirmed() const;
 
+    /// All responses of all routes together speak rather for a sound version than against it. This
+    /// is less than `confirmed`.
+    [[nodiscard]] bool leans_sound() const;
+
     /// Good responses of the ordered version, over all instances.
     [[nodiscard]] std::uint32_t good_ordered() const;
 
--- a/src/mangovane/rollout/rollout.cpp
+++ b/src/mangovane/rollout/rollout.cpp
@@ -138,9 +138,11 @@
     const bool late = fraction(now) >= share_schedule::full_until;
     const bool due = schedule_.step_due(fraction(now)) > step_;
     const bool usable = around.ordered_endpoints != 0;
-    // Where there are few requests, good responses without a defect must do.
-    const bool sound = evidence_.confirmed() ||
-                       (late && evidence_.good_ordered() != 0 && !is_isolated(around, now));
+    // Where there are few requests, good responses without a defect must do, if they outweigh the
+    // bad ones.
+    const bool sound =
+        evidence_.confirmed() || (late && evidence_.good_ordered() != 0 &&
+                                  evidence_.leans_sound() && !is_isolated(around, now));
     if (due && usable && sound)
     {
         take_step(late ? share_schedule::step_count - 1 : step_ + 1, now);
--- a/src/mangovane/rollout/route_comparison.hpp
+++ b/src/mangovane/rollout/route_comparison.hpp
@@ -30,6 +30,10 @@
     /// The responses since then are as good as those of the version in force.
     [[nodiscard]] bool confirmed() const noexcept;
 
+    /// See `change_detector::balance`.
+    [[nodiscard]] double failure_balance() const noexcept { return failures_.balance(); }
+    [[nodiscard]] double slowness_balance() const noexcept { return slowness_.balance(); }
+
     /// Counts of a version. Slow are those that were late when they became known: a later change of
     /// the usual time does not change them.
     [[nodiscard]] response_counts counts(version_side side) const noexcept;
--- a/test/mangovane/rollout/rollout_registry.cpp
+++ b/test/mangovane/rollout/rollout_registry.cpp
@@ -1,6 +1,7 @@
 // Guards against requests at versions that no operator has allowed, and against a rollout that is
 // completed while requests still run at the old version.
 #include "mangovane/rollout/rollout_registry.hpp"
+#include "mangovane/rollout/rollout_status.hpp"
 
 #include <doctest/doctest.h>
 
@@ -202,6 +203,49 @@
     CHECK(summary.ordered == response_counts{2, 1, 1});
 }
 
+TEST_CASE("an order that appears again after the store has come back older")
+{
+    rollout_registry registry{policy};
+    registry.observe(service, {{"v1", 3}, {"v2", 3}}, start);
+    registry.set_orders({order_to("v2", 40)}, start);
+    auto again = order_to("v2", 12);
+    again.revision.era = 1;
+    const auto later = start + seconds{3};
+
+    SUBCASE("does not move the deadline of a rollout that is running")
+    {
+        registry.set_orders({again}, later);
+        CHECK(registry.running().size() == 1);
+        CHECK(registry.summaries().at(0).deadline == start + duration_of_order);
+    }
+    SUBCASE("does not start a rollout over that was rolled back, and its end is written again")
+    {
+        registry.on_report(peer, report_of(40, rollout_state::rolled_back), start);
+        registry.set_orders({again}, later);
+        CHECK(registry.running().empty());
+        CHECK(first_choice(registry, later) == names{"v1"});
+
+        const rollout_rows lost;
+        const auto got = decide_status(registry.summaries().at(0), lost, {seconds{9}, later});
+        REQUIRE(got.write);
+        CHECK(got.write->status.state == rollout_state::rolled_back);
+    }
+    SUBCASE("does not start a rollout over that was done")
+    {
+        registry.on_stored(service, {0, 40}, rollout_state::done, start, start);
+        registry.set_orders({again}, later);
+        CHECK(registry.running().empty());
+        CHECK(first_choice(registry, later) == names{"v2"});
+    }
+    SUBCASE("with another version is a new order")
+    {
+        again.version = "v3";
+        registry.set_orders({again}, later);
+        REQUIRE(registry.running().size() == 1);
+        CHECK(registry.running().front().version == "v3");
+    }
+}
+
 TEST_CASE("reports are sent")
 {
     rollout_registry registry{policy};
