Divide a service's room among accounts by their use over all instances

Cause: the admission queue put the account first that had used the service least at this instance. An account that calls many instances got more.

The message is at the end of the union Body. What was received is not passed on. Nothing is sent while admission is off or no request waits.

--- a/src/mangovane/admission/account_usage.hpp
+++ b/src/mangovane/admission/account_usage.hpp
@@ -3,13 +3,17 @@
 #define MANGOVANE_ADMISSION_ACCOUNT_USAGE_HPP
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
+#include <tuple>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
 #include "mangovane/core/id.hpp"
 #include "mangovane/core/time.hpp"
+#include "mangovane/message/usage.hpp"
 
 namespace mangovane
 {
@@ -18,9 +22,53 @@
 class account_usage
 {
 public:
+    /// Charges what this instance has sent.
     void charge(account_id account, double cost, time_point now)
     {
-        entries_[account] = {of(account, now) + cost, now};
+        auto& it = add(account, cost, now);
+        for (auto& unreported : it.unreported)
+        {
+            unreported += cost;
+        }
+    }
+
+    /// Charges what another instance has reported. Accounts that are new start alike, whatever
+    /// their order in the report.
+    void charge(const usage_report& report, time_point now)
+    {
+        const double start = least(now);
+        for (const auto& it : report.accounts)
+        {
+            auto& known = entries_.try_emplace(it.account, entry{start, now, {}}).first->second;
+            known.usage = decayed(known, now) + it.requests;
+            known.at = now;
+        }
+    }
+
+    /// Use by requests of this instance since the last call with the same argument, of the accounts
+    /// with most of it. What is left out is kept for the next call.
+    [[nodiscard]] std::vector<account_use> take_unreported(bool same_domain)
+    {
+        std::vector<account_use> result;
+        for (const auto& [account, it] : entries_)
+        {
+            const auto requests =
+                std::min<double>(it.unreported[same_domain], max_reported_requests);
+            if (requests >= 1)
+            {
+                result.push_back({account, static_cast<std::uint32_t>(requests)});
+            }
+        }
+        std::sort(
+            result.begin(), result.end(),
+            [](const account_use& lhs, const account_use& rhs)
+            { return std::tie(rhs.requests, lhs.account) < std::tie(lhs.requests, rhs.account); });
+        result.resize(std::min(result.size(), max_usage_accounts));
+        for (const auto& it : result)
+        {
+            entries_[it.account].unreported[same_domain] -= it.requests;
+        }
+        return result;
     }
 
     /// An account that has not used the service lately starts with the least use of the others, so
@@ -43,6 +91,8 @@
     {
         double usage{0};
         time_point at{};
+        /// By requests of this instance; to other domains and to the own one.
+        std::array<double, 2> unreported{};
     };
 
     /// Time in which usage falls to 1/e: several times the longest wait, so that what an account
@@ -50,6 +100,15 @@
     static constexpr seconds decay_time{10};
     static constexpr double min_usage = 0.01;
 
+    entry& add(account_id account, double cost, time_point now)
+    {
+        const double usage = of(account, now) + cost;
+        auto& it = entries_[account];
+        it.usage = usage;
+        it.at = now;
+        return it;
+    }
+
     [[nodiscard]] static double decayed(const entry& it, time_point now)
     {
         const std::chrono::duration<double> age = now - it.at;
--- a/src/mangovane/admission/admission_gate.cpp
+++ b/src/mangovane/admission/admission_gate.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace mangovane
 {
@@ -10,6 +11,7 @@
 admission_room
 admission_gate::usable_room(service_entry& entry, const service_room& room, time_point now)
 {
+    entry.waited_at = entry.queue.waiting() != 0 ? std::optional{now} : entry.waited_at;
     const bool lasts = has_room(room) && entry.queue.waiting() != 0;
     entry.room_since = lasts ? std::optional{entry.room_since.value_or(now)} : std::nullopt;
     const std::chrono::duration<double> since = now - entry.room_since.value_or(now);
@@ -40,6 +42,7 @@
         {
             const auto usable = usable_room(it, room, now);
             answer.decision = it.queue.admit(request, usable, now);
+            it.waited_at = it.queue.waiting() != 0 ? std::optional{now} : it.waited_at;
             answer.place = static_cast<std::uint32_t>(it.queue.waiting());
         },
         policy_, seed_, now);
@@ -115,6 +118,35 @@
                                               now + admission_queue::min_retry_delay});
 }
 
+std::vector<usage_report> admission_gate::take_usage(bool same_domain, time_point now)
+{
+    std::vector<usage_report> result;
+    services_.for_each_shard(
+        [&](auto& entries)
+        {
+            for (auto& [service, it] : entries)
+            {
+                if (!it.waited_at || now > *it.waited_at + usage_report_time)
+                {
+                    continue;
+                }
+                auto accounts = it.queue.usage().take_unreported(same_domain);
+                if (!accounts.empty())
+                {
+                    result.push_back({service, std::move(accounts)});
+                }
+            }
+        });
+    return result;
+}
+
+void admission_gate::on_usage(const usage_report& report, time_point now)
+{
+    services_.with_entry(
+        report.service, [&](service_entry& it) { it.queue.usage().charge(report, now); }, policy_,
+        seed_, now);
+}
+
 std::size_t admission_gate::waiting()
 {
     std::size_t result = 0;
--- a/src/mangovane/admission/admission_gate.hpp
+++ b/src/mangovane/admission/admission_gate.hpp
@@ -52,9 +52,19 @@
     [[nodiscard]] admission_decision
     expire(service_id service, std::uint64_t ticket, const service_room& room, time_point now);
 
+    /// Reports that are due to the instances of the own domain or to the others: of the services
+    /// for which requests wait or have waited lately.
+    [[nodiscard]] std::vector<usage_report> take_usage(bool same_domain, time_point now);
+
+    /// What another instance has sent.
+    void on_usage(const usage_report& report, time_point now);
+
     /// Requests that wait now.
     [[nodiscard]] std::size_t waiting();
 
+    /// The use of a service is reported for this long after its last request has waited.
+    static constexpr milliseconds usage_report_time{2000};
+
     [[nodiscard]] admission_statistics& statistics() noexcept { return statistics_; }
 
     /// Below this many requests in flight for each slot of a service, a request is sent at once
@@ -78,6 +88,7 @@
         admission_queue queue;
         /// Since when the service has room while requests wait; empty: it has none, or none wait.
         std::optional<time_point> room_since;
+        std::optional<time_point> waited_at; ///< When a request waited last; empty: never.
     };
 
     [[nodiscard]] static bool has_room(const service_room& room) noexcept
--- a/src/mangovane/admission/admission_queue.hpp
+++ b/src/mangovane/admission/admission_queue.hpp
@@ -56,6 +56,9 @@
     /// Returns whether the request was waiting.
     bool remove(std::uint64_t ticket);
 
+    /// What each account has used, over all instances.
+    [[nodiscard]] account_usage& usage() noexcept { return usage_; }
+
     /// Whether no request waits and no outcome is to be reported.
     [[nodiscard]] bool idle() const noexcept { return waiting_.empty() && displaced_.empty(); }
     [[nodiscard]] std::size_t waiting() const noexcept { return waiting_.size(); }
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -137,6 +137,10 @@
     {
         rollouts_.on_report(from, it, now);
     }
+    else if constexpr (std::is_same_v<Message, usage_report>)
+    {
+        on_usage(it, now);
+    }
     // Instances that forward by routes ignore all other messages.
 }
 
@@ -180,6 +184,7 @@
     }
     send_digest(now);
     send_quarantine(now);
+    send_usage(now);
     tick_rollouts(now);
     {
         const std::lock_guard lock{mutex_};
@@ -192,12 +197,17 @@
     tracker_.expire(now);
 }
 
-bool forward_core::take_digest_due(bool same_domain, const load_digest& digest, time_point now)
+duration forward_core::digest_pace(bool same_domain) const
 {
     const auto members = view()->members().size();
     const auto factor =
         same_domain ? 1.0 : std::max(1.0, static_cast<double>(members) / full_rate_fleet_size);
-    const auto period = std::chrono::duration_cast<duration>(digest_period * factor);
+    return std::chrono::duration_cast<duration>(digest_period * factor);
+}
+
+bool forward_core::take_digest_due(bool same_domain, const load_digest& digest, time_point now)
+{
+    const auto period = digest_pace(same_domain);
     const auto renewal = std::max<duration>(digest_refresh_period, period);
     const std::lock_guard lock{mutex_};
     auto& last = same_domain ? local_digest_ : remote_digest_;
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -4,6 +4,7 @@
 #ifndef MANGOVANE_FORWARD_FORWARD_CORE_HPP
 #define MANGOVANE_FORWARD_FORWARD_CORE_HPP
 
+#include <array>
 #include <atomic>
 #include <memory>
 #include <mutex>
@@ -292,6 +293,13 @@
     void send_digest(time_point now);
     void send_quarantine(time_point now);
 
+    /// Sends what accounts have used of services without room.
+    void send_usage(time_point now);
+    void on_usage(const usage_report& report, time_point now);
+
+    /// Time between two digests to the own domain or to the others.
+    [[nodiscard]] duration digest_pace(bool same_domain) const;
+
     /// Moves the rollouts on and sends the reports that are due.
     void tick_rollouts(time_point now);
     [[nodiscard]] rollout_surroundings surroundings_of(const rollout_order& order, time_point now);
@@ -326,8 +334,10 @@
     std::mutex mutex_;
     /// End of the cold period of each re-enabled domain. Guarded by `mutex_`.
     absl::flat_hash_map<domain_id, time_point> cold_domains_;
-    sent_digest local_digest_;       ///< Last sent to the own domain. Guarded by `mutex_`.
-    sent_digest remote_digest_;      ///< Last sent to other domains. Guarded by `mutex_`.
+    sent_digest local_digest_;  ///< Last sent to the own domain. Guarded by `mutex_`.
+    sent_digest remote_digest_; ///< Last sent to other domains. Guarded by `mutex_`.
+    /// Last usage reports to other domains and to the own one. Guarded by `mutex_`.
+    std::array<time_point, 2> usage_sent_at_{};
     time_point expired_at_{};        ///< Last expiry of the tracker. Guarded by `mutex_`.
     time_point summary_sent_at_{};   ///< Of the quarantine. Guarded by `mutex_`.
     std::uint64_t summary_count_{0}; ///< Sent so far. Guarded by `mutex_`.
--- a/src/mangovane/forward/forward_core_room.cpp
+++ b/src/mangovane/forward/forward_core_room.cpp
@@ -158,4 +158,45 @@
     return result;
 }
 
+void forward_core::send_usage(time_point now)
+{
+    if (!admission_.enabled())
+    {
+        return;
+    }
+    for (const bool same_domain : {false, true})
+    {
+        const auto pace = digest_pace(same_domain);
+        {
+            const std::lock_guard lock{mutex_};
+            if (now < usage_sent_at_[same_domain] + pace)
+            {
+                continue;
+            }
+            usage_sent_at_[same_domain] = now;
+        }
+        const auto reports = admission_.take_usage(same_domain, now);
+        const auto members = view();
+        for (const auto* it : reports.empty() ? std::vector<const member*>{} : live_peers(*members))
+        {
+            for (const auto& report : reports)
+            {
+                if ((it->domain == options_.self.domain) == same_domain)
+                {
+                    sink_.send({it->id, report});
+                }
+            }
+        }
+    }
+}
+
+void forward_core::on_usage(const usage_report& report, time_point now)
+{
+    // Of an unknown service, nothing would ever be asked.
+    if (admission_.enabled() && state_.routes()->settings().find_service(report.service) != nullptr)
+    {
+        admission_.on_usage(report, now);
+    }
+}
+
 } // namespace mangovane
--- a/src/mangovane/message/fwd.hpp
+++ b/src/mangovane/message/fwd.hpp
@@ -35,6 +35,7 @@
 struct part_answer;
 struct quarantine_update;
 struct rollout_report;
+struct usage_report;
 
 } // namespace mangovane
 
--- a/src/mangovane/message/message.hpp
+++ b/src/mangovane/message/message.hpp
@@ -14,6 +14,7 @@
 #include "mangovane/message/rollout.hpp"
 #include "mangovane/message/settings.hpp"
 #include "mangovane/message/slot.hpp"
+#include "mangovane/message/usage.hpp"
 
 namespace mangovane
 {
@@ -43,7 +44,8 @@
                              endpoint_query,
                              endpoint_update,
                              quarantine_update,
-                             rollout_report>;
+                             rollout_report,
+                             usage_report>;
 
 /// A message with its receiver.
 struct outgoing_message
--- a/src/mangovane/routing/coordinator.cpp
+++ b/src/mangovane/routing/coordinator.cpp
@@ -116,7 +116,8 @@
         apply_view(now);
     }
     else if constexpr (internal::is_any_of<type, load_digest, feed_state, endpoint_query,
-                                           endpoint_update, quarantine_update, rollout_report>)
+                                           endpoint_update, quarantine_update, rollout_report,
+                                           usage_report>)
     {
         // Sent by instances that forward without slots. Here the owner of an endpoint grants its
         // slots, and each instance reads the platform itself.
--- a/src/mangovane/wire/body_decode.cpp
+++ b/src/mangovane/wire/body_decode.cpp
@@ -321,6 +321,19 @@
     return result;
 }
 
+message unpack(const wire::UsageReport& it, time_point)
+{
+    usage_report result;
+    result.service = service_id{it.service()};
+    const auto accounts = it.accounts() == nullptr ? 0 : it.accounts()->size();
+    for (std::uint32_t k = 0; k != std::min<std::size_t>(accounts, max_usage_accounts + 1); ++k)
+    {
+        const auto* entry = it.accounts()->Get(k);
+        result.accounts.push_back({account_id{entry->account()}, entry->requests()});
+    }
+    return result;
+}
+
 using decoder = message (*)(const void*, time_point);
 
 template <class Table>
@@ -360,7 +373,8 @@
                                         wire::EndpointQuery,
                                         wire::EndpointUpdate,
                                         wire::QuarantineUpdate,
-                                        wire::RolloutReport>();
+                                        wire::RolloutReport,
+                                        wire::UsageReport>();
 
 static_assert(decoders.size() == std::variant_size_v<message>);
 static_assert(decoders.size() == static_cast<std::size_t>(wire::Body::MAX));
@@ -437,6 +451,14 @@
                it.bad_endpoints.size() <= max_report_endpoints;
     }
 
+    [[nodiscard]] bool operator()(const usage_report& it) const
+    {
+        return it.accounts.size() <= max_usage_accounts &&
+               std::all_of(it.accounts.begin(), it.accounts.end(),
+                           [](const account_use& entry)
+                           { return entry.requests <= max_reported_requests; });
+    }
+
     [[nodiscard]] bool check_updates(const std::vector<member_update>& updates) const
     {
         return updates.size() <= max_updates_per_probe &&
--- a/src/mangovane/wire/body_encode.cpp
+++ b/src/mangovane/wire/body_encode.cpp
@@ -266,6 +266,17 @@
     return wire::CreateVersionAnswers(buf, it.failed, bucket_vector, count_vector);
 }
 
+auto pack(builder& buf, const usage_report& it, time_point)
+{
+    std::vector<wire::AccountUse> accounts;
+    accounts.reserve(it.accounts.size());
+    for (const auto& entry : it.accounts)
+    {
+        accounts.emplace_back(entry.account.value(), entry.requests);
+    }
+    return wire::CreateUsageReport(buf, it.service.value(), buf.CreateVectorOfStructs(accounts));
+}
+
 auto pack(builder& buf, const rollout_report& it, time_point now)
 {
     std::vector<flatbuffers::Offset<wire::RouteAnswers>> routes;
--- a/src/mangovane/wire/frame_generated.h
+++ b/src/mangovane/wire/frame_generated.h
@@ -115,6 +115,11 @@
 struct RolloutReport;
 struct RolloutReportBuilder;
 
+struct AccountUse;
+
+struct UsageReport;
+struct UsageReportBuilder;
+
 struct Hello;
 struct HelloBuilder;
 
@@ -148,11 +153,12 @@
   EndpointUpdate = 23,
   QuarantineUpdate = 24,
   RolloutReport = 25,
+  UsageReport = 26,
   MIN = NONE,
-  MAX = RolloutReport
+  MAX = UsageReport
 };
 
-inline const Body (&EnumValuesBody())[26] {
+inline const Body (&EnumValuesBody())[27] {
   static const Body values[] = {
     Body::NONE,
     Body::SlotRequest,
@@ -179,13 +185,14 @@
     Body::EndpointQuery,
     Body::EndpointUpdate,
     Body::QuarantineUpdate,
-    Body::RolloutReport
+    Body::RolloutReport,
+    Body::UsageReport
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[27] = {
+  static const char * const names[28] = {
     "NONE",
     "SlotRequest",
     "SlotGrant",
@@ -212,13 +219,14 @@
     "EndpointUpdate",
     "QuarantineUpdate",
     "RolloutReport",
+    "UsageReport",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RolloutReport)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::UsageReport)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -327,6 +335,10 @@
   static const Body enum_value = Body::RolloutReport;
 };
 
+template<> struct BodyTraits<mangovane::wire::UsageReport> {
+  static const Body enum_value = Body::UsageReport;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -569,6 +581,34 @@
 };
 FLATBUFFERS_STRUCT_END(PartAnswer, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) AccountUse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t account_;
+  uint32_t requests_;
+  int32_t padding0__;
+
+ public:
+  AccountUse()
+      : account_(0),
+        requests_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  AccountUse(uint64_t _account, uint32_t _requests)
+      : account_(flatbuffers::EndianScalar(_account)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t account() const {
+    return flatbuffers::EndianScalar(account_);
+  }
+  uint32_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+};
+FLATBUFFERS_STRUCT_END(AccountUse, 16);
+
 struct SlotRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SlotRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2921,6 +2961,69 @@
       bad_endpoints__);
 }
 
+struct UsageReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ACCOUNTS = 6
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  const flatbuffers::Vector<const mangovane::wire::AccountUse *> *accounts() const {
+    return GetPointer<const flatbuffers::Vector<const mangovane::wire::AccountUse *> *>(VT_ACCOUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyOffset(verifier, VT_ACCOUNTS) &&
+           verifier.VerifyVector(accounts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageReportBuilder {
+  typedef UsageReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(UsageReport::VT_SERVICE, service, 0);
+  }
+  void add_accounts(flatbuffers::Offset<flatbuffers::Vector<const mangovane::wire::AccountUse *>> accounts) {
+    fbb_.AddOffset(UsageReport::VT_ACCOUNTS, accounts);
+  }
+  explicit UsageReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageReport> CreateUsageReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangovane::wire::AccountUse *>> accounts = 0) {
+  UsageReportBuilder builder_(_fbb);
+  builder_.add_service(service);
+  builder_.add_accounts(accounts);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<UsageReport> CreateUsageReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    const std::vector<mangovane::wire::AccountUse> *accounts = nullptr) {
+  auto accounts__ = accounts ? _fbb.CreateVectorOfStructs<mangovane::wire::AccountUse>(*accounts) : 0;
+  return mangovane::wire::CreateUsageReport(
+      _fbb,
+      service,
+      accounts__);
+}
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -3235,6 +3338,10 @@
       auto ptr = reinterpret_cast<const mangovane::wire::RolloutReport *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::UsageReport: {
+      auto ptr = reinterpret_cast<const mangovane::wire::UsageReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/test/mangovane/admission/admission_gate.cpp
+++ b/test/mangovane/admission/admission_gate.cpp
@@ -116,3 +116,70 @@
         }
     }
 }
+
+TEST_CASE("the use of a service without room by two accounts")
+{
+    const auto other = account_id::of("another parish");
+    const auto full = room_with(18, 37);
+    admission_gate gate{{true}, 1};
+    const auto ask = [&](std::uint64_t ticket, account_id from, time_point now)
+    {
+        auto request = request_at(ticket, now, milliseconds{500});
+        request.account = from;
+        return gate.ask(service, request, full, now).decision;
+    };
+    REQUIRE(ask(1, account, start).verdict == admission_verdict::wait);
+    REQUIRE(ask(2, other, start).verdict == admission_verdict::wait);
+    const auto first_released = [&]
+    { return gate.release(service, room_with(18, 35), start).front().ticket; };
+
+    SUBCASE("goes by arrival while both have used as much")
+    {
+        CHECK(first_released() == 1);
+    }
+    SUBCASE("counts what an account has used at other instances (guards against an account that "
+            "gets more by calling many instances)")
+    {
+        gate.on_usage({service, {{account, 20}, {other, 3}}}, start);
+        CHECK(first_released() == 2);
+    }
+    SUBCASE("is reported once to the own domain and once to the others")
+    {
+        REQUIRE(gate.release(service, room_with(18, 30), start).size() == 2);
+        const auto reports = gate.take_usage(true, start);
+        REQUIRE(reports.size() == 1);
+        CHECK(reports.front().service == service);
+        CHECK(reports.front().accounts.size() == 2);
+        CHECK(gate.take_usage(true, start).empty());
+        CHECK(gate.take_usage(false, start) == reports);
+    }
+    SUBCASE("is not reported")
+    {
+        SUBCASE("if it was reported by another instance (guards against use that is passed around)")
+        {
+            gate.on_usage({service, {{account, 20}}}, start);
+            CHECK(gate.take_usage(true, start).empty());
+        }
+        SUBCASE("some time after the last wait")
+        {
+            REQUIRE(gate.release(service, room_with(18, 30), start).size() == 2);
+            const auto later = start + admission_gate::usage_report_time + milliseconds{1};
+            CHECK(gate.take_usage(true, later).empty());
+        }
+    }
+}
+
+TEST_CASE("a report of the use by many accounts names those with most of it, the others next time")
+{
+    account_usage usage;
+    for (std::uint64_t n = 1; n <= 20; ++n)
+    {
+        usage.charge(account_id{n}, static_cast<double>(n), start);
+    }
+    // An account that is new starts with the least use of the others.
+    const auto first = usage.take_unreported(true);
+    REQUIRE(first.size() == max_usage_accounts);
+    CHECK(first.front() == account_use{account_id{20}, 20});
+    CHECK(usage.take_unreported(true).size() == 20 - max_usage_accounts);
+    CHECK(usage.take_unreported(true).empty());
+}
--- a/test/mangovane/forward/service_room.cpp
+++ b/test/mangovane/forward/service_room.cpp
@@ -231,6 +231,33 @@
     }
 }
 
+TEST_CASE("an instance that sends requests of a service without room")
+{
+    lone_instance instance;
+    auto& core = instance.core;
+    core.on_instance_list({{"other", "10.0.0.8:7000", domain_id::of("near")}}, start);
+    auto request = make_request(instance.settings, "status");
+    request.account = account_id::of("parish");
+
+    SUBCASE("reports their use to the others")
+    {
+        instance.hear(4 * slots + 1, 30);
+        REQUIRE(core.ask_admission(request, start).decision.verdict == admission_verdict::wait);
+        instance.hear(0, 30);
+        REQUIRE(core.release_waiting(start).size() == 1);
+        core.tick(start + seconds{1});
+        const auto reports = instance.sink.of<usage_report>();
+        REQUIRE(reports.size() == 1);
+        CHECK(reports.front().accounts == std::vector{account_use{request.account, 1}});
+    }
+    SUBCASE("reports nothing while none of them waits")
+    {
+        REQUIRE(core.ask_admission(request, start).decision == admission_decision{});
+        core.tick(start + seconds{1});
+        CHECK(instance.sink.of<usage_report>().empty());
+    }
+}
+
 TEST_CASE("the number of instances that share a service's room")
 {
     live_instances live;
--- a/test/mangovane/wire/codec.cpp
+++ b/test/mangovane/wire/codec.cpp
@@ -86,7 +86,8 @@
                 {{1, 2, now - milliseconds{30}, later, true, 2}, {3, 4, now, now, false, 0}},
                 {{5, now - milliseconds{60}}},
                 true},
-            report_example()};
+            report_example(),
+            usage_report{service_id{3}, {{account_id{4}, 17}, {account_id{5}, 1}}}};
 }
 
 frame frame_of(std::vector<message> messages)
@@ -323,6 +324,19 @@
         }
     }
 
+    SUBCASE("with a use by accounts that is out of range")
+    {
+        const auto is_refused = [](std::size_t accounts, std::uint32_t requests)
+        {
+            const usage_report report{
+                service_id{3}, std::vector<account_use>(accounts, {account_id{1}, requests})};
+            return !encode_frame(frame_of({report}), now).ok();
+        };
+        CHECK_FALSE(is_refused(max_usage_accounts, max_reported_requests));
+        CHECK(is_refused(max_usage_accounts + 1, 1));
+        CHECK(is_refused(1, max_reported_requests + 1));
+    }
+
     SUBCASE("with too many member updates in a probe, or one out of range")
     {
         const auto body = [](flatbuffers::FlatBufferBuilder& buf)
