Let a request that returns after a refusal go before a newcomer

Cause: the admission queue could put a returning request first, but nothing recognised one: attempts have new ids.

--- a/src/mangovane/admission/admission_queue.cpp
+++ b/src/mangovane/admission/admission_queue.cpp
@@ -206,8 +206,26 @@
     return result;
 }
 
+admission_decision admission_queue::refuse(const admission_request& request,
+                                           admission_reason reason,
+                                           const admission_room& room,
+                                           time_point now)
+{
+    refused_.add(request.identity, now);
+    return refusal(reason, request.ticket, room, now);
+}
+
 admission_decision
 admission_queue::admit(const admission_request& request, const admission_room& room, time_point now)
+{
+    auto known = request;
+    known.returned = request.returned || refused_.contains(request.identity, now);
+    return decide(known, room, now);
+}
+
+admission_decision admission_queue::decide(const admission_request& request,
+                                           const admission_room& room,
+                                           time_point now)
 {
     earn(room, now);
     double known = room.free * room.share;
@@ -218,11 +236,11 @@
     }
     if (expected_start(count_before(request, now), room, now) > request.start_by)
     {
-        return refusal(admission_reason::too_late, request.ticket, room, now);
+        return refuse(request, admission_reason::too_late, room, now);
     }
     if (request.bytes > policy_.max_waiting_bytes)
     {
-        return refusal(admission_reason::queue_full, request.ticket, room, now);
+        return refuse(request, admission_reason::queue_full, room, now);
     }
     while (waiting_.size() >= places_for(request) ||
            bytes_ + request.bytes > policy_.max_waiting_bytes)
@@ -230,11 +248,11 @@
         const auto it = displaceable(request);
         if (it == waiting_.end())
         {
-            return refusal(admission_reason::queue_full, request.ticket, room, now);
+            return refuse(request, admission_reason::queue_full, room, now);
         }
         const auto removed = take(it);
         displaced_.push_back(
-            {removed.ticket, refusal(admission_reason::displaced, removed.ticket, room, now)});
+            {removed.ticket, refuse(removed, admission_reason::displaced, room, now)});
     }
     insert(request);
     return {admission_verdict::wait, admission_reason::none, request.start_by};
@@ -254,8 +272,7 @@
         const auto at = it - waiting_.begin();
         const auto late = take(it);
         it = waiting_.begin() + at;
-        result.push_back(
-            {late.ticket, refusal(admission_reason::too_late, late.ticket, room, now)});
+        result.push_back({late.ticket, refuse(late, admission_reason::too_late, room, now)});
     }
     double known = room.free * room.share;
     while (!waiting_.empty() && try_spend(known))
@@ -282,21 +299,26 @@
     return result;
 }
 
+admission_queue::position admission_queue::find(std::uint64_t ticket)
+{
+    return std::find_if(waiting_.begin(), waiting_.end(),
+                        [&](const admission_request& it) { return it.ticket == ticket; });
+}
+
 std::optional<admission_decision>
 admission_queue::expire(std::uint64_t ticket, const admission_room& room, time_point now)
 {
-    if (!remove(ticket))
+    const auto it = find(ticket);
+    if (it == waiting_.end())
     {
         return std::nullopt;
     }
-    return refusal(admission_reason::too_late, ticket, room, now);
+    return refuse(take(it), admission_reason::too_late, room, now);
 }
 
 bool admission_queue::remove(std::uint64_t ticket)
 {
-    const auto it =
-        std::find_if(waiting_.begin(), waiting_.end(),
-                     [&](const admission_request& entry) { return entry.ticket == ticket; });
+    const auto it = find(ticket);
     if (it == waiting_.end())
     {
         return false;
--- a/src/mangovane/admission/admission_queue.hpp
+++ b/src/mangovane/admission/admission_queue.hpp
@@ -13,6 +13,7 @@
 #include "mangovane/admission/account_usage.hpp"
 #include "mangovane/admission/admission_policy.hpp"
 #include "mangovane/admission/admission_request.hpp"
+#include "mangovane/admission/refused_requests.hpp"
 
 namespace mangovane
 {
@@ -105,6 +106,15 @@
                                              std::uint64_t ticket,
                                              const admission_room& room,
                                              time_point now) const;
+    /// The same, and remembers the request.
+    [[nodiscard]] admission_decision refuse(const admission_request& request,
+                                            admission_reason reason,
+                                            const admission_room& room,
+                                            time_point now);
+    /// Decides on a request of which it is known whether it was refused before.
+    [[nodiscard]] admission_decision
+    decide(const admission_request& request, const admission_room& room, time_point now);
+    [[nodiscard]] position find(std::uint64_t ticket);
     void insert(const admission_request& request);
     admission_request take(position it);
 
@@ -114,6 +124,7 @@
     std::vector<admission_outcome> displaced_; ///< Reported by the next `release`.
     std::uint64_t bytes_{0};                   ///< Sum over `waiting_`.
     account_usage usage_;
+    refused_requests refused_;
     double earned_{0}; ///< Requests that may be sent without free room being known.
     time_point counted_at_;
     std::uint32_t released_{0}; ///< Since the last one of the least urgent kind.
--- a/src/mangovane/admission/admission_request.hpp
+++ b/src/mangovane/admission/admission_request.hpp
@@ -24,6 +24,8 @@
     double cost{1};          ///< Use of the service that is charged to the account.
     time_point arrived_at;
     time_point start_by; ///< Started later, its response cannot be in time.
+    /// The same for all attempts of a caller at one request; 0: it cannot be recognised.
+    std::uint64_t identity{0};
 
     auto operator<=>(const admission_request&) const = default;
 };
--- a/src/mangovane/admission/fwd.hpp
+++ b/src/mangovane/admission/fwd.hpp
@@ -15,6 +15,7 @@
 class admission_gate;
 class admission_queue;
 class admission_statistics;
+class refused_requests;
 class response_times;
 
 } // namespace mangovane
--- a/src/mangovane/forward/forward_core_room.cpp
+++ b/src/mangovane/forward/forward_core_room.cpp
@@ -18,6 +18,18 @@
     return room.with(load, endpoint_record::ended_per_s(it.counts));
 }
 
+/// Attempts have new ids, so a request that returns is known by its account, its route and what it
+/// asks.
+std::uint64_t identity_of(const forward_request& request)
+{
+    if (request.prompt.empty())
+    {
+        return 0;
+    }
+    const auto asker = hash_combine(request.account.value(), hash_bytes(request.route->name));
+    return hash_combine(asker, request.prompt.back().id);
+}
+
 } // namespace
 
 bool forward_core::fails_often(const attempt_counts& own, const attempt_counts& all)
@@ -120,6 +132,7 @@
     asked.bytes = request.bytes;
     asked.arrived_at = now;
     asked.start_by = request.deadline - response_times_.usual(hash_bytes(request.route->name));
+    asked.identity = identity_of(request);
     return admission_.ask(request.service, asked, room, now);
 }
 
--- a/test/mangovane/admission/admission_queue.cpp
+++ b/test/mangovane/admission/admission_queue.cpp
@@ -183,6 +183,63 @@
     }
 }
 
+TEST_CASE("a request that returns after a refusal")
+{
+    constexpr std::uint64_t identity = 77;
+    // Overloaded, so that no room is earned with time.
+    const admission_room none{1, -1, 10, 1};
+    const auto now = loaded_service::start;
+    const auto back = now + milliseconds{600};
+    admission_queue queue{{true, 4, 4000}, 1, now};
+    const auto request = [&](std::uint64_t ticket, std::uint64_t id, time_point at)
+    { return admission_request{ticket, account(1), 5, false, 10, 1, at, at + seconds{2}, id}; };
+    auto late = request(1, identity, now);
+    late.start_by = now;
+    REQUIRE(queue.admit(late, none, now).verdict == admission_verdict::refuse);
+    const auto first_of = [&](std::uint64_t id, time_point at)
+    {
+        REQUIRE(queue.admit(request(2, 5, at), none, at).verdict == admission_verdict::wait);
+        REQUIRE(queue.admit(request(3, id, at), none, at).verdict == admission_verdict::wait);
+        return queue.release({1, 1, 10, 1}, at).front().ticket;
+    };
+
+    SUBCASE("goes before a newcomer of its kind")
+    {
+        CHECK(first_of(identity, back) == 3);
+    }
+    SUBCASE("is a newcomer some time later")
+    {
+        CHECK(first_of(identity, now + refused_requests::memory_time + milliseconds{1}) == 2);
+    }
+    SUBCASE("is a newcomer if it cannot be recognised")
+    {
+        late.identity = 0;
+        REQUIRE(queue.admit(late, none, now).verdict == admission_verdict::refuse);
+        CHECK(first_of(0, back) == 2);
+    }
+    SUBCASE("is remembered also if it was refused after a wait")
+    {
+        REQUIRE(queue.admit(request(4, 8, now), none, now).verdict == admission_verdict::wait);
+        REQUIRE(queue.expire(4, none, now).has_value());
+        CHECK(first_of(8, back) == 3);
+    }
+}
+
+TEST_CASE("the memory of refused requests is bounded")
+{
+    refused_requests refused;
+    const auto now = loaded_service::start;
+    for (std::uint64_t n = 1; n <= refused_requests::max_requests + 1; ++n)
+    {
+        refused.add(n, now);
+    }
+    CHECK(refused.contains(1, now));
+    CHECK_FALSE(refused.contains(refused_requests::max_requests + 1, now));
+    const auto later = now + refused_requests::memory_time + milliseconds{1};
+    refused.add(refused_requests::max_requests + 1, later);
+    CHECK(refused.contains(refused_requests::max_requests + 1, later));
+}
+
 TEST_CASE("callers that are refused together are advised different times")
 {
     const admission_room none{1, 0, 10, 1};
--- a/test/mangovane/forward/service_room.cpp
+++ b/test/mangovane/forward/service_room.cpp
@@ -206,6 +206,20 @@
             CHECK(decision.at > start);
         }
     }
+    SUBCASE("that was refused goes before a newcomer when it returns with the same prompt")
+    {
+        request.prompt = {{1, 512}, {77, 130}};
+        request.deadline = start;
+        REQUIRE(ask().decision.verdict == admission_verdict::refuse);
+        request.deadline = start + milliseconds{1000};
+        auto newcomer = request;
+        newcomer.prompt.back().id = 78;
+        (void)instance.core.ask_admission(newcomer, start);
+        const auto returned = ask();
+        REQUIRE(returned.decision.verdict == admission_verdict::wait);
+        instance.hear(0, 30);
+        CHECK(instance.core.release_waiting(start).front().ticket == returned.ticket);
+    }
     SUBCASE("frees its place when its caller leaves")
     {
         const auto answer = ask();
