--- a/src/mangovane/admission/admission_gate.hpp
+++ b/src/mangovane/admission/admission_gate.hpp
@@ -55,10 +55,20 @@
     /// Whether `ask` would send a request at once, without a place in the queue.
     [[nodiscard]] bool is_open(service_id service, const service_room& room);
 
+    /// Reports that are due to the instances of the own domain or to the others: of the services
+    /// for which requests wait or have waited lately.
+    [[nodiscard]] std::vector<usage_report> take_usage(bool same_domain, time_point now);
+
+    /// What another instance has sent.
+    void on_usage(const usage_report& report, time_point now);
+
     /// Requests that wait now, in all and for one service.
     [[nodiscard]] std::size_t waiting();
     [[nodiscard]] std::size_t waiting(service_id service);
 
+    /// The use of a service is reported for this long after its last request has waited.
+    static constexpr milliseconds usage_report_time{2000};
+
     [[nodiscard]] admission_statistics& statistics() noexcept { return statistics_; }
 
     /// Below this many requests in flight for each slot of a service, a request is sent at once
@@ -81,6 +91,7 @@
         admission_queue queue;
         /// Since when the service has room while requests wait; empty: it has none, or none wait.
         std::optional<time_point> room_since;
+        std::optional<time_point> waited_at; ///< When a request waited last; empty: never.
     };
 
     [[nodiscard]] static bool has_room(const service_room& room) noexcept
--- a/src/mangovane/forward/forward_core_room.cpp
+++ b/src/mangovane/forward/forward_core_room.cpp
@@ -18,6 +18,18 @@
     return room.with(load, endpoint_record::ended_per_s(it.counts));
 }
 
+/// Attempts have new ids, so a request that returns is known by its account, its route and what it
+/// asks.
+std::uint64_t identity_of(const forward_request& request)
+{
+    if (request.prompt.empty())
+    {
+        return 0;
+    }
+    const auto asker = hash_combine(request.account.value(), hash_bytes(request.route->name));
+    return hash_combine(asker, request.prompt.back().id);
+}
+
 } // namespace
 
 bool forward_core::fails_often(const attempt_counts& own, const attempt_counts& all)
@@ -123,6 +135,7 @@
     asked.bytes = request.bytes;
     asked.arrived_at = now;
     asked.start_by = request.deadline - response_times_.usual(hash_bytes(request.route->name));
+    asked.identity = identity_of(request);
     return admission_.ask(request.service, asked, room, now);
 }
 
@@ -161,4 +174,45 @@
     return result;
 }
 
+void forward_core::send_usage(time_point now)
+{
+    if (!admission_.enabled())
+    {
+        return;
+    }
+    for (const bool same_domain : {false, true})
+    {
+        const auto pace = digest_pace(same_domain);
+        {
+            const std::lock_guard lock{mutex_};
+            if (now < usage_sent_at_[same_domain] + pace)
+            {
+                continue;
+            }
+            usage_sent_at_[same_domain] = now;
+        }
+        const auto reports = admission_.take_usage(same_domain, now);
+        const auto members = view();
+        for (const auto* it : reports.empty() ? std::vector<const member*>{} : live_peers(*members))
+        {
+            for (const auto& report : reports)
+            {
+                if ((it->domain == options_.self.domain) == same_domain)
+                {
+                    sink_.send({it->id, report});
+                }
+            }
+        }
+    }
+}
+
+void forward_core::on_usage(const usage_report& report, time_point now)
+{
+    // Of an unknown service, nothing would ever be asked.
+    if (admission_.enabled() && state_.routes()->settings().find_service(report.service) != nullptr)
+    {
+        admission_.on_usage(report, now);
+    }
+}
+
 } // namespace mangovane
