Keep the deadline of a rollout whose rows the store has lost

Instances that ran kept the earlier one, an instance restarted after it took the later one.

Change: an order that is known keeps its deadline in rows that are written again.

Measured: the new case fails without the change (two checks) and passes with it; test_rollout 21 cases.

--- a/src/mangovane/rollout/rollout_status.cpp
+++ b/src/mangovane/rollout/rollout_status.cpp
@@ -1,6 +1,8 @@
 // Implementation of the rollout status.
 #include "mangovane/rollout/rollout_status.hpp"
 
+#include <algorithm>
+
 namespace mangovane
 {
 
@@ -29,9 +31,14 @@
     }
     status_decision result;
     result.stored = known ? state_for(rows.status, order.version) : std::nullopt;
-    // Whoever first sees an order fixes its deadline, from the time of the read.
-    const auto deadline = known ? found->deadline : time.store_now + order.duration;
-    result.deadline = time.read_at + (deadline - time.store_now);
+    // Whoever first sees an order fixes its deadline, from the time of the read. Rows that are
+    // missing although the order is known were lost with an older copy of the store: the deadline
+    // stays.
+    const auto found_deadline = [&] { return time.read_at + (found->deadline - time.store_now); };
+    result.deadline =
+        known ? found_deadline() : std::min(time.read_at + order.duration, rollout.deadline);
+    const auto left = std::chrono::duration_cast<milliseconds>(result.deadline - time.read_at);
+    const auto deadline = time.store_now + left;
     const auto state = rollout.completable ? rollout_state::done : rollout.state;
     const bool final = result.stored && *result.stored != rollout_state::running;
     if (final || result.stored == state)
--- a/test/mangovane/rollout/rollout_status.cpp
+++ b/test/mangovane/rollout/rollout_status.cpp
@@ -16,7 +16,7 @@
     rollout_summary result;
     result.order = {service_id::of("huvo"), "huvo", "v2", {0, 40}, milliseconds{12'000}};
     result.state = state;
-    result.deadline = start;
+    result.deadline = start + result.order.duration;
     result.completable = completable;
     return result;
 }
@@ -74,6 +74,15 @@
         CHECK(again.write->status_revision == store_revision{50});
         CHECK(again.write->progress_revision == store_revision{51});
     }
+    SUBCASE("and keeps it when the store comes back without the rows (guards against a restarted "
+            "instance that takes a later deadline from rows that were written again)")
+    {
+        const store_time later{milliseconds{10'000}, start + seconds{5}};
+        const auto again = decide_status(summary_of(rollout_state::running), none, later);
+        CHECK(again.deadline == got.deadline);
+        REQUIRE(again.write);
+        CHECK(again.write->progress == got.write->progress);
+    }
     SUBCASE("but an end that is known is written at once (guards against a rollout that an older "
             "copy of the store starts over)")
     {
