--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -105,17 +105,10 @@
     using held_body = internal::held_body;
     using relayed_events = internal::relayed_events;
 
-    // Implemented in forward_session.cpp: requests and responses.
+    // Implemented in forward_session.cpp: flow steps and responses.
     boost::asio::awaitable<void> serve_requests();
     /// Reports the failure, ends the attempt, and answers the request if nothing has been sent.
     boost::asio::awaitable<void> on_failure(std::exception_ptr error);
-    boost::asio::awaitable<bool> read_request();
-    /// Keeps the head of the request as text and frees its fields. False if the budget for requests
-    /// does not have the bytes.
-    [[nodiscard]] bool hold_head(request_parser& p);
-    /// Reads the body. Trailers are not kept: they belong to the connection's framing.
-    boost::asio::awaitable<error_code> read_body(request_parser& p);
-    boost::asio::awaitable<bool> await_first_byte(const http_limits& limits);
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<bool> execute_step(const forward_step& step, forward_step& next);
     boost::asio::awaitable<void>
@@ -140,6 +133,15 @@
     void report_cut();
     [[nodiscard]] bool keep_alive() const;
 
+    // Implemented in forward_read.cpp: reading of requests.
+    boost::asio::awaitable<bool> read_request();
+    /// Keeps the head of the request as text and frees its fields. False if the budget for requests
+    /// does not have the bytes.
+    [[nodiscard]] bool hold_head(request_parser& p);
+    /// Reads the body. Trailers are not kept: they belong to the connection's framing.
+    boost::asio::awaitable<error_code> read_body(request_parser& p);
+    boost::asio::awaitable<bool> await_first_byte(const http_limits& limits);
+
     // Implemented in forward_wait.cpp: waits for admission.
     boost::asio::awaitable<forward_step> await_turn(const wait_step& step);
     /// Forgets the wait that has ended, if there was one.
