--- a/src/mangovane/store/rollout_writer.cpp
+++ b/src/mangovane/store/rollout_writer.cpp
@@ -41,6 +41,14 @@
             registry_.on_stored(it.order.service, it.order.revision, *decision.stored,
                                 decision.deadline, now);
         }
+        if (decision.write && now > rows_->read_at + max_rows_age)
+        {
+            // The rows were read for an earlier order. A deadline that is counted from that read
+            // would lie in the past.
+            rows_.reset();
+            read(now);
+            return;
+        }
         if (decision.write)
         {
             write(*decision.write, now);
--- a/src/mangovane/store/rollout_writer.hpp
+++ b/src/mangovane/store/rollout_writer.hpp
@@ -32,6 +32,9 @@
     static constexpr milliseconds retry_period{300};
     static constexpr milliseconds call_timeout{1000};
 
+    /// Rows that were read longer ago are read again before they are written.
+    static constexpr milliseconds max_rows_age = read_period + call_timeout;
+
 private:
     /// The rows as they were read, with the time of the read.
     struct stored_rows
--- a/test/mangovane/store/rollout_writer.cpp
+++ b/test/mangovane/store/rollout_writer.cpp
@@ -217,6 +217,29 @@
         CHECK(table.writes.size() == 1);
         CHECK(table.rows->status.value->state == rollout_state::done);
     }
+    SUBCASE("leaves the next order its whole duration (guards against a deadline that is counted "
+            "from the last read of the rows, long before the order)")
+    {
+        table.answer_write();
+        it.writer.tick(clock::now(), 0);
+        table.answer_read();
+        it.writer.tick(clock::now(), 0);
+        REQUIRE_FALSE(table.is_waiting());
+
+        const auto later = clock::now() + 3 * duration_of_order;
+        it.registry.set_orders({{service, "huvo", "v2", {0, 200}, duration_of_order}}, later);
+        table.now += 3 * duration_of_order;
+        it.writer.tick(later, 0);
+        if (table.writes.size() == 1)
+        {
+            REQUIRE(table.is_waiting());
+            table.answer_read();
+            it.writer.tick(clock::now(), 0);
+        }
+        REQUIRE(table.writes.size() == 2);
+        CHECK(table.writes.back().progress.order == store_revision{0, 200});
+        CHECK(table.writes.back().progress.deadline == table.now + duration_of_order);
+    }
     SUBCASE("that a store lost when it came back older is written again")
     {
         table.answer_write();
