Keep old use of accounts and names of routes out of admission

Cause: use that was not reported in one shortage was reported in full in the next one; accounts were dropped only where requests waited; the response times of a route and a service of the same name were mixed.

Change: a report holds no more than what has not decayed, reports drop old accounts, the keys differ, event=started names the mode. Names and comments that a reader of the change stumbled on are clearer.

--- a/src/mangovane/admission/account_usage.hpp
+++ b/src/mangovane/admission/account_usage.hpp
@@ -36,6 +36,7 @@
     /// their order in the report.
     void charge(const usage_report& report, time_point now)
     {
+        expire(now);
         const double start = least(now);
         for (const auto& it : report.accounts)
         {
@@ -47,13 +48,15 @@
 
     /// Use by requests of this instance since the last call with the same argument, of the accounts
     /// with most of it. What is left out is kept for the next call.
-    [[nodiscard]] std::vector<account_use> take_unreported(bool same_domain)
+    [[nodiscard]] std::vector<account_use> take_unreported(bool same_domain, time_point now)
     {
+        expire(now);
         std::vector<account_use> result;
         for (const auto& [account, it] : entries_)
         {
-            const auto requests =
-                std::min<double>(it.unreported[same_domain], max_reported_requests);
+            // What has decayed here counts no more elsewhere.
+            const auto requests = std::round(std::min<double>(
+                std::min(it.unreported[same_domain], decayed(it, now)), max_reported_requests));
             if (requests >= 1)
             {
                 result.push_back({account, static_cast<std::uint32_t>(requests)});
@@ -66,7 +69,8 @@
         result.resize(std::min(result.size(), max_usage_accounts));
         for (const auto& it : result)
         {
-            entries_[it.account].unreported[same_domain] -= it.requests;
+            auto& left = entries_[it.account].unreported[same_domain];
+            left -= std::min<double>(left, it.requests);
         }
         return result;
     }
--- a/src/mangovane/admission/admission_gate.cpp
+++ b/src/mangovane/admission/admission_gate.cpp
@@ -18,7 +18,7 @@
     const std::chrono::duration<double> doubling = room_doubling_time;
     // An instance that hears from no other does not see that the room is taken.
     const double factor = room.hears_no_other ? 1 : std::exp2(std::max(0.0, since / doubling));
-    const auto usable = room.slots * full_utilization;
+    const auto usable = room.slots * max_utilization;
     return {usable, usable - room.in_flight, room.capacity_per_s(),
             std::min(1.0, room.share() * factor)};
 }
@@ -30,7 +30,7 @@
 {
     const auto room = known.assumed();
     admission_answer answer{{}, request.ticket, 0, room.free(), room.age};
-    if (is_open(service, known))
+    if (would_send(service, known))
     {
         return answer;
     }
@@ -55,7 +55,7 @@
     return answer;
 }
 
-bool admission_gate::is_open(service_id service, const service_room& room)
+bool admission_gate::would_send(service_id service, const service_room& room)
 {
     bool idle = true;
     services_.find(service, [&](const service_entry& it) { idle = it.queue.idle(); });
@@ -142,7 +142,7 @@
                 {
                     continue;
                 }
-                auto accounts = it.queue.usage().take_unreported(same_domain);
+                auto accounts = it.queue.usage().take_unreported(same_domain, now);
                 if (!accounts.empty())
                 {
                     result.push_back({service, std::move(accounts)});
--- a/src/mangovane/admission/admission_gate.hpp
+++ b/src/mangovane/admission/admission_gate.hpp
@@ -1,5 +1,5 @@
-// Admission to the services of an instance. Answers a load for which a service has too little room
-// at times; while there is room, every request is sent at once.
+// Admission to the services of an instance. Limits the requests to services that have too little
+// room at times; while there is room, every request is sent at once.
 //
 // The queues divide a full service among the instances. When a service has room again, an instance
 // with waiting requests does not know how many others have some too: it starts with its share, and
@@ -32,7 +32,7 @@
 
     [[nodiscard]] bool enabled() const noexcept { return policy_.enabled; }
 
-    /// Decides on a request that arrives. The room is known.
+    /// Decides on a request that arrives. Requires `room.known()`.
     [[nodiscard]] admission_answer ask(service_id service,
                                        const admission_request& request,
                                        const service_room& room,
@@ -48,12 +48,12 @@
     /// The caller of a waiting request has left, or the request is answered otherwise.
     void remove(service_id service, std::uint64_t ticket);
 
-    /// The time has come until which a request could wait: refuses it and frees its place.
+    /// Refuses a request whose wait has reached its limit, and frees its place.
     [[nodiscard]] admission_decision
     expire(service_id service, std::uint64_t ticket, const service_room& room, time_point now);
 
     /// Whether `ask` would send a request at once, without a place in the queue.
-    [[nodiscard]] bool is_open(service_id service, const service_room& room);
+    [[nodiscard]] bool would_send(service_id service, const service_room& room);
 
     /// Reports that are due to the instances of the own domain or to the others: of the services
     /// for which requests wait or have waited lately.
@@ -75,7 +75,7 @@
     /// unless others wait. What exceeds the slots waits at the endpoints for the time of one more
     /// response: a slot that becomes free is known to the other instances only after a digest, and
     /// would be idle until then.
-    static constexpr double full_utilization = 2;
+    static constexpr double max_utilization = 2;
 
     /// The share of an instance whose requests wait doubles in this time while the service has
     /// room. At least the time in which the requests of others become known.
@@ -96,7 +96,7 @@
 
     [[nodiscard]] static bool has_room(const service_room& room) noexcept
     {
-        return room.utilization() < full_utilization;
+        return room.utilization() < max_utilization;
     }
 
     /// The room as the queue of an entry may use it now.
--- a/src/mangovane/admission/response_times.hpp
+++ b/src/mangovane/admission/response_times.hpp
@@ -3,7 +3,10 @@
 #define MANGOVANE_ADMISSION_RESPONSE_TIMES_HPP
 
 #include <cstdint>
+#include <string_view>
 
+#include "mangovane/core/hash.hpp"
+#include "mangovane/core/id.hpp"
 #include "mangovane/core/sharded_map.hpp"
 #include "mangovane/core/time.hpp"
 
@@ -15,25 +18,37 @@
 class response_times
 {
 public:
-    /// `route` is the hash of the route's name, or the id of the service.
-    void record(std::uint64_t route, duration time)
+    /// `kind` is a key of `route_key` or `service_key`.
+    void record(std::uint64_t kind, duration time)
     {
-        times_.with_entry(route, [&](duration& it)
-                          { it = it == duration{} ? time : it + (time - it) / weight; });
+        times_.with_entry(kind,
+                          [&](duration& it) {
+                              it = it == duration{} ? time : it + (time - it) / averaged_responses;
+                          });
     }
 
     /// Zero before the first response.
-    [[nodiscard]] duration usual(std::uint64_t route)
+    [[nodiscard]] duration usual(std::uint64_t kind)
     {
         duration result{};
-        times_.find(route, [&](const duration& it) { result = it; });
+        times_.find(kind, [&](const duration& it) { result = it; });
         return result;
     }
 
+    /// Keys of a route and of a service; they differ also if both have the same name.
+    [[nodiscard]] static std::uint64_t route_key(std::string_view name)
+    {
+        return hash_combine(hash_bytes(name), 1);
+    }
+    [[nodiscard]] static std::uint64_t service_key(service_id service) noexcept
+    {
+        return hash_combine(service.value(), 2);
+    }
+
 private:
-    /// The last 20 responses or so count: a change of load shows within a second at the rates at
-    /// which a service runs out of room.
-    static constexpr int weight = 20;
+    /// Each response moves the average by this part of the difference, so that it follows the last
+    /// few responses.
+    static constexpr int averaged_responses = 20;
 
     sharded_map<std::uint64_t, duration> times_;
 };
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -447,7 +447,8 @@
     }
     it.log.write(absl::StrCat("event=started name=", it.options.name, " domain=", it.options.domain,
                               " threads=", it.options.threads,
-                              " load_factor=", it.options.fleet.bound.factor),
+                              " load_factor=", it.options.fleet.bound.factor,
+                              " admission=", it.options.admission.enabled ? "queue" : "off"),
                  clock::now());
     it.core.on_instance_list(seed_instances(it.options), clock::now());
     it.await_stop();
--- a/src/mangovane/daemon/forward_router_options.cpp
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -184,7 +184,7 @@
     if (!find_placement(raw.placement))
     {
         faults.push_back(absl::StrCat("placement '", raw.placement,
-                                      "': must be least-loaded, even or reported"));
+                                      "': must be least-loaded, even, reported or plain"));
     }
     if (!find_admission(raw.admission))
     {
--- a/src/mangovane/forward/choice_explanation.hpp
+++ b/src/mangovane/forward/choice_explanation.hpp
@@ -43,14 +43,14 @@
     bool avoided{false};    ///< For these reasons, or because it fails more often than the others.
     bool over_bound{false}; ///< At the load bound.
     bool can_hold{true};    ///< The request fits beside the tokens that it holds.
-    bool cold{false};       ///< It takes few requests.
-    bool admits{true};      ///< It would take the request, if it is cold.
+    bool cold{false};       ///< In its cold start, it accepts requests at a limited rate.
+    bool admits{true};      ///< That rate permits a request of this instance now.
     bool chosen{false};
 
     bool operator==(const explained_endpoint&) const = default;
 };
 
-/// Admission of the request to its service.
+/// Whether the request could be sent now, and the room on which that is based.
 struct explained_admission
 {
     service_room room;
--- a/src/mangovane/forward/endpoint_record.hpp
+++ b/src/mangovane/forward/endpoint_record.hpp
@@ -98,10 +98,7 @@
     [[nodiscard]] endpoint_load known_load(time_point now) const noexcept;
 
     /// Requests that the other instances send to the endpoint.
-    [[nodiscard]] double others_per_s() const noexcept
-    {
-        return (peer_counts_.failures + peer_counts_.successes) / counted_seconds;
-    }
+    [[nodiscard]] double others_per_s() const noexcept { return ended_per_s(peer_counts_); }
 
     /// Speed to expect, from the newest statement to any instance.
     [[nodiscard]] double speed(time_point now) const noexcept
@@ -132,7 +129,7 @@
     /// soon. Notices are kept for `notice_ttl`.
     [[nodiscard]] bool is_removable(time_point now) const noexcept;
 
-    /// Rate at which recent attempts of a number have ended.
+    /// Attempts that ended per second, from counts over the last `counted_seconds`.
     [[nodiscard]] static double ended_per_s(const attempt_counts& counts) noexcept
     {
         return (counts.failures + counts.successes) / counted_seconds;
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -197,7 +197,7 @@
     tracker_.expire(now);
 }
 
-duration forward_core::digest_pace(bool same_domain) const
+duration forward_core::digest_period_for(bool same_domain) const
 {
     const auto members = view()->members().size();
     const auto factor =
@@ -207,7 +207,7 @@
 
 bool forward_core::take_digest_due(bool same_domain, const load_digest& digest, time_point now)
 {
-    const auto period = digest_pace(same_domain);
+    const auto period = digest_period_for(same_domain);
     const auto renewal = std::max<duration>(digest_refresh_period, period);
     const std::lock_guard lock{mutex_};
     auto& last = same_domain ? local_digest_ : remote_digest_;
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -378,7 +378,7 @@
     void on_usage(const usage_report& report, time_point now);
 
     /// Time between two digests to the own domain or to the others.
-    [[nodiscard]] duration digest_pace(bool same_domain) const;
+    [[nodiscard]] duration digest_period_for(bool same_domain) const;
 
     /// Moves the rollouts on and sends the reports that are due.
     void tick_rollouts(time_point now);
--- a/src/mangovane/forward/forward_core_explain.cpp
+++ b/src/mangovane/forward/forward_core_explain.cpp
@@ -83,7 +83,7 @@
         return std::nullopt;
     }
     const auto waiting = admission_.waiting(service);
-    return explained_admission{room, waiting, admission_.is_open(service, room)};
+    return explained_admission{room, waiting, admission_.would_send(service, room)};
 }
 
 void forward_core::describe_endpoints(choice_explanation& result,
--- a/src/mangovane/forward/forward_core_room.cpp
+++ b/src/mangovane/forward/forward_core_room.cpp
@@ -83,7 +83,7 @@
     const auto suspected = domains_.suspected(now);
     const auto live = live_instances_.value();
     service_room result;
-    result.usual_response = response_times_.usual(service.value());
+    result.usual_response = response_times_.usual(response_times::service_key(service));
     result.age = tracker_.mean_digest_age(now);
     result.live_instances = live.instances;
     result.hears_no_other = live.hears_no_other;
@@ -134,7 +134,8 @@
     asked.urgency = request.urgency;
     asked.bytes = request.bytes;
     asked.arrived_at = now;
-    asked.start_by = request.deadline - response_times_.usual(hash_bytes(request.route->name));
+    asked.start_by =
+        request.deadline - response_times_.usual(response_times::route_key(request.route->name));
     asked.identity = identity_of(request);
     return admission_.ask(request.service, asked, room, now);
 }
@@ -158,8 +159,8 @@
 {
     if (admission_.enabled())
     {
-        response_times_.record(hash_bytes(request.route->name), time);
-        response_times_.record(request.service.value(), time);
+        response_times_.record(response_times::route_key(request.route->name), time);
+        response_times_.record(response_times::service_key(request.service), time);
     }
 }
 
@@ -182,7 +183,7 @@
     }
     for (const bool same_domain : {false, true})
     {
-        const auto pace = digest_pace(same_domain);
+        const auto pace = digest_period_for(same_domain);
         {
             const std::lock_guard lock{mutex_};
             if (now < usage_sent_at_[same_domain] + pace)
@@ -192,8 +193,12 @@
             usage_sent_at_[same_domain] = now;
         }
         const auto reports = admission_.take_usage(same_domain, now);
+        if (reports.empty())
+        {
+            continue;
+        }
         const auto members = view();
-        for (const auto* it : reports.empty() ? std::vector<const member*>{} : live_peers(*members))
+        for (const auto* it : live_peers(*members))
         {
             for (const auto& report : reports)
             {
--- a/src/mangovane/forward/forward_flow.hpp
+++ b/src/mangovane/forward/forward_flow.hpp
@@ -100,10 +100,11 @@
     /// Returns the first step.
     [[nodiscard]] forward_step start(time_point now);
 
-    /// Returns the step after the wait of a `wait_step` has ended with an outcome,
+    /// Returns the step that follows the outcome of a wait.
     [[nodiscard]] forward_step on_admission(const admission_decision& decision, time_point now);
 
-    /// or without one.
+    /// Returns the step that follows a wait without an outcome: its time limit has passed, the
+    /// caller has left, or the instance stops.
     [[nodiscard]] forward_step on_wait_over(bool caller_left, time_point now);
 
     /// The answer to the request for admission, which is asked for before the first attempt.
--- a/src/mangovane/forward/live_instances.hpp
+++ b/src/mangovane/forward/live_instances.hpp
@@ -53,7 +53,7 @@
         return {instances, alone_ && instances > 1};
     }
 
-    /// Longer than the loss of all members of a fleet is noticed in.
+    /// Longer than the membership takes to declare all other members dead.
     static constexpr seconds period{15};
 
 private:
--- a/src/mangovane/forward/placement_rule.cpp
+++ b/src/mangovane/forward/placement_rule.cpp
@@ -17,7 +17,7 @@
 {
 
 /// The random number of a score: above 0 and at most 1.
-double draw_of(std::uint64_t score)
+double uniform_from_hash(std::uint64_t score)
 {
     constexpr unsigned unused_bits = 11; // A double has 53 significant bits.
     constexpr double scale = 1.0 / 9007199254740992.0;
@@ -116,7 +116,7 @@
 /// The first candidate in rendezvous order of the prefix that `suits` and is admitted.
 template <class Suits>
 std::optional<std::size_t>
-choose_home(const placement_context& context, const Suits& suits, admission_filter admit)
+choose_by_rendezvous(const placement_context& context, const Suits& suits, admission_filter admit)
 {
     const auto key = [&](const placement_candidate& it)
     {
@@ -147,7 +147,7 @@
     [[nodiscard]] std::optional<std::size_t> choose(const placement_context& context,
                                                     admission_filter admit) const override
     {
-        const auto found = choose_home(
+        const auto found = choose_by_rendezvous(
             context, [](const placement_candidate&) { return true; }, admit);
         return found ? found : choose_least_loaded(context, admit);
     }
@@ -167,7 +167,8 @@
         const auto score = rendezvous_score(context.tie_break_seed, it.endpoint.value());
         const double room = it.load < context.allowed ? fill.room(it) : 0;
         // The lowest of exponential variables with these rates is a draw in proportion to them.
-        const double order = room > 0 ? -std::log(draw_of(score)) / room : it.load / it.speed;
+        const double order =
+            room > 0 ? -std::log(uniform_from_hash(score)) / room : it.load / it.speed;
         return std::optional{it.can_hold ? key_type{false, it.avoided, room <= 0, order, score}
                                          : key_type{true, it.avoided, false,
                                                     -static_cast<double>(it.free_tokens), score}};
@@ -206,7 +207,7 @@
         }
         const double slowest =
             min_home_speed * speed / static_cast<double>(context.candidates.size());
-        const auto found = choose_home(
+        const auto found = choose_by_rendezvous(
             context,
             [&](const placement_candidate& it) { return it.can_hold && it.speed >= slowest; },
             admit);
--- a/src/mangovane/forward/service_room.hpp
+++ b/src/mangovane/forward/service_room.hpp
@@ -19,8 +19,7 @@
     std::uint32_t unknown_slots{0}; ///< Endpoints whose slots are unknown.
     double slots{0};                ///< Requests that they process at a time.
     /// Over all instances, those of the others as last reported. `endpoint_load::estimate` adds
-    /// what they have sent since, but not what has ended: with 18 slots, 30 ms of work and digests
-    /// 100 ms old, a half-loaded service would seem full.
+    /// what they have sent since but does not subtract what has ended, and so overstates the load.
     double in_flight{0};
     double completions_per_s{0}; ///< Over all instances.
     std::uint32_t own{0};        ///< Requests of this instance in flight.
--- a/src/mangovane/message/usage.hpp
+++ b/src/mangovane/message/usage.hpp
@@ -23,7 +23,7 @@
 };
 
 /// Each instance to all others, while requests wait there for the service, and for a short time
-/// after: what was sent by it since its last report.
+/// after: the requests that it has sent since its previous report.
 struct usage_report
 {
     service_id service;
@@ -34,8 +34,7 @@
 
 inline constexpr std::size_t max_usage_accounts = 16;
 
-/// Largest use of an account in one report. A larger figure is none that an instance can have
-/// counted in a period of reports.
+/// Largest use of an account in one report. Messages with a larger value are invalid.
 inline constexpr std::uint32_t max_reported_requests = 1'000'000;
 
 } // namespace mangovane
--- a/test/mangovane/admission/admission_gate.cpp
+++ b/test/mangovane/admission/admission_gate.cpp
@@ -177,9 +177,9 @@
         usage.charge(account_id{n}, static_cast<double>(n), start);
     }
     // An account that is new starts with the least use of the others.
-    const auto first = usage.take_unreported(true);
+    const auto first = usage.take_unreported(true, start);
     REQUIRE(first.size() == max_usage_accounts);
     CHECK(first.front() == account_use{account_id{20}, 20});
-    CHECK(usage.take_unreported(true).size() == 20 - max_usage_accounts);
-    CHECK(usage.take_unreported(true).empty());
+    CHECK(usage.take_unreported(true, start).size() == 20 - max_usage_accounts);
+    CHECK(usage.take_unreported(true, start).empty());
 }
