Use the terms of the field in the rollouts' evidence and the soak

Cause: a reader of the change did not know balance, leaning and patience. Change: log-likelihood ratio, usual rates, grace period; no behaviour. Measured: test_rollout 21 cases pass.

--- a/soak/rollout_driver.cpp
+++ b/soak/rollout_driver.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t new_endpoints = 3;
 
 /// The endpoints follow a status that arrives so long after the deadline; later, they stay.
-constexpr milliseconds status_patience{2000};
+constexpr milliseconds status_grace_period{2000};
 
 /// Endpoints of a version that was rolled back announce their drain and leave after these times.
 constexpr milliseconds drain_delay{1000};
@@ -95,7 +95,7 @@
     {
         finish(done, now);
     }
-    running_ = running_ && now < order_->at + order_->duration + status_patience;
+    running_ = running_ && now < order_->at + order_->duration + status_grace_period;
 }
 
 void rollout_driver::record_status(time_point now)
--- a/src/mangovane/rollout/change_detector.cpp
+++ b/src/mangovane/rollout/change_detector.cpp
@@ -30,7 +30,7 @@
     const double change = sample.bad * per_bad + (sample.total - sample.bad) * per_good;
     evidence_ = std::max(0.0, evidence_ + change);
     confirmation_ += change;
-    balance_ += change;
+    total_ += change;
 }
 
 bool change_detector::detected() const noexcept
--- a/src/mangovane/rollout/change_detector.hpp
+++ b/src/mangovane/rollout/change_detector.hpp
@@ -39,7 +39,7 @@
     [[nodiscard]] bool confirmed() const noexcept;
 
     /// Log-likelihood ratio of all responses for a raised rate; those of independent samples add.
-    [[nodiscard]] double balance() const noexcept { return balance_; }
+    [[nodiscard]] double log_likelihood_ratio() const noexcept { return total_; }
 
     auto operator<=>(const change_detector&) const = default;
 
@@ -58,7 +58,7 @@
 private:
     double evidence_{0};     ///< Log-likelihood ratio for a raised rate; never negative.
     double confirmation_{0}; ///< The same since the last restart; negative for the usual rate.
-    double balance_{0};      ///< The same since the start; negative for the usual rate.
+    double total_{0};        ///< The same since the start; negative for the usual rate.
 };
 
 } // namespace mangovane
--- a/src/mangovane/rollout/fleet_evidence.cpp
+++ b/src/mangovane/rollout/fleet_evidence.cpp
@@ -142,14 +142,14 @@
                                        });
 }
 
-bool fleet_evidence::leans_sound() const
+bool fleet_evidence::favours_usual_rates() const
 {
     double failures = 0;
     double slowness = 0;
     for (const auto& [route, it] : routes_)
     {
-        failures += it.failure_balance();
-        slowness += it.slowness_balance();
+        failures += it.failure_ratio();
+        slowness += it.slowness_ratio();
     }
     return failures <= 0 && slowness <= 0;
 }
--- a/src/mangovane/rollout/fleet_evidence.hpp
+++ b/src/mangovane/rollout/fleet_evidence.hpp
@@ -57,7 +57,7 @@
 
     /// All responses of all routes together speak rather for a sound version than against it. This
     /// is less than `confirmed`.
-    [[nodiscard]] bool leans_sound() const;
+    [[nodiscard]] bool favours_usual_rates() const;
 
     /// Good responses of the ordered version, over all instances.
     [[nodiscard]] std::uint32_t good_ordered() const;
--- a/src/mangovane/rollout/rollout.cpp
+++ b/src/mangovane/rollout/rollout.cpp
@@ -142,7 +142,7 @@
     // bad ones.
     const bool sound =
         evidence_.confirmed() || (late && evidence_.good_ordered() != 0 &&
-                                  evidence_.leans_sound() && !is_isolated(around, now));
+                                  evidence_.favours_usual_rates() && !is_isolated(around, now));
     if (due && usable && sound)
     {
         take_step(late ? share_schedule::step_count - 1 : step_ + 1, now);
--- a/src/mangovane/rollout/rollout_status.hpp
+++ b/src/mangovane/rollout/rollout_status.hpp
@@ -1,5 +1,5 @@
 // What a reader of the store writes about a rollout: the status for the operators, and the system's
-// own row, which fixes the deadline. Answers writers that are lost, paused or late: each write
+// own row, which fixes the deadline. Tolerates writers that are lost, paused or late: each write
 // replaces only what its writer has read, and a final status is never replaced for the same order.
 #ifndef MANGOVANE_ROLLOUT_ROLLOUT_STATUS_HPP
 #define MANGOVANE_ROLLOUT_ROLLOUT_STATUS_HPP
--- a/src/mangovane/rollout/route_comparison.hpp
+++ b/src/mangovane/rollout/route_comparison.hpp
@@ -30,9 +30,12 @@
     /// The responses since then are as good as those of the version in force.
     [[nodiscard]] bool confirmed() const noexcept;
 
-    /// See `change_detector::balance`.
-    [[nodiscard]] double failure_balance() const noexcept { return failures_.balance(); }
-    [[nodiscard]] double slowness_balance() const noexcept { return slowness_.balance(); }
+    /// See `change_detector::log_likelihood_ratio`.
+    [[nodiscard]] double failure_ratio() const noexcept { return failures_.log_likelihood_ratio(); }
+    [[nodiscard]] double slowness_ratio() const noexcept
+    {
+        return slowness_.log_likelihood_ratio();
+    }
 
     /// Counts of a version. Slow are those that were late when they became known: a later change of
     /// the usual time does not change them.
