Search the versions of a choice in one place

Cause: choose and explain each had the loop over the versions of a request, with the seed, the time of reopening and the refusal, so that an explanation could come to differ from the choice.

Change: forward_core::search is that loop, and both call it; they differ in how tries are counted and endpoints admitted. The room of a service asks for a closed endpoint without looking it up again. Behaviour is the same.

--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -264,6 +264,35 @@
                                                               admission_filter admit,
                                                               time_point now);
 
+    /// What a search over versions has found.
+    struct search_result
+    {
+        std::optional<chosen_endpoint> chosen;
+        const version_set* versions{nullptr}; ///< The last ones that were searched.
+        /// When the first closed endpoint opens again; max: unknown.
+        time_point reopens_at{time_point::max()};
+
+        /// If there is no chosen endpoint.
+        [[nodiscard]] choice_refusal refusal() const
+        {
+            const auto at = reopens_at == time_point::max() ? time_point{} : reopens_at;
+            return {error_kind::no_endpoint, at, {}};
+        }
+    };
+
+    /// Chooses among the endpoints of the first versions that have one, and leaves the last
+    /// candidates in `eligible`. `next_count` numbers the tries and so gives each its own tie-break
+    /// seed.
+    [[nodiscard]] search_result search(candidate_set& eligible,
+                                       const routing_table& routes,
+                                       const forward_request& request,
+                                       const version_choice& versions,
+                                       std::span<const endpoint_id> excluded,
+                                       choice_purpose purpose,
+                                       absl::FunctionRef<std::uint64_t()> next_count,
+                                       admission_filter admit,
+                                       time_point now);
+
     /// The rule that chooses for a request.
     [[nodiscard]] static const placement_rule& rule_for(const candidate_query& query) noexcept;
 
--- a/src/mangovane/forward/forward_core_choice.cpp
+++ b/src/mangovane/forward/forward_core_choice.cpp
@@ -221,28 +221,16 @@
     }
     const auto key = affinity != 0 ? affinity : hash_bytes(request.request);
     const bool repeated = !excluded.empty() || purpose == choice_purpose::replacement;
-    std::optional<chosen_endpoint> chosen;
-    auto reopens_at = time_point::max();
+    const auto versions = rollouts_.choose(request.service, key, repeated, now);
+    const auto next_count = [&] { return ++choice_count_; };
     const auto admitted = [&](const placement_candidate& it) { return admit(*routes, it, now); };
-    for (const auto& versions : rollouts_.choose(request.service, key, repeated, now))
+    const auto found = search(empty_candidate_set(), *routes, request, versions, excluded, purpose,
+                              next_count, admitted, now);
+    if (!found.chosen)
     {
-        const candidate_query query{request, versions, excluded, spreads_evenly(affinity != 0)};
-        const auto seed = hash_combine(options_.seed, ++choice_count_);
-        auto& eligible = empty_candidate_set();
-        chosen = choose_among(eligible, *routes, query, purpose, seed, admitted, now);
-        if (chosen)
-        {
-            break;
-        }
-        reopens_at =
-            eligible.candidates.empty() ? std::min(reopens_at, eligible.reopens_at) : reopens_at;
-    }
-    if (!chosen)
-    {
-        return choice_refusal{error_kind::no_endpoint,
-                              reopens_at == time_point::max() ? time_point{} : reopens_at,
-                              {}};
+        return found.refusal();
     }
+    const auto& chosen = found.chosen;
     const auto& candidate = chosen->candidate;
     const auto* endpoint = routes->find(candidate.endpoint);
     const auto known = load_of(*routes, *endpoint, now);
@@ -273,6 +261,37 @@
                            known};
 }
 
+forward_core::search_result forward_core::search(candidate_set& eligible,
+                                                 const routing_table& routes,
+                                                 const forward_request& request,
+                                                 const version_choice& versions,
+                                                 std::span<const endpoint_id> excluded,
+                                                 choice_purpose purpose,
+                                                 absl::FunctionRef<std::uint64_t()> next_count,
+                                                 admission_filter admit,
+                                                 time_point now)
+{
+    search_result result;
+    const bool evenly = spreads_evenly(request.affinity() != 0);
+    for (const auto& it : versions)
+    {
+        result.versions = &it;
+        eligible.clear();
+        const candidate_query query{request, it, excluded, evenly};
+        const auto seed = hash_combine(options_.seed, next_count());
+        result.chosen = choose_among(eligible, routes, query, purpose, seed, admit, now);
+        if (result.chosen)
+        {
+            break;
+        }
+        if (eligible.candidates.empty())
+        {
+            result.reopens_at = std::min(result.reopens_at, eligible.reopens_at);
+        }
+    }
+    return result;
+}
+
 std::optional<forward_core::chosen_endpoint>
 forward_core::choose_among(candidate_set& eligible,
                            const routing_table& routes,
--- a/src/mangovane/forward/forward_core_explain.cpp
+++ b/src/mangovane/forward/forward_core_explain.cpp
@@ -30,33 +30,17 @@
     }
     const auto admitted = [&](const placement_candidate& it)
     { return would_admit(*routes, it, now); };
-    auto reopens_at = time_point::max();
     std::uint64_t count = choice_count_;
-    std::optional<chosen_endpoint> chosen;
-    const version_set* versions = nullptr;
     candidate_set eligible;
-    for (const auto& it : result.versions)
-    {
-        versions = &it;
-        const candidate_query query{request, it, {}, spreads_evenly(affinity != 0)};
-        const auto seed = hash_combine(options_.seed, ++count);
-        eligible.clear();
-        chosen =
-            choose_among(eligible, *routes, query, choice_purpose::dispatch, seed, admitted, now);
-        if (chosen)
-        {
-            break;
-        }
-        reopens_at =
-            eligible.candidates.empty() ? std::min(reopens_at, eligible.reopens_at) : reopens_at;
-    }
+    const auto found = search(
+        eligible, *routes, request, result.versions, {}, choice_purpose::dispatch,
+        [&] { return ++count; }, admitted, now);
+    const auto& chosen = found.chosen;
     if (!chosen && !result.refusal)
     {
-        result.refusal = choice_refusal{error_kind::no_endpoint,
-                                        reopens_at == time_point::max() ? time_point{} : reopens_at,
-                                        {}};
+        result.refusal = found.refusal();
     }
-    const candidate_query query{request, *versions, {}, spreads_evenly(affinity != 0)};
+    const candidate_query query{request, *found.versions, {}, spreads_evenly(affinity != 0)};
     describe_endpoints(result, *routes, query, eligible, now);
     if (chosen && !result.refusal)
     {
--- a/src/mangovane/forward/forward_core_room.cpp
+++ b/src/mangovane/forward/forward_core_room.cpp
@@ -67,7 +67,7 @@
                               const std::vector<domain_id>& suspected,
                               time_point now)
 {
-    if (routes.closed(endpoint.id) ||
+    if (routes.closed(endpoint) ||
         std::find(suspected.begin(), suspected.end(), endpoint.domain) != suspected.end())
     {
         return std::nullopt;
