--- a/test/soak/change_checker.cpp
+++ b/test/soak/change_checker.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include "soak/violation_names.hpp"
+
 #include "soak/call_text.hpp"
 #include "soak/store_backups.hpp"
 
@@ -32,19 +34,7 @@
 
 std::vector<std::string> names(const run_observations& observed)
 {
-    std::vector<std::string> result;
-    for (const auto& it : change_checker{observed}.all())
-    {
-        result.push_back(it.invariant);
-    }
-    return result;
-}
-
-const std::vector<std::string> none;
-
-std::vector<std::string> only(const std::string& name)
-{
-    return {name};
+    return violated<change_checker>(observed);
 }
 
 } // namespace
--- a/test/soak/invariant_checker.cpp
+++ b/test/soak/invariant_checker.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include "soak/violation_names.hpp"
+
 using namespace mangovane;
 using namespace mangovane::soak;
 
@@ -35,19 +37,7 @@
 
 std::vector<std::string> names(const run_observations& observed)
 {
-    std::vector<std::string> result;
-    for (const auto& it : invariant_checker{observed}.all())
-    {
-        result.push_back(it.invariant);
-    }
-    return result;
-}
-
-const std::vector<std::string> none;
-
-std::vector<std::string> only(const std::string& name)
-{
-    return {name};
+    return violated<invariant_checker>(observed);
 }
 
 } // namespace
--- a/test/soak/rollout_checker.cpp
+++ b/test/soak/rollout_checker.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include "soak/violation_names.hpp"
+
 using namespace mangovane;
 using namespace mangovane::soak;
 
@@ -46,19 +48,7 @@
 
 std::vector<std::string> names(const run_observations& observed)
 {
-    std::vector<std::string> result;
-    for (const auto& it : rollout_checker{observed}.all())
-    {
-        result.push_back(it.invariant);
-    }
-    return result;
-}
-
-const std::vector<std::string> none;
-
-std::vector<std::string> only(const std::string& name)
-{
-    return {name};
+    return violated<rollout_checker>(observed);
 }
 
 } // namespace
