Hold requests to the native front end as text

Callers saw: nothing, until the process ran out of memory. 100 callers with legal heads of 16 KB in short lines took a native router to 103,968 KB (odd lines: 54,336; short lines before a body that does not arrive: 43,328); 300 of them pass the 112 MB of small machines.

Cause: the native front end kept the parsed fields of a request, an allocation each, while its body was awaited and while it was at its endpoint, and copied the whole message twice, for the request and for each attempt.

Both front ends now read by one request_reader into one held_request: the head as text, the body once, shared with the attempt. Fields exist only between two suspensions. Head and body are charged to the budget for requests, which bounds what any number of such callers holds. The time from the first byte of a request to its last is header_timeout in both, as its description says; the native front end gave the head the idle timeout and the body another header_timeout.

The hop-by-hop fields of a caller are no longer passed on to a native endpoint.

--- a/fuzz/caller_request.cpp
+++ b/fuzz/caller_request.cpp
@@ -2,6 +2,7 @@
 // that are forwarded, and forwarded requests whose target is not a path.
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include "fuzz.hpp"
 #include "mangovane/net/caller_request.hpp"
@@ -38,16 +39,17 @@
     return result;
 }
 
-void check(const http_request& req, const settings_snapshot& settings)
+void check(const http::request<http::string_body>& req, const settings_snapshot& settings)
 {
-    const auto result = parse_caller_request(req, settings, fuzz::now);
+    const auto result = parse_caller_request(req.base(), req.body(), settings, fuzz::now);
     if (!result.ok())
     {
         fuzz::require(kind_of(result.status()).has_value());
         return;
     }
-    fuzz::require(result->forwarded.count("Authorization") == 0);
-    fuzz::require(result->forwarded.target().starts_with('/'));
+    const auto sent = endpoint_head(held_head{req.base()}, result->endpoint_target);
+    fuzz::require(sent.count("Authorization") == 0);
+    fuzz::require(sent.target().starts_with('/'));
     fuzz::require(result->routed.deadline > fuzz::now);
     fuzz::require(result->routed.key.empty() || !result->routed.idempotent ||
                   req.method() != http::verb::post);
--- a/src/mangovane/net/caller_reader.cpp
+++ b/src/mangovane/net/caller_reader.cpp
@@ -30,6 +30,32 @@
            std::string_view{"!#$%&'*+-.^_`|~"}.find(it) != std::string_view::npos;
 }
 
+/// Error for bytes that are not an acceptable request; empty if the connection failed.
+std::optional<error_kind> kind_of_bad_input(const boost::system::error_code& ec)
+{
+    if (ec == http::error::body_limit)
+    {
+        return error_kind::body_too_large;
+    }
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+    {
+        return error_kind::header_too_large;
+    }
+    const bool connection = ec == http::error::end_of_stream || ec == http::error::partial_message;
+    const bool bad = ec.category() == http::make_error_code(http::error::bad_method).category();
+    return bad && !connection ? std::optional{error_kind::malformed_request} : std::nullopt;
+}
+
+/// Why the connection ends after a failed read; `begun`: a part of a request had been read.
+session_end end_of_failed_read(const boost::system::error_code& ec, bool begun)
+{
+    if (ec == asio::error::operation_aborted)
+    {
+        return session_end::request_timeout;
+    }
+    return begun ? session_end::read_failed : session_end::caller_closed;
+}
+
 } // namespace
 
 asio::awaitable<bool> caller_reader::await_first_byte(time_point idle_deadline, owner_ptr owner)
@@ -136,7 +162,7 @@
             buffer_.try_prepare(std::min(read_bytes, buffer_.max_size() - text.size()));
         if (!room)
         {
-            co_return http::make_error_code(http::error::buffer_overflow);
+            co_return asio::error::no_memory;
         }
         boost::system::error_code ec;
         const auto n =
@@ -154,28 +180,28 @@
     }
 }
 
-std::optional<error_kind> kind_of_bad_input(const boost::system::error_code& ec)
+std::optional<request_failure> caller_reader::failure_of(const boost::system::error_code& ec,
+                                                         bool begun) const
 {
-    if (ec == http::error::body_limit)
+    if (!ec)
     {
-        return error_kind::body_too_large;
+        return std::nullopt;
     }
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+    if (ec == asio::error::no_memory || buffer_.exhausted())
     {
-        return error_kind::header_too_large;
+        return request_failure{error_kind::overloaded,
+                               "the instance holds as many requests as its memory permits",
+                               session_end::rejected};
     }
-    const bool connection = ec == http::error::end_of_stream || ec == http::error::partial_message;
-    const bool bad = ec.category() == http::make_error_code(http::error::bad_method).category();
-    return bad && !connection ? std::optional{error_kind::malformed_request} : std::nullopt;
-}
-
-session_end end_of_failed_read(const boost::system::error_code& ec, bool begun)
-{
-    if (ec == asio::error::operation_aborted)
+    if (ec == asio::error::operation_aborted && cut_)
     {
-        return session_end::request_timeout;
+        return request_failure{error_kind::stopping, "the instance stops", session_end::stop_cut};
     }
-    return begun ? session_end::read_failed : session_end::caller_closed;
+    if (const auto kind = kind_of_bad_input(ec))
+    {
+        return request_failure{*kind, ec.message(), session_end::rejected};
+    }
+    return request_failure{std::nullopt, {}, end_of_failed_read(ec, begun)};
 }
 
 } // namespace mangovane
--- a/src/mangovane/net/caller_reader.hpp
+++ b/src/mangovane/net/caller_reader.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -19,6 +20,16 @@
 namespace mangovane
 {
 
+/// Why a request was not read, and what the caller is told.
+struct request_failure
+{
+    std::optional<error_kind> refusal; ///< Empty: the connection ends without a response.
+    std::string reason;                ///< For the response.
+    session_end end{session_end::read_failed};
+
+    auto operator<=>(const request_failure&) const = default;
+};
+
 /// Used by the sessions of both front ends. All functions are called on the socket's executor,
 /// which must be a strand. `owner` keeps the session, and with it the socket and the reader, alive
 /// while an operation is pending.
@@ -32,6 +43,8 @@
         : socket_{socket}, deadline_{socket.get_executor()}, buffer_{budget}
     {}
 
+    [[nodiscard]] boost::asio::ip::tcp::socket& socket() noexcept { return socket_; }
+
     /// Bytes that were read ahead.
     [[nodiscard]] charged_buffer& buffer() noexcept { return buffer_; }
 
@@ -64,6 +77,11 @@
                    : ec;
     }
 
+    /// What a failed read of a request means; `begun`: a part of the request had arrived. Empty if
+    /// `ec` is no error.
+    [[nodiscard]] std::optional<request_failure> failure_of(const boost::system::error_code& ec,
+                                                            bool begun) const;
+
     /// Records that a request has been read.
     void on_request_read() noexcept { ++requests_; }
     [[nodiscard]] std::uint32_t requests() const noexcept { return requests_; }
@@ -76,7 +94,6 @@
     /// Ends the pending wait or read, and those that follow, as the grace period of a stop has
     /// ended. What has arrived by now is still read.
     void cut(const owner_ptr& owner);
-    [[nodiscard]] bool is_cut() const noexcept { return cut_; }
 
     /// Whether bytes of the caller were not read.
     [[nodiscard]] bool has_unread_bytes()
@@ -101,12 +118,6 @@
     bool cut_{false};
 };
 
-/// Error for bytes that are not an acceptable request; empty if the connection failed.
-[[nodiscard]] std::optional<error_kind> kind_of_bad_input(const boost::system::error_code& ec);
-
-/// Why the connection ends after a failed read; `begun`: a part of a request had been read.
-[[nodiscard]] session_end end_of_failed_read(const boost::system::error_code& ec, bool begun);
-
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/net/caller_request.cpp
+++ b/src/mangovane/net/caller_request.cpp
@@ -11,6 +11,7 @@
 #include <boost/json.hpp>
 
 #include "mangovane/core/error_kind.hpp"
+#include "mangovane/net/http_serialization.hpp"
 #include "mangovane/settings/digest.hpp"
 
 namespace mangovane
@@ -22,6 +23,8 @@
 namespace json = boost::json;
 namespace http = boost::beast::http;
 
+using request_head = held_head::request_head;
+
 constexpr std::string_view chat_target = "/v1/chat/completions";
 constexpr std::string_view service_prefix = "/services/";
 constexpr std::size_t max_id_bytes = 256; ///< Of a request id, chat id or idempotency key.
@@ -32,10 +35,10 @@
     return {text.data(), text.size()};
 }
 
-std::string_view field(const http_request& req, const char* name)
+std::string_view field(const request_head& head, const char* name)
 {
-    const auto it = req.find(name);
-    return it == req.end() ? std::string_view{} : view_of(it->value());
+    const auto it = head.find(name);
+    return it == head.end() ? std::string_view{} : view_of(it->value());
 }
 
 absl::Status malformed(std::string_view message)
@@ -43,10 +46,10 @@
     return make_error(error_kind::malformed_request, message);
 }
 
-const account_policy* authenticate(const http_request& req, const settings_snapshot& settings)
+const account_policy* authenticate(const request_head& head, const settings_snapshot& settings)
 {
     constexpr std::string_view scheme = "Bearer ";
-    const auto value = field(req, "Authorization");
+    const auto value = field(head, "Authorization");
     if (!value.starts_with(scheme))
     {
         return nullptr;
@@ -56,9 +59,9 @@
 }
 
 absl::StatusOr<time_point>
-read_deadline(const http_request& req, const account_policy& account, time_point now)
+read_deadline(const request_head& head, const account_policy& account, time_point now)
 {
-    const auto text = field(req, header::deadline_ms);
+    const auto text = field(head, header::deadline_ms);
     if (text.empty())
     {
         if (account.default_deadline == milliseconds{0})
@@ -125,16 +128,17 @@
     return nullptr;
 }
 
-absl::Status read_chat_completion(const http_request& req,
+absl::Status read_chat_completion(const request_head& head,
+                                  const std::string& body_text,
                                   const settings_snapshot& settings,
                                   std::string& chat,
                                   caller_request& out)
 {
-    if (req.method() != http::verb::post)
+    if (head.method() != http::verb::post)
     {
         return malformed("chat completions require the method POST");
     }
-    auto body = read_chat_body(req.body());
+    auto body = read_chat_body(body_text);
     if (!body.ok())
     {
         return body.status();
@@ -158,9 +162,9 @@
 }
 
 absl::Status
-read_service_call(const http_request& req, const settings_snapshot& settings, caller_request& out)
+read_service_call(const request_head& head, const settings_snapshot& settings, caller_request& out)
 {
-    auto rest = view_of(req.target()).substr(service_prefix.size());
+    auto rest = view_of(head.target()).substr(service_prefix.size());
     const auto end = rest.find_first_of("/?");
     const auto name = rest.substr(0, end);
     const auto* service = settings.find_service(service_id::of(name));
@@ -172,14 +176,15 @@
     out.service_name = service->name;
     const auto path = end == std::string_view::npos ? std::string_view{} : rest.substr(end);
     // A query may follow the service name directly, but a request target must start with a path.
-    out.forwarded.target(absl::StrCat(path.starts_with('/') ? "" : "/", std::string{path}));
-    out.routed.idempotent = req.method() == http::verb::get || req.method() == http::verb::head;
+    out.endpoint_target = absl::StrCat(path.starts_with('/') ? "" : "/", std::string{path});
+    out.routed.idempotent = head.method() == http::verb::get || head.method() == http::verb::head;
     return absl::OkStatus();
 }
 
-absl::Status read_class(const http_request& req, const account_policy& account, routed_request& out)
+absl::Status
+read_class(const request_head& head, const account_policy& account, routed_request& out)
 {
-    const auto text = field(req, header::priority);
+    const auto text = field(head, header::priority);
     out.priority = account.default_class;
     if (text.empty())
     {
@@ -195,19 +200,21 @@
     return absl::OkStatus();
 }
 
-std::uint64_t fingerprint_of(const http_request& req)
+std::uint64_t fingerprint_of(const request_head& head, const std::string& body)
 {
-    const auto method = hash_bytes(view_of(req.method_string()));
-    const auto target = hash_bytes(view_of(req.target()));
-    return hash_combine(hash_combine(method, target), hash_bytes(req.body()));
+    const auto method = hash_bytes(view_of(head.method_string()));
+    const auto target = hash_bytes(view_of(head.target()));
+    return hash_combine(hash_combine(method, target), hash_bytes(body));
 }
 
 } // namespace
 
-absl::StatusOr<caller_request>
-parse_caller_request(const http_request& req, const settings_snapshot& settings, time_point now)
+absl::StatusOr<caller_request> parse_caller_request(const request_head& head,
+                                                    const std::string& body,
+                                                    const settings_snapshot& settings,
+                                                    time_point now)
 {
-    const auto* account = authenticate(req, settings);
+    const auto* account = authenticate(head, settings);
     if (account == nullptr)
     {
         return make_error(error_kind::unauthenticated, "the caller key is missing or unknown");
@@ -215,36 +222,35 @@
     caller_request result;
     result.account_name = account->name;
     result.routed.account = account->id;
-    result.forwarded = req;
-    result.forwarded.erase("Authorization");
-    auto deadline = read_deadline(req, *account, now);
+    result.endpoint_target = std::string{view_of(head.target())};
+    auto deadline = read_deadline(head, *account, now);
     if (!deadline.ok())
     {
         return deadline.status();
     }
     result.routed.deadline = *deadline;
-    result.routed.request = std::string{field(req, header::request)};
-    result.routed.key = std::string{field(req, header::idempotency_key)};
-    std::string chat{field(req, header::chat)};
+    result.routed.request = std::string{field(head, header::request)};
+    result.routed.key = std::string{field(head, header::idempotency_key)};
+    std::string chat{field(head, header::chat)};
     if (result.routed.request.size() > max_id_bytes || result.routed.key.size() > max_id_bytes ||
         chat.size() > max_id_bytes)
     {
         return malformed("a request id, chat id or idempotency key is longer than 256 bytes");
     }
-    if (auto status = read_class(req, *account, result.routed); !status.ok())
+    if (auto status = read_class(head, *account, result.routed); !status.ok())
     {
         return status;
     }
-    const auto target = view_of(req.target());
+    const auto target = view_of(head.target());
     absl::Status status =
         make_error(error_kind::unknown_service, "no API path matches the request target");
     if (target == chat_target)
     {
-        status = read_chat_completion(req, settings, chat, result);
+        status = read_chat_completion(head, body, settings, chat, result);
     }
     else if (target.starts_with(service_prefix))
     {
-        status = read_service_call(req, settings, result);
+        status = read_service_call(head, settings, result);
     }
     if (!status.ok())
     {
@@ -254,8 +260,17 @@
     {
         result.routed.chat = chat_id{hash_combine(result.routed.account.value(), hash_bytes(chat))};
     }
-    result.routed.hint = decode_affinity(field(req, header::affinity));
-    result.routed.fingerprint = fingerprint_of(req);
+    result.routed.hint = decode_affinity(field(head, header::affinity));
+    result.routed.fingerprint = fingerprint_of(head, body);
+    return result;
+}
+
+held_head::request_head endpoint_head(const held_head& head, const std::string& target)
+{
+    auto result = head.expand();
+    remove_hop_by_hop_fields(result);
+    result.erase("Authorization");
+    result.target(target);
     return result;
 }
 
--- a/src/mangovane/net/caller_request.hpp
+++ b/src/mangovane/net/caller_request.hpp
@@ -5,19 +5,15 @@
 #include <string>
 #include <string_view>
 
-#include <absl/status/statusor.h>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include "mangovane/core/error_kind.hpp"
+#include "mangovane/net/held_head.hpp"
 #include "mangovane/routing/routed_request.hpp"
 #include "mangovane/settings/snapshot.hpp"
+#include <absl/status/statusor.h>
 
 namespace mangovane
 {
 
-using http_request = boost::beast::http::request<boost::beast::http::string_body>;
-
 /// Names of HTTP headers exchanged between callers, instances and endpoints.
 namespace header
 {
@@ -31,19 +27,27 @@
 inline constexpr const char* idempotency_key = "Idempotency-Key";
 } // namespace header
 
-/// A request accepted for routing, with the HTTP message to forward.
+/// A request accepted for routing.
 struct caller_request
 {
     routed_request routed;
     std::string account_name;
     std::string service_name;
-    http_request forwarded; ///< Message for the endpoint, without the caller's credentials.
+    std::string endpoint_target; ///< Request target at the endpoint.
 };
 
 /// Authenticates and parses a request. The account is determined by the caller's key alone.
 /// Errors: unauthenticated, unknown_service, malformed_request, deadline_invalid.
 [[nodiscard]] absl::StatusOr<caller_request>
-parse_caller_request(const http_request& req, const settings_snapshot& settings, time_point now);
+parse_caller_request(const held_head::request_head& head,
+                     const std::string& body,
+                     const settings_snapshot& settings,
+                     time_point now);
+
+/// Head of a request for its endpoint: without the caller's credentials and the fields of its
+/// connection.
+[[nodiscard]] held_head::request_head endpoint_head(const held_head& head,
+                                                    const std::string& target);
 
 /// Affinity token: ids of the endpoints that may have a chat's prompt prefix cached, most recent
 /// first. Decoding returns no locations if the token is malformed.
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -2,18 +2,16 @@
 // responses.
 #include "mangovane/net/caller_session.hpp"
 
-#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 
-#include "mangovane/net/caller_connection.hpp"
 #include "mangovane/net/graceful_close.hpp"
 #include "mangovane/net/http_serialization.hpp"
+#include "mangovane/net/request_reader.hpp"
 #include "mangovane/net/spawn.hpp"
 
 namespace mangovane
@@ -77,16 +75,16 @@
 {
     while (keep_alive_)
     {
-        auto req = co_await read_request();
-        if (!req)
+        const bool read = co_await read_request();
+        if (!read)
         {
             break;
         }
         reader_.on_request_read();
-        idle_ = false;
-        keep_alive_ = req->keep_alive();
-        is_head_request_ = req->method() == http::verb::head;
-        co_await serve(*req);
+        keep_alive_ = held_->keep_alive;
+        is_head_request_ = held_->head.method() == http::verb::head;
+        co_await serve();
+        held_.reset();
         idle_ = true;
     }
 }
@@ -182,73 +180,63 @@
     co_return begun;
 }
 
-asio::awaitable<std::optional<http_request>> caller_session::read_request()
+asio::awaitable<bool> caller_session::read_request()
 {
-    parser p;
-    p.header_limit(services_.limits.callers.header_bytes);
-    p.body_limit(services_.limits.callers.body_bytes);
-    auto& buffer = reader_.buffer();
-    buffer.max_size(
-        std::max<std::size_t>(services_.limits.callers.header_bytes, min_read_buffer_bytes));
+    const auto& limits = services_.limits.callers;
     const bool begun = co_await await_first_byte();
     if (!begun)
     {
-        co_return std::nullopt;
+        co_return false;
     }
     idle_ = false;
     response_started_ = false;
-    beast::error_code ec;
-    reader_.start_deadline(clock::now() + services_.limits.callers.idle_timeout,
-                           shared_from_this());
-    ec = co_await reader_.read_head_bytes(services_.limits.callers.header_bytes);
-    ec = ec ? ec : reader_.parse_head(p);
+    held_ = std::make_shared<held_request>(services_.held_requests);
+    request_reader request{reader_, *held_, limits};
+    reader_.start_deadline(clock::now() + limits.header_timeout, shared_from_this());
+    auto ec = co_await request.read_head();
+    ec = ec ? ec : request.hold_head();
     if (!ec)
     {
-        reader_.start_deadline(clock::now() + services_.limits.callers.header_timeout,
-                               shared_from_this());
-        co_await http::async_read(socket_, buffer, p,
-                                  asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await request.read_body();
     }
     reader_.stop_deadline();
-    if (!ec)
+    auto failure = reader_.failure_of(ec, request.begun());
+    if (!failure)
     {
-        co_return p.release();
+        co_return true;
     }
-    if (const auto bad = kind_of_bad_input(ec))
+    note_end(failure->end);
+    if (failure->end == session_end::stop_cut)
     {
-        note_end(session_end::rejected);
-        keep_alive_ = false;
-        std::string reason = ec.message();
-        co_await refuse_early(*bad, std::move(reason));
+        services_.stop.count_refused();
     }
-    if (ec == asio::error::operation_aborted && reader_.is_cut())
+    if (failure->refusal)
     {
-        note_end(session_end::stop_cut);
-        services_.stop.count_refused();
-        co_await refuse_early(error_kind::stopping, "the instance stops");
+        keep_alive_ = false;
+        co_await refuse_early(*failure->refusal, std::move(failure->reason));
     }
-    note_end(end_of_failed_read(ec, buffer.size() != 0 || p.got_some()));
-    co_return std::nullopt;
+    co_return false;
 }
 
-asio::awaitable<void> caller_session::serve(const http_request& req)
+asio::awaitable<void> caller_session::serve()
 {
-    if (req.target() == "/healthz")
+    const auto& target = held_->head.target();
+    if (target == "/healthz")
     {
-        co_await serve_local(req, 200, "ok\n");
+        co_await serve_local(200, "ok\n");
         co_return;
     }
-    if (req.target() == "/readyz")
+    if (target == "/readyz")
     {
         const bool ready = services_.ready.load();
         const unsigned status = ready ? 200 : 503;
         std::string text = ready ? "ready\n" : "not ready\n";
-        co_await serve_local(req, status, std::move(text));
+        co_await serve_local(status, std::move(text));
         co_return;
     }
-    if (req.target() == "/metrics")
+    if (target == "/metrics")
     {
-        co_await serve_local(req, 200, services_.metrics_text());
+        co_await serve_local(200, services_.metrics_text());
         co_return;
     }
     const auto settings = services_.core.settings().current();
@@ -257,7 +245,7 @@
         co_await refuse_early(error_kind::not_ready, "the instance has not received settings yet");
         co_return;
     }
-    auto routed = parse_caller_request(req, *settings, clock::now());
+    auto routed = parse_caller_request(held_->head.expand(), *held_->body, *settings, clock::now());
     if (!routed.ok())
     {
         std::string reason{routed.status().message()};
@@ -272,10 +260,10 @@
     co_await route(std::move(*routed));
 }
 
-asio::awaitable<void>
-caller_session::serve_local(const http_request& req, unsigned status, std::string text)
+asio::awaitable<void> caller_session::serve_local(unsigned status, std::string text)
 {
-    if (req.method() != http::verb::get && req.method() != http::verb::head)
+    const auto method = held_->head.method();
+    if (method != http::verb::get && method != http::verb::head)
     {
         co_await refuse_early(error_kind::malformed_request,
                               "this path requires the method GET or HEAD");
@@ -370,7 +358,9 @@
 {
     attempt_parameters params;
     params.action = action;
-    params.request = request_->forwarded;
+    params.request = held_;
+    params.target = request_->endpoint_target;
+    params.head_only = is_head_request_;
     params.idempotent = request_->routed.idempotent;
     params.store_response = !request_->routed.key.empty();
     keep_alive_ = keep_alive_ && !reader_.draining() && !services_.stop.stopping();
--- a/src/mangovane/net/caller_session.hpp
+++ b/src/mangovane/net/caller_session.hpp
@@ -8,8 +8,6 @@
 #include <optional>
 #include <string>
 
-#include <boost/beast/http/parser.hpp>
-
 #include "mangovane/net/caller_reader.hpp"
 #include "mangovane/net/endpoint_attempt.hpp"
 #include "mangovane/net/request_exchange.hpp"
@@ -43,17 +41,15 @@
     boost::asio::awaitable<bool> write_to_caller(boost::asio::const_buffer buf) override;
 
 private:
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     boost::asio::awaitable<void> serve_requests();
     /// Reports the failure, ends the attempt, and answers the request if nothing has been sent.
     boost::asio::awaitable<void> on_failure(std::exception_ptr error);
     boost::asio::awaitable<bool> await_first_byte();
-    boost::asio::awaitable<std::optional<http_request>> read_request();
-    boost::asio::awaitable<void> serve(const http_request& req);
+    /// Reads the next request into `held_`. False if there is none.
+    boost::asio::awaitable<bool> read_request();
+    boost::asio::awaitable<void> serve();
     /// Responds without an endpoint: readiness, metrics and the like.
-    boost::asio::awaitable<void>
-    serve_local(const http_request& req, unsigned status, std::string text);
+    boost::asio::awaitable<void> serve_local(unsigned status, std::string text);
     boost::asio::awaitable<void> route(caller_request req);
     boost::asio::awaitable<void> watch_caller(std::shared_ptr<request_exchange> ex);
     /// Writes an error response to a request that was rejected before routing.
@@ -77,7 +73,8 @@
     socket_deadline close_deadline_; ///< A write may still be pending when the connection ends.
     std::shared_ptr<request_exchange> exchange_; ///< Of the current request; null between requests.
     std::shared_ptr<endpoint_attempt> attempt_;  ///< Null between attempts.
-    std::optional<caller_request> request_;      ///< Current request.
+    std::shared_ptr<held_request> held_;         ///< Current request; null between requests.
+    std::optional<caller_request> request_;      ///< The same, after it was accepted for routing.
     request_record record_;
     time_point accepted_at_; ///< When the current request was read.
     bool keep_alive_{true};
--- a/src/mangovane/net/endpoint_attempt.cpp
+++ b/src/mangovane/net/endpoint_attempt.cpp
@@ -9,10 +9,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include "mangovane/net/address.hpp"
+#include "mangovane/net/http_serialization.hpp"
 #include "mangovane/net/peek.hpp"
 
 namespace mangovane
@@ -104,27 +105,34 @@
 
 asio::awaitable<bool> endpoint_attempt::send()
 {
-    auto& req = params_.request;
-    req.set(header::attempt, to_string(params_.action.attempt));
-    req.set(header::deadline_ms, std::to_string(remaining_ms(params_.deadline, clock::now())));
-    req.set(http::field::host, params_.action.address);
-    req.keep_alive(false);
-    req.prepare_payload();
+    auto head = request_head_text();
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head),
+                                                    asio::buffer(*params_.request->body)};
     sent_at_ = clock::now();
     // Bytes may reach the endpoint even if the write fails, so the request may run from here on.
     result_.may_have_reached_endpoint = true;
     beast::error_code ec;
     socket_->expire_at(params_.deadline, is_writable);
-    co_await http::async_write(socket_->socket(), req,
+    co_await asio::async_write(socket_->socket(), buffers,
                                asio::redirect_error(asio::use_awaitable, ec));
+    params_.request.reset();
     co_return may_continue(ec);
 }
 
+std::string endpoint_attempt::request_head_text() const
+{
+    const auto& request = *params_.request;
+    auto head = endpoint_head(request.head, params_.target);
+    head.set(header::attempt, to_string(params_.action.attempt));
+    head.set(header::deadline_ms, std::to_string(remaining_ms(params_.deadline, clock::now())));
+    head.set(http::field::host, params_.action.address);
+    return serialize_head(head, framing_of(request.head.method(), request.body->size()), false);
+}
+
 asio::awaitable<bool> endpoint_attempt::read_header()
 {
-    const bool head_only = params_.request.method() == http::verb::head;
     socket_->expire_at(params_.deadline, is_readable);
-    const auto ec = co_await read_final_head(socket_->socket(), buffer_, parser_, head_only,
+    const auto ec = co_await read_final_head(socket_->socket(), buffer_, parser_, params_.head_only,
                                              limits_.callers.header_bytes);
     co_return may_continue(ec);
 }
@@ -189,7 +197,7 @@
 asio::awaitable<void> endpoint_attempt::relay()
 {
     const auto& res = parser_->get();
-    chunked_ = !parser_->content_length() && params_.request.method() != http::verb::head &&
+    chunked_ = !parser_->content_length() && !params_.head_only &&
                res.result() != http::status::no_content;
     const auto it = res.find(http::field::content_type);
     if (it != res.end())
--- a/src/mangovane/net/endpoint_attempt.hpp
+++ b/src/mangovane/net/endpoint_attempt.hpp
@@ -11,6 +11,7 @@
 #include "mangovane/net/caller_request.hpp"
 #include "mangovane/net/final_head.hpp"
 #include "mangovane/net/frontend_services.hpp"
+#include "mangovane/net/held_request.hpp"
 #include "mangovane/net/timed_socket.hpp"
 
 namespace mangovane
@@ -30,11 +31,13 @@
     virtual boost::asio::awaitable<bool> write_to_caller(boost::asio::const_buffer buf) = 0;
 };
 
-/// Request of an attempt and how its response is handled.
+/// Request of an attempt, and how its response is handled.
 struct attempt_parameters
 {
     send_attempt action;
-    http_request request;
+    std::shared_ptr<const held_request> request; ///< Null once it has been written.
+    std::string target;                          ///< Request target at the endpoint.
+    bool head_only{false};                       ///< The response has no body.
     bool idempotent{false};
     bool store_response{false}; ///< Store the response with the idempotency claim.
     bool keep_alive{true};      ///< Keep the caller's connection open after the response.
@@ -81,6 +84,7 @@
     /// Whether an operation was successful and the attempt may go on.
     [[nodiscard]] bool may_continue(const boost::system::error_code& ec);
     [[nodiscard]] bool is_usable();
+    [[nodiscard]] std::string request_head_text() const;
     [[nodiscard]] std::string response_head_text() const;
     void append_to_stored(const char* data, std::size_t n);
 
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -36,11 +36,6 @@
 /// Time until another endpoint is looked for again for an attempt that has stalled.
 constexpr milliseconds stall_check_interval{200};
 
-bool may_have_body(http::verb method)
-{
-    return method != http::verb::get && method != http::verb::head && method != http::verb::delete_;
-}
-
 } // namespace
 
 void forward_session::start_call_deadline(time_point at)
@@ -118,13 +113,12 @@
     {
         resume = resume_point{*current.events.last_id(), current.weights_version};
     }
-    auto received = current.head.expand();
+    auto received = current.held.head.expand();
     remove_hop_by_hop_fields(received);
     const auto head = services_.dialect.write(std::move(received), current.flow->request(), step,
                                               resume, clock::now());
-    const bool framed = may_have_body(current.head.method()) || !current.body->empty();
-    const auto length = framed ? std::optional<std::uint64_t>{current.body->size()} : std::nullopt;
-    return serialize_head(head, {false, length}, false);
+    const auto framing = framing_of(current.held.head.method(), current.held.body->size());
+    return serialize_head(head, framing, false);
 }
 
 asio::awaitable<attempt_result> forward_session::attempt(const send_step& step)
@@ -159,7 +153,7 @@
         call->close();
         co_return attempt_result::outdated;
     }
-    call->send(upstream_head_text(step), current.body);
+    call->send(upstream_head_text(step), current.held.body);
     start_call_deadline(std::min(deadline, step.first_byte_deadline));
     const auto result = co_await read_answer(step);
     call_deadline_.stop();
@@ -189,7 +183,7 @@
 asio::awaitable<attempt_result> forward_session::read_answer(const send_step& step)
 {
     auto& current = *current_;
-    const bool head_only = current.head.method() == http::verb::head;
+    const bool head_only = current.held.head.method() == http::verb::head;
     current.endpoint_error = co_await call_->read_head(head_only);
     if (current.endpoint_error)
     {
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -207,7 +207,7 @@
                         seconds{1});
         co_return;
     }
-    auto request = services_.dialect.read(current.head.expand(), settings, now);
+    auto request = services_.dialect.read(current.held.head.expand(), settings, now);
     if (!request.ok())
     {
         std::string reason{request.status().message()};
@@ -219,7 +219,7 @@
     {
         services_.core.on_accepted(*request);
     }
-    request->bytes = current.head.bytes() + current.body->size();
+    request->bytes = current.held.head.bytes() + current.held.body->size();
     current.flow.emplace(std::move(*request), services_.core);
     watch_caller();
     auto step = admitted ? current.flow->start(now) : current.flow->refuse_late();
@@ -394,7 +394,7 @@
 {
     auto& current = *current_;
     current.status = answer.head.result_int();
-    const bool bodiless = current.head.method() == http::verb::head ||
+    const bool bodiless = current.held.head.method() == http::verb::head ||
                           current.status == no_content || current.status == not_modified;
     const auto length = bodiless ? std::nullopt : std::optional<std::uint64_t>{answer.body.size()};
     keep_alive_ = keep_alive();
@@ -422,7 +422,7 @@
         head.set(http::field::retry_after, std::string{absl::StrCat(seconds_after)});
     }
     current_->status = answer.http_status;
-    const bool bodiless = current_->head.method() == http::verb::head;
+    const bool bodiless = current_->held.head.method() == http::verb::head;
     const auto body = error_body(kind, message);
     keep_alive_ = keep_alive();
     auto bytes = serialize_head(head, {false, body.size()}, keep_alive_);
@@ -453,7 +453,7 @@
     if (!current.flow)
     {
         services_.log.write(absl::StrCat("event=refused request=", current.request_id,
-                                         " target=", current.head.target(), " outcome=",
+                                         " target=", current.held.head.target(), " outcome=",
                                          absl::string_view{outcome.data(), outcome.size()}),
                             now);
         return;
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -9,13 +9,10 @@
 #include <span>
 #include <string>
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include "mangovane/net/caller_reader.hpp"
 #include "mangovane/net/event_boundary.hpp"
 #include "mangovane/net/forward_services.hpp"
-#include "mangovane/net/held_head.hpp"
+#include "mangovane/net/held_request.hpp"
 #include "mangovane/net/http_serialization.hpp"
 #include "mangovane/net/session_end.hpp"
 #include "mangovane/net/socket_deadline.hpp"
@@ -25,6 +22,8 @@
 namespace mangovane
 {
 
+class request_reader;
+
 namespace internal
 {
 
@@ -55,14 +54,10 @@
 /// State of the request that is being served.
 struct served_request
 {
-    explicit served_request(byte_budget& budget) noexcept : reservation{budget} {}
+    explicit served_request(byte_budget& budget) noexcept : held{budget} {}
 
-    byte_reservation reservation; ///< Covers the head and the body.
-    held_head head;
+    held_request held;
     std::string request_id; ///< For logs.
-    std::shared_ptr<const std::string> body;
-    bool expects_continue{false};
-    bool exhausted{false}; ///< The body did not fit into the budget.
     std::optional<forward_flow> flow;
     std::optional<buffered_response> error_response; ///< Error response of the last attempt.
     std::string endpoint_name;                       ///< Endpoint of the last attempt.
@@ -96,8 +91,6 @@
     void request_cut();
 
 private:
-    using request_type = boost::beast::http::request<boost::beast::http::string_body>;
-    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using error_code = boost::system::error_code;
 
     using current_request = internal::served_request;
@@ -135,11 +128,9 @@
 
     // Implemented in forward_read.cpp: reading of requests.
     boost::asio::awaitable<bool> read_request();
-    /// Keeps the head of the request as text and frees its fields. False if the budget for requests
-    /// does not have the bytes.
-    [[nodiscard]] bool hold_head(request_parser& p);
-    /// Reads the body. Trailers are not kept: they belong to the connection's framing.
-    boost::asio::awaitable<error_code> read_body(request_parser& p);
+    /// Reads the head and the body of the current request.
+    boost::asio::awaitable<std::optional<request_failure>> receive(request_reader& request);
+    boost::asio::awaitable<error_code> read_body(request_reader& request);
     boost::asio::awaitable<bool> await_first_byte(const http_limits& limits);
 
     // Implemented in forward_wait.cpp: waits for admission.
--- a/src/mangovane/net/http_serialization.cpp
+++ b/src/mangovane/net/http_serialization.cpp
@@ -77,6 +77,14 @@
     }
 }
 
+body_framing framing_of(http::verb method, std::size_t body_bytes)
+{
+    const bool bodiless =
+        method == http::verb::get || method == http::verb::head || method == http::verb::delete_;
+    const bool framed = !bodiless || body_bytes != 0;
+    return {false, framed ? std::optional<std::uint64_t>{body_bytes} : std::nullopt};
+}
+
 std::string
 serialize_head(const http::request_header<>& head, const body_framing& framing, bool keep_alive)
 {
--- a/src/mangovane/net/http_serialization.hpp
+++ b/src/mangovane/net/http_serialization.hpp
@@ -2,12 +2,14 @@
 #ifndef MANGOVANE_NET_HTTP_SERIALIZATION_HPP
 #define MANGOVANE_NET_HTTP_SERIALIZATION_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/verb.hpp>
 
 namespace mangovane
 {
@@ -24,6 +26,9 @@
     bool operator==(const body_framing&) const = default;
 };
 
+/// Framing of a request whose body is known: without a length only if the method has no body.
+[[nodiscard]] body_framing framing_of(boost::beast::http::verb method, std::size_t body_bytes);
+
 /// Request line, fields and the terminating empty line; `Connection: close` unless `keep_alive`.
 [[nodiscard]] std::string serialize_head(const boost::beast::http::request_header<>& head,
                                          const body_framing& framing,
--- a/test/mangovane/net/caller_request.cpp
+++ b/test/mangovane/net/caller_request.cpp
@@ -3,6 +3,8 @@
 // a request that is wrongly taken as idempotent could be executed twice.
 #include "mangovane/net/caller_request.hpp"
 
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <doctest/doctest.h>
 
 #include "mangovane/core/error_kind.hpp"
@@ -14,6 +16,8 @@
 namespace
 {
 
+using http_request = http::request<http::string_body>;
+
 settings_snapshot make_settings()
 {
     settings_snapshot result;
@@ -44,9 +48,15 @@
     return req;
 }
 
+absl::StatusOr<caller_request>
+parse(const http_request& req, const settings_snapshot& settings, time_point now)
+{
+    return parse_caller_request(req.base(), req.body(), settings, now);
+}
+
 error_kind kind_of_result(const http_request& req)
 {
-    const auto result = parse_caller_request(req, make_settings(), time_point{seconds{1}});
+    const auto result = parse(req, make_settings(), time_point{seconds{1}});
     REQUIRE_FALSE(result.ok());
     return *kind_of(result.status());
 }
@@ -96,16 +106,18 @@
 
     SUBCASE("is forwarded without its credentials")
     {
-        const auto result = parse_caller_request(req, make_settings(), time_point{});
+        const auto result = parse(req, make_settings(), time_point{});
         REQUIRE(result.ok());
-        CHECK(result->forwarded.count("Authorization") == 0);
+        const auto sent = endpoint_head(held_head{req.base()}, result->endpoint_target);
+        CHECK(sent.count("Authorization") == 0);
+        CHECK(sent[header::deadline_ms] == "5000");
+        CHECK(sent.target() == "/v1/chat/completions");
         CHECK(result->routed.idempotent);
 
         SUBCASE("and is not idempotent if it has an idempotency key")
         {
             req.set(header::idempotency_key, "k");
-            CHECK_FALSE(
-                parse_caller_request(req, make_settings(), time_point{})->routed.idempotent);
+            CHECK_FALSE(parse(req, make_settings(), time_point{})->routed.idempotent);
         }
     }
 
@@ -113,15 +125,15 @@
     {
         const auto settings = make_settings();
         const auto get = make_request(http::verb::get, "/services/ebi-ledger/pledges?id=1", "");
-        const auto read = parse_caller_request(get, settings, time_point{});
+        const auto read = parse(get, settings, time_point{});
         REQUIRE(read.ok());
         CHECK(read->routed.idempotent);
-        CHECK(read->forwarded.target() == "/pledges?id=1");
+        CHECK(read->endpoint_target == "/pledges?id=1");
         const auto query = make_request(http::verb::get, "/services/ebi-ledger?id=1", "");
         // A target that consists of a query alone would be refused by endpoints.
-        CHECK(parse_caller_request(query, settings, time_point{})->forwarded.target() == "/?id=1");
+        CHECK(parse(query, settings, time_point{})->endpoint_target == "/?id=1");
         const auto post = make_request(http::verb::post, "/services/ebi-ledger/pledges", "{}");
-        CHECK_FALSE(parse_caller_request(post, settings, time_point{})->routed.idempotent);
+        CHECK_FALSE(parse(post, settings, time_point{})->routed.idempotent);
     }
 }
 
