Parse all chunks that were read at once

Callers saw: 600 callers that send a body in chunks of one byte keep both threads of a router busy; ordinary callers wait behind them.

Cause: a session suspended, and was queued again, for each chunk header and each piece of a body, although the bytes were in its buffer already: 4,007 steps of the reactor for 2,000 chunks on routes, 8,007 for 4,000 in the native front end with the same reader.

A session now parses everything that it has read before it reads again, 4 KB at a time where the length is not known and at most 16 KB. A chunk costs its bytes, and sessions that always have bytes ready take turns after each read.

The processor time of the 600 callers was not measured again.

--- a/src/mangovane/net/caller_reader.cpp
+++ b/src/mangovane/net/caller_reader.cpp
@@ -158,16 +158,7 @@
             co_return http::make_error_code(http::error::header_limit);
         }
         searched = text.size() - std::min(text.size(), end_of_head.size() - 1);
-        const auto room =
-            buffer_.try_prepare(std::min(read_bytes, buffer_.max_size() - text.size()));
-        if (!room)
-        {
-            co_return asio::error::no_memory;
-        }
-        boost::system::error_code ec;
-        const auto n =
-            co_await socket_.async_read_some(*room, asio::redirect_error(asio::use_awaitable, ec));
-        buffer_.commit(n);
+        const auto ec = co_await read_some(read_bytes);
         if (ec == asio::error::eof)
         {
             co_return http::make_error_code(buffer_.size() == 0 ? http::error::end_of_stream
@@ -180,6 +171,25 @@
     }
 }
 
+asio::awaitable<boost::system::error_code> caller_reader::read_some(std::size_t n)
+{
+    const auto left = buffer_.max_size() - buffer_.size();
+    if (left == 0)
+    {
+        co_return http::make_error_code(http::error::buffer_overflow);
+    }
+    const auto room = buffer_.try_prepare(std::min(n, left));
+    if (!room)
+    {
+        co_return asio::error::no_memory;
+    }
+    boost::system::error_code ec;
+    const auto count =
+        co_await socket_.async_read_some(*room, asio::redirect_error(asio::use_awaitable, ec));
+    buffer_.commit(count);
+    co_return ec;
+}
+
 std::optional<request_failure> caller_reader::failure_of(const boost::system::error_code& ec,
                                                          bool begun) const
 {
--- a/src/mangovane/net/caller_reader.hpp
+++ b/src/mangovane/net/caller_reader.hpp
@@ -62,6 +62,10 @@
     /// `header_limit` for a head of more than `limit` bytes, `end_of_stream`, `partial_message`.
     boost::asio::awaitable<boost::system::error_code> read_head_bytes(std::size_t limit);
 
+    /// Reads at most `n` bytes into the buffer. Errors: `no_memory` if the budget does not have
+    /// them, `buffer_overflow` if the buffer is full, and those of the socket.
+    boost::asio::awaitable<boost::system::error_code> read_some(std::size_t n);
+
     /// Parses a head that `read_head_bytes` has read, without a suspension.
     template <class Parser>
     [[nodiscard]] boost::system::error_code parse_head(Parser& parser)
--- a/src/mangovane/net/request_reader.cpp
+++ b/src/mangovane/net/request_reader.cpp
@@ -5,10 +5,8 @@
 #include <utility>
 
 #include <boost/asio/error.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include "mangovane/net/caller_connection.hpp"
 
@@ -19,6 +17,15 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
+namespace
+{
+
+/// Bytes of a body that are read at a time, if its length is not known, and at most.
+constexpr std::size_t read_bytes = std::size_t{4} * 1024;
+constexpr std::size_t max_read_bytes = std::size_t{16} * 1024;
+
+} // namespace
+
 request_reader::request_reader(caller_reader& connection,
                                held_request& request,
                                const http_limits& limits)
@@ -52,12 +59,16 @@
 
 asio::awaitable<request_reader::error_code> request_reader::read_body()
 {
-    error_code ec;
+    parser_.eager(true);
+    auto ec = parse_body();
     while (!ec && !parser_.is_done())
     {
-        co_await http::async_read_some(connection_.socket(), connection_.buffer(), parser_,
-                                       asio::redirect_error(asio::use_awaitable, ec));
-        ec = ec ? ec : charge_body();
+        ec = co_await connection_.read_some(next_read_bytes());
+        if (ec == asio::error::eof)
+        {
+            ec = http::make_error_code(http::error::partial_message);
+        }
+        ec = ec ? ec : parse_body();
     }
     if (!ec)
     {
@@ -68,6 +79,27 @@
     co_return ec;
 }
 
+request_reader::error_code request_reader::parse_body()
+{
+    auto& buffer = connection_.buffer();
+    error_code ec;
+    while (!ec && !parser_.is_done() && buffer.size() != 0)
+    {
+        buffer.consume(parser_.put(buffer.data(), ec));
+    }
+    if (ec == http::error::need_more)
+    {
+        ec = {};
+    }
+    return ec ? ec : charge_body();
+}
+
+std::size_t request_reader::next_read_bytes() const
+{
+    const auto left = parser_.content_length_remaining().value_or(read_bytes);
+    return static_cast<std::size_t>(std::clamp<std::uint64_t>(left, 1, max_read_bytes));
+}
+
 request_reader::error_code request_reader::charge_body()
 {
     const auto& body = parser_.get().body();
--- a/src/mangovane/net/request_reader.hpp
+++ b/src/mangovane/net/request_reader.hpp
@@ -45,8 +45,13 @@
     [[nodiscard]] bool begun() const;
 
 private:
+    /// Parses what was read of the body, however many chunks that is: their number must not decide
+    /// how often the session suspends.
+    [[nodiscard]] error_code parse_body();
     /// Charges what the body takes so far.
     [[nodiscard]] error_code charge_body();
+    /// How much to read next.
+    [[nodiscard]] std::size_t next_read_bytes() const;
 
     caller_reader& connection_;
     held_request& request_;
