Bound the connections of callers by the descriptors of the process

Callers saw: with 200 descriptors and 600 connections that send nothing, a first byte or a part of a head, none got an answer while these lasted, and the process had no descriptor for endpoints, the store and other instances.

Cause: nothing bounded the connections that a process accepts. An unfinished request has its deadline, but newcomers take each descriptor that becomes free.

connection_limit gives callers and their requests at endpoints what is left of the descriptors after 320 and two for each instance, at least half: 2,524 of the 2,870 of the smallest machines, so 2,500 idle connections stay legal. A new connection, or a request that needs one to its endpoint, makes another one close: one whose last response is sent, then one whose request has not come for a second, then the longest idle one, then any that is receiving. A request that has arrived is served; an unfinished one gets 503 overloaded, not run. What is being served is never closed. Only if all connections are serving is a new one closed at once.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -108,7 +108,8 @@
                    metrics,
                    {},
                    byte_budget{max_held_response_bytes},
-                   byte_budget{options.request_memory_mb * std::size_t{1024} * 1024}},
+                   byte_budget{options.request_memory_mb * std::size_t{1024} * 1024},
+                   std::make_shared<caller_resources>(caller_descriptors(1))},
           server{io, services}, ready_pages{io, [this](const monitoring_request&)
                                             { return ready_page(); }},
           metric_pages{io, [this](const monitoring_request& req) { return operator_page(req); }},
@@ -130,6 +131,8 @@
     }
 
     [[nodiscard]] absl::Status listen();
+    /// Descriptors for callers and their requests in a fleet of so many instances.
+    [[nodiscard]] std::size_t caller_descriptors(std::size_t instances) const;
     [[nodiscard]] monitoring_response ready_page() const;
     [[nodiscard]] monitoring_response operator_page(const monitoring_request& req);
     [[nodiscard]] std::string metrics_text();
@@ -194,6 +197,11 @@
     return status;
 }
 
+std::size_t forward_router::state::caller_descriptors(std::size_t instances) const
+{
+    return descriptors_for_callers(descriptor_limit(options.descriptors), instances);
+}
+
 monitoring_response forward_router::state::ready_page() const
 {
     const bool is_ready = ready.load() && !services.stop.stopping();
@@ -257,6 +265,7 @@
     }
     applied_view_version = view->version();
     peers.set_peers(*view);
+    services.callers->connections.set_limit(caller_descriptors(view->members().size()));
     log.write(absl::StrCat("event=members_changed version=", applied_view_version, " members=",
                            view->members().size(), " eligible=", view->eligible_count()),
               now);
--- a/src/mangovane/daemon/forward_router_options.cpp
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -63,6 +63,8 @@
     add("threads", po::value(&out.threads)->default_value(2), "threads, 1 to 64");
     add("request-memory-mb", po::value(&out.request_memory_mb)->default_value(32),
         "memory for all requests that are read or not answered yet, 1 to 65536");
+    add("descriptors", po::value(&out.descriptors)->default_value(0),
+        "descriptors that the process may open; 0, or more than its own limit: that limit");
     add("drain-delay-ms", po::value(&raw.drain_delay_ms)->default_value(2500),
         "from SIGTERM until connections are refused, 0 to 600000");
     add("grace-ms", po::value(&raw.grace_ms)->default_value(8000),
--- a/src/mangovane/daemon/forward_router_options.hpp
+++ b/src/mangovane/daemon/forward_router_options.hpp
@@ -32,6 +32,7 @@
     milliseconds drain_delay{2500};      ///< From the stop signal until connections are refused.
     milliseconds grace_period{8000};     ///< From the stop signal until the process ends.
     std::uint32_t request_memory_mb{32}; ///< For all requests that are read and held.
+    std::uint32_t descriptors{0}; ///< That the process may open; 0: the limit of the process.
     fleet_policy fleet;
     admission_policy admission;
     rollout_policy rollouts; ///< Not enabled unless the deployment states its share.
--- a/src/mangovane/daemon/process.cpp
+++ b/src/mangovane/daemon/process.cpp
@@ -1,6 +1,9 @@
 // Implementation of the setup shared by the daemons.
 #include "mangovane/daemon/process.hpp"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <chrono>
 #include <thread>
 #include <vector>
@@ -32,6 +35,14 @@
     return result;
 }
 
+std::size_t descriptor_limit(std::uint32_t stated)
+{
+    rlimit own{};
+    ::getrlimit(RLIMIT_NOFILE, &own);
+    const std::size_t limit{own.rlim_cur};
+    return stated == 0 ? limit : std::min<std::size_t>(limit, stated);
+}
+
 void run_threads(boost::asio::io_context& io, std::uint32_t count)
 {
     std::vector<std::thread> threads;
--- a/src/mangovane/daemon/process.hpp
+++ b/src/mangovane/daemon/process.hpp
@@ -2,6 +2,7 @@
 #ifndef MANGOVANE_DAEMON_PROCESS_HPP
 #define MANGOVANE_DAEMON_PROCESS_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -22,6 +23,9 @@
 [[nodiscard]] peer_network_options make_peer_options(const member& self,
                                                      const std::string& cluster_key);
 
+/// Descriptors that this process may open: its limit, or `stated` if that is less and not 0.
+[[nodiscard]] std::size_t descriptor_limit(std::uint32_t stated);
+
 /// Runs the context on `count` threads, including the calling one, until it stops.
 void run_threads(boost::asio::io_context& io, std::uint32_t count);
 
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -77,10 +77,18 @@
           claims_platform{options.platform.empty() ? nullptr
                                                    : make_http_platform(io, options.platform)},
           claims{io, platform ? static_cast<table_service&>(*claims_platform) : no_table, core},
-          requests{metrics, options.verbose},
-          services{core, claims, requests, ready, [this] { return metrics_text(false); }, {}}, server{io, services},
-          operators{io,
-                    {status_provider, [this] { return metrics_text(true); }, options.cluster_key}},
+          requests{metrics, options.verbose}, services{core,
+                                                       claims,
+                                                       requests,
+                                                       ready,
+                                                       [this] { return metrics_text(false); },
+                                                       {},
+                                                       byte_budget{default_request_budget},
+                                                       std::make_shared<caller_resources>(
+                                                           caller_descriptors(1))},
+          server{io, services}, operators{io,
+                                          {status_provider, [this] { return metrics_text(true); },
+                                           options.cluster_key}},
           signals{io, SIGTERM, SIGINT}, ticker{asio::make_strand(io)}, drain_timer{io}
     {
         if (platform)
@@ -94,6 +102,8 @@
 
     [[nodiscard]] absl::Status load_static();
     [[nodiscard]] absl::Status listen();
+    /// Descriptors for callers and their requests in a fleet of so many instances.
+    [[nodiscard]] std::size_t caller_descriptors(std::size_t instances) const;
     [[nodiscard]] std::string metrics_text(bool for_operators) const;
     void tick();
     void log_endpoints(time_point now);
@@ -174,6 +184,11 @@
     return status;
 }
 
+std::size_t router::state::caller_descriptors(std::size_t instances) const
+{
+    return descriptors_for_callers(descriptor_limit(options.descriptors), instances);
+}
+
 std::string router::state::metrics_text(bool for_operators) const
 {
     const auto age = platform_sync ? platform_sync->settings_age(clock::now()) : std::nullopt;
@@ -200,6 +215,7 @@
     if (log.on_view(*view))
     {
         peers.set_peers(*view);
+        services.callers->connections.set_limit(caller_descriptors(view->members().size()));
     }
     log.on_settings(core.settings().current());
     log_endpoints(now);
--- a/src/mangovane/daemon/router_options.cpp
+++ b/src/mangovane/daemon/router_options.cpp
@@ -53,6 +53,8 @@
     add("threads", po::value(&out.threads)->default_value(4), "threads, 1 to 64");
     add("chat-capacity", po::value(&out.chat_capacity)->default_value(1U << 20U),
         "chats tracked by this instance, 1024 to 4194304");
+    add("descriptors", po::value(&out.descriptors)->default_value(0),
+        "descriptors that the process may open; 0, or more than its own limit: that limit");
     add("drain-delay-ms", po::value(&raw.drain_delay_ms)->default_value(3000),
         "from SIGTERM until connections are refused, 0 to 600000");
     add("grace-ms", po::value(&raw.grace_ms)->default_value(600000),
--- a/src/mangovane/net/caller_reader.cpp
+++ b/src/mangovane/net/caller_reader.cpp
@@ -58,13 +58,89 @@
 
 } // namespace
 
+bool caller_reader::open(connection_limit::evict_handler on_evicted)
+{
+    place_ = resources_->connections.admit(std::move(on_evicted), clock::now());
+    return place_.has_value();
+}
+
+void caller_reader::begin_closing()
+{
+    closing_ = true;
+    place_->enter(connection_phase::closing, clock::now());
+    if (place_->evicted())
+    {
+        close();
+    }
+}
+
+void caller_reader::evict()
+{
+    if (!place_->evicted())
+    {
+        return;
+    }
+    if (closing_)
+    {
+        close();
+        return;
+    }
+    if (waiting_ && peek(socket_) == peek_result::data)
+    {
+        place_->keep();
+        return;
+    }
+    evicted_ = true;
+    if (waiting_ || reading_)
+    {
+        cancel();
+    }
+}
+
+void caller_reader::close()
+{
+    boost::system::error_code ec;
+    socket_.close(ec);
+}
+
+session_end caller_reader::end_of_wait() const noexcept
+{
+    if (evicted_)
+    {
+        return session_end::evicted;
+    }
+    return draining_ ? session_end::stopped : session_end::idle;
+}
+
+std::optional<request_failure> caller_reader::begin_serving()
+{
+    if (!place_->begin_serving(clock::now()))
+    {
+        return request_failure{error_kind::overloaded,
+                               "the instance serves as many requests as its connections permit",
+                               session_end::rejected};
+    }
+    evicted_ = false;
+    ++requests_;
+    return std::nullopt;
+}
+
 asio::awaitable<bool> caller_reader::await_first_byte(time_point idle_deadline, owner_ptr owner)
 {
+    if (evicted_)
+    {
+        co_return false;
+    }
+    const auto now = clock::now();
     if (buffer_.size() != 0)
     {
+        place_->enter(connection_phase::receiving, now);
         co_return true;
     }
-    const auto now = clock::now();
+    if (requests_ != 0)
+    {
+        place_->enter(connection_phase::idle, now);
+    }
     const auto deadline = draining_ ? now + first_request_wait : idle_deadline;
     start_idle_deadline(cut_ ? now : deadline, std::move(owner));
     waiting_ = true;
@@ -74,7 +150,12 @@
     waiting_ = false;
     deadline_.stop();
     // Bytes may have arrived between the last look at the socket and the end of the wait.
-    co_return !ec || peek(socket_) == peek_result::data;
+    const bool begun = !evicted_ && (!ec || peek(socket_) == peek_result::data);
+    if (begun && requests_ != 0)
+    {
+        place_->enter(connection_phase::receiving, clock::now());
+    }
+    co_return begun;
 }
 
 void caller_reader::start_idle_deadline(time_point at, owner_ptr owner)
@@ -187,6 +268,10 @@
     const auto count =
         co_await socket_.async_read_some(*room, asio::redirect_error(asio::use_awaitable, ec));
     buffer_.commit(count);
+    if (evicted_)
+    {
+        co_return asio::error::operation_aborted;
+    }
     co_return ec;
 }
 
@@ -203,6 +288,12 @@
                                "the instance holds as many requests as its memory permits",
                                session_end::rejected};
     }
+    if (ec == asio::error::operation_aborted && evicted_)
+    {
+        return request_failure{error_kind::overloaded,
+                               "the request was not complete when others needed its connection",
+                               session_end::evicted};
+    }
     if (ec == asio::error::operation_aborted && cut_)
     {
         return request_failure{error_kind::stopping, "the instance stops", session_end::stop_cut};
--- a/src/mangovane/net/caller_reader.hpp
+++ b/src/mangovane/net/caller_reader.hpp
@@ -6,12 +6,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include "mangovane/core/error_kind.hpp"
+#include "mangovane/net/caller_resources.hpp"
 #include "mangovane/net/charged_buffer.hpp"
 #include "mangovane/net/peek.hpp"
 #include "mangovane/net/session_end.hpp"
@@ -39,19 +41,29 @@
     using owner_ptr = std::shared_ptr<void>;
 
     /// The socket and the budget for requests outlive the reader.
-    caller_reader(boost::asio::ip::tcp::socket& socket, byte_budget& budget)
-        : socket_{socket}, deadline_{socket.get_executor()}, buffer_{budget}
+    caller_reader(boost::asio::ip::tcp::socket& socket,
+                  std::shared_ptr<caller_resources> resources,
+                  byte_budget& budget)
+        : socket_{socket}, deadline_{socket.get_executor()},
+          resources_{std::move(resources)}, buffer_{budget}
     {}
 
+    /// Takes a place among the open connections. False: there is none, and the connection has to be
+    /// closed. `on_evicted` is called from any thread when the connection should call `evict`.
+    [[nodiscard]] bool open(connection_limit::evict_handler on_evicted);
+
     [[nodiscard]] boost::asio::ip::tcp::socket& socket() noexcept { return socket_; }
 
     /// Bytes that were read ahead.
     [[nodiscard]] charged_buffer& buffer() noexcept { return buffer_; }
 
     /// Waits for the first byte of the next request. False if none arrived until the idle deadline,
-    /// or for `first_request_wait` while the instance stops.
+    /// or for `first_request_wait` while the instance stops, or if the connection was evicted.
     boost::asio::awaitable<bool> await_first_byte(time_point idle_deadline, owner_ptr owner);
 
+    /// Why `await_first_byte` has returned false.
+    [[nodiscard]] session_end end_of_wait() const noexcept;
+
     /// Starts the deadline for the next part of a request; the pending read then fails with
     /// `operation_aborted`. Call `stop_deadline` when the read has ended.
     void start_deadline(time_point at, const owner_ptr& owner);
@@ -86,8 +98,9 @@
     [[nodiscard]] std::optional<request_failure> failure_of(const boost::system::error_code& ec,
                                                             bool begun) const;
 
-    /// Records that a request has been read.
-    void on_request_read() noexcept { ++requests_; }
+    /// Records that a request has been read, before it is served. A failure if the process has no
+    /// descriptor for its endpoint.
+    [[nodiscard]] std::optional<request_failure> begin_serving();
     [[nodiscard]] std::uint32_t requests() const noexcept { return requests_; }
 
     /// The instance stops: an idle connection ends, one that was never used after
@@ -95,6 +108,13 @@
     void drain(const owner_ptr& owner);
     [[nodiscard]] bool draining() const noexcept { return draining_; }
 
+    /// The last response has been sent.
+    void begin_closing();
+
+    /// Ends the connection for others, unless a request has arrived whole meanwhile: an unfinished
+    /// one fails with `operation_aborted`.
+    void evict();
+
     /// Ends the pending wait or read, and those that follow, as the grace period of a stop has
     /// ended. What has arrived by now is still read.
     void cut(const owner_ptr& owner);
@@ -109,17 +129,22 @@
     void start_idle_deadline(time_point at, owner_ptr owner);
     void start_read_deadline(time_point at, const owner_ptr& owner);
     void cancel();
+    void close();
     /// Whether bytes of the caller, or the end of its connection, have arrived and were not read.
     [[nodiscard]] bool has_arrived() { return peek(socket_) != peek_result::no_data; }
 
     boost::asio::ip::tcp::socket& socket_;
     socket_deadline deadline_;
+    std::shared_ptr<caller_resources> resources_;
+    std::optional<connection_place> place_; ///< Set by `open`.
     charged_buffer buffer_;
     std::uint32_t requests_{0};
     bool waiting_{false}; ///< `await_first_byte` is pending; `buffer_` is empty.
     bool reading_{false}; ///< Between `start_deadline` and `stop_deadline`.
     bool draining_{false};
     bool cut_{false};
+    bool closing_{false};
+    bool evicted_{false};
 };
 
 } // namespace mangovane
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -32,7 +32,8 @@
 } // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket, frontend_services& services)
-    : socket_{std::move(socket)}, services_{services}, reader_{socket_, services_.held_requests},
+    : socket_{std::move(socket)}, services_{services}, reader_{socket_, services_.callers,
+                                                               services_.held_requests},
       write_deadline_{socket_.get_executor()}, close_deadline_{socket_.get_executor()}
 {}
 
@@ -55,6 +56,7 @@
     }
     note_end(session_end::after_response);
     services_.observer.on_session_end(descriptor_of(*end_).name);
+    reader_.begin_closing();
     const auto& end = descriptor_of(*end_);
     if (end.graceful)
     {
@@ -80,7 +82,6 @@
         {
             break;
         }
-        reader_.on_request_read();
         keep_alive_ = held_->keep_alive;
         is_head_request_ = held_->head.method() == http::verb::head;
         co_await serve();
@@ -134,6 +135,11 @@
     }
 }
 
+void caller_session::request_eviction()
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->reader_.evict(); });
+}
+
 void caller_session::request_cut()
 {
     boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->cut(); });
@@ -175,7 +181,7 @@
     const bool begun = co_await reader_.await_first_byte(idle_deadline, shared_from_this());
     if (!begun)
     {
-        note_end(reader_.draining() ? session_end::stopped : session_end::idle);
+        note_end(reader_.end_of_wait());
     }
     co_return begun;
 }
@@ -202,6 +208,10 @@
     reader_.stop_deadline();
     auto failure = reader_.failure_of(ec, request.begun());
     if (!failure)
+    {
+        failure = reader_.begin_serving();
+    }
+    if (!failure)
     {
         co_return true;
     }
--- a/src/mangovane/net/caller_session.hpp
+++ b/src/mangovane/net/caller_session.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "mangovane/net/caller_reader.hpp"
 #include "mangovane/net/endpoint_attempt.hpp"
@@ -25,6 +26,12 @@
     /// The socket's executor must be a strand. The services outlive the session.
     caller_session(boost::asio::ip::tcp::socket socket, frontend_services& services);
 
+    /// Takes a place among the open connections; see `caller_reader::open`.
+    [[nodiscard]] bool open(connection_limit::evict_handler on_evicted)
+    {
+        return reader_.open(std::move(on_evicted));
+    }
+
     /// Serves the connection until it is closed.
     boost::asio::awaitable<void> run();
 
@@ -32,6 +39,10 @@
     /// A request that has arrived is served. Thread-safe.
     void request_drain();
 
+    /// Ends the connection, because others need its descriptor, unless a request is being served.
+    /// Thread-safe.
+    void request_eviction();
+
     /// Ends the connection now, as the grace period of a stop has ended. A request without a
     /// response is answered, a response that has begun ends incomplete. Thread-safe.
     void request_cut();
--- a/src/mangovane/net/forward_read.cpp
+++ b/src/mangovane/net/forward_read.cpp
@@ -39,7 +39,7 @@
     const bool begun = co_await reader_.await_first_byte(idle_deadline, shared_from_this());
     if (!begun)
     {
-        note_end(reader_.draining() ? session_end::stopped : session_end::idle);
+        note_end(reader_.end_of_wait());
     }
     co_return begun;
 }
@@ -59,6 +59,10 @@
     auto failure = co_await receive(request);
     reader_.stop_deadline();
     if (!failure)
+    {
+        failure = reader_.begin_serving();
+    }
+    if (!failure)
     {
         co_return true;
     }
@@ -91,8 +95,8 @@
     if (!ec && ambiguous)
     {
         co_return request_failure{error_kind::malformed_request,
-                               "the message framing or the Host header is ambiguous",
-                               session_end::rejected};
+                                  "the message framing or the Host header is ambiguous",
+                                  session_end::rejected};
     }
     if (!ec)
     {
--- a/src/mangovane/net/forward_services.hpp
+++ b/src/mangovane/net/forward_services.hpp
@@ -7,6 +7,7 @@
 #include "mangovane/forward/forward_core.hpp"
 #include "mangovane/net/admission_waits.hpp"
 #include "mangovane/net/byte_budget.hpp"
+#include "mangovane/net/caller_resources.hpp"
 #include "mangovane/net/crash_check.hpp"
 #include "mangovane/net/endpoint_connections.hpp"
 #include "mangovane/net/http_dialect.hpp"
@@ -48,6 +49,7 @@
     forward_timeouts timeouts;
     byte_budget held_responses{max_held_response_bytes};
     byte_budget held_requests{default_request_budget}; ///< Being read, or not answered yet.
+    std::shared_ptr<caller_resources> callers{std::make_shared<caller_resources>()};
     stop_state stop; ///< While the instance stops, responses close the connection.
     /// Shared with the calls, some of which are destroyed only with their executor.
     std::shared_ptr<endpoint_connections> connections{std::make_shared<endpoint_connections>()};
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -44,7 +44,8 @@
 } // namespace
 
 forward_session::forward_session(asio::ip::tcp::socket socket, forward_services& services)
-    : socket_{std::move(socket)}, services_{services}, reader_{socket_, services_.held_requests},
+    : socket_{std::move(socket)}, services_{services}, reader_{socket_, services_.callers,
+                                                               services_.held_requests},
       write_deadline_{socket_.get_executor()}, call_deadline_{socket_.get_executor()}
 {}
 
@@ -68,6 +69,7 @@
     }
     note_end(session_end::after_response);
     report_end();
+    reader_.begin_closing();
     const auto& end = descriptor_of(*end_);
     if (end.graceful)
     {
@@ -93,7 +95,6 @@
         {
             break;
         }
-        reader_.on_request_read();
         co_await serve();
         current_.reset();
     }
@@ -153,6 +154,11 @@
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->reader_.drain(self); });
 }
 
+void forward_session::request_eviction()
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->reader_.evict(); });
+}
+
 void forward_session::request_cut()
 {
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->cut(); });
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 
 #include "mangovane/net/caller_reader.hpp"
 #include "mangovane/net/event_boundary.hpp"
@@ -79,6 +80,12 @@
     /// the session.
     forward_session(boost::asio::ip::tcp::socket socket, forward_services& services);
 
+    /// Takes a place among the open connections; see `caller_reader::open`.
+    [[nodiscard]] bool open(connection_limit::evict_handler on_evicted)
+    {
+        return reader_.open(std::move(on_evicted));
+    }
+
     /// Serves the connection until it is closed.
     boost::asio::awaitable<void> run();
 
@@ -86,6 +93,10 @@
     /// A request that has arrived is served. Thread-safe.
     void request_drain();
 
+    /// Ends the connection, because others need its descriptor, unless a request is being served.
+    /// Thread-safe.
+    void request_eviction();
+
     /// Ends the connection now, as the grace period of a stop has ended. A request without a
     /// response is answered, a response that has begun ends incomplete. Thread-safe.
     void request_cut();
--- a/src/mangovane/net/session_end.hpp
+++ b/src/mangovane/net/session_end.hpp
@@ -26,9 +26,11 @@
     response_cut,    ///< The response could not be completed.
     stop_cut,        ///< The grace period of a stop ended during a request.
     failed,          ///< An exception ended the session.
+    evicted,         ///< A new connection needed the descriptor.
+    not_admitted,    ///< The connection was new, and no other one could be closed for it.
 };
 
-inline constexpr std::size_t session_end_count = 13;
+inline constexpr std::size_t session_end_count = 15;
 
 /// How a connection that ends for a reason is reported and closed.
 struct session_end_descriptor
@@ -61,6 +63,8 @@
     {session_end::response_cut, "response_cut", false, true, false},
     {session_end::stop_cut, "stop_cut", false, true, false},
     {session_end::failed, "failed", true, true, false},
+    {session_end::evicted, "evicted", false, false, false},
+    {session_end::not_admitted, "not_admitted", false, false, false},
 }};
 
 [[nodiscard]] constexpr bool
--- a/src/mangovane/net/session_server.hpp
+++ b/src/mangovane/net/session_server.hpp
@@ -15,14 +15,15 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 
+#include "mangovane/net/session_end.hpp"
 #include "mangovane/net/spawn.hpp"
 #include "mangovane/net/tcp_acceptor.hpp"
 
 namespace mangovane
 {
 
-/// `Session` is constructible from a socket and the services, and has `run`,
-/// `request_drain` and `request_cut`.
+/// `Session` is constructible from a socket and the services, and has `open`, `run`,
+/// `request_drain`, `request_cut` and `request_eviction`.
 template <class Session, class Services>
 class session_server
 {
@@ -86,6 +87,18 @@
     {
         const auto executor = socket.get_executor();
         auto session = std::make_shared<Session>(std::move(socket), services_);
+        const auto on_evicted = [weak = std::weak_ptr{session}]
+        {
+            if (const auto it = weak.lock())
+            {
+                it->request_eviction();
+            }
+        };
+        if (!session->open(on_evicted))
+        {
+            services_.observer.on_session_end(descriptor_of(session_end::not_admitted).name);
+            return;
+        }
         {
             const std::lock_guard lock{mutex_};
             sessions_.insert(session);
