Bound the connections to the other listeners

Operators and callers saw: 600 connections with a first byte to the readiness, metrics or peer port of a process with 200 descriptors took 201 of them; neither the front end nor the readiness check was answered while they lasted. The operators' port closed each connection beyond 64 at once, so that 64 such connections kept operators out for 30 s.

Cause: the monitoring servers and the peer network accepted any number of connections, and a peer's hello had no deadline.

A monitoring server has 32 places and the operators' API 64, with the choice of connection_limit: the connection that has waited longest for a request is closed for a new one. A peer gets 5 s for its hello, and at most 128 connections wait for theirs.

--- a/src/mangovane/net/monitoring_server.cpp
+++ b/src/mangovane/net/monitoring_server.cpp
@@ -30,7 +30,8 @@
 } // namespace
 
 monitoring_server::monitoring_server(asio::io_context& io, monitoring_handler handler)
-    : io_{io}, handler_{std::move(handler)}, acceptor_{asio::make_strand(io)}
+    : io_{io}, handler_{std::move(handler)}, acceptor_{asio::make_strand(io)},
+      connections_{std::make_shared<connection_limit>(max_monitoring_connections)}
 {}
 
 absl::Status monitoring_server::listen(const std::string& address)
@@ -40,19 +41,24 @@
         return status;
     }
     port_ = acceptor_.local_endpoint().port();
-    const auto on_socket = [this](asio::ip::tcp::socket it)
-    {
-        const auto executor = it.get_executor();
-        spawn(executor, "monitoring_session", serve(std::move(it)));
-    };
+    const auto on_socket = [this](asio::ip::tcp::socket it) { start_session(std::move(it)); };
     spawn(acceptor_.get_executor(), "accept_monitoring",
           accept_connections(acceptor_, io_, on_socket));
     return absl::OkStatus();
 }
 
-asio::awaitable<void> monitoring_server::serve(asio::ip::tcp::socket socket)
+void monitoring_server::start_session(asio::ip::tcp::socket socket)
+{
+    const auto executor = socket.get_executor();
+    if (auto connection = limited_stream::open(connections_, std::move(socket)))
+    {
+        spawn(executor, "monitoring_session", serve(std::move(connection)));
+    }
+}
+
+asio::awaitable<void> monitoring_server::serve(std::shared_ptr<limited_stream> connection)
 {
-    beast::tcp_stream stream{std::move(socket)};
+    auto& stream = connection->stream();
     beast::flat_buffer buf{max_read_buffer_bytes};
     bool open = true;
     while (open)
@@ -76,6 +82,7 @@
         reply.keep_alive(parser.get().keep_alive());
         reply.prepare_payload();
         co_await http::async_write(stream, reply, asio::redirect_error(asio::use_awaitable, ec));
+        connection->on_answered();
         open = !ec && reply.keep_alive();
     }
 }
--- a/src/mangovane/net/monitoring_server.hpp
+++ b/src/mangovane/net/monitoring_server.hpp
@@ -3,6 +3,7 @@
 #define MANGOVANE_NET_MONITORING_SERVER_HPP
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -11,9 +12,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "mangovane/net/limited_stream.hpp"
+
 namespace mangovane
 {
 
+/// Concurrent connections of a monitoring server; the one that has waited longest is closed for a
+/// further one.
+inline constexpr std::size_t max_monitoring_connections = 32;
+
 /// Method and target of a request.
 struct monitoring_request
 {
@@ -50,11 +57,13 @@
     [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
 
 private:
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    void start_session(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> serve(std::shared_ptr<limited_stream> connection);
 
     boost::asio::io_context& io_;
     const monitoring_handler handler_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    const std::shared_ptr<connection_limit> connections_; ///< At most `max_monitoring_connections`.
     std::uint16_t port_{0};
 };
 
--- a/src/mangovane/net/operator_server.cpp
+++ b/src/mangovane/net/operator_server.cpp
@@ -110,7 +110,8 @@
 }
 
 operator_server::operator_server(asio::io_context& io, operator_services services)
-    : io_{io}, services_{std::move(services)}, acceptor_{asio::make_strand(io)}
+    : io_{io}, services_{std::move(services)}, acceptor_{asio::make_strand(io)},
+      connections_{std::make_shared<connection_limit>(max_operator_connections)}
 {}
 
 absl::Status operator_server::listen(const std::string& address)
@@ -139,19 +140,16 @@
 
 void operator_server::start_session(asio::ip::tcp::socket socket)
 {
-    if (open_connections_ >= max_operator_connections)
+    const auto executor = socket.get_executor();
+    if (auto connection = limited_stream::open(connections_, std::move(socket)))
     {
-        return;
+        spawn(executor, "operator_session", serve(std::move(connection)));
     }
-    ++open_connections_;
-    const auto executor = socket.get_executor();
-    spawn(executor, "operator_session", serve(std::move(socket)),
-          [this](bool) { --open_connections_; });
 }
 
-asio::awaitable<void> operator_server::serve(asio::ip::tcp::socket socket)
+asio::awaitable<void> operator_server::serve(std::shared_ptr<limited_stream> connection)
 {
-    beast::tcp_stream stream{std::move(socket)};
+    auto& stream = connection->stream();
     beast::flat_buffer buf{max_read_buffer_bytes};
     bool keep_alive = true;
     while (keep_alive && !stopped_)
@@ -171,6 +169,7 @@
         keep_alive = reply.keep_alive();
         stream.expires_after(write_timeout);
         co_await http::async_write(stream, reply, asio::redirect_error(asio::use_awaitable, ec));
+        connection->on_answered();
         keep_alive = keep_alive && !ec;
     }
     boost::system::error_code ec;
--- a/src/mangovane/net/operator_server.hpp
+++ b/src/mangovane/net/operator_server.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include <absl/status/status.h>
@@ -12,11 +13,16 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "mangovane/net/limited_stream.hpp"
 #include "mangovane/net/operator_status.hpp"
 
 namespace mangovane
 {
 
+/// Concurrent connections of operators; the one that has waited longest is closed for a further
+/// one.
+inline constexpr std::size_t max_operator_connections = 64;
+
 /// Data that the API serves. The status source outlives the server.
 struct operator_services
 {
@@ -48,19 +54,16 @@
 
 private:
     void start_session(boost::asio::ip::tcp::socket socket);
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> serve(std::shared_ptr<limited_stream> connection);
 
     boost::asio::io_context& io_;
     operator_services services_;
     boost::asio::ip::tcp::acceptor acceptor_; ///< Used on its strand after `listen`.
     std::uint16_t port_{0};
-    std::atomic<std::uint32_t> open_connections_{0}; ///< At most `max_operator_connections`.
+    const std::shared_ptr<connection_limit> connections_; ///< At most `max_operator_connections`.
     std::atomic<bool> stopped_{false};
 };
 
-/// Concurrent connections of operators; further ones are closed immediately.
-inline constexpr std::uint32_t max_operator_connections = 64;
-
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/net/peer_context.hpp
+++ b/src/mangovane/net/peer_context.hpp
@@ -11,6 +11,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include "mangovane/message/message.hpp"
+#include "mangovane/net/connection_limit.hpp"
 
 namespace mangovane
 {
@@ -44,6 +45,10 @@
 /// Receives a message and the id of its sender.
 using peer_message_handler = std::function<void(instance_id, const message&)>;
 
+/// Accepted connections on which no valid hello has arrived; the oldest is closed for a further
+/// one.
+inline constexpr std::size_t max_unauthenticated_peers = 128;
+
 namespace internal
 {
 
@@ -61,6 +66,7 @@
 {
     peer_network_options options; ///< Does not change after `listen`.
     peer_message_handler handler;
+    connection_limit unauthenticated{max_unauthenticated_peers}; ///< Accepted connections.
     peer_counters counters;
     /// Called with the address in the hello of an accepted connection.
     std::function<void(instance_id, const std::string&)> on_peer_address;
--- a/src/mangovane/net/peer_network.cpp
+++ b/src/mangovane/net/peer_network.cpp
@@ -62,6 +62,10 @@
 {
     const auto executor = socket.get_executor();
     auto session = std::make_shared<internal::peer_session>(std::move(socket), context_);
+    if (!session->open())
+    {
+        return;
+    }
     {
         const std::lock_guard lock{mutex_};
         sessions_.insert(session);
--- a/src/mangovane/net/peer_session.cpp
+++ b/src/mangovane/net/peer_session.cpp
@@ -12,6 +12,7 @@
 #include <glog/logging.h>
 
 #include "mangovane/net/hello_mac.hpp"
+#include "mangovane/net/peek.hpp"
 #include "mangovane/net/socket_options.hpp"
 
 namespace mangovane::internal
@@ -29,17 +30,49 @@
 /// A peer that acknowledges no data for this long is unreachable or has lost power.
 constexpr milliseconds dead_peer_timeout{5000};
 
+/// A peer sends its hello as soon as it is connected.
+constexpr milliseconds hello_timeout{5000};
+
 } // namespace
 
 peer_session::peer_session(asio::ip::tcp::socket socket, std::shared_ptr<peer_context> context)
-    : socket_{std::move(socket)}, context_{std::move(context)}
+    : socket_{std::move(socket)}, context_{std::move(context)}, hello_deadline_{
+                                                                    socket_.get_executor()}
 {}
 
+bool peer_session::open()
+{
+    const auto on_evicted = [weak = weak_from_this()]
+    {
+        if (const auto it = weak.lock())
+        {
+            it->close();
+        }
+    };
+    place_ = context_->unauthenticated.admit(on_evicted, clock::now());
+    return place_.has_value();
+}
+
+void peer_session::start_hello_deadline()
+{
+    hello_deadline_.start(
+        clock::now() + hello_timeout,
+        [self = shared_from_this()] { return peek(self->socket_) == peek_result::data; },
+        [self = shared_from_this()]
+        {
+            error_code ec;
+            self->socket_.close(ec);
+        });
+}
+
 asio::awaitable<void> peer_session::run(std::shared_ptr<peer_session> self)
 {
     enable_dead_peer_detection(self->socket_, dead_peer_timeout);
+    self->start_hello_deadline();
     bool open = co_await self->read_frame(max_hello_bytes);
+    self->hello_deadline_.stop();
     auto status = open ? self->accept_hello() : absl::OkStatus();
+    self->place_.reset();
     while (open && status.ok())
     {
         open = co_await self->read_frame(max_settings_frame_bytes);
