Let unfinished requests give their memory up

Callers saw: callers that begin requests and do not finish them held the budget for requests until their deadline, and ordinary requests got 503. The native front end did not charge bodies at all.

Cause: the budget was given to whoever came first.

request_memory replaces the budget. Each connection has a share of it, for its read buffer and its held request. Unfinished requests get three quarters of what the whole ones leave; when one needs more, the one with the largest product of bytes and time gives way, with 503 overloaded (not run), and its bytes are freed before the refusal is written. A request that arrives without delay is small in one of both. The only unfinished request may take all that is left, so a single upload within the limits is served in calm.

--request-memory-mb is an option of the native router too. The tests of the native stop share the native router's set-up with the new ones.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -40,6 +40,8 @@
 
 constexpr milliseconds tick_period{100};
 
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
+
 /// A longer time between two ticks, on the steady clock or on the boot clock (which includes
 /// suspensions of the machine), is logged as a pause of the process.
 constexpr milliseconds logged_pause_threshold{1000};
@@ -108,8 +110,7 @@
                    metrics,
                    {},
                    byte_budget{max_held_response_bytes},
-                   byte_budget{options.request_memory_mb * std::size_t{1024} * 1024},
-                   std::make_shared<caller_resources>(caller_descriptors(1))},
+                   make_callers()},
           server{io, services}, ready_pages{io, [this](const monitoring_request&)
                                             { return ready_page(); }},
           metric_pages{io, [this](const monitoring_request& req) { return operator_page(req); }},
@@ -133,6 +134,7 @@
     [[nodiscard]] absl::Status listen();
     /// Descriptors for callers and their requests in a fleet of so many instances.
     [[nodiscard]] std::size_t caller_descriptors(std::size_t instances) const;
+    [[nodiscard]] std::shared_ptr<caller_resources> make_callers() const;
     [[nodiscard]] monitoring_response ready_page() const;
     [[nodiscard]] monitoring_response operator_page(const monitoring_request& req);
     [[nodiscard]] std::string metrics_text();
@@ -202,6 +204,12 @@
     return descriptors_for_callers(descriptor_limit(options.descriptors), instances);
 }
 
+std::shared_ptr<caller_resources> forward_router::state::make_callers() const
+{
+    return std::make_shared<caller_resources>(caller_descriptors(1),
+                                              options.request_memory_mb * bytes_per_mb);
+}
+
 monitoring_response forward_router::state::ready_page() const
 {
     const bool is_ready = ready.load() && !services.stop.stopping();
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -42,6 +42,8 @@
 namespace
 {
 
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
+
 /// Period of the coordinator's timers.
 constexpr milliseconds tick_period{50};
 /// Period in which a shutdown checks whether the last request has ended.
@@ -77,15 +79,9 @@
           claims_platform{options.platform.empty() ? nullptr
                                                    : make_http_platform(io, options.platform)},
           claims{io, platform ? static_cast<table_service&>(*claims_platform) : no_table, core},
-          requests{metrics, options.verbose}, services{core,
-                                                       claims,
-                                                       requests,
-                                                       ready,
-                                                       [this] { return metrics_text(false); },
-                                                       {},
-                                                       byte_budget{default_request_budget},
-                                                       std::make_shared<caller_resources>(
-                                                           caller_descriptors(1))},
+          requests{metrics, options.verbose},
+          services{core, claims,        requests, ready, [this] { return metrics_text(false); },
+                   {},   make_callers()},
           server{io, services}, operators{io,
                                           {status_provider, [this] { return metrics_text(true); },
                                            options.cluster_key}},
@@ -104,6 +100,7 @@
     [[nodiscard]] absl::Status listen();
     /// Descriptors for callers and their requests in a fleet of so many instances.
     [[nodiscard]] std::size_t caller_descriptors(std::size_t instances) const;
+    [[nodiscard]] std::shared_ptr<caller_resources> make_callers() const;
     [[nodiscard]] std::string metrics_text(bool for_operators) const;
     void tick();
     void log_endpoints(time_point now);
@@ -189,6 +186,12 @@
     return descriptors_for_callers(descriptor_limit(options.descriptors), instances);
 }
 
+std::shared_ptr<caller_resources> router::state::make_callers() const
+{
+    return std::make_shared<caller_resources>(caller_descriptors(1),
+                                              options.request_memory_mb * bytes_per_mb);
+}
+
 std::string router::state::metrics_text(bool for_operators) const
 {
     const auto age = platform_sync ? platform_sync->settings_age(clock::now()) : std::nullopt;
--- a/src/mangovane/daemon/router_options.cpp
+++ b/src/mangovane/daemon/router_options.cpp
@@ -21,6 +21,7 @@
 {
 
 constexpr std::uint32_t max_threads = 64;
+constexpr std::uint32_t max_request_memory_mb = 65536;
 constexpr std::uint32_t max_chat_capacity = 1U << 22U; ///< Chats; these take about 100 MB.
 constexpr std::uint32_t max_drain_ms = 600000;
 constexpr std::uint32_t max_grace_ms = 86400000; ///< The longest deadline of a request.
@@ -53,6 +54,8 @@
     add("threads", po::value(&out.threads)->default_value(4), "threads, 1 to 64");
     add("chat-capacity", po::value(&out.chat_capacity)->default_value(1U << 20U),
         "chats tracked by this instance, 1024 to 4194304");
+    add("request-memory-mb", po::value(&out.request_memory_mb)->default_value(32),
+        "memory for all requests that are read or not answered yet, 1 to 65536");
     add("descriptors", po::value(&out.descriptors)->default_value(0),
         "descriptors that the process may open; 0, or more than its own limit: that limit");
     add("drain-delay-ms", po::value(&raw.drain_delay_ms)->default_value(3000),
@@ -121,6 +124,7 @@
     check_address("operator-listen", options.operator_listen, false, faults);
     check_address("platform", options.platform, false, faults);
     check_range("threads", options.threads, 1, max_threads, faults);
+    check_range("request-memory-mb", options.request_memory_mb, 1, max_request_memory_mb, faults);
     check_range("chat-capacity", options.chat_capacity, 1024, max_chat_capacity, faults);
     if (options.platform.empty() == options.settings_file.empty())
     {
--- a/src/mangovane/daemon/router_options.hpp
+++ b/src/mangovane/daemon/router_options.hpp
@@ -32,6 +32,7 @@
     std::uint32_t chat_capacity{1U << 20U}; ///< Chats that the instance tracks.
     milliseconds drain_delay{3000};         ///< From SIGTERM until connections are refused.
     milliseconds grace_period{600000};      ///< From SIGTERM until running requests are cut.
+    std::uint32_t request_memory_mb{32};    ///< For all requests that are read and held.
     std::uint32_t descriptors{0}; ///< That the process may open; 0: the limit of the process.
     bool verbose{false};          ///< Log each request.
 
--- a/src/mangovane/net/byte_budget.hpp
+++ b/src/mangovane/net/byte_budget.hpp
@@ -9,11 +9,6 @@
 namespace mangovane
 {
 
-/// Limit on the requests that a process reads and holds. The smallest machines have 112 MB, of
-/// which an idle process takes 12 MB, held responses 16 MB, and state about the fleet grows with
-/// its size.
-inline constexpr std::size_t default_request_budget = std::size_t{32} * 1024 * 1024;
-
 /// Thread-safe.
 class byte_budget
 {
@@ -47,27 +42,28 @@
     std::atomic<std::size_t> used_{0}; ///< At most `limit_`.
 };
 
-/// Bytes taken from a budget, which are given back on destruction.
-class byte_reservation
+/// Bytes taken from a budget, which are given back on destruction. `Pointer` refers to the budget,
+/// and may share its ownership.
+template <class Pointer>
+class basic_reservation
 {
 public:
-    /// The budget outlives the reservation.
-    explicit byte_reservation(byte_budget& budget) noexcept : budget_{&budget} {}
-    byte_reservation(byte_reservation&& other) noexcept
+    explicit basic_reservation(Pointer budget) noexcept : budget_{std::move(budget)} {}
+    basic_reservation(basic_reservation&& other) noexcept
         : budget_{other.budget_}, bytes_{std::exchange(other.bytes_, 0)}
     {}
-    byte_reservation& operator=(byte_reservation&& other) noexcept
+    basic_reservation& operator=(basic_reservation&& other) noexcept
     {
         std::swap(budget_, other.budget_);
         std::swap(bytes_, other.bytes_);
         return *this;
     }
-    byte_reservation(const byte_reservation&) = delete;
-    byte_reservation& operator=(const byte_reservation&) = delete;
-    ~byte_reservation() { budget_->give_back(bytes_); }
+    basic_reservation(const basic_reservation&) = delete;
+    basic_reservation& operator=(const basic_reservation&) = delete;
+    ~basic_reservation() { shrink_to(0); }
 
     /// Takes `n` more bytes; false if the budget does not have them.
-    [[nodiscard]] bool try_grow(std::size_t n) noexcept
+    [[nodiscard]] bool try_grow(std::size_t n)
     {
         const bool taken = budget_->try_take(n);
         bytes_ += taken ? n : 0;
@@ -87,10 +83,17 @@
     [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
 
 private:
-    byte_budget* budget_;
+    Pointer budget_;
     std::size_t bytes_{0};
 };
 
+/// Bytes of a `byte_budget`, which outlives the reservation.
+class byte_reservation : public basic_reservation<byte_budget*>
+{
+public:
+    explicit byte_reservation(byte_budget& budget) noexcept : basic_reservation{&budget} {}
+};
+
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/net/caller_reader.cpp
+++ b/src/mangovane/net/caller_reader.cpp
@@ -58,8 +58,17 @@
 
 } // namespace
 
+caller_reader::caller_reader(asio::ip::tcp::socket& socket,
+                             std::shared_ptr<caller_resources> resources)
+    : socket_{socket}, deadline_{socket.get_executor()}, resources_{std::move(resources)},
+      memory_{std::make_shared<request_share>(
+          std::shared_ptr<request_memory>{resources_, &resources_->requests})},
+      buffer_{memory_}
+{}
+
 bool caller_reader::open(connection_limit::evict_handler on_evicted)
 {
+    memory_->on_evict(on_evicted);
     place_ = resources_->connections.admit(std::move(on_evicted), clock::now());
     return place_.has_value();
 }
@@ -76,7 +85,7 @@
 
 void caller_reader::evict()
 {
-    if (!place_->evicted())
+    if (!place_->evicted() && (closing_ || !memory_->evicted()))
     {
         return;
     }
@@ -103,6 +112,14 @@
     socket_.close(ec);
 }
 
+void caller_reader::drop_request()
+{
+    dropped_ = buffer_.size() != 0;
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+    memory_->end_request();
+}
+
 session_end caller_reader::end_of_wait() const noexcept
 {
     if (evicted_)
@@ -120,6 +137,7 @@
                                "the instance serves as many requests as its connections permit",
                                session_end::rejected};
     }
+    memory_->end_request();
     evicted_ = false;
     ++requests_;
     return std::nullopt;
@@ -134,7 +152,7 @@
     const auto now = clock::now();
     if (buffer_.size() != 0)
     {
-        place_->enter(connection_phase::receiving, now);
+        begin_request(now);
         co_return true;
     }
     if (requests_ != 0)
@@ -151,13 +169,22 @@
     deadline_.stop();
     // Bytes may have arrived between the last look at the socket and the end of the wait.
     const bool begun = !evicted_ && (!ec || peek(socket_) == peek_result::data);
-    if (begun && requests_ != 0)
+    if (begun)
     {
-        place_->enter(connection_phase::receiving, clock::now());
+        begin_request(clock::now());
     }
     co_return begun;
 }
 
+void caller_reader::begin_request(time_point now)
+{
+    memory_->begin_request(now);
+    if (requests_ != 0)
+    {
+        place_->enter(connection_phase::receiving, now);
+    }
+}
+
 void caller_reader::start_idle_deadline(time_point at, owner_ptr owner)
 {
     deadline_.start(
@@ -290,9 +317,10 @@
     }
     if (ec == asio::error::operation_aborted && evicted_)
     {
+        // The refusal of a connection that is not closed for others is awaited.
+        const auto end = place_->evicted() ? session_end::evicted : session_end::rejected;
         return request_failure{error_kind::overloaded,
-                               "the request was not complete when others needed its connection",
-                               session_end::evicted};
+                               "the request was not complete when others needed its place", end};
     }
     if (ec == asio::error::operation_aborted && cut_)
     {
--- a/src/mangovane/net/caller_reader.hpp
+++ b/src/mangovane/net/caller_reader.hpp
@@ -40,13 +40,9 @@
 public:
     using owner_ptr = std::shared_ptr<void>;
 
-    /// The socket and the budget for requests outlive the reader.
+    /// The socket outlives the reader.
     caller_reader(boost::asio::ip::tcp::socket& socket,
-                  std::shared_ptr<caller_resources> resources,
-                  byte_budget& budget)
-        : socket_{socket}, deadline_{socket.get_executor()},
-          resources_{std::move(resources)}, buffer_{budget}
-    {}
+                  std::shared_ptr<caller_resources> resources);
 
     /// Takes a place among the open connections. False: there is none, and the connection has to be
     /// closed. `on_evicted` is called from any thread when the connection should call `evict`.
@@ -54,6 +50,9 @@
 
     [[nodiscard]] boost::asio::ip::tcp::socket& socket() noexcept { return socket_; }
 
+    /// Memory of the connection's requests.
+    [[nodiscard]] const std::shared_ptr<request_share>& memory() const noexcept { return memory_; }
+
     /// Bytes that were read ahead.
     [[nodiscard]] charged_buffer& buffer() noexcept { return buffer_; }
 
@@ -111,6 +110,9 @@
     /// The last response has been sent.
     void begin_closing();
 
+    /// Frees what was read of a request that is given up.
+    void drop_request();
+
     /// Ends the connection for others, unless a request has arrived whole meanwhile: an unfinished
     /// one fails with `operation_aborted`.
     void evict();
@@ -122,10 +124,12 @@
     /// Whether bytes of the caller were not read.
     [[nodiscard]] bool has_unread_bytes()
     {
-        return buffer_.size() != 0 || peek(socket_) == peek_result::data;
+        return dropped_ || buffer_.size() != 0 || peek(socket_) == peek_result::data;
     }
 
 private:
+    /// The first byte of a request has arrived.
+    void begin_request(time_point now);
     void start_idle_deadline(time_point at, owner_ptr owner);
     void start_read_deadline(time_point at, const owner_ptr& owner);
     void cancel();
@@ -137,6 +141,7 @@
     socket_deadline deadline_;
     std::shared_ptr<caller_resources> resources_;
     std::optional<connection_place> place_; ///< Set by `open`.
+    std::shared_ptr<request_share> memory_; ///< Never null.
     charged_buffer buffer_;
     std::uint32_t requests_{0};
     bool waiting_{false}; ///< `await_first_byte` is pending; `buffer_` is empty.
@@ -145,6 +150,7 @@
     bool cut_{false};
     bool closing_{false};
     bool evicted_{false};
+    bool dropped_{false}; ///< Bytes of a request that is given up were not read.
 };
 
 } // namespace mangovane
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -32,8 +32,7 @@
 } // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket, frontend_services& services)
-    : socket_{std::move(socket)}, services_{services}, reader_{socket_, services_.callers,
-                                                               services_.held_requests},
+    : socket_{std::move(socket)}, services_{services}, reader_{socket_, services_.callers},
       write_deadline_{socket_.get_executor()}, close_deadline_{socket_.get_executor()}
 {}
 
@@ -196,17 +195,10 @@
     }
     idle_ = false;
     response_started_ = false;
-    held_ = std::make_shared<held_request>(services_.held_requests);
-    request_reader request{reader_, *held_, limits};
+    held_ = std::make_shared<held_request>(reader_.memory());
     reader_.start_deadline(clock::now() + limits.header_timeout, shared_from_this());
-    auto ec = co_await request.read_head();
-    ec = ec ? ec : request.hold_head();
-    if (!ec)
-    {
-        ec = co_await request.read_body();
-    }
+    auto failure = co_await receive(limits);
     reader_.stop_deadline();
-    auto failure = reader_.failure_of(ec, request.begun());
     if (!failure)
     {
         failure = reader_.begin_serving();
@@ -216,6 +208,9 @@
         co_return true;
     }
     note_end(failure->end);
+    // Others need the memory while the refusal is on its way.
+    reader_.drop_request();
+    held_.reset();
     if (failure->end == session_end::stop_cut)
     {
         services_.stop.count_refused();
@@ -228,6 +223,18 @@
     co_return false;
 }
 
+asio::awaitable<std::optional<request_failure>> caller_session::receive(const http_limits& limits)
+{
+    request_reader request{reader_, *held_, limits};
+    auto ec = co_await request.read_head();
+    ec = ec ? ec : request.hold_head();
+    if (!ec)
+    {
+        ec = co_await request.read_body();
+    }
+    co_return reader_.failure_of(ec, request.begun());
+}
+
 asio::awaitable<void> caller_session::serve()
 {
     const auto& target = held_->head.target();
--- a/src/mangovane/net/caller_session.hpp
+++ b/src/mangovane/net/caller_session.hpp
@@ -58,6 +58,7 @@
     boost::asio::awaitable<bool> await_first_byte();
     /// Reads the next request into `held_`. False if there is none.
     boost::asio::awaitable<bool> read_request();
+    boost::asio::awaitable<std::optional<request_failure>> receive(const http_limits& limits);
     boost::asio::awaitable<void> serve();
     /// Responds without an endpoint: readiness, metrics and the like.
     boost::asio::awaitable<void> serve_local(unsigned status, std::string text);
--- a/src/mangovane/net/charged_buffer.hpp
+++ b/src/mangovane/net/charged_buffer.hpp
@@ -1,14 +1,16 @@
-// Read buffer whose memory is charged to a budget.
+// Read buffer whose memory is charged to the share of its connection.
 #ifndef MANGOVANE_NET_CHARGED_BUFFER_HPP
 #define MANGOVANE_NET_CHARGED_BUFFER_HPP
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <stdexcept>
+#include <utility>
 
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include "mangovane/net/byte_budget.hpp"
+#include "mangovane/net/request_memory.hpp"
 
 namespace mangovane
 {
@@ -20,20 +22,21 @@
 public:
     using base = boost::beast::flat_buffer;
 
-    /// The budget outlives the buffer.
-    explicit charged_buffer(byte_budget& budget) noexcept : charge_{budget} {}
+    explicit charged_buffer(std::shared_ptr<request_share> share) noexcept
+        : charge_{std::move(share)}
+    {}
 
     mutable_buffers_type prepare(std::size_t n)
     {
         const auto result = try_prepare(n);
         if (!result)
         {
-            throw std::length_error{"the budget of requests is exhausted"};
+            throw std::length_error{"the memory for requests is exhausted"};
         }
         return *result;
     }
 
-    /// Empty if the budget does not have the bytes. `n` is within `max_size`.
+    /// Empty if the share does not get the bytes. `n` is within `max_size`.
     [[nodiscard]] std::optional<mutable_buffers_type> try_prepare(std::size_t n)
     {
         const auto result = base::prepare(n);
@@ -49,11 +52,11 @@
         charge_.shrink_to(capacity());
     }
 
-    /// Whether an operation has failed because the budget had no more bytes.
+    /// Whether an operation has failed because the share got no more bytes.
     [[nodiscard]] bool exhausted() const noexcept { return exhausted_; }
 
 private:
-    byte_reservation charge_; ///< Of the capacity.
+    request_reservation charge_; ///< Of the capacity.
     bool exhausted_{false};
 };
 
--- a/src/mangovane/net/forward_read.cpp
+++ b/src/mangovane/net/forward_read.cpp
@@ -53,10 +53,9 @@
     {
         co_return false;
     }
-    current_.emplace(services_.held_requests);
-    request_reader request{reader_, current_->held, limits};
+    current_.emplace(reader_.memory());
     reader_.start_deadline(clock::now() + limits.header_timeout, shared_from_this());
-    auto failure = co_await receive(request);
+    auto failure = co_await receive(limits);
     reader_.stop_deadline();
     if (!failure)
     {
@@ -67,6 +66,9 @@
         co_return true;
     }
     note_end(failure->end);
+    // Others need the memory while the refusal is on its way.
+    reader_.drop_request();
+    current_->held.drop_body();
     if (failure->end == session_end::stop_cut)
     {
         services_.stop.count_refused();
@@ -79,11 +81,13 @@
         const seconds retry_after{stops ? 0 : descriptor_of(*failure->refusal).retry_after_s};
         co_await refuse(*failure->refusal, std::move(failure->reason), retry_after);
     }
+    current_.reset();
     co_return false;
 }
 
-asio::awaitable<std::optional<request_failure>> forward_session::receive(request_reader& request)
+asio::awaitable<std::optional<request_failure>> forward_session::receive(const http_limits& limits)
 {
+    request_reader request{reader_, current_->held, limits};
     auto ec = co_await request.read_head();
     const bool ambiguous = !ec && is_ambiguous(request.head());
     if (!ec)
--- a/src/mangovane/net/forward_services.hpp
+++ b/src/mangovane/net/forward_services.hpp
@@ -48,7 +48,6 @@
     request_observer& observer;
     forward_timeouts timeouts;
     byte_budget held_responses{max_held_response_bytes};
-    byte_budget held_requests{default_request_budget}; ///< Being read, or not answered yet.
     std::shared_ptr<caller_resources> callers{std::make_shared<caller_resources>()};
     stop_state stop; ///< While the instance stops, responses close the connection.
     /// Shared with the calls, some of which are destroyed only with their executor.
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -44,8 +44,7 @@
 } // namespace
 
 forward_session::forward_session(asio::ip::tcp::socket socket, forward_services& services)
-    : socket_{std::move(socket)}, services_{services}, reader_{socket_, services_.callers,
-                                                               services_.held_requests},
+    : socket_{std::move(socket)}, services_{services}, reader_{socket_, services_.callers},
       write_deadline_{socket_.get_executor()}, call_deadline_{socket_.get_executor()}
 {}
 
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -55,7 +55,9 @@
 /// State of the request that is being served.
 struct served_request
 {
-    explicit served_request(byte_budget& budget) noexcept : held{budget} {}
+    explicit served_request(std::shared_ptr<request_share> memory) noexcept
+        : held{std::move(memory)}
+    {}
 
     held_request held;
     std::string request_id; ///< For logs.
@@ -140,7 +142,7 @@
     // Implemented in forward_read.cpp: reading of requests.
     boost::asio::awaitable<bool> read_request();
     /// Reads the head and the body of the current request.
-    boost::asio::awaitable<std::optional<request_failure>> receive(request_reader& request);
+    boost::asio::awaitable<std::optional<request_failure>> receive(const http_limits& limits);
     boost::asio::awaitable<error_code> read_body(request_reader& request);
     boost::asio::awaitable<bool> await_first_byte(const http_limits& limits);
 
--- a/src/mangovane/net/frontend_services.hpp
+++ b/src/mangovane/net/frontend_services.hpp
@@ -12,7 +12,6 @@
 #include <absl/status/statusor.h>
 
 #include "mangovane/idempotency/claim_writer.hpp"
-#include "mangovane/net/byte_budget.hpp"
 #include "mangovane/net/caller_resources.hpp"
 #include "mangovane/observe/request_record.hpp"
 #include "mangovane/routing/coordinator.hpp"
@@ -56,7 +55,6 @@
     const std::atomic<bool>& ready;
     std::function<std::string()> metrics_text; ///< Prometheus text without account labels.
     frontend_limits limits;
-    byte_budget held_requests{default_request_budget}; ///< Being read, or not answered yet.
     std::shared_ptr<caller_resources> callers{std::make_shared<caller_resources>()};
     stop_state stop; ///< While the instance stops, responses close the connection.
 };
--- a/src/mangovane/net/fwd.hpp
+++ b/src/mangovane/net/fwd.hpp
@@ -6,6 +6,12 @@
 {
 
 class admission_waits;
+class connection_limit;
+class connection_place;
+class limited_stream;
+class request_memory;
+class request_reader;
+class request_share;
 class native_server;
 class caller_reader;
 class caller_session;
@@ -18,7 +24,9 @@
 struct admission_wait;
 struct operator_services;
 class peer_network;
+struct caller_resources;
 struct frontend_services;
+struct held_request;
 struct frontend_counters;
 
 } // namespace mangovane
--- a/test/process/native_stop.cpp
+++ b/test/process/native_stop.cpp
@@ -1,11 +1,8 @@
 // Guards against a stop of the native router that has no last moment: requests that it reads while
 // it stops, or that wait in its queue, keep the process for as long as their own deadlines, and are
 // cut without an answer when the process is ended from outside.
-#include <unistd.h>
-
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
@@ -19,6 +16,7 @@
 #include "process/child_process.hpp"
 #include "process/fleet.hpp"
 #include "process/http_client.hpp"
+#include "process/native_router.hpp"
 
 using namespace mangovane;
 using namespace mangovane::test;
@@ -49,34 +47,13 @@
     grace_in_environment& operator=(const grace_in_environment&) = delete;
 };
 
-class settings_text_file
+/// `slots`: limit on the requests in progress at the engine; the others wait in the queue.
+std::string services_with(int slots)
 {
-public:
-    /// `slots`: limit on the requests in progress at the engine; the others wait in the queue.
-    explicit settings_text_file(int slots)
-    {
-        char name[] = "/tmp/mangovane-native-stop-XXXXXX";
-        ::close(::mkstemp(name));
-        path_ = name;
-        std::ofstream{path_} << R"({"services": {
-            "dictamen": {"kind": "model", "models": ["dictamen-large"], "ramp_start": 64,
-                         "max_in_flight": )"
-                             << slots << R"(},
-            "ventanilla": {"kind": "plain"}},
-          "nodes": [{"path": "/", "settings": {}},
-            {"path": "/registry", "parent": "/", "settings": {},
-             "account": {"name": "registry", "key_sha256":
-              ["2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"]}}]})";
-    }
-    ~settings_text_file() { std::remove(path_.c_str()); }
-    settings_text_file(const settings_text_file&) = delete;
-    settings_text_file& operator=(const settings_text_file&) = delete;
-
-    [[nodiscard]] const std::string& path() const { return path_; }
-
-private:
-    std::string path_;
-};
+    return absl::StrCat(R"("dictamen": {"kind": "model", "models": ["dictamen-large"],
+                            "ramp_start": 64, "max_in_flight": )",
+                        slots, R"(}, "ventanilla": {"kind": "plain"})");
+}
 
 std::string request_head(std::string_view method, std::string_view target, milliseconds deadline)
 {
@@ -108,19 +85,11 @@
 {
 public:
     explicit stopping_router(int slots)
-        : settings_{slots}, engine_{{"mangovane-standin", "engine", "--warm-after", "0", "--tokens",
-                                     "12", "--token-ms", "20", "--first-ms", "30", "--uncached-ms",
-                                     "30"},
-                                    true},
-          service_{{"mangovane-standin", "service"}, true}
+        : target{{services_with(slots),
+                  {"dictamen/dictamen-0/bogota-a/" + engine_.address(),
+                   "ventanilla/ventanilla-0/bogota-a/" + service_.address()},
+                  drain_delay}}
     {
-        const grace_in_environment grace;
-        process = std::make_unique<child_process>(std::vector<std::string>{
-            "mangovane-router", "--name", "entry-0", "--domain", "bogota-a", "--listen", address,
-            "--settings-file", settings_.path(), "--endpoint",
-            "dictamen/dictamen-0/bogota-a/" + engine_.address(), "--endpoint",
-            "ventanilla/ventanilla-0/bogota-a/" + service_.address(), "--threads", "1",
-            "--chat-capacity", "4096", "--drain-delay-ms", std::to_string(drain_delay.count())});
         const auto serves = [&](const std::string& request)
         {
             return eventually(
@@ -128,7 +97,7 @@
                 {
                     try
                     {
-                        raw_caller caller{address};
+                        raw_caller caller{target.address};
                         caller.send(request);
                         return status_of(caller.read_all(milliseconds{1500})) == 200;
                     }
@@ -151,13 +120,15 @@
         return boost::json::parse(response.body).at("total").to_number<std::int64_t>();
     }
 
-    const std::string address{free_address()};
-    std::unique_ptr<child_process> process;
-
 private:
-    settings_text_file settings_;
-    child_process engine_;
-    child_process service_;
+    const grace_in_environment grace_;
+    child_process engine_{{"mangovane-standin", "engine", "--warm-after", "0", "--tokens", "12",
+                           "--token-ms", "20", "--first-ms", "30", "--uncached-ms", "30"},
+                          true};
+    child_process service_{{"mangovane-standin", "service"}, true};
+
+public:
+    native_router target;
 };
 
 using callers = std::vector<std::unique_ptr<raw_caller>>;
@@ -167,7 +138,7 @@
     callers result;
     for (std::int64_t n = 0; n != count; ++n)
     {
-        result.push_back(std::make_unique<raw_caller>(router.address));
+        result.push_back(std::make_unique<raw_caller>(router.target.address));
         result.back()->send(stream_request(long_deadline));
     }
     return result;
@@ -250,7 +221,7 @@
     const auto all = send_streams(router, caller_count);
     REQUIRE(eventually([&] { return router.started() == started_before + slots; }, start_timeout));
     std::this_thread::sleep_for(stream_time / 4);
-    router.process->signal(SIGTERM);
+    router.target.process->signal(SIGTERM);
     const auto stopped_at = clock::now();
 
     SUBCASE("answers each of them until the end of its grace period")
@@ -263,7 +234,7 @@
         // A refusal states that the request was not run, and those that never were are told so.
         CHECK(static_cast<std::int64_t>(counted.refused) == caller_count - passed_on);
     }
-    CHECK(router.process->wait(stop_timeout) == 0);
+    CHECK(router.target.process->wait(stop_timeout) == 0);
     const auto ms = std::chrono::duration_cast<milliseconds>(clock::now() - stopped_at);
     MESSAGE("ended after ms ", ms.count());
     CHECK(ms <= grace_period);
