Let callers that read no answers give way to new connections

Callers saw: with the bound on connections, 100 callers that read no answers took all of the 100 descriptors for callers of a native router with 200, as a request counts twice; no ordinary request was answered within 8 s. Their writes time out after 60 s (5 s on routes). Without the bound they would have needed 200 connections.

Cause: a connection that is being served was never closed for others, also when its caller has stopped reading.

A connection is marked while a write waits for its caller. After a second without progress it may be closed for a new one, after the idle ones; its response stays incomplete, as if the caller had left.

The same crowd: ordinary requests are answered. Tests: connection_limit.cpp without a network, crowded_connections.cpp with the process.

--- a/src/mangovane/net/caller_reader.cpp
+++ b/src/mangovane/net/caller_reader.cpp
@@ -73,6 +73,16 @@
     return place_.has_value();
 }
 
+void caller_reader::begin_stall()
+{
+    stalled_in_ = place_->enter(connection_phase::stalled, clock::now());
+}
+
+void caller_reader::end_stall()
+{
+    place_->enter(*std::exchange(stalled_in_, std::nullopt), clock::now());
+}
+
 void caller_reader::begin_closing()
 {
     closing_ = true;
@@ -85,12 +95,14 @@
 
 void caller_reader::evict()
 {
-    if (!place_->evicted() && (closing_ || !memory_->evicted()))
+    const bool ends_by_close = closing_ || stalled_in_;
+    if (!place_->evicted() && (ends_by_close || !memory_->evicted()))
     {
         return;
     }
-    if (closing_)
+    if (ends_by_close)
     {
+        evicted_ = true;
         close();
         return;
     }
--- a/src/mangovane/net/caller_reader.hpp
+++ b/src/mangovane/net/caller_reader.hpp
@@ -107,6 +107,17 @@
     void drain(const owner_ptr& owner);
     [[nodiscard]] bool draining() const noexcept { return draining_; }
 
+    /// The caller accepts no more of what is written for now.
+    void begin_stall();
+    /// The write goes on, or has ended.
+    void end_stall();
+
+    /// Why the connection ends after a failed write.
+    [[nodiscard]] session_end end_of_failed_write() const noexcept
+    {
+        return evicted_ ? session_end::evicted : session_end::write_failed;
+    }
+
     /// The last response has been sent.
     void begin_closing();
 
@@ -114,7 +125,7 @@
     void drop_request();
 
     /// Ends the connection for others, unless a request has arrived whole meanwhile: an unfinished
-    /// one fails with `operation_aborted`.
+    /// one fails with `operation_aborted`, and a write that has stalled fails.
     void evict();
 
     /// Ends the pending wait or read, and those that follow, as the grace period of a stop has
@@ -149,6 +160,7 @@
     bool draining_{false};
     bool cut_{false};
     bool closing_{false};
+    std::optional<connection_phase> stalled_in_; ///< Phase in which a write has stalled.
     bool evicted_{false};
     bool dropped_{false}; ///< Bytes of a request that is given up were not read.
 };
--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -443,11 +443,13 @@
             self->socket_.close(ec);
         });
     beast::error_code ec;
+    reader_.begin_stall();
     co_await asio::async_write(socket_, buf, asio::redirect_error(asio::use_awaitable, ec));
+    reader_.end_stall();
     write_deadline_.stop();
     if (ec)
     {
-        note_end(session_end::write_failed);
+        note_end(reader_.end_of_failed_write());
         keep_alive_ = false;
         on_caller_disconnected();
     }
--- a/src/mangovane/net/connection_limit.cpp
+++ b/src/mangovane/net/connection_limit.cpp
@@ -14,6 +14,9 @@
 /// which its request has not been read for one second.
 constexpr milliseconds receive_grace{1000};
 
+/// A caller that reads makes progress in this time.
+constexpr milliseconds stall_grace{1000};
+
 /// Connections that were asked to close and have not done so yet, at most.
 constexpr std::size_t max_leaving = 32;
 constexpr std::size_t leaving_divisor = 8; ///< Of a limit below `max_leaving` times this.
@@ -30,6 +33,7 @@
     eviction_rule{connection_phase::closing, milliseconds{0}},
     eviction_rule{connection_phase::receiving, receive_grace},
     eviction_rule{connection_phase::idle, milliseconds{0}},
+    eviction_rule{connection_phase::stalled, stall_grace},
     eviction_rule{connection_phase::receiving, milliseconds{0}},
 };
 
@@ -41,7 +45,8 @@
 
 std::size_t weight_of(connection_phase phase)
 {
-    return phase == connection_phase::serving ? 2 : 1;
+    const bool serves = phase == connection_phase::serving || phase == connection_phase::stalled;
+    return serves ? 2 : 1;
 }
 
 void call_all(const std::vector<connection_limit::evict_handler>& handlers)
@@ -170,10 +175,12 @@
     limit_->list_of(*it_).erase(it_);
 }
 
-void connection_place::enter(connection_phase phase, time_point now)
+connection_phase connection_place::enter(connection_phase phase, time_point now)
 {
     const std::lock_guard lock{limit_->mutex_};
+    const auto before = it_->phase;
     limit_->move(it_, phase, now);
+    return before;
 }
 
 bool connection_place::begin_serving(time_point now)
--- a/src/mangovane/net/connection_limit.hpp
+++ b/src/mangovane/net/connection_limit.hpp
@@ -24,10 +24,11 @@
     receiving, ///< Its first request has not arrived, or a later one has begun to arrive.
     idle,      ///< Between two requests.
     serving,   ///< A request has arrived; takes a second descriptor, for an endpoint.
+    stalled,   ///< Its caller accepts no more of a response for now.
     closing,   ///< The last response has been sent.
 };
 
-inline constexpr std::size_t connection_phase_count = 4;
+inline constexpr std::size_t connection_phase_count = 5;
 
 class connection_place;
 
@@ -93,8 +94,8 @@
     connection_place& operator=(connection_place&& other) noexcept;
     ~connection_place();
 
-    /// Begins a phase that takes no further descriptor.
-    void enter(connection_phase phase, time_point now);
+    /// Begins a phase that takes no further descriptor. Returns the one before.
+    connection_phase enter(connection_phase phase, time_point now);
 
     /// Begins to serve a request. False if no connection can be closed for the descriptor that its
     /// endpoint needs.
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -349,7 +349,7 @@
     }
     if (ec)
     {
-        note_end(session_end::write_failed);
+        note_end(reader_.end_of_failed_write());
     }
     caller_disconnected_ = caller_disconnected_ || ec;
     keep_alive_ = keep_alive_ && !ec;
@@ -371,8 +371,10 @@
     // The endpoint is not to blame for a caller that reads slowly.
     call_deadline_.stop();
     error_code ec;
+    reader_.begin_stall();
     co_await socket_.async_wait(asio::ip::tcp::socket::wait_write,
                                 asio::redirect_error(asio::use_awaitable, ec));
+    reader_.end_stall();
     write_deadline_.stop();
     if (call_)
     {
--- a/test/mangovane/net/connection_limit.cpp
+++ b/test/mangovane/net/connection_limit.cpp
@@ -107,6 +107,20 @@
             CHECK_FALSE(all.places[next]->begin_serving(start + milliseconds{7}));
         }
     }
+    SUBCASE("closes one whose caller has not read its response for a second, after the idle ones")
+    {
+        REQUIRE(all.places[first]->begin_serving(start + milliseconds{2}));
+        REQUIRE(all.asked == std::vector{second});
+        all.close_those_asked();
+        all.places[first]->enter(connection_phase::stalled, start + milliseconds{2});
+        all.places[third]->enter(connection_phase::idle, start + milliseconds{100});
+        const auto next = all.open(start + seconds{1});
+        CHECK(all.asked == std::vector{third});
+        all.close_those_asked();
+        all.places[next]->enter(connection_phase::idle, start + seconds{1});
+        REQUIRE(all.places[next]->begin_serving(start + milliseconds{1100}));
+        CHECK(all.asked == std::vector{first});
+    }
     SUBCASE("keeps one that was asked but whose request has arrived")
     {
         static_cast<void>(all.open(start + seconds{2}));
--- a/test/mangovane/net/endpoint_attempt.cpp
+++ b/test/mangovane/net/endpoint_attempt.cpp
@@ -14,6 +14,7 @@
 #include "mangovane/net/native_server.hpp"
 #include "mangovane/net/paused_context.hpp"
 #include "mangovane/net/raw_endpoint.hpp"
+#include "mangovane/net/silent_services.hpp"
 
 using namespace mangovane;
 using namespace mangovane::test;
@@ -34,24 +35,6 @@
 constexpr std::string_view answer_head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
 constexpr std::string_view answer_body = "done";
 
-class no_claims final : public claim_store
-{
-public:
-    void claim_key(claim, time_point, claim_writer::claim_handler) override {}
-    void settle(claim, time_point, claim_writer::settle_handler) override {}
-};
-
-class silent_observer final : public request_observer
-{
-public:
-    void on_request_end(const request_record&) override {}
-    void on_early_refusal(error_kind) override {}
-    void on_dropped_answer() override {}
-    void on_failed_attempt(std::string_view) override {}
-    void on_caller_stall() override {}
-    void on_session_end(std::string_view) override {}
-};
-
 /// Serves callers of an instance that owns one endpoint.
 struct served_instance
 {
--- a/test/mangovane/net/native_server.cpp
+++ b/test/mangovane/net/native_server.cpp
@@ -17,7 +17,10 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include "mangovane/net/silent_services.hpp"
+
 using namespace mangovane;
+using namespace mangovane::test;
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
@@ -37,19 +40,6 @@
                                                "Connection: close\r\nContent-Length: 4\r\n\r\n"
                                                "body";
 
-class discarding_sink final : public message_sink
-{
-public:
-    void send(const outgoing_message&) override {}
-};
-
-class no_claims final : public claim_store
-{
-public:
-    void claim_key(claim, time_point, claim_writer::claim_handler) override {}
-    void settle(claim, time_point, claim_writer::settle_handler) override {}
-};
-
 class failing_observer final : public request_observer
 {
 public:
--- a/test/platform/caller_crowd.cpp
+++ b/test/platform/caller_crowd.cpp
@@ -125,12 +125,16 @@
         });
 }
 
-crowd::crowd(const std::string& address, std::size_t count, std::string text)
+crowd::crowd(const std::string& address, std::size_t count, std::string text, int receive_bytes)
     : text_{std::move(text)}
 {
     for (std::size_t n = 0; n != count; ++n)
     {
-        auto& it = sockets_.emplace_back(io_);
+        auto& it = sockets_.emplace_back(io_, tcp::v4());
+        if (receive_bytes != 0)
+        {
+            it.set_option(tcp::socket::receive_buffer_size{receive_bytes});
+        }
         it.connect(*parse_address(address));
         asio::async_write(it, asio::buffer(text_), [](error_code, std::size_t) {});
     }
--- a/test/platform/caller_crowd.hpp
+++ b/test/platform/caller_crowd.hpp
@@ -83,7 +83,8 @@
 class crowd
 {
 public:
-    crowd(const std::string& address, std::size_t count, std::string text);
+    /// With `receive_bytes`, the kernel buffers about as many bytes that were not read.
+    crowd(const std::string& address, std::size_t count, std::string text, int receive_bytes = 0);
 
     void send_for(milliseconds time);
 
--- a/test/platform/crowded_connections.cpp
+++ b/test/platform/crowded_connections.cpp
@@ -1,7 +1,9 @@
 // Guards against callers that take all descriptors of a process: connections on which no request
 // arrives, or only its beginning. The process would then accept no other caller, and would have no
 // descriptor for its endpoints, the store and the other instances.
+#include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -23,6 +25,10 @@
 /// Descriptors that callers must leave to the process.
 constexpr std::size_t free_descriptors = 32;
 
+/// Requests of a caller that reads no answers, enough to fill the buffers of its connection.
+constexpr std::size_t unread_requests = 1000;
+constexpr int small_receive_bytes = 4096;
+
 constexpr milliseconds start_timeout{15000};
 
 /// Below the timeouts of unfinished requests and idle connections, so that the crowd is still
@@ -86,6 +92,13 @@
             check_descriptors(*fleet.processes[0]);
         }
     }
+    SUBCASE("that send a first byte, and come again when they are closed")
+    {
+        const returning_crowd callers{fleet.address(0, 0), connection_count, "P"};
+        std::this_thread::sleep_for(milliseconds{1000});
+        CHECK(serves_ordinary_caller(fleet, answer_timeout));
+        check_descriptors(*fleet.processes[0]);
+    }
 }
 
 TEST_CASE("connections to the other listeners of an instance for routes")
@@ -130,6 +143,25 @@
             check_descriptors(*target->router.process);
         }
     }
+    SUBCASE("that read no answers")
+    {
+        std::string requests;
+        for (std::size_t n = 0; n != unread_requests; ++n)
+        {
+            requests += "GET /metrics HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+        }
+        crowd callers{target->router.address, crowd_size, requests, small_receive_bytes};
+        callers.send_for(crowd_time);
+        CHECK(target->serves_within(answer_timeout));
+        check_descriptors(*target->router.process);
+    }
+    SUBCASE("that send a first byte, and come again when they are closed")
+    {
+        const returning_crowd callers{target->router.address, connection_count, "P"};
+        std::this_thread::sleep_for(milliseconds{1000});
+        CHECK(target->serves_within(answer_timeout));
+        check_descriptors(*target->router.process);
+    }
 }
 
 TEST_CASE("connections to the other listeners of a native instance")
