Keep a connection that became busy after it was chosen for closing

Found by reading. A caller whose write had stalled may read again between the choice of its connection and the moment the session learns of it. The session then went on, but was closed without waiting for its caller to receive the response. It now takes its place back, as one does whose request has arrived; the next newcomer makes another one close.

Two writes that overlap would have ended a stall twice; the second end is ignored now.

test_net 31 of 31; no test plays the race.

--- a/src/mangovane/net/caller_reader.cpp
+++ b/src/mangovane/net/caller_reader.cpp
@@ -75,12 +75,18 @@
 
 void caller_reader::begin_stall()
 {
-    stalled_in_ = place_->enter(connection_phase::stalled, clock::now());
+    if (!stalled_in_)
+    {
+        stalled_in_ = place_->enter(connection_phase::stalled, clock::now());
+    }
 }
 
 void caller_reader::end_stall()
 {
-    place_->enter(*std::exchange(stalled_in_, std::nullopt), clock::now());
+    if (const auto phase = std::exchange(stalled_in_, std::nullopt))
+    {
+        place_->enter(*phase, clock::now());
+    }
 }
 
 void caller_reader::begin_closing()
@@ -106,16 +112,15 @@
         close();
         return;
     }
-    if (waiting_ && peek(socket_) == peek_result::data)
+    const bool goes_on = !waiting_ && !reading_;
+    const bool has_request = waiting_ && peek(socket_) == peek_result::data;
+    if (goes_on || has_request)
     {
         place_->keep();
         return;
     }
     evicted_ = true;
-    if (waiting_ || reading_)
-    {
-        cancel();
-    }
+    cancel();
 }
 
 void caller_reader::close()
--- a/src/mangovane/net/caller_reader.hpp
+++ b/src/mangovane/net/caller_reader.hpp
@@ -1,4 +1,5 @@
-// Reading side of a caller's connection: waits for requests, and ends the waits in time.
+// Reading side of a caller's connection: waits for requests, ends the waits in time, and gives the
+// place and the memory of the connection up when others need them.
 #ifndef MANGOVANE_NET_CALLER_READER_HPP
 #define MANGOVANE_NET_CALLER_READER_HPP
 
@@ -73,8 +74,8 @@
     /// `header_limit` for a head of more than `limit` bytes, `end_of_stream`, `partial_message`.
     boost::asio::awaitable<boost::system::error_code> read_head_bytes(std::size_t limit);
 
-    /// Reads at most `n` bytes into the buffer. Errors: `no_memory` if the budget does not have
-    /// them, `buffer_overflow` if the buffer is full, and those of the socket.
+    /// Reads at most `n` bytes into the buffer. Errors: `no_memory` if the share does not get them,
+    /// `buffer_overflow` if the buffer is full, and those of the socket.
     boost::asio::awaitable<boost::system::error_code> read_some(std::size_t n);
 
     /// Parses a head that `read_head_bytes` has read, without a suspension.
@@ -124,8 +125,8 @@
     /// Frees what was read of a request that is given up.
     void drop_request();
 
-    /// Ends the connection for others, unless a request has arrived whole meanwhile: an unfinished
-    /// one fails with `operation_aborted`, and a write that has stalled fails.
+    /// Ends the connection for others, unless it has become busy meanwhile: an unfinished request
+    /// fails with `operation_aborted`, and so does a write that has stalled.
     void evict();
 
     /// Ends the pending wait or read, and those that follow, as the grace period of a stop has
