Return the memory of large bodies to the system

Callers saw: nothing yet.

Cause: glibc raises the size from which it maps blocks as soon as one is freed. Later bodies came from the heap, and blocks in use kept what was freed between them resident.

Both daemons fix that size at 128 KB, so that larger blocks go back when they are freed.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -455,6 +455,7 @@
 absl::Status forward_router::run()
 {
     auto& it = *state_;
+    return_large_blocks();
     // Writing to a log pipe that its reader has closed must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     const auto status = it.listen();
--- a/src/mangovane/daemon/process.cpp
+++ b/src/mangovane/daemon/process.cpp
@@ -1,6 +1,7 @@
 // Implementation of the setup shared by the daemons.
 #include "mangovane/daemon/process.hpp"
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -11,6 +12,13 @@
 namespace mangovane
 {
 
+namespace
+{
+
+constexpr int large_block_bytes = 128 * 1024;
+
+} // namespace
+
 member make_self(const std::string& name, const std::string& domain, const std::string& address)
 {
     const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
@@ -43,6 +51,11 @@
     return stated == 0 ? limit : std::min<std::size_t>(limit, stated);
 }
 
+void return_large_blocks()
+{
+    ::mallopt(M_MMAP_THRESHOLD, large_block_bytes);
+}
+
 void run_threads(boost::asio::io_context& io, std::uint32_t count)
 {
     std::vector<std::thread> threads;
--- a/src/mangovane/daemon/process.hpp
+++ b/src/mangovane/daemon/process.hpp
@@ -26,6 +26,11 @@
 /// Descriptors that this process may open: its limit, or `stated` if that is less and not 0.
 [[nodiscard]] std::size_t descriptor_limit(std::uint32_t stated);
 
+/// Makes the allocator return each large block to the system when it is freed. By default it keeps
+/// and splits such blocks after the first one, so that the bodies of a crowd leave several times
+/// the memory that they held at a time.
+void return_large_blocks();
+
 /// Runs the context on `count` threads, including the calling one, until it stops.
 void run_threads(boost::asio::io_context& io, std::uint32_t count);
 
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -335,6 +335,7 @@
 absl::Status router::run()
 {
     auto& it = *state_;
+    return_large_blocks();
     absl::Status status;
     if (!it.platform_sync)
     {
