--- a/review/stage-2/stream-engine.cpp
+++ b/review/stage-2/stream-engine.cpp
@@ -7,32 +7,15 @@
 #include <atomic>
 #include <csignal>
 #include <cstdio>
-#include <mutex>
-#include <thread>
 
 #include <sys/prctl.h>
 
-#include "http.hpp"
+#include "engine_row.hpp"
 
 namespace
 {
 
 using namespace stage;
-using std::chrono::milliseconds;
-
-constexpr milliseconds heartbeat{1200};
-
-struct options
-{
-    std::string id;
-    std::string service;
-    std::string zone;
-    std::string address;
-    std::string store;
-    int events{0};
-    milliseconds interval{0};
-};
-
 std::atomic<int> resets{0};
 
 /// Waits for the next event of a stream; false if the stream ends before it.
@@ -56,24 +39,7 @@
     return true;
 }
 
-void write_row(const options& it, long born, int sequence)
-{
-    const std::string body =
-        "{\"service\":\"" + it.service + "\",\"address\":\"" + it.address + "\",\"zone\":\"" +
-        it.zone + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"warmup_left_ms\":0," +
-        "\"sequence\":" + std::to_string(sequence) + ",\"born\":" + std::to_string(born) + "}";
-    const auto conn = connect_to(it.store);
-    message res;
-    if (conn)
-    {
-        conn->send("POST /standin/engine-row/" + it.id +
-                   " HTTP/1.1\r\nHost: store\r\nContent-Length: " + std::to_string(body.size()) +
-                   "\r\n\r\n" + body);
-        conn->read(res, 1000);
-    }
-}
-
-void run(const options& it, connection& conn)
+void run(const engine_options& it, connection& conn)
 {
     message req;
     if (!conn.read(req, 5000))
@@ -112,16 +78,8 @@
     }
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     std::signal(SIGUSR1, [](int) { ++resets; });
-    const options it{argv[1], argv[2], argv[3], argv[4],
-                     argv[5], std::atoi(argv[6]), milliseconds{std::atoi(argv[7])}};
-    const auto born = static_cast<long>(
-        std::chrono::duration_cast<milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
+    const engine_options it{argv[1], argv[2], argv[3], argv[4],
+                            argv[5], std::atoi(argv[6]), milliseconds{std::atoi(argv[7])}};
     serve(it.address, [&it](connection_ptr conn) { run(it, *conn); });
-    for (int n = 1;; ++n)
-    {
-        write_row(it, born, n);
-        std::this_thread::sleep_for(heartbeat);
-    }
+    keep_row(it);
 }
