--- a/review/stage-2/deadly-engine.cpp
+++ b/review/stage-2/deadly-engine.cpp
@@ -2,7 +2,8 @@
 // to write an answer.
 //
 // Usage: deadly-engine ID SERVICE ZONE ADDRESS STORE EVENTS INTERVAL_MS PART
-// Prints a line for each request that it runs.
+// Prints a line for each request that it runs. With CRASH_AFTER_MS in the environment it writes events
+// for so long before it crashes.
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -40,12 +41,14 @@
     bool open = conn.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
                           "\r\nX-Server-Signature: signed-" + id +
                           "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-    if (deadly)
-    {
-        ::raise(SIGKILL);
-    }
-    for (int n = 1; open && n <= it.events; ++n)
+    const auto* const text = std::getenv("CRASH_AFTER_MS");
+    const auto crash_at = steady::now() + milliseconds{text == nullptr ? 0 : std::atoi(text)};
+    for (int n = 1; open && (deadly || n <= it.events); ++n)
     {
+        if (deadly && steady::now() >= crash_at)
+        {
+            ::raise(SIGKILL);
+        }
         const auto event = "id: " + std::to_string(n) + "\ndata: " + id + "\n\n";
         char size[16];
         std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
--- a/review/stage-2/engine_row.hpp
+++ b/review/stage-2/engine_row.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -25,11 +26,15 @@
     milliseconds interval{0};
 };
 
+/// The engine leaves: it reports `draining`.
+inline std::atomic<bool> leaving{false};
+
 inline void write_row(const engine_options& it, long born, int sequence)
 {
     const std::string body =
         "{\"service\":\"" + it.service + "\",\"address\":\"" + it.address + "\",\"zone\":\"" +
-        it.zone + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"warmup_left_ms\":0," +
+        it.zone + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"" +
+        (leaving ? "draining" : "ready") + "\",\"warmup_left_ms\":0," +
         "\"sequence\":" + std::to_string(sequence) + ",\"born\":" + std::to_string(born) + "}";
     const auto conn = connect_to(it.store);
     message res;
@@ -46,14 +51,19 @@
 [[noreturn]] inline void keep_row(const engine_options& it)
 {
     constexpr milliseconds heartbeat{1200};
+    constexpr milliseconds step{20};
     const auto born = static_cast<long>(
         std::chrono::duration_cast<milliseconds>(
             std::chrono::system_clock::now().time_since_epoch())
             .count());
     for (int n = 1;; ++n)
     {
+        const bool left = leaving;
         write_row(it, born, n);
-        std::this_thread::sleep_for(heartbeat);
+        for (auto slept = milliseconds{0}; slept < heartbeat && left == leaving; slept += step)
+        {
+            std::this_thread::sleep_for(step);
+        }
     }
 }
 
--- a/review/stage-2/pause.cpp
+++ b/review/stage-2/pause.cpp
@@ -1,10 +1,12 @@
-// Cases "crash" and "reset": a machine freezes; meanwhile an engine crashes and is back before the
-// machine wakes, or half of the engines reset the connections of the requests that they run.
+// Cases "crash", "reset" and "leave". In the first two a machine freezes; meanwhile an engine crashes
+// and is back before the machine wakes, or half of the engines reset the connections of the requests
+// that they run. In the third an engine leaves, and the machine gets SIGTERM.
 //
 // Usage: pause CASE RECORD TROUBLE STORE ENGINES ROUTER READINESS PID ENGINE_PROGRAM
-// TROUBLE is 1, 0 for no disruption, 2 for that of the engines alone, 3 for the freeze alone. ENGINES
-// are addresses. Exits with 1 if a stream ended as complete before its last event, 0 if none did, 2
-// if the case could not run.
+// TROUBLE is 1, 0 for no disruption, 2 for that of the engines alone, 3 for that of the machine alone.
+// ENGINES are addresses. Exits with 1 if a stream ended as complete before its last event, or, in the
+// third case, if one that its engine had finished didn't end as complete; 0 if none did, 2 if the
+// case could not run.
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -26,21 +28,29 @@
 /// Clients abandon a stream after a gap of eight times the pause on the sheet, 600 ms.
 constexpr int max_gap_ms = 4800;
 
+enum class disturbance
+{
+    crash, ///< The first engine crashes and comes back, while the machine is frozen.
+    reset, ///< Half of the engines reset their connections, while the machine is frozen.
+    leave, ///< The first engine leaves, and the machine gets SIGTERM.
+};
+
 /// Times in seconds since the callers began.
 struct plan
 {
     int callers{0};
     int events{0}; ///< Of an answer.
     milliseconds event_interval{0};
-    bool resets{false}; ///< Else the first engine crashes.
-    double freeze_at{0};
-    double hit_at{0};         ///< When the engines reset their connections, or the first crashes.
+    disturbance kind{disturbance::crash};
+    double machine_at{0};     ///< When the machine freezes, or gets SIGTERM.
+    double engines_at{0};     ///< When the engines are disturbed.
     double engine_back_at{0}; ///< After a crash.
     double wake_at{0};
 };
 
-constexpr plan crash{40, 36, milliseconds{100}, false, 1.0, 1.3, 3.3, 5.0};
-constexpr plan reset{360, 16, milliseconds{500}, true, 1.2, 1.4, 0, 5.2};
+constexpr plan crash{40, 36, milliseconds{100}, disturbance::crash, 1.0, 1.3, 3.3, 5.0};
+constexpr plan reset{360, 16, milliseconds{500}, disturbance::reset, 1.2, 1.4, 0, 5.2};
+constexpr plan leave{80, 16, milliseconds{300}, disturbance::leave, 1.5, 1.0, 0, 0};
 
 std::string route(const std::string& name, const std::string& prefix, bool resumable)
 {
@@ -90,6 +100,7 @@
             std::_Exit(127);
         }
     }
+    void leave() const { ::kill(pid_, SIGTERM); }
     void reset_connections() const { ::kill(pid_, SIGUSR1); }
     void kill()
     {
@@ -144,7 +155,13 @@
 
 void disturb_engines(std::vector<engine_process>& engines, const plan& times, record& log)
 {
-    if (times.resets)
+    if (times.kind == disturbance::leave)
+    {
+        engines.front().leave();
+        log.line("engine    i-1 reports that it leaves");
+        return;
+    }
+    if (times.kind == disturbance::reset)
     {
         // Half of the machine's connections to engines.
         for (std::size_t n = 0; n != engines.size() / 2; ++n)
@@ -162,7 +179,7 @@
 [[nodiscard]] int run(const plan& times, const std::vector<std::string>& args)
 {
     record log{args[0]};
-    const bool freezes = args[1] == "1" || args[1] == "3";
+    const bool stops = args[1] == "1" || args[1] == "3";
     const bool disturbs = args[1] == "1" || args[1] == "2";
     store platform{args[2]};
     platform.put("op", "config", manifest());
@@ -186,7 +203,7 @@
     std::this_thread::sleep_for(std::chrono::seconds{3});
     std::mutex mutex;
     std::vector<seen_stream> seen;
-    const auto start = steady::now();
+    const auto start = steady::now() + milliseconds{300}; // All callers begin at once.
     const auto await = [&](double at)
     { std::this_thread::sleep_until(start + milliseconds{static_cast<long>(at * 1000)}); };
     for (int n = 0; n != times.callers; ++n)
@@ -195,7 +212,9 @@
             [&, n]
             {
                 const auto id = "c" + std::to_string(n);
-                const std::string path = n % 2 == 0 ? "/lohu930/2f" : "/pufi791/2f";
+                const bool resumable = n % 2 != 0 && times.kind != disturbance::leave;
+                const std::string path = resumable ? "/pufi791/2f" : "/lohu930/2f";
+                std::this_thread::sleep_until(start);
                 const auto conn = connect_to(args[4]);
                 log.line("sent      " + id + " " + path);
                 seen_stream it;
@@ -217,25 +236,37 @@
                 seen.push_back(it);
             });
     }
-    await(times.freeze_at);
-    if (freezes)
+    const auto disturb_machine = [&]
     {
-        ::kill(router_pid, SIGSTOP);
-        log.line("machine   freezes");
+        await(times.machine_at);
+        if (stops)
+        {
+            const bool planned = times.kind == disturbance::leave;
+            ::kill(router_pid, planned ? SIGTERM : SIGSTOP);
+            log.line(planned ? "machine   gets SIGTERM" : "machine   freezes");
+        }
+    };
+    if (times.machine_at < times.engines_at)
+    {
+        disturb_machine();
     }
-    await(times.hit_at);
+    await(times.engines_at);
     if (disturbs)
     {
         disturb_engines(engines, times, log);
     }
+    if (times.machine_at >= times.engines_at)
+    {
+        disturb_machine();
+    }
     await(times.engine_back_at);
-    if (disturbs && !times.resets)
+    if (disturbs && times.kind == disturbance::crash)
     {
         engines.front().start();
         log.line("engine    i-1 is back");
     }
     await(times.wake_at);
-    if (freezes)
+    if (stops && times.kind != disturbance::leave)
     {
         ::kill(router_pid, SIGCONT);
         log.line("machine   wakes");
@@ -259,19 +290,22 @@
         }
     }
     std::ifstream runs{output};
+    int finished = 0;
     for (std::string line; std::getline(runs, line);)
     {
         log.line(line);
+        finished += line.starts_with("finished") ? 1 : 0;
     }
     ::unlink(output.c_str());
     std::ostringstream verdict;
     verdict << "verdict   " << falsely_complete
             << " streams ended as complete before their last event; " << whole << " were whole, "
-            << broken_off << " broken off";
+            << broken_off << " broken off; engines finished " << finished;
     log.line(verdict.str());
     std::cout << verdict.str() << '\n';
     const bool ran = static_cast<int>(seen.size()) == times.callers;
-    std::_Exit(!ran ? 2 : falsely_complete > 0 ? 1 : 0); // Threads still use what is on this stack.
+    const bool broken = times.kind == disturbance::leave ? whole < finished : falsely_complete > 0;
+    std::_Exit(!ran ? 2 : broken ? 1 : 0); // Threads still use what is on this stack.
 }
 
 } // namespace
@@ -279,7 +313,7 @@
 int main(int argc, char** argv)
 {
     const std::string name = argc == 10 ? argv[1] : "";
-    if (name != "crash" && name != "reset")
+    if (name != "crash" && name != "reset" && name != "leave")
     {
         std::cerr << "usage: pause CASE RECORD TROUBLE STORE ENGINES ROUTER READINESS PID "
                      "ENGINE_PROGRAM\n";
@@ -288,7 +322,7 @@
     std::cout << std::unitbuf;
     try
     {
-        return run(name == "crash" ? crash : reset, {argv + 2, argv + argc});
+        return run(name == "crash" ? crash : name == "reset" ? reset : leave, {argv + 2, argv + argc});
     }
     catch (const std::exception& ex)
     {
