Judge the end of a response by connections of its process, not by who listens at the address

Callers saw: streams without a length that ended as complete in the middle.

Cause: an end that only the connection tells was believed if the endpoint's address accepted a connection 20 ms later, and the one that accepts may be a successor of the process that sent the response. A pause is not needed. The line of log that names what decided did not exist; it is now event=response_end.

What decides now is whether the process was there after the end. The kernel ends all connections of a process together, so an idle connection that was open beside the response and outlasts it shows the process, and one that ends with it shows that it has ended. It is kept only while such responses go on, one for each endpoint. The kernel's times of the ends count, as they may be read long after. Where no connection tells anything, an accepted one counts if the end came with the last bytes. A connection that the kernel knows to be reset is never an end in order.

A design with the entry's name or start time was weighed and dropped: a successor may have the same name, and its entry comes later than the end.

--- a/src/mangovane/net/crash_check.cpp
+++ b/src/mangovane/net/crash_check.cpp
@@ -17,64 +17,31 @@
 
 namespace asio = boost::asio;
 
-namespace
+asio::awaitable<void> sleep_for(milliseconds time)
 {
+    boost::system::error_code ec;
+    asio::steady_timer timer{co_await asio::this_coro::executor, time};
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
 
-/// A connection with an event every 32 ms is silent for 20 ms in one of three samples.
-constexpr int max_samples = 10;
-
-} // namespace
-
-asio::awaitable<bool>
-refuses_connections(const std::string& address, milliseconds delay, milliseconds timeout)
+asio::awaitable<connect_outcome>
+try_connect(const std::string& address, milliseconds delay, milliseconds timeout)
 {
     const auto endpoint = parse_address(address);
     if (!endpoint)
     {
-        co_return false;
+        co_return connect_outcome::unanswered;
     }
-    const auto executor = co_await asio::this_coro::executor;
+    co_await sleep_for(delay);
     boost::system::error_code ec;
-    asio::steady_timer timer{executor, delay};
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    const auto socket = std::make_shared<timed_socket>(executor);
+    const auto socket = std::make_shared<timed_socket>(co_await asio::this_coro::executor);
     socket->expire_at(clock::now() + timeout, is_writable);
     co_await socket->socket().async_connect(*endpoint,
                                             asio::redirect_error(asio::use_awaitable, ec));
     socket->close();
-    co_return ec == asio::error::connection_refused;
-}
-
-asio::awaitable<bool> process_has_ended(endpoint_connections& connections,
-                                        const std::string& address,
-                                        const crash_check_timing& timing,
-                                        time_point give_up_at)
-{
-    const auto before = connections.sample(address);
-    const bool refuses = co_await refuses_connections(address, timing.delay, timing.timeout);
-    if (!refuses)
-    {
-        co_return false;
-    }
-    const auto executor = co_await asio::this_coro::executor;
-    asio::steady_timer timer{executor};
-    auto wait = timing.proof_delay;
-    for (int n = 0; n != max_samples && any_remains(before, connections.sample(address)); ++n)
-    {
-        if (clock::now() + wait > give_up_at)
-        {
-            break;
-        }
-        boost::system::error_code ec;
-        timer.expires_after(wait);
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-        if (any_shows_process(before, connections.sample(address)))
-        {
-            co_return false;
-        }
-        wait = timing.sample_interval;
-    }
-    co_return true;
+    const auto failure = ec == asio::error::connection_refused ? connect_outcome::refused
+                                                               : connect_outcome::unanswered;
+    co_return ec ? failure : connect_outcome::accepted;
 }
 
 } // namespace mangovane
--- a/src/mangovane/net/crash_check.hpp
+++ b/src/mangovane/net/crash_check.hpp
@@ -1,4 +1,4 @@
-// Tells whether an endpoint that closed a connection has crashed.
+// Finds out whether an endpoint that closed a connection still listens.
 #ifndef MANGOVANE_NET_CRASH_CHECK_HPP
 #define MANGOVANE_NET_CRASH_CHECK_HPP
 
@@ -7,16 +7,17 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "mangovane/core/time.hpp"
-#include "mangovane/net/endpoint_connections.hpp"
+#include "mangovane/net/end_verdict.hpp"
 
 namespace mangovane
 {
 
-/// Whether connections to `ip:port` are refused: the host responds, but no process listens there
-/// any more. False if a connection is accepted, or if nothing responds within the timeout, as in a
-/// network partition. Connects after `delay`.
-boost::asio::awaitable<bool>
-refuses_connections(const std::string& address, milliseconds delay, milliseconds timeout);
+/// Connects to `ip:port` after `delay`.
+boost::asio::awaitable<connect_outcome>
+try_connect(const std::string& address, milliseconds delay, milliseconds timeout);
+
+/// Suspends the calling coroutine.
+boost::asio::awaitable<void> sleep_for(milliseconds time);
 
 struct crash_check_timing
 {
@@ -26,24 +27,14 @@
     milliseconds delay{20};
     /// To connect to the endpoint.
     milliseconds timeout{100};
-    /// Until other connections to an endpoint that refuses count as proof of its process. An end
-    /// that was lost on the way has been sent again by then: TCP repeats it after 200 ms.
-    milliseconds proof_delay{250};
+    /// Until other connections to an endpoint that refuses count as proof of its process.
+    milliseconds proof_delay{end_arrival_time};
     /// Between samples of connections on which the endpoint has just sent something.
     milliseconds sample_interval{20};
 
     auto operator<=>(const crash_check_timing&) const = default;
 };
 
-/// Whether the process at `ip:port`, which has just ended a connection, has ended: it refuses new
-/// connections, and none of the other connections to it remains. An endpoint that is leaving may
-/// close its listener and finish what it has accepted. Other connections are not waited for past
-/// `give_up_at`; an endpoint that refuses then counts as ended.
-boost::asio::awaitable<bool> process_has_ended(endpoint_connections& connections,
-                                               const std::string& address,
-                                               const crash_check_timing& timing,
-                                               time_point give_up_at);
-
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -131,8 +131,9 @@
     current.error_response.reset();
     current.endpoint_error = {};
     timed_out_ = false;
-    endpoint_has_ended_.reset();
-    auto call = std::make_shared<upstream_call>(socket_.get_executor(), services_.connections);
+    end_verdict_.reset();
+    auto call = std::make_shared<upstream_call>(socket_.get_executor(), services_.connections,
+                                                services_.liveness);
     call_ = call;
     // Closing the connection on this timeout is safe to retry: nothing has been sent yet.
     call_deadline_.start(
@@ -157,27 +158,32 @@
     start_call_deadline(std::min(deadline, step.first_byte_deadline));
     const auto result = co_await read_answer(step);
     call_deadline_.stop();
-    call->close();
     const bool ended_early = result == attempt_result::broken || result == attempt_result::cut;
+    if (ended_early)
+    {
+        call->watched().keep_state();
+    }
+    call->close();
     if (!ended_early || timed_out_ || current.flow->survived())
     {
         co_return result;
     }
-    const bool crashed = co_await endpoint_has_ended();
-    co_return crashed ? attempt_result::crashed : result;
+    const auto verdict = co_await check_end();
+    co_return verdict.crashed ? attempt_result::crashed : result;
 }
 
-asio::awaitable<bool> forward_session::endpoint_has_ended()
+asio::awaitable<end_verdict> forward_session::check_end()
 {
-    if (!endpoint_has_ended_)
+    if (end_verdict_)
     {
-        const auto schedule = services_.stop.schedule();
-        const auto give_up_at = schedule ? schedule->cut_at : time_point::max();
-        const bool ended = co_await process_has_ended(*services_.connections, call_->address(),
-                                                      services_.timeouts.crash_check, give_up_at);
-        endpoint_has_ended_ = ended;
+        co_return *end_verdict_;
     }
-    co_return *endpoint_has_ended_;
+    const auto schedule = services_.stop.schedule();
+    const auto give_up_at = schedule ? schedule->cut_at : time_point::max();
+    end_verdict_ =
+        co_await call_->watched().check(services_.timeouts.crash_check, std::nullopt, give_up_at);
+    log_end(*end_verdict_);
+    co_return *end_verdict_;
 }
 
 asio::awaitable<attempt_result> forward_session::read_answer(const send_step& step)
@@ -268,6 +274,20 @@
         clock::now());
 }
 
+void forward_session::log_end(const end_verdict& verdict) const
+{
+    const auto now = clock::now();
+    const auto reason = name_of(verdict.reason);
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(now - call_->watched().ended_at()).count();
+    services_.log.write(
+        absl::StrCat("event=response_end request=", current_->flow->request().request,
+                     " endpoint=", current_->endpoint_name, " complete=", verdict.complete ? 1 : 0,
+                     " crashed=", verdict.crashed ? 1 : 0,
+                     " reason=", absl::string_view{reason.data(), reason.size()}, " age_ms=", age),
+        now);
+}
+
 void forward_session::log_result(const send_step& step, attempt_result result) const
 {
     if (result == attempt_result::delivered)
--- a/src/mangovane/net/forward_relay.cpp
+++ b/src/mangovane/net/forward_relay.cpp
@@ -64,9 +64,9 @@
     }
     // A connection that was reset looks as if it had ended in order once the write of the request
     // has taken the error. The write may fail until the endpoint has been asked.
-    const bool has_ended = co_await endpoint_has_ended();
+    const auto verdict = co_await check_end();
     const bool was_reset = static_cast<bool>(call_->write_error());
-    co_return !has_ended && !was_reset;
+    co_return verdict.complete && !was_reset;
 }
 
 asio::awaitable<attempt_result> forward_session::read_failure()
--- a/src/mangovane/net/forward_services.hpp
+++ b/src/mangovane/net/forward_services.hpp
@@ -11,6 +11,7 @@
 #include "mangovane/net/crash_check.hpp"
 #include "mangovane/net/endpoint_connections.hpp"
 #include "mangovane/net/http_dialect.hpp"
+#include "mangovane/net/liveness_connection.hpp"
 #include "mangovane/observe/event_log.hpp"
 #include "mangovane/observe/request_record.hpp"
 #include "mangovane/shutdown/stop_state.hpp"
@@ -52,6 +53,8 @@
     stop_state stop; ///< While the instance stops, responses close the connection.
     /// Shared with the calls, some of which are destroyed only with their executor.
     std::shared_ptr<endpoint_connections> connections{std::make_shared<endpoint_connections>()};
+    std::shared_ptr<liveness_connections> liveness{
+        std::make_shared<liveness_connections>(connections)};
     std::shared_ptr<admission_waits> waits; ///< Null: no request waits for admission.
 };
 
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -159,8 +159,8 @@
 
     // Implemented in forward_attempt.cpp: attempts at endpoints.
     boost::asio::awaitable<attempt_result> attempt(const send_step& step);
-    /// Whether the process of the current attempt's endpoint has ended. Asks once per attempt.
-    boost::asio::awaitable<bool> endpoint_has_ended();
+    /// What the end of the current attempt's connection means. Finds out once per attempt.
+    boost::asio::awaitable<end_verdict> check_end();
     boost::asio::awaitable<attempt_result> read_answer(const send_step& step);
     /// Passes on what the endpoint states about itself in the head of its response.
     void note_endpoint(const send_step& step);
@@ -176,6 +176,7 @@
     void start_progress_deadline(const send_step& step);
     void on_call_deadline();
     void log_dispatch(const send_step& step) const;
+    void log_end(const end_verdict& verdict) const;
     void log_result(const send_step& step, attempt_result result) const;
 
     // Implemented in forward_relay.cpp: relay of responses.
@@ -183,7 +184,7 @@
     boost::asio::awaitable<attempt_result> relay_buffered(const send_step& step);
     /// Whether a response that has been read to its end is complete. The kernel closes the
     /// connections of a process that ends in the same way as the process does after a response, so
-    /// an end that only the connection tells counts only if the process lives on.
+    /// an end that only the connection tells is judged by what is known of the process.
     boost::asio::awaitable<bool> is_complete();
     /// Reads the body into memory. With `step`, each part extends the time for the next one.
     boost::asio::awaitable<held_body> hold_body(buffered_response& answer,
@@ -207,7 +208,7 @@
     std::shared_ptr<upstream_call> call_;    ///< Null between attempts.
     std::shared_ptr<admission_wait> wait_;   ///< Null unless a request waits for admission.
     std::optional<current_request> current_; ///< Empty between requests.
-    std::optional<bool> endpoint_has_ended_; ///< See `endpoint_has_ended`; empty: not asked yet.
+    std::optional<end_verdict> end_verdict_; ///< See `check_end`; empty: not known yet.
     time_point call_timeout_at_{};           ///< When `call_deadline_` expires.
     std::optional<session_end> end_;         ///< Why the connection ends; empty while it goes on.
     bool timed_out_{false};                  ///< `call_deadline_` has closed the call.
--- a/src/mangovane/net/upstream_call.cpp
+++ b/src/mangovane/net/upstream_call.cpp
@@ -19,7 +19,6 @@
 
 asio::awaitable<bool> upstream_call::connect(const std::string& address)
 {
-    address_ = address;
     const auto endpoint = parse_address(address);
     if (!endpoint || closed_)
     {
@@ -32,7 +31,7 @@
         co_return false;
     }
     socket_.set_option(asio::ip::tcp::no_delay{true}, ec);
-    registration_.emplace(connections_, address_, socket_.native_handle());
+    watched_.start(address, socket_.native_handle());
     co_return true;
 }
 
@@ -70,9 +69,22 @@
     co_await http::async_read_some(socket_, buffer_, *parser_,
                                    asio::redirect_error(asio::use_awaitable, ec));
     count = buf.size() - body.size;
+    if (count != 0 && ends_with_connection())
+    {
+        watched_.on_part(count, buf.size(), clock::now());
+        expect_end(count == buf.size());
+    }
     co_return ec == http::error::need_buffer ? error_code{} : ec;
 }
 
+void upstream_call::expect_end(bool more_to_read)
+{
+    if (more_to_read || !has_arrived())
+    {
+        watched_.expect_end(socket_.get_executor());
+    }
+}
+
 bool upstream_call::is_connected() const
 {
     error_code ec;
@@ -82,13 +94,13 @@
 
 bool upstream_call::has_arrived()
 {
-    return peek(socket_) != peek_result::no_data;
+    return is_readable(socket_);
 }
 
 void upstream_call::close()
 {
     closed_ = true;
-    registration_.reset();
+    watched_.stop();
     error_code ec;
     socket_.close(ec);
 }
--- a/src/mangovane/net/upstream_call.hpp
+++ b/src/mangovane/net/upstream_call.hpp
@@ -14,8 +14,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-#include "mangovane/net/endpoint_connections.hpp"
 #include "mangovane/net/final_head.hpp"
+#include "mangovane/net/watched_connection.hpp"
 
 namespace mangovane
 {
@@ -29,15 +29,16 @@
     using head_type = boost::beast::http::response_header<>;
 
     upstream_call(const boost::asio::any_io_executor& executor,
-                  std::shared_ptr<endpoint_connections> connections)
-        : socket_{executor}, connections_{std::move(connections)}
+                  std::shared_ptr<endpoint_connections> connections,
+                  std::shared_ptr<liveness_connections> liveness)
+        : socket_{executor}, watched_{std::move(connections), std::move(liveness)}
     {}
 
     /// Connects to `ip:port`. Returns false on failure; nothing has been sent in that case.
     boost::asio::awaitable<bool> connect(const std::string& address);
 
-    /// Address given to `connect`.
-    [[nodiscard]] const std::string& address() const { return address_; }
+    /// What the end of the connection means, also after `close`.
+    [[nodiscard]] watched_connection& watched() noexcept { return watched_; }
 
     /// Starts to write the request. The endpoint may run it from here on.
     void send(std::string head, std::shared_ptr<const std::string> body);
@@ -83,10 +84,11 @@
     void close();
 
 private:
+    /// A part of a response has been read whose end only the connection tells.
+    void expect_end(bool more_to_read);
+
     boost::asio::ip::tcp::socket socket_;
-    const std::shared_ptr<endpoint_connections> connections_;
-    std::optional<connection_registration> registration_; ///< While the connection is established.
-    std::string address_;
+    watched_connection watched_;
     boost::beast::flat_buffer buffer_{max_response_section_bytes};
     std::optional<endpoint_response_parser> parser_;
     std::string request_head_;                        ///< Alive until written.
--- a/test/mangovane/net/crash_check.cpp
+++ b/test/mangovane/net/crash_check.cpp
@@ -33,9 +33,9 @@
     asio::io_context io{1};
     full_endpoint endpoint;
     const auto started_at = clock::now();
-    auto refuses = asio::co_spawn(
-        asio::make_strand(io),
-        refuses_connections(endpoint.address(), milliseconds{0}, check_timeout), asio::use_future);
+    auto outcome = asio::co_spawn(asio::make_strand(io),
+                                  try_connect(endpoint.address(), milliseconds{0}, check_timeout),
+                                  asio::use_future);
     std::thread thread{[&] { io.run(); }};
 
     SUBCASE("that is paused past its timeout")
@@ -49,7 +49,7 @@
                 const paused_context pause{io, started_at + check_timeout + milliseconds{50}};
                 std::this_thread::sleep_until(started_at + kernel_retry_time + milliseconds{200});
             }
-            CHECK(refuses.get());
+            CHECK(outcome.get() == connect_outcome::refused);
         }
         SUBCASE("does not take a connection that was accepted meanwhile for a refusal")
         {
@@ -58,12 +58,12 @@
                 const paused_context pause{io, started_at + check_timeout + milliseconds{50}};
                 std::this_thread::sleep_until(started_at + kernel_retry_time + milliseconds{200});
             }
-            CHECK_FALSE(refuses.get());
+            CHECK(outcome.get() == connect_outcome::accepted);
         }
     }
     SUBCASE("ends at its timeout if the endpoint does not respond, which is no refusal")
     {
-        CHECK_FALSE(refuses.get());
+        CHECK(outcome.get() == connect_outcome::unanswered);
         CHECK(clock::now() - started_at >= check_timeout);
         CHECK(clock::now() - started_at < check_timeout * 3);
     }
--- a/test/platform/endpoint_process.cpp
+++ b/test/platform/endpoint_process.cpp
@@ -53,6 +53,35 @@
     return end != std::string::npos && request.size() >= end + end_of_head.size() + length;
 }
 
+/// With port 0 the kernel chooses one.
+int listen_on_loopback(std::string& address, std::uint16_t port)
+{
+    const int result = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    name.sin_port = htons(port);
+    socklen_t size = sizeof(name);
+    auto* generic = reinterpret_cast<sockaddr*>(&name);
+    // Connections of the process that listened there before may not have ended yet.
+    const int reuse = 1;
+    (void)::setsockopt(result, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    if (result < 0 || ::bind(result, generic, size) != 0 || ::listen(result, SOMAXCONN) != 0 ||
+        ::getsockname(result, generic, &size) != 0)
+    {
+        throw std::runtime_error{"cannot listen"};
+    }
+    address = absl::StrCat("127.0.0.1:", ntohs(name.sin_port));
+    return result;
+}
+
+std::uint16_t port_of(const std::string& address)
+{
+    int result = 0;
+    (void)absl::SimpleAtoi(address.substr(address.find(':') + 1), &result);
+    return static_cast<std::uint16_t>(result);
+}
+
 /// The child: one loop over all its files.
 class stream_server
 {
@@ -150,6 +179,14 @@
             ::close(std::exchange(listener_, -1));
             return true;
         }
+        if (verb == "address")
+        {
+            return take_over(id);
+        }
+        if (verb == "finish")
+        {
+            finish();
+        }
         if (verb == "leaving")
         {
             leaving_ = true;
@@ -170,6 +207,30 @@
         return false;
     }
 
+    /// Listens at the address in place of the own one.
+    bool take_over(const std::string& address)
+    {
+        ::close(std::exchange(listener_, -1));
+        std::string own;
+        listener_ = listen_on_loopback(own, port_of(address));
+        return listener_ >= 0;
+    }
+
+    /// Ends all streams after a last event each, and then the process.
+    [[noreturn]] void finish()
+    {
+        std::vector<std::pair<int, connection>> all{connections_.begin(), connections_.end()};
+        for (auto& [socket, it] : all)
+        {
+            if (!it.id.empty())
+            {
+                act("event", socket, it);
+                act("end", socket, it);
+            }
+        }
+        ::_exit(0);
+    }
+
     void act(const std::string& verb, int socket, connection& it)
     {
         if (verb == "fill")
@@ -225,23 +286,6 @@
     std::map<int, connection> connections_; ///< By socket.
 };
 
-int listen_on_loopback(std::string& address)
-{
-    const int result = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(name);
-    auto* generic = reinterpret_cast<sockaddr*>(&name);
-    if (result < 0 || ::bind(result, generic, size) != 0 || ::listen(result, SOMAXCONN) != 0 ||
-        ::getsockname(result, generic, &size) != 0)
-    {
-        throw std::runtime_error{"cannot listen"};
-    }
-    address = absl::StrCat("127.0.0.1:", ntohs(name.sin_port));
-    return result;
-}
-
 std::array<int, 2> make_pipe()
 {
     std::array<int, 2> result{};
@@ -256,7 +300,7 @@
 
 endpoint_process::endpoint_process(bool chunked)
 {
-    const int listener = listen_on_loopback(address_);
+    const int listener = listen_on_loopback(address_, 0);
     const auto commands = make_pipe();
     const auto results = make_pipe();
     pid_ = ::fork();
--- a/test/platform/endpoint_process.hpp
+++ b/test/platform/endpoint_process.hpp
@@ -36,6 +36,10 @@
     /// Responses from now on say that the endpoint is leaving.
     void announce_leaving() { command("leaving"); }
     void close_listener() { command("listener"); }
+    /// Listens at the address of a process that has ended, in place of its own address.
+    bool take_over(const endpoint_process& ended) { return command("address " + ended.address()); }
+    /// Ends all streams after a last event each, and then the process.
+    void finish() { command("finish"); }
     void exit() { command("exit"); }
     void kill();
 
