Take the exit of an endpoint that has served its time for planned, not for a crash

Cause: an endpoint that refuses connections after the end counted as crashed unless another request was in progress there. What the instance knew of the departure was not asked.

After it, an end that came with the last bytes is that of a whole response, unless another response of the endpoint broke off at the same time. An exit sooner stays a crash, a kill in the middle stays broken off, and an expected exit accuses no prompt.

Evidence: platform/leaving_endpoint.cpp, "leaves and exits". On none of the streams was complete in the six sections of an orderly exit after the time (1, 1, 2, 6, 6, 7 streams); now all are. The eight sections of what looks alike passed before and pass now: exit before the time is over, exit with a ready entry, kill before and after that time, with one stream and with six.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -72,6 +72,7 @@
     result.fleet = options.fleet;
     result.rollouts = options.rollouts;
     result.admission = options.admission;
+    result.endpoint_drain = options.endpoint_drain;
     result.seed = hash_combine(result.self.id.value(), result.self.epoch);
     return result;
 }
--- a/src/mangovane/daemon/forward_router_options.cpp
+++ b/src/mangovane/daemon/forward_router_options.cpp
@@ -39,6 +39,7 @@
     std::string admission{"off"};
     std::uint32_t drain_delay_ms{2500};
     std::uint32_t grace_ms{8000};
+    std::uint32_t endpoint_drain_ms{2000};
     std::uint32_t retry_window_s{10};
     std::uint32_t rollback_ms{0};
 };
@@ -69,6 +70,8 @@
         "from SIGTERM until connections are refused, 0 to 600000");
     add("grace-ms", po::value(&raw.grace_ms)->default_value(8000),
         "from SIGTERM until the process ends, 0 to 600000");
+    add("endpoint-drain-ms", po::value(&raw.endpoint_drain_ms)->default_value(2000),
+        "how long an endpoint goes on serving after it has announced that it leaves, 0 to 600000");
     add("load-factor", po::value(&fleet.bound.factor)->default_value(2.0),
         "limit on an endpoint's load as a multiple of the mean, 1 to 100");
     add("load-extra", po::value(&fleet.bound.extra)->default_value(3.0),
@@ -156,6 +159,8 @@
         number_range{"request-memory-mb", static_cast<double>(it.request_memory_mb), 1, 65536},
         number_range{"drain-delay-ms", static_cast<double>(raw.drain_delay_ms), 0, max_stop_ms},
         number_range{"grace-ms", static_cast<double>(raw.grace_ms), 0, max_stop_ms},
+        number_range{"endpoint-drain-ms", static_cast<double>(raw.endpoint_drain_ms), 0,
+                     max_stop_ms},
         number_range{"load-factor", it.fleet.bound.factor, 1, 100},
         number_range{"load-extra", it.fleet.bound.extra, 0, 1000},
         number_range{"retry-ratio", it.fleet.retries.ratio, 0, 1},
@@ -225,6 +230,7 @@
     }
     out.drain_delay = milliseconds{raw.drain_delay_ms};
     out.grace_period = milliseconds{raw.grace_ms};
+    out.endpoint_drain = milliseconds{raw.endpoint_drain_ms};
     out.rollouts.rollback_time = milliseconds{raw.rollback_ms};
     out.fleet.retries.window = seconds{raw.retry_window_s};
     out.fleet.placement = find_placement(raw.placement).value_or(out.fleet.placement);
--- a/src/mangovane/daemon/forward_router_options.hpp
+++ b/src/mangovane/daemon/forward_router_options.hpp
@@ -29,8 +29,10 @@
     std::string cluster_key;        ///< Cluster key; from the environment only.
     std::vector<std::string> seeds; ///< `ip:port` of some instances.
     std::uint32_t threads{2};
-    milliseconds drain_delay{2500};      ///< From the stop signal until connections are refused.
-    milliseconds grace_period{8000};     ///< From the stop signal until the process ends.
+    milliseconds drain_delay{2500};  ///< From the stop signal until connections are refused.
+    milliseconds grace_period{8000}; ///< From the stop signal until the process ends.
+    /// How long an endpoint goes on serving after it has announced that it leaves.
+    milliseconds endpoint_drain{2000};
     std::uint32_t request_memory_mb{32}; ///< For all requests that are read and held.
     std::uint32_t descriptors{0}; ///< That the process may open; 0: the limit of the process.
     fleet_policy fleet;
--- a/src/mangovane/forward/forward_core.cpp
+++ b/src/mangovane/forward/forward_core.cpp
@@ -14,8 +14,9 @@
                            time_point now)
     : options_{std::move(options)}, sink_{sink}, state_{options_.self, options_.timing,
                                                         options_.seed},
-      settings_sync_{state_, std::move(parser), settings_query_interval},
-      feed_{state_, catalog_, now}, retries_{options_.fleet.retries}, fleet_size_{now},
+      settings_sync_{state_, std::move(parser), settings_query_interval}, feed_{state_, catalog_,
+                                                                                now},
+      departures_{options_.endpoint_drain}, retries_{options_.fleet.retries}, fleet_size_{now},
       quarantine_{options_.seed}, rollouts_{options_.rollouts}, admission_{options_.admission,
                                                                            options_.seed}
 {}
@@ -66,6 +67,7 @@
     const std::lock_guard lock{endpoints_mutex_};
     if (auto endpoints = catalog_.take_changed(now))
     {
+        departures_.on_list(state_.routes()->endpoints(), *endpoints, now);
         state_.set_endpoints(std::move(endpoints));
         refresh_rollouts(now);
     }
@@ -195,6 +197,7 @@
         expired_at_ = now;
     }
     tracker_.expire(now);
+    departures_.expire(now);
 }
 
 duration forward_core::digest_period_for(bool same_domain) const
@@ -410,6 +413,10 @@
         }
     }
     tracker_.on_notice(target.endpoint, target.epoch, used, now);
+    if (notice.leaving)
+    {
+        departures_.on_stated(target.endpoint, target.epoch, now);
+    }
 }
 
 void forward_core::on_survived(const forward_request& request, time_point now)
--- a/src/mangovane/forward/forward_core.hpp
+++ b/src/mangovane/forward/forward_core.hpp
@@ -16,6 +16,7 @@
 #include "mangovane/forward/choice_explanation.hpp"
 #include "mangovane/forward/domain_reachability.hpp"
 #include "mangovane/forward/endpoint_chooser.hpp"
+#include "mangovane/forward/endpoint_departures.hpp"
 #include "mangovane/forward/endpoint_tracker.hpp"
 #include "mangovane/forward/feed_distributor.hpp"
 #include "mangovane/forward/fleet_size.hpp"
@@ -55,6 +56,8 @@
     std::uint64_t seed{1};
     rollout_policy rollouts;
     admission_policy admission;
+    /// How long an endpoint goes on serving after it has announced that it leaves.
+    milliseconds endpoint_drain{2000};
 
     bool operator==(const forward_options&) const = default;
 };
@@ -131,6 +134,13 @@
     /// Records what an endpoint, in the incarnation that was chosen, stated about itself.
     void on_notice(const dispatch_target& target, const endpoint_notice& notice, time_point now);
 
+    /// Until when an endpoint, in an incarnation, goes on serving although it leaves; empty: it is
+    /// not known to leave.
+    [[nodiscard]] std::optional<time_point> serves_until(endpoint_id endpoint, incarnation epoch)
+    {
+        return departures_.serves_until(endpoint, epoch);
+    }
+
     void on_survived(const forward_request& request, time_point now) override;
     [[nodiscard]] bool on_crash(const forward_request& request,
                                 endpoint_id endpoint,
@@ -428,6 +438,7 @@
     endpoint_catalog catalog_;
     feed_distributor feed_;
     endpoint_tracker tracker_;
+    endpoint_departures departures_;
     domain_reachability domains_;
     prefix_locations prefixes_;
     local_retry_budget retries_;
--- a/src/mangovane/forward/fwd.hpp
+++ b/src/mangovane/forward/fwd.hpp
@@ -13,6 +13,7 @@
 struct placement_context;
 struct service_room;
 class domain_reachability;
+class endpoint_departures;
 class endpoint_tracker;
 class endpoint_record;
 class endpoint_chooser;
--- a/src/mangovane/net/end_verdict.cpp
+++ b/src/mangovane/net/end_verdict.cpp
@@ -19,6 +19,21 @@
     return !end.held_back && it.silent_for - it.unheard_for <= end.max_gap;
 }
 
+/// Whether another response of the process broke off at the same time: its connection ended in the
+/// middle of a pause.
+bool any_broke_off(const response_end& end, std::span<const connection_sample> others)
+{
+    constexpr milliseconds same_time{20};
+    return std::ranges::any_of(others,
+                               [&](const connection_sample& it)
+                               {
+                                   const auto apart = it.unheard_for - end.connection.unheard_for;
+                                   const bool together = apart <= same_time && apart >= -same_time;
+                                   return !it.idle && !it.established && !it.reset && together &&
+                                          it.silent_for - it.unheard_for > end.max_gap;
+                               });
+}
+
 /// Whether the process was there after the end. A refusal outweighs a liveness connection, whose
 /// end may be lost on the way, unless the endpoint leaves and has closed its listener therefore.
 bool process_lives(const end_observation& seen)
@@ -46,6 +61,10 @@
         return together ? end_verdict{true, false, end_reason::ended_with_response}
                         : end_verdict{false, false, end_reason::ended_after_response};
     }
+    if (seen.may_have_left && together && !any_broke_off(seen.end, seen.others))
+    {
+        return {true, false, end_reason::left_after_response};
+    }
     const bool crashed = !seen.may_have_left && sign != process_sign::lives;
     const auto reason =
         sign == process_sign::ended ? end_reason::process_ended : end_reason::refuses;
@@ -56,9 +75,9 @@
 
 std::string_view name_of(end_reason reason) noexcept
 {
-    constexpr std::array<std::string_view, 6> names{"process_lives", "ended_with_response",
-                                                    "reset",         "process_ended",
-                                                    "refuses",       "ended_after_response"};
+    constexpr std::array<std::string_view, 7> names{
+        "process_lives", "ended_with_response", "left_after_response", "reset", "process_ended",
+        "refuses",       "ended_after_response"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/src/mangovane/net/end_verdict.hpp
+++ b/src/mangovane/net/end_verdict.hpp
@@ -54,6 +54,7 @@
 {
     process_lives,        ///< The process was there after the end.
     ended_with_response,  ///< The end came with the last bytes, and the address accepts.
+    left_after_response,  ///< The same, and the endpoint that was to leave has exited.
     reset,                ///< The connection was reset.
     process_ended,        ///< The process ended at the same time.
     refuses,              ///< Nothing shows the process, and the address refuses connections.
--- a/src/mangovane/net/forward_attempt.cpp
+++ b/src/mangovane/net/forward_attempt.cpp
@@ -132,6 +132,8 @@
     current.endpoint_error = {};
     timed_out_ = false;
     end_verdict_.reset();
+    current.endpoint = step.target.endpoint;
+    current.epoch = step.target.epoch;
     auto call = std::make_shared<upstream_call>(socket_.get_executor(), services_.connections,
                                                 services_.liveness);
     call_ = call;
@@ -180,8 +182,9 @@
     }
     const auto schedule = services_.stop.schedule();
     const auto give_up_at = schedule ? schedule->cut_at : time_point::max();
+    const auto serves_until = services_.core.serves_until(current_->endpoint, current_->epoch);
     end_verdict_ =
-        co_await call_->watched().check(services_.timeouts.crash_check, std::nullopt, give_up_at);
+        co_await call_->watched().check(services_.timeouts.crash_check, serves_until, give_up_at);
     log_end(*end_verdict_);
     co_return *end_verdict_;
 }
--- a/src/mangovane/net/forward_session.hpp
+++ b/src/mangovane/net/forward_session.hpp
@@ -64,6 +64,8 @@
     std::optional<forward_flow> flow;
     std::optional<buffered_response> error_response; ///< Error response of the last attempt.
     std::string endpoint_name;                       ///< Endpoint of the last attempt.
+    endpoint_id endpoint;                            ///< The same.
+    incarnation epoch{0};                            ///< In which the endpoint was chosen.
     boost::system::error_code endpoint_error;        ///< Why the last attempt's connection failed.
     sse_splitter events;
     std::string weights_version; ///< Version of the model weights that began the stream.
--- a/test/mangovane/daemon/forward_router_options.cpp
+++ b/test/mangovane/daemon/forward_router_options.cpp
@@ -68,6 +68,13 @@
         CHECK(it->rollouts == rollout_policy{0.1, 50, milliseconds{5000}});
         CHECK_FALSE(read({"--rollout-share", "0.6"}).ok());
     }
+    SUBCASE("know how long an endpoint that leaves goes on serving (guards against an exit that is "
+            "taken for a crash, or a crash for an exit, where that time is another one)")
+    {
+        CHECK(read({})->endpoint_drain == milliseconds{2000});
+        CHECK(read({"--endpoint-drain-ms", "5000"})->endpoint_drain == milliseconds{5000});
+        CHECK_FALSE(read({"--endpoint-drain-ms", "600001"}).ok());
+    }
     SUBCASE("refuse a rollback time that no verdict can keep, where there are rollouts")
     {
         const auto it = read({"--rollout-share", "0.1", "--rollback-ms", "999"});
--- a/test/mangovane/net/end_verdict.cpp
+++ b/test/mangovane/net/end_verdict.cpp
@@ -168,6 +168,41 @@
         seen.others = {liveness};
         CHECK(judge_end(seen) == end_verdict{true, false, end_reason::process_lives});
     }
+    SUBCASE("is that of a whole response if the endpoint may have left and it came with the last "
+            "bytes")
+    {
+        seen.leaving = true;
+        seen.may_have_left = true;
+        SUBCASE("without a sign of the process") {}
+        SUBCASE("and together with the process")
+        {
+            seen.others = {closed_with(liveness, end.connection)};
+        }
+        SUBCASE("and other responses ended in the same way")
+        {
+            auto other = end.connection;
+            other.id = 4;
+            seen.others = {other};
+        }
+        CHECK(judge_end(seen) == end_verdict{true, false, end_reason::left_after_response});
+    }
+    SUBCASE("counts as broken off, but not as a crash, if the endpoint may have left")
+    {
+        seen.leaving = true;
+        seen.may_have_left = true;
+        SUBCASE("and it came after a pause")
+        {
+            end.connection.silent_for += end.max_gap + milliseconds{1};
+        }
+        SUBCASE("and another response ended in the middle at the same time")
+        {
+            auto other = end.connection;
+            other.id = 4;
+            other.silent_for += end.max_gap + milliseconds{1};
+            seen.others = {other};
+        }
+        CHECK(judge_end(seen) == end_verdict{false, false, end_reason::refuses});
+    }
     SUBCASE("is a crash if the endpoint")
     {
         SUBCASE("is not known to leave") {}
--- a/test/platform/leaving_endpoint.cpp
+++ b/test/platform/leaving_endpoint.cpp
@@ -10,6 +10,7 @@
 #include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
+#include "mangovane/core/time.hpp"
 #include "platform/endpoint_process.hpp"
 #include "platform/raw_caller.hpp"
 #include "platform/router_fleet.hpp"
@@ -275,6 +276,177 @@
     }
 }
 
+namespace
+{
+
+/// How long an endpoint goes on serving after it has announced that it leaves, and until the
+/// instance knows of it.
+constexpr milliseconds drain_time{2000};
+constexpr milliseconds notice_time{300};
+constexpr milliseconds event_interval{200};
+
+/// An endpoint with several streams that leaves while they go on.
+class leaving_trial
+{
+public:
+    explicit leaving_trial(int stream_count) : fleet_{1, slow_streams()}
+    {
+        REQUIRE(fleet_.await_ready(0));
+        put("ready");
+        std::this_thread::sleep_for(time_to_register);
+        for (int n = 0; n != stream_count; ++n)
+        {
+            callers_.push_back(std::make_unique<raw_caller>(fleet_.address(0, 0)));
+            callers_.back()->send(long_request(absl::StrCat(judged, n)));
+        }
+        for (int n = 0; n != stream_count; ++n)
+        {
+            REQUIRE(eventually([&] { return endpoint_.send_event(absl::StrCat(judged, n)); },
+                               start_timeout));
+        }
+    }
+
+    void put(const std::string& state)
+    {
+        fleet_.store.put(
+            "servers", "engine",
+            entry_text({"dictamen", endpoint_.address(), "bogota-a", state, milliseconds{0}}));
+    }
+    void remove_entry() { fleet_.store.remove("servers", "engine"); }
+
+    /// A further stream whose head says that the endpoint leaves.
+    void announce_in_response()
+    {
+        endpoint_.announce_leaving();
+        callers_.push_back(std::make_unique<raw_caller>(fleet_.address(0, 0)));
+        callers_.back()->send(long_request(other));
+        REQUIRE(eventually([&] { return endpoint_.send_event(other); }, start_timeout));
+    }
+
+    /// Events of all streams for a time.
+    void serve_for(milliseconds time)
+    {
+        const auto end = clock::now() + time;
+        while (clock::now() < end)
+        {
+            for (std::size_t n = 0; n != callers_.size(); ++n)
+            {
+                endpoint_.send_event(absl::StrCat(judged, n));
+            }
+            endpoint_.send_event(other);
+            std::this_thread::sleep_for(event_interval);
+        }
+    }
+
+    /// In the middle of a pause between two events.
+    void kill()
+    {
+        serve_for(milliseconds{1});
+        endpoint_.kill();
+    }
+    void finish() { endpoint_.finish(); }
+
+    /// How many streams reached their callers as complete.
+    [[nodiscard]] std::size_t complete()
+    {
+        std::size_t result = 0;
+        for (const auto& it : callers_)
+        {
+            result += it->read_all(read_timeout).ends_with(end_of_stream) ? 1U : 0U;
+        }
+        return result;
+    }
+    [[nodiscard]] std::size_t stream_count() const { return callers_.size(); }
+
+private:
+    static fleet_params slow_streams()
+    {
+        fleet_params result;
+        result.config.stream_timeout = milliseconds{8000};
+        return result;
+    }
+    static std::string long_request(const std::string& id)
+    {
+        auto result = stream_request(id);
+        const std::string_view deadline = "X-Deadline-Ms: 2500";
+        return result.replace(result.find(deadline), deadline.size(), "X-Deadline-Ms: 8000");
+    }
+
+    endpoint_process endpoint_;
+    router_fleet fleet_;
+    std::vector<std::unique_ptr<raw_caller>> callers_;
+};
+
+} // namespace
+
+namespace
+{
+
+/// The exit looks like a crash: the last streams end together with the process, and the address
+/// refuses connections.
+void play_departure(int stream_count)
+{
+    leaving_trial trial{stream_count};
+
+    SUBCASE("has completed them once it has served for its time")
+    {
+        SUBCASE("after its entry was draining")
+        {
+            trial.put("draining");
+        }
+        SUBCASE("after its entry was removed")
+        {
+            trial.remove_entry();
+        }
+        SUBCASE("after a response said so")
+        {
+            trial.announce_in_response();
+        }
+        trial.serve_for(drain_time + notice_time);
+        trial.finish();
+        CHECK(trial.complete() == trial.stream_count());
+    }
+    SUBCASE("has not completed them if it exits sooner, which is a crash")
+    {
+        trial.put("draining");
+        trial.serve_for(drain_time / 2);
+        trial.finish();
+        CHECK(trial.complete() == 0);
+    }
+    SUBCASE("has not completed them if its entry is ready")
+    {
+        trial.serve_for(drain_time + notice_time);
+        trial.finish();
+        CHECK(trial.complete() == 0);
+    }
+    SUBCASE("has not completed them if it is killed in the middle")
+    {
+        trial.put("draining");
+        SUBCASE("after it has served for its time")
+        {
+            trial.serve_for(drain_time + notice_time);
+        }
+        SUBCASE("before")
+        {
+            trial.serve_for(drain_time / 2);
+        }
+        trial.kill();
+        CHECK(trial.complete() == 0);
+    }
+}
+
+} // namespace
+
+TEST_CASE("an endpoint that leaves and exits after its last stream")
+{
+    play_departure(1);
+}
+
+TEST_CASE("an endpoint that leaves and exits after several streams that end together")
+{
+    play_departure(6);
+}
+
 TEST_CASE("an endpoint whose process ends")
 {
     scenario plan;
