Judge the end of a response without a length on the native front end too

Callers saw: half a response of an endpoint that was killed in the middle ended as complete, with or without a successor at its address, and by reading it was stored for its idempotency key.

Cause: the native front end took each end of the connection for the end of the response; the check existed only on the front end for routes.

Both use the same watched_connection now; an end that does not count leaves the response incomplete.

Evidence: net/endpoint_attempt.cpp, two new sections that failed on and pass now; their control, an endpoint that lives on, passes on both.

--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -391,7 +391,7 @@
     ++record_.attempts;
     record_.affinity_kept = action.endpoint == request_->routed.hint.endpoints.front();
     auto attempt = std::make_shared<endpoint_attempt>(socket_.get_executor(), std::move(params),
-                                                      *this, services_.limits);
+                                                      *this, services_);
     attempt_ = attempt;
     spawn(
         socket_.get_executor(), "endpoint_attempt",
--- a/src/mangovane/net/endpoint_attempt.cpp
+++ b/src/mangovane/net/endpoint_attempt.cpp
@@ -38,10 +38,10 @@
 endpoint_attempt::endpoint_attempt(const asio::any_io_executor& executor,
                                    attempt_parameters params,
                                    response_sink& sink,
-                                   const frontend_limits& limits)
-    : params_{std::move(params)}, sink_{sink}, limits_{limits}, socket_{
-                                                                    std::make_shared<timed_socket>(
-                                                                        executor)}
+                                   const frontend_services& services)
+    : params_{std::move(params)}, sink_{sink}, services_{services}, watched_{services.connections,
+                                                                             services.liveness},
+      socket_{std::make_shared<timed_socket>(executor)}
 {
     result_.attempt = params_.action.attempt;
     result_.may_have_reached_endpoint = false;
@@ -50,6 +50,7 @@
 void endpoint_attempt::abort()
 {
     aborted_ = true;
+    watched_.stop();
     socket_->close();
 }
 
@@ -73,6 +74,7 @@
         stored_response_.http_status = static_cast<std::uint16_t>(parser_->get().result_int());
         result_.stored = stored_response_;
     }
+    watched_.stop();
     socket_->close();
     co_return result_;
 }
@@ -85,7 +87,8 @@
         co_return false;
     }
     beast::error_code ec;
-    const auto connect_until = std::min(params_.deadline, clock::now() + limits_.connect_timeout);
+    const auto connect_until =
+        std::min(params_.deadline, clock::now() + services_.limits.connect_timeout);
     socket_->expire_at(connect_until, is_writable);
     co_await socket_->socket().async_connect(*address,
                                              asio::redirect_error(asio::use_awaitable, ec));
@@ -99,6 +102,7 @@
     if (connected)
     {
         socket_->socket().set_option(asio::ip::tcp::no_delay{true}, ec);
+        watched_.start(params_.action.address, socket_->socket().native_handle());
     }
     co_return connected;
 }
@@ -133,7 +137,7 @@
 {
     socket_->expire_at(params_.deadline, is_readable);
     const auto ec = co_await read_final_head(socket_->socket(), buffer_, parser_, params_.head_only,
-                                             limits_.callers.header_bytes);
+                                             services_.limits.callers.header_bytes);
     co_return may_continue(ec);
 }
 
@@ -243,6 +247,31 @@
     }
 }
 
+void endpoint_attempt::on_part(std::size_t bytes, std::size_t buffer_bytes)
+{
+    if (bytes == 0 || !parser_->need_eof())
+    {
+        return;
+    }
+    watched_.on_part(bytes, buffer_bytes, clock::now());
+    if (bytes == buffer_bytes || !is_readable(socket_->socket()))
+    {
+        watched_.expect_end(socket_->socket().get_executor());
+    }
+}
+
+asio::awaitable<bool> endpoint_attempt::is_complete()
+{
+    socket_->stop();
+    if (!parser_->need_eof())
+    {
+        co_return true;
+    }
+    const auto verdict =
+        co_await watched_.check(services_.limits.crash_check, std::nullopt, params_.deadline);
+    co_return verdict.complete;
+}
+
 asio::awaitable<void> endpoint_attempt::relay_body(bool to_caller)
 {
     std::array<char, relay_buffer_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
@@ -259,6 +288,7 @@
             ec = {};
         }
         const auto n = buf.size() - parser_->get().body().size;
+        on_part(n, buf.size());
         if (n != 0 && result_.first_token_ms == 0)
         {
             const auto wait = std::chrono::duration_cast<milliseconds>(clock::now() - sent_at_);
@@ -281,6 +311,11 @@
         }
         complete = parser_->is_done();
     }
+    const bool whole = co_await is_complete();
+    if (!whole)
+    {
+        co_return;
+    }
     if (to_caller && chunked_)
     {
         static constexpr std::string_view last_chunk = "0\r\n\r\n";
--- a/src/mangovane/net/endpoint_attempt.hpp
+++ b/src/mangovane/net/endpoint_attempt.hpp
@@ -13,6 +13,7 @@
 #include "mangovane/net/frontend_services.hpp"
 #include "mangovane/net/held_request.hpp"
 #include "mangovane/net/timed_socket.hpp"
+#include "mangovane/net/watched_connection.hpp"
 
 namespace mangovane
 {
@@ -52,9 +53,9 @@
     endpoint_attempt(const boost::asio::any_io_executor& executor,
                      attempt_parameters params,
                      response_sink& sink,
-                     const frontend_limits& limits);
+                     const frontend_services& services);
 
-    /// Runs the attempt to completion. The sink and the limits outlive it.
+    /// Runs the attempt to completion. The sink and the services outlive it.
     boost::asio::awaitable<attempt_ended> run();
 
     /// Closes the connection, which makes `run` return.
@@ -81,6 +82,11 @@
     boost::asio::awaitable<void> relay();
     boost::asio::awaitable<void> relay_body(bool to_caller);
     boost::asio::awaitable<bool> write_to_caller(boost::asio::const_buffer buf);
+    /// A part of the body has been read.
+    void on_part(std::size_t bytes, std::size_t buffer_bytes);
+    /// Whether a response that has been read to its end is complete: an end that only the
+    /// connection tells is judged by what is known of the process.
+    boost::asio::awaitable<bool> is_complete();
     /// Whether an operation was successful and the attempt may go on.
     [[nodiscard]] bool may_continue(const boost::system::error_code& ec);
     [[nodiscard]] bool is_usable();
@@ -90,7 +96,8 @@
 
     attempt_parameters params_;
     response_sink& sink_;
-    const frontend_limits& limits_;
+    const frontend_services& services_;
+    watched_connection watched_;
     std::shared_ptr<timed_socket> socket_; ///< Never null.
     boost::beast::flat_buffer buffer_{max_response_section_bytes};
     std::optional<endpoint_response_parser> parser_;
--- a/src/mangovane/net/frontend_services.hpp
+++ b/src/mangovane/net/frontend_services.hpp
@@ -13,6 +13,8 @@
 
 #include "mangovane/idempotency/claim_writer.hpp"
 #include "mangovane/net/caller_resources.hpp"
+#include "mangovane/net/crash_check.hpp"
+#include "mangovane/net/liveness_connection.hpp"
 #include "mangovane/observe/request_record.hpp"
 #include "mangovane/routing/coordinator.hpp"
 #include "mangovane/settings/policy.hpp"
@@ -40,6 +42,7 @@
     http_limits callers;
     milliseconds write_timeout{60000};  ///< For each write to a caller.
     milliseconds connect_timeout{1000}; ///< To an endpoint.
+    crash_check_timing crash_check;
     /// How long what a caller still sends is read when its connection is closed.
     milliseconds close_timeout{500};
 
@@ -57,6 +60,10 @@
     frontend_limits limits;
     std::shared_ptr<caller_resources> callers{std::make_shared<caller_resources>()};
     stop_state stop; ///< While the instance stops, responses close the connection.
+    /// Shared with the attempts, some of which are destroyed only with their executor.
+    std::shared_ptr<endpoint_connections> connections{std::make_shared<endpoint_connections>()};
+    std::shared_ptr<liveness_connections> liveness{
+        std::make_shared<liveness_connections>(connections)};
 };
 
 } // namespace mangovane
--- a/test/mangovane/net/endpoint_attempt.cpp
+++ b/test/mangovane/net/endpoint_attempt.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds connect_timeout{850};
 constexpr milliseconds kernel_retry_time{1000};
 
+/// Between the first part of a response and its end, as if more were to follow.
+constexpr milliseconds pause_before_end{100};
+
 constexpr std::string_view answer_head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
 constexpr std::string_view answer_body = "done";
 
@@ -161,6 +164,44 @@
     }
 }
 
+TEST_CASE("a native instance whose endpoint ends a response without a length with its connection")
+{
+    // A process that is killed ends its connections in the same way; half of a response passed as
+    // whole.
+    auto endpoint = std::make_unique<raw_endpoint>();
+    served_instance target{endpoint->address()};
+    warm_up(target, *endpoint);
+    test_caller caller{target, long_time};
+    auto call = std::make_unique<raw_endpoint::socket>(endpoint->accept_request());
+    send(*call, "HTTP/1.1 200 OK\r\n\r\n");
+    send(*call, answer_body);
+    auto liveness = endpoint->accept_within(milliseconds{500});
+    std::this_thread::sleep_for(pause_before_end);
+    const auto ends_complete = [&] { return caller.read_all().ends_with("0\r\n\r\n"); };
+
+    SUBCASE("passes it on as complete if the endpoint lives on")
+    {
+        send(*call, answer_body);
+        call.reset();
+        CHECK(ends_complete());
+    }
+    SUBCASE("passes it on as incomplete if the endpoint")
+    {
+        SUBCASE("has ended too")
+        {
+            call.reset();
+            liveness.reset();
+            endpoint.reset();
+        }
+        SUBCASE("has ended too, and another process listens at its address")
+        {
+            call.reset();
+            liveness.reset();
+        }
+        CHECK_FALSE(ends_complete());
+    }
+}
+
 TEST_CASE("a native instance that is paused while it connects to an endpoint")
 {
     full_endpoint endpoint;
--- a/test/mangovane/net/raw_endpoint.hpp
+++ b/test/mangovane/net/raw_endpoint.hpp
@@ -2,10 +2,13 @@
 #ifndef MANGOVANE_TEST_NET_RAW_ENDPOINT_HPP
 #define MANGOVANE_TEST_NET_RAW_ENDPOINT_HPP
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include <poll.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -34,6 +37,14 @@
 
     [[nodiscard]] socket accept() { return acceptor_.accept(); }
 
+    /// Accepts a connection that arrives within the time.
+    [[nodiscard]] std::optional<socket> accept_within(std::chrono::milliseconds time)
+    {
+        pollfd state{acceptor_.native_handle(), POLLIN, 0};
+        const bool arrived = ::poll(&state, 1, static_cast<int>(time.count())) == 1;
+        return arrived ? std::optional{acceptor_.accept()} : std::nullopt;
+    }
+
     /// Accepts a connection and reads the head of its request.
     [[nodiscard]] socket accept_request()
     {
