Leave the error of a reset connection to the read

Cause: a deadline that expires after a pause looked whether something had arrived by a peek, which takes the socket's error; the read that follows sees an end in order.

--- a/src/mangovane/net/peek.cpp
+++ b/src/mangovane/net/peek.cpp
@@ -25,7 +25,8 @@
 
 bool is_readable(asio::ip::tcp::socket& socket)
 {
-    return peek(socket) != peek_result::no_data;
+    pollfd state{socket.native_handle(), POLLIN, 0};
+    return ::poll(&state, 1, 0) == 1;
 }
 
 bool is_writable(asio::ip::tcp::socket& socket)
--- a/src/mangovane/net/peek.hpp
+++ b/src/mangovane/net/peek.hpp
@@ -16,10 +16,13 @@
 };
 
 /// Does not block. A wait for readability may complete spuriously; only a peek tells whether the
-/// peer has closed the connection. Switches the socket to non-blocking mode.
+/// peer has closed the connection. Takes the error of a connection that has failed. Switches the
+/// socket to non-blocking mode.
 [[nodiscard]] peek_result peek(boost::asio::ip::tcp::socket& socket);
 
 /// Whether bytes, or the end of the connection, have arrived and were not read. Does not block.
+/// Leaves the error of a connection that was reset to the read, unlike a peek, after which a read
+/// would see an end in order.
 [[nodiscard]] bool is_readable(boost::asio::ip::tcp::socket& socket);
 
 /// Whether the socket accepts bytes now, or its connection has failed. Does not block.
