Let the soak's endpoints end some streams with their connection

A quarter of the soak's streams have neither a length nor chunks now, chosen by the request's id, and end with their connection while routers and endpoints are killed, paused, stopped and cut off.

The soak's endpoints do not crash in order and come back at their address yet: on its links they are reset.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdlib>
 
+#include "mangovane/core/hash.hpp"
 #include "platform/store_text.hpp"
 #include "process/http_client.hpp"
 #include "soak/call_text.hpp"
@@ -56,6 +57,9 @@
     {
         result.fails = fails_at_bad_version;
     }
+    // Not by the low bits, which choose the work.
+    result.ends_with_connection = [](const std::string& request)
+    { return hash_bytes(request) / 4096 % 4 == 0; };
     return result;
 }
 
--- a/src/standin/fleet_engine.cpp
+++ b/src/standin/fleet_engine.cpp
@@ -32,6 +32,18 @@
     return absl::StrCat("id: ", number, "\ndata: ", request, "-", number, "\n\n");
 }
 
+asio::awaitable<void> write_part(reply& rep, std::string bytes, bool chunked)
+{
+    if (chunked)
+    {
+        co_await rep.chunk(std::move(bytes));
+    }
+    else
+    {
+        co_await rep.raw(std::move(bytes));
+    }
+}
+
 /// Prefix of the control path `/standin/fault/KIND/COUNT`.
 constexpr std::string_view fault_path = "/standin/fault/";
 
@@ -91,9 +103,23 @@
     return behaviour_.work_of ? behaviour_.work_of(field(req, "X-Attempt-Id")) : behaviour_.work;
 }
 
+bool fleet_engine::ends_with_connection(const request& req) const
+{
+    return behaviour_.ends_with_connection &&
+           behaviour_.ends_with_connection(field(req, "X-Attempt-Id"));
+}
+
 asio::awaitable<void> fleet_engine::stream(const request& req, reply& rep, bool cut)
 {
-    co_await rep.start_chunks(200, "text/event-stream", {});
+    const bool chunked = !ends_with_connection(req);
+    if (chunked)
+    {
+        co_await rep.start_chunks(200, "text/event-stream", {});
+    }
+    else
+    {
+        co_await rep.start_until_close(200, "text/event-stream");
+    }
     const auto first = number(field(req, "Last-Event-ID")) + 1;
     const auto work = work_of(req);
     const auto cut_event = std::min(first + 2, work.events);
@@ -102,10 +128,10 @@
         const auto event = event_text(field(req, "X-Attempt-Id"), n);
         if (cut && n == cut_event)
         {
-            co_await rep.chunk(event.substr(0, event.size() / 2));
+            co_await write_part(rep, event.substr(0, event.size() / 2), chunked);
             break;
         }
-        co_await rep.chunk(event);
+        co_await write_part(rep, event, chunked);
         co_await rep.pause_while_connected(work.event_interval);
     }
     if (cut)
@@ -113,10 +139,14 @@
         co_await rep.pause(work.event_interval);
         rep.reset();
     }
-    else if (rep.open())
+    else if (rep.open() && chunked)
     {
         co_await rep.end_chunks();
     }
+    else if (rep.open())
+    {
+        co_await rep.close();
+    }
 }
 
 asio::awaitable<void> fleet_engine::break_off(const request& req, reply& rep)
--- a/src/standin/fleet_engine.hpp
+++ b/src/standin/fleet_engine.hpp
@@ -51,6 +51,9 @@
     std::function<engine_work(const std::string& request)> work_of{};
     /// Whether a request without another fault gets `engine_fault::error`, by its id.
     std::function<bool(const std::string& request)> fails{};
+    /// Whether a stream has neither a length nor chunks and ends with its connection, by its
+    /// request's id; not set: none.
+    std::function<bool(const std::string& request)> ends_with_connection{};
 };
 
 /// A request that an endpoint ran.
@@ -95,6 +98,7 @@
     boost::asio::awaitable<void> respond(engine_fault fault, const request& req, reply& rep);
     /// With `cut`, the response never ends as complete.
     boost::asio::awaitable<void> stream(const request& req, reply& rep, bool cut);
+    [[nodiscard]] bool ends_with_connection(const request& req) const;
     boost::asio::awaitable<void> break_off(const request& req, reply& rep);
     boost::asio::awaitable<void> apply_fault(engine_fault fault, const request& req, reply& rep);
     boost::asio::awaitable<void> control(const request& req, reply& rep);
--- a/src/standin/http_host.cpp
+++ b/src/standin/http_host.cpp
@@ -118,6 +118,12 @@
         absl::StrCat(head(status, type, attempt), fields_, "Transfer-Encoding: chunked\r\n\r\n"));
 }
 
+asio::awaitable<bool> reply::start_until_close(unsigned status, std::string type)
+{
+    co_return co_await write(
+        absl::StrCat(head(status, type, {}), fields_, "Connection: close\r\n\r\n"));
+}
+
 asio::awaitable<bool> reply::chunk(std::string data)
 {
     co_return co_await write(absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n"));
--- a/src/standin/http_host.hpp
+++ b/src/standin/http_host.hpp
@@ -34,6 +34,9 @@
     boost::asio::awaitable<bool> chunk(std::string data);
     boost::asio::awaitable<bool> end_chunks();
 
+    /// Starts a response without a length, which `close` ends. Its parts are written by `raw`.
+    boost::asio::awaitable<bool> start_until_close(unsigned status, std::string type);
+
     /// Writes bytes without HTTP framing.
     boost::asio::awaitable<bool> raw(std::string bytes);
 
