Keep the rule for liveness connections in one place and bound their number

Both front ends had the same steps to decide when a liveness connection is kept; watched_connection has them once now, and looks at the socket only until it keeps one. An instance has at most 100 such connections, of the 320 descriptors beside those for callers; where there are more endpoints with unframed responses at once, the others are judged without one.

--- a/src/mangovane/net/endpoint_attempt.cpp
+++ b/src/mangovane/net/endpoint_attempt.cpp
@@ -247,19 +247,6 @@
     }
 }
 
-void endpoint_attempt::on_part(std::size_t bytes, std::size_t buffer_bytes)
-{
-    if (bytes == 0 || !parser_->need_eof())
-    {
-        return;
-    }
-    watched_.on_part(bytes, buffer_bytes, clock::now());
-    if (bytes == buffer_bytes || !is_readable(socket_->socket()))
-    {
-        watched_.expect_end(socket_->socket().get_executor());
-    }
-}
-
 asio::awaitable<bool> endpoint_attempt::is_complete()
 {
     socket_->stop();
@@ -288,7 +275,10 @@
             ec = {};
         }
         const auto n = buf.size() - parser_->get().body().size;
-        on_part(n, buf.size());
+        if (n != 0 && parser_->need_eof())
+        {
+            watched_.on_part(n, buf.size(), socket_->socket());
+        }
         if (n != 0 && result_.first_token_ms == 0)
         {
             const auto wait = std::chrono::duration_cast<milliseconds>(clock::now() - sent_at_);
--- a/src/mangovane/net/endpoint_attempt.hpp
+++ b/src/mangovane/net/endpoint_attempt.hpp
@@ -82,8 +82,6 @@
     boost::asio::awaitable<void> relay();
     boost::asio::awaitable<void> relay_body(bool to_caller);
     boost::asio::awaitable<bool> write_to_caller(boost::asio::const_buffer buf);
-    /// A part of the body has been read.
-    void on_part(std::size_t bytes, std::size_t buffer_bytes);
     /// Whether a response that has been read to its end is complete: an end that only the
     /// connection tells is judged by what is known of the process.
     boost::asio::awaitable<bool> is_complete();
--- a/src/mangovane/net/liveness_connection.cpp
+++ b/src/mangovane/net/liveness_connection.cpp
@@ -26,13 +26,17 @@
 
 liveness_connection::liveness_connection(const asio::any_io_executor& executor,
                                          std::shared_ptr<endpoint_connections> connections,
-                                         std::string address)
-    : connections_{std::move(connections)}, address_{std::move(address)},
+                                         std::string address,
+                                         counter open)
+    : connections_{std::move(connections)}, address_{std::move(address)}, open_{std::move(open)},
       socket_{std::make_shared<timed_socket>(executor)}
-{}
+{
+    ++*open_;
+}
 
 liveness_connection::~liveness_connection()
 {
+    --*open_;
     registration_.reset();
     asio::post(socket_->socket().get_executor(), [socket = socket_] { socket->close(); });
 }
@@ -85,7 +89,11 @@
     {
         return held;
     }
-    auto result = std::make_shared<liveness_connection>(executor, connections_, address);
+    if (*open_ >= max_open)
+    {
+        return nullptr;
+    }
+    auto result = std::make_shared<liveness_connection>(executor, connections_, address, open_);
     entries_.with_shard(address,
                         [&](auto& entries)
                         {
--- a/src/mangovane/net/liveness_connection.hpp
+++ b/src/mangovane/net/liveness_connection.hpp
@@ -22,10 +22,14 @@
 class liveness_connection : public std::enable_shared_from_this<liveness_connection>
 {
 public:
+    /// Number of open objects; outlives them.
+    using counter = std::shared_ptr<std::atomic<std::size_t>>;
+
     /// The executor must be a strand.
     liveness_connection(const boost::asio::any_io_executor& executor,
                         std::shared_ptr<endpoint_connections> connections,
-                        std::string address);
+                        std::string address,
+                        counter open);
     ~liveness_connection();
     liveness_connection(const liveness_connection&) = delete;
     liveness_connection& operator=(const liveness_connection&) = delete;
@@ -41,6 +45,7 @@
 
     const std::shared_ptr<endpoint_connections> connections_;
     const std::string address_;
+    const counter open_;
     const std::shared_ptr<timed_socket> socket_;          ///< Never null.
     std::optional<connection_registration> registration_; ///< Written by `connect` only.
     std::atomic<std::uint64_t> id_{0};                    ///< Of the registration; 0: none yet.
@@ -55,12 +60,17 @@
     explicit liveness_connections(std::shared_ptr<endpoint_connections> connections);
 
     /// The connection to `ip:port`, which stays open while somebody holds it. Starts a new one if
-    /// there is none, or if the endpoint has closed it, as it does after a timeout.
+    /// there is none, or if the endpoint has closed it, as it does after a timeout. Null if too
+    /// many are open.
     [[nodiscard]] std::shared_ptr<liveness_connection>
     acquire(const boost::asio::any_io_executor& executor, const std::string& address);
 
 private:
+    /// Of the descriptors that an instance keeps beside those for callers (320).
+    static constexpr std::size_t max_open = 100;
+
     const std::shared_ptr<endpoint_connections> connections_;
+    const liveness_connection::counter open_{std::make_shared<std::atomic<std::size_t>>(0)};
     sharded_map<std::string, std::weak_ptr<liveness_connection>> entries_;
 };
 
--- a/src/mangovane/net/upstream_call.cpp
+++ b/src/mangovane/net/upstream_call.cpp
@@ -71,20 +71,11 @@
     count = buf.size() - body.size;
     if (count != 0 && ends_with_connection())
     {
-        watched_.on_part(count, buf.size(), clock::now());
-        expect_end(count == buf.size());
+        watched_.on_part(count, buf.size(), socket_);
     }
     co_return ec == http::error::need_buffer ? error_code{} : ec;
 }
 
-void upstream_call::expect_end(bool more_to_read)
-{
-    if (more_to_read || !has_arrived())
-    {
-        watched_.expect_end(socket_.get_executor());
-    }
-}
-
 bool upstream_call::is_connected() const
 {
     error_code ec;
--- a/src/mangovane/net/upstream_call.hpp
+++ b/src/mangovane/net/upstream_call.hpp
@@ -84,9 +84,6 @@
     void close();
 
 private:
-    /// A part of a response has been read whose end only the connection tells.
-    void expect_end(bool more_to_read);
-
     boost::asio::ip::tcp::socket socket_;
     watched_connection watched_;
     boost::beast::flat_buffer buffer_{max_response_section_bytes};
--- a/src/mangovane/net/watched_connection.cpp
+++ b/src/mangovane/net/watched_connection.cpp
@@ -5,6 +5,8 @@
 #include <iterator>
 #include <utility>
 
+#include "mangovane/net/peek.hpp"
+
 namespace mangovane
 {
 
@@ -61,7 +63,18 @@
     id_ = registration_->id();
 }
 
-void watched_connection::on_part(std::size_t bytes, std::size_t buffer_bytes, time_point now)
+void watched_connection::on_part(std::size_t bytes,
+                                 std::size_t buffer_bytes,
+                                 asio::ip::tcp::socket& socket)
+{
+    note_part(bytes, buffer_bytes, clock::now());
+    if (!kept_ && (!drained_ || !is_readable(socket)))
+    {
+        keep_liveness(socket.get_executor());
+    }
+}
+
+void watched_connection::note_part(std::size_t bytes, std::size_t buffer_bytes, time_point now)
 {
     first_part_at_ = parts_ == 0 ? now : first_part_at_;
     last_part_at_ = now;
@@ -75,12 +88,8 @@
     drained_ = bytes < buffer_bytes;
 }
 
-void watched_connection::expect_end(const asio::any_io_executor& executor)
+void watched_connection::keep_liveness(const asio::any_io_executor& executor)
 {
-    if (kept_)
-    {
-        return;
-    }
     if (sample().own.silent_for <= prompt_read_time)
     {
         registration_->expect_liveness(clock::now() + end_arrival_time);
--- a/src/mangovane/net/watched_connection.hpp
+++ b/src/mangovane/net/watched_connection.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include "mangovane/core/time.hpp"
 #include "mangovane/net/crash_check.hpp"
@@ -30,12 +31,9 @@
     /// The connection to `ip:port` is established. The socket stays open until `stop`.
     void start(std::string address, int socket);
 
-    /// A part of the body has been read into a buffer.
-    void on_part(std::size_t bytes, std::size_t buffer_bytes, time_point now);
-
-    /// The end of the connection will end the response, and has not come: keeps a liveness
-    /// connection from now on.
-    void expect_end(const boost::asio::any_io_executor& executor);
+    /// A part of a response that ends with the connection has been read into a buffer. Keeps a
+    /// liveness connection from the first part after which the end has not come.
+    void on_part(std::size_t bytes, std::size_t buffer_bytes, boost::asio::ip::tcp::socket& socket);
 
     /// Keeps the state of the connection for `check`; called before the socket is closed.
     void keep_state();
@@ -60,6 +58,9 @@
         std::vector<connection_sample> others;
     };
 
+    void note_part(std::size_t bytes, std::size_t buffer_bytes, time_point now);
+    void keep_liveness(const boost::asio::any_io_executor& executor);
+
     /// All connections to the address, with this one apart.
     [[nodiscard]] samples sample() const;
 
