Ask for open requests only where no liveness connection tells anything

Found on the last reading of the change. requests_at_process asked the liveness connections a second time and had a branch for a process that is known to live, whose result nobody used: the verdict asks for requests only where the liveness connections tell nothing. The condition stands in process_lives now.

--- a/src/mangovane/net/end_evidence.hpp
+++ b/src/mangovane/net/end_evidence.hpp
@@ -6,9 +6,7 @@
 #include <algorithm>
 #include <compare>
 #include <cstdint>
-#include <iterator>
 #include <span>
-#include <vector>
 
 #include "mangovane/core/time.hpp"
 
@@ -136,19 +134,6 @@
     return result;
 }
 
-/// The other connections with requests that led to the process at the end of a connection. While
-/// a liveness connection shows that the process lives, all do.
-[[nodiscard]] inline std::vector<connection_sample>
-requests_at_process(const connection_sample& ended, std::span<const connection_sample> others)
-{
-    const bool lives = sign_of(ended, others) == process_sign::lives;
-    std::vector<connection_sample> result;
-    std::ranges::copy_if(others, std::back_inserter(result),
-                         [&](const connection_sample& it)
-                         { return !it.idle && (lives || were_open_together(ended, it)); });
-    return result;
-}
-
 } // namespace mangovane
 
 #endif
--- a/src/mangovane/net/end_verdict.cpp
+++ b/src/mangovane/net/end_verdict.cpp
@@ -43,9 +43,12 @@
         return seen.shown_by_request || (seen.shown_by_liveness && seen.leaving);
     }
     const auto sign = sign_of(seen.end.connection, seen.others);
-    const auto requests = requests_at_process(seen.end.connection, seen.others);
-    const bool open = std::ranges::any_of(requests, [](const connection_sample& it)
-                                          { return it.established && it.unread == 0; });
+    const bool open = std::ranges::any_of(seen.others,
+                                          [&](const connection_sample& it)
+                                          {
+                                              return !it.idle && it.established && it.unread == 0 &&
+                                                     were_open_together(seen.end.connection, it);
+                                          });
     return sign == process_sign::lives || (sign == process_sign::none && open);
 }
 
