Log the steps of a start, and what an instance that is not ready lacks

A router that does not serve after a return of all machines logged `started`, one `store_lost` and refusals: nothing told whether the store answered, what was missing, or when requests were served. Each step from the start to the first served request is now logged once, the requests of the first 20 s by outcome for each second, and the readiness address and the log say what is missing and how the store's last call failed.

--- a/src/mangovane/daemon/discovery_sink.cpp
+++ b/src/mangovane/daemon/discovery_sink.cpp
@@ -39,6 +39,8 @@
 {
     core_.catalog().on_outage(now);
     const std::lock_guard lock{mutex_};
+    ++store_.failures;
+    store_.last_failure = reason;
     if (reachable_)
     {
         reachable_ = false;
@@ -54,6 +56,8 @@
     core_.catalog().on_contact(now);
     const std::lock_guard lock{mutex_};
     contact_at_ = now;
+    store_.answered = true;
+    store_.failures = 0;
     if (!reachable_)
     {
         reachable_ = true;
@@ -121,9 +125,15 @@
     reachable_ = true;
 }
 
-bool discovery_sink::has_initial_state()
+readiness discovery_sink::current_readiness()
 {
-    return core_.settings() != nullptr && endpoints_revision().known();
+    readiness result;
+    result.has_settings = core_.settings() != nullptr;
+    result.has_endpoints = endpoints_revision().known();
+    result.members = core_.view()->members().size();
+    const std::lock_guard lock{mutex_};
+    result.store = store_;
+    return result;
 }
 
 } // namespace mangovane
--- a/src/mangovane/daemon/discovery_sink.hpp
+++ b/src/mangovane/daemon/discovery_sink.hpp
@@ -14,6 +14,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "mangovane/daemon/readiness.hpp"
 #include "mangovane/forward/forward_core.hpp"
 #include "mangovane/membership/endpoint_catalog.hpp"
 #include "mangovane/observe/event_log.hpp"
@@ -56,8 +57,8 @@
     /// Logs changes since the last call.
     void tick(time_point now);
 
-    /// Whether settings and endpoints have been received, as is needed to serve requests.
-    [[nodiscard]] bool has_initial_state();
+    /// What has been received of all that is needed to serve requests.
+    [[nodiscard]] readiness current_readiness();
 
     /// Current settings; a source that starts to read continues after them.
     [[nodiscard]] settings_ptr settings() { return core_.settings(); }
@@ -84,6 +85,7 @@
     store_revision logged_version_;   ///< Of the settings. Guarded by `mutex_`.
     bool reachable_{true};            ///< Guarded by `mutex_`.
     time_point contact_at_{};         ///< Guarded by `mutex_`.
+    store_contact store_;             ///< Guarded by `mutex_`.
 };
 
 /// Reads settings, endpoints and instances from a platform and passes them to a `discovery_sink`.
--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -1,18 +1,14 @@
 // Implementation of the forwarding router daemon.
-#include "mangovane/daemon/forward_router.hpp"
+#include "mangovane/daemon/forward_router_state.hpp"
 
 #include <algorithm>
-#include <atomic>
+#include <array>
 #include <csignal>
 #include <ctime>
-#include <optional>
 #include <utility>
 #include <vector>
 
 #include <absl/strings/str_cat.h>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <unistd.h>
 
@@ -23,12 +19,7 @@
 #include "mangovane/daemon/quarantine_pages.hpp"
 #include "mangovane/daemon/rollout_log.hpp"
 #include "mangovane/net/address.hpp"
-#include "mangovane/net/forward_server.hpp"
-#include "mangovane/net/monitoring_server.hpp"
-#include "mangovane/net/peer_network.hpp"
-#include "mangovane/net/task_monitor.hpp"
 #include "mangovane/observe/metric_table.hpp"
-#include "mangovane/observe/request_metrics.hpp"
 
 namespace mangovane
 {
@@ -46,13 +37,8 @@
 /// suspensions of the machine), is logged as a pause of the process.
 constexpr milliseconds logged_pause_threshold{1000};
 
-/// Part of the grace period that is reserved for the answers of requests that were cut, the last
-/// messages and the exit of the process.
-constexpr milliseconds stop_margin{250};
-static_assert(cut_answer_time + tick_period <= stop_margin);
-
-/// Period in which a stop checks whether the sessions that it has cut have ended.
-constexpr milliseconds cut_poll_period{20};
+/// Period in which an instance that is not ready logs what it lacks.
+constexpr milliseconds missing_log_period{1000};
 
 /// Period in which the account labels of metrics are rotated.
 constexpr seconds label_rotation_period{60};
@@ -95,95 +81,37 @@
 
 } // namespace
 
-struct forward_router::state
+forward_router::state::state(forward_router_options opts, forward_adapter adapter)
+    : options{std::move(opts)}, io{static_cast<int>(options.threads)}, tasks{task_monitor_of(io)},
+      output{STDOUT_FILENO}, log{output, log_limits{}, clock::now()},
+      core_options{make_core_options(options)}, startup_steps{clock::now()}, startup{metrics,
+                                                                                     startup_steps,
+                                                                                     log},
+      peers{io, make_peer_options(core_options.self, options.cluster_key),
+            [this](instance_id from, const message& msg) { on_peer_message(from, msg); }},
+      core{core_options, peers, adapter.parser, clock::now()}, discovery{core, log},
+      services{
+          core,          adapter.dialect, log, startup, {}, byte_budget{max_held_response_bytes},
+          make_callers()},
+      server{io, services}, ready_pages{io,
+                                        [this](const monitoring_request&) { return ready_page(); }},
+      metric_pages{io, [this](const monitoring_request& req) { return operator_page(req); }},
+      source{adapter.make_source(io, discovery, options)}, stop_signals{io, SIGTERM, SIGINT},
+      reload_signals{io, SIGHUP}, ticker{asio::make_strand(io)}, stop_timer{io}
 {
-    state(forward_router_options opts, forward_adapter adapter)
-        : options{std::move(opts)}, io{static_cast<int>(options.threads)},
-          tasks{task_monitor_of(io)}, output{STDOUT_FILENO},
-          log{output, log_limits{}, clock::now()}, core_options{make_core_options(options)},
-          peers{io, make_peer_options(core_options.self, options.cluster_key),
-                [this](instance_id from, const message& msg)
-                { core.on_message(from, msg, clock::now()); }},
-          core{core_options, peers, adapter.parser, clock::now()}, discovery{core, log},
-          services{core,
-                   adapter.dialect,
-                   log,
-                   metrics,
-                   {},
-                   byte_budget{max_held_response_bytes},
-                   make_callers()},
-          server{io, services}, ready_pages{io, [this](const monitoring_request&)
-                                            { return ready_page(); }},
-          metric_pages{io, [this](const monitoring_request& req) { return operator_page(req); }},
-          source{adapter.make_source(io, discovery, options)}, stop_signals{io, SIGTERM, SIGINT},
-          reload_signals{io, SIGHUP}, ticker{asio::make_strand(io)}, stop_timer{io}
+    if (core.admission().enabled())
     {
-        if (core.admission().enabled())
-        {
-            services.waits = std::make_shared<admission_waits>(io, core);
-        }
-        tasks.on_failure(
-            [this](std::string_view task, std::string_view reason)
-            {
-                log.write(absl::StrCat("event=task_failed task=",
-                                       absl::string_view{task.data(), task.size()}, " reason=\"",
-                                       absl::string_view{reason.data(), reason.size()}, "\""),
-                          clock::now());
-            });
+        services.waits = std::make_shared<admission_waits>(io, core);
     }
-
-    [[nodiscard]] absl::Status listen();
-    /// Descriptors for callers and their requests in a fleet of so many instances.
-    [[nodiscard]] std::size_t caller_descriptors(std::size_t instances) const;
-    [[nodiscard]] std::shared_ptr<caller_resources> make_callers() const;
-    [[nodiscard]] monitoring_response ready_page() const;
-    [[nodiscard]] monitoring_response operator_page(const monitoring_request& req);
-    [[nodiscard]] std::string metrics_text();
-    [[nodiscard]] std::string admission_metrics();
-    void tick();
-    void log_pause(time_point now);
-    void apply_view(time_point now);
-    void update_reading(time_point now);
-    void update_readiness(time_point now);
-    void await_stop();
-    void await_reload();
-    void begin_shutdown();
-    void refuse_connections();
-    void await_last_session();
-    void cut_sessions();
-    void await_cut_sessions();
-    /// Calls a step of the shutdown at a later time.
-    void at(time_point when, void (state::*next)());
-    void stop();
-    void exit();
-
-    forward_router_options options;
-    asio::io_context io;
-    task_monitor& tasks; ///< Of `io`.
-    fd_log_output output;
-    event_log log;
-    forward_options core_options;
-    request_metrics metrics;
-    peer_network peers;
-    forward_core core;
-    discovery_sink discovery;
-    std::atomic<bool> ready{false};
-    forward_services services;
-    forward_server server;
-    monitoring_server ready_pages;
-    monitoring_server metric_pages;
-    std::unique_ptr<discovery_source> source;
-    asio::signal_set stop_signals;
-    asio::signal_set reload_signals;
-    asio::steady_timer ticker;
-    asio::steady_timer stop_timer;
-    time_point exit_at{}; ///< Set at the cut.
-    time_point ticked_at{};
-    milliseconds boot_time_at_tick{0};
-    time_point labels_rotated_at{};
-    std::uint64_t applied_view_version{0};
-    bool reading{true}; ///< Initially true, as no other instance is known yet.
-};
+    tasks.on_failure(
+        [this](std::string_view task, std::string_view reason)
+        {
+            log.write(
+                absl::StrCat("event=task_failed task=", absl::string_view{task.data(), task.size()},
+                             " reason=\"", absl::string_view{reason.data(), reason.size()}, "\""),
+                clock::now());
+        });
+}
 
 absl::Status forward_router::state::listen()
 {
@@ -211,10 +139,28 @@
                                               options.request_memory_mb * bytes_per_mb);
 }
 
-monitoring_response forward_router::state::ready_page() const
+void forward_router::state::on_peer_message(instance_id from, const message& msg)
 {
-    const bool is_ready = ready.load() && !services.stop.stopping();
-    return {is_ready ? 200U : 503U, "text/plain", is_ready ? "ready\n" : "not ready\n"};
+    const auto now = clock::now();
+    if (!peer_heard.exchange(true))
+    {
+        startup.reach(startup_step::peer_heard, now);
+    }
+    core.on_message(from, msg, now);
+}
+
+monitoring_response forward_router::state::ready_page()
+{
+    if (services.stop.stopping())
+    {
+        return {503U, "text/plain", "not ready: stopping\n"};
+    }
+    if (ready.load())
+    {
+        return {200U, "text/plain", "ready\n"};
+    }
+    const auto state = discovery.current_readiness();
+    return {503U, "text/plain", absl::StrCat("not ready: ", state.missing_text(), "\n")};
 }
 
 std::string forward_router::state::metrics_text()
@@ -296,13 +242,47 @@
 void forward_router::state::update_readiness(time_point now)
 {
     // A ready instance stays ready during an outage of the store and serves with the data it has.
-    if (!services.stop.stopping() && !ready && discovery.has_initial_state())
+    if (services.stop.stopping() || ready)
     {
-        ready = true;
-        log.write(absl::StrCat("event=ready settings=", to_log_text(core.settings()->stamp.version),
-                               " endpoints_revision=", to_log_text(discovery.endpoints_revision())),
-                  now);
+        return;
+    }
+    const auto state = discovery.current_readiness();
+    record_steps(state, now);
+    if (!state.complete())
+    {
+        log_missing(state, now);
+        return;
     }
+    ready = true;
+    startup.reach(startup_step::ready, now);
+    log.write(absl::StrCat("event=ready settings=", to_log_text(core.settings()->stamp.version),
+                           " endpoints_revision=", to_log_text(discovery.endpoints_revision())),
+              now);
+}
+
+void forward_router::state::record_steps(const readiness& state, time_point now)
+{
+    const std::array<std::pair<startup_step, bool>, 3> steps{
+        {{startup_step::store_answered, state.store.answered},
+         {startup_step::settings_in_force, state.has_settings},
+         {startup_step::endpoints_listed, state.has_endpoints}}};
+    for (const auto& [step, reached] : steps)
+    {
+        if (reached)
+        {
+            startup.reach(step, now);
+        }
+    }
+}
+
+void forward_router::state::log_missing(const readiness& state, time_point now)
+{
+    if (now < next_missing_log)
+    {
+        return;
+    }
+    next_missing_log = now + missing_log_period;
+    log.write(absl::StrCat("event=not_ready ", state.missing_text()), now);
 }
 
 void forward_router::state::tick()
@@ -317,6 +297,7 @@
     source->tick(now);
     apply_view(now);
     update_readiness(now);
+    startup.tick(now);
     if (now > labels_rotated_at + label_rotation_period)
     {
         labels_rotated_at = now;
@@ -334,119 +315,6 @@
         });
 }
 
-void forward_router::state::await_stop()
-{
-    stop_signals.async_wait(
-        [this](boost::system::error_code ec, int)
-        {
-            if (!ec)
-            {
-                begin_shutdown();
-            }
-        });
-}
-
-void forward_router::state::await_reload()
-{
-    reload_signals.async_wait(
-        [this](boost::system::error_code ec, int)
-        {
-            if (!ec)
-            {
-                // Flags and environment variables are read only at the start of the process.
-                log.write("event=reload effect=none", clock::now());
-                await_reload();
-            }
-        });
-}
-
-void forward_router::state::begin_shutdown()
-{
-    const auto now = clock::now();
-    const auto schedule =
-        make_stop_schedule(now, options.drain_delay, options.grace_period - stop_margin);
-    services.stop.begin(schedule);
-    ready = false;
-    log.write(absl::StrCat("event=stopping sessions=", server.open_sessions(),
-                           " accept_ms=", remaining_ms(schedule.accept_until, now),
-                           " cut_ms=", remaining_ms(schedule.cut_at, now)),
-              now);
-    at(schedule.accept_until, &state::refuse_connections);
-}
-
-void forward_router::state::at(time_point when, void (state::*next)())
-{
-    stop_timer.expires_at(when);
-    stop_timer.async_wait(
-        [this, next](boost::system::error_code ec)
-        {
-            if (!ec)
-            {
-                (this->*next)();
-            }
-        });
-}
-
-void forward_router::state::refuse_connections()
-{
-    server.drain();
-    await_last_session();
-}
-
-void forward_router::state::await_last_session()
-{
-    const auto now = clock::now();
-    const auto cut_at = services.stop.schedule()->cut_at;
-    if (server.drained())
-    {
-        stop();
-    }
-    else if (now >= cut_at)
-    {
-        cut_sessions();
-    }
-    else
-    {
-        at(std::min(now + tick_period, cut_at), &state::await_last_session);
-    }
-}
-
-void forward_router::state::cut_sessions()
-{
-    server.cut();
-    exit_at = clock::now() + cut_answer_time;
-    await_cut_sessions();
-}
-
-void forward_router::state::await_cut_sessions()
-{
-    const auto now = clock::now();
-    if (server.drained() || now >= exit_at)
-    {
-        stop();
-        return;
-    }
-    at(now + cut_poll_period, &state::await_cut_sessions);
-}
-
-void forward_router::state::stop()
-{
-    core.leave(clock::now());
-    source->stop();
-    at(clock::now() + tick_period, &state::exit);
-}
-
-void forward_router::state::exit()
-{
-    const auto now = clock::now();
-    const auto summary = services.stop.summary();
-    log.write_essential(absl::StrCat("event=stopped sessions=", server.open_sessions(),
-                                     " refused=", summary.refused, " cut=", summary.cut),
-                        now);
-    log.flush(now);
-    io.stop();
-}
-
 forward_router::forward_router(forward_router_options options, forward_adapter adapter)
     : state_{std::make_unique<state>(std::move(options), std::move(adapter))}
 {}
@@ -465,10 +333,11 @@
         return status;
     }
     it.log.write(absl::StrCat("event=started name=", it.options.name, " domain=", it.options.domain,
-                              " threads=", it.options.threads,
+                              " threads=", it.options.threads, " seeds=", it.options.seeds.size(),
                               " load_factor=", it.options.fleet.bound.factor,
                               " admission=", it.options.admission.enabled ? "queue" : "off"),
                  clock::now());
+    it.startup.reach(startup_step::listening, clock::now());
     it.core.on_instance_list(seed_instances(it.options), clock::now());
     it.await_stop();
     it.await_reload();
