Wait longer for the store after each call that it did not answer in time

Cause: a call to the store ended after a fixed time (1 s for a list). A store whose answers take longer than that is given up each time just before it answers, and asked again. Routers that live on have their settings and endpoints; routers that return never get any, from the store or from each other.

The time for an answer now doubles with each call that was given up, up to 4 s, and stays at twice what the last answer took (retry/answer_timeout). A read of changes does not wait for one meanwhile. Connecting has 1 s of its own, as a longer wait does not help there.

--- a/src/mangovane/daemon/platform_poller.cpp
+++ b/src/mangovane/daemon/platform_poller.cpp
@@ -54,9 +54,10 @@
         return;
     }
     listed_at_ = now;
-    platform_.fetch(now + list_timeout,
-                    [this](absl::StatusOr<discovery_list> list)
+    platform_.fetch(list_timeout_.deadline_from(now),
+                    [this, now](absl::StatusOr<discovery_list> list)
                     {
+                        list_timeout_ = list_timeout_.after(list.status(), clock::now() - now);
                         on_list(list);
                         fetching_ = false;
                     });
--- a/src/mangovane/daemon/platform_poller.hpp
+++ b/src/mangovane/daemon/platform_poller.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "mangovane/retry/answer_timeout.hpp"
 #include "mangovane/routing/coordinator.hpp"
 #include "mangovane/settings/watcher.hpp"
 #include "mangovane/store/http_platform.hpp"
@@ -31,7 +32,7 @@
 
 private:
     static constexpr milliseconds list_period{1000};
-    static constexpr milliseconds list_timeout{900};
+    static constexpr milliseconds first_list_timeout{900};
 
     void on_list(const absl::StatusOr<discovery_list>& list);
 
@@ -39,6 +40,7 @@
     coordinator& core_;
     std::shared_ptr<settings_watcher> watcher_;
     time_point listed_at_{}; ///< Start of the last fetch. Used only by `tick`.
+    answer_timeout list_timeout_{first_list_timeout}; ///< Not used while `fetching_`.
     std::atomic<bool> fetching_{false};
     std::atomic<bool> has_list_{false};
 };
--- a/src/mangovane/retry/fwd.hpp
+++ b/src/mangovane/retry/fwd.hpp
@@ -5,6 +5,7 @@
 namespace mangovane
 {
 
+class answer_timeout;
 class retry_budget;
 
 } // namespace mangovane
--- a/src/mangovane/store/http_pool.cpp
+++ b/src/mangovane/store/http_pool.cpp
@@ -33,6 +33,9 @@
 /// would not detect the broken link.
 constexpr milliseconds max_unacknowledged_time{2000};
 
+/// A lost packet of the handshake is sent again after 1 s; a new connection is as fast.
+constexpr milliseconds connect_timeout{1000};
+
 /// Limit on the read buffer, and so on a head, a chunk header with its extensions and a trailer
 /// section.
 constexpr std::size_t max_read_buffer_bytes = std::size_t{64} * 1024;
@@ -158,10 +161,15 @@
 
 asio::awaitable<absl::Status> http_pool::connect(const connection& conn, time_point deadline)
 {
-    conn->expire_at(deadline, is_writable);
+    conn->expire_at(std::min(deadline, clock::now() + connect_timeout), is_writable);
     beast::error_code ec;
     co_await conn->socket().async_connect(*endpoint_,
                                           asio::redirect_error(asio::use_awaitable, ec));
+    if (ec && conn->expired())
+    {
+        // Not a late answer: waiting for longer would not help.
+        co_return absl::UnavailableError("no connection to the platform in time");
+    }
     if (ec)
     {
         co_return status_from(*conn, ec);
--- a/src/mangovane/store/table_watch.cpp
+++ b/src/mangovane/store/table_watch.cpp
@@ -16,9 +16,9 @@
 namespace
 {
 
-constexpr milliseconds list_timeout{1000};
+constexpr milliseconds first_list_timeout{1000};
 
-constexpr milliseconds response_margin{600}; ///< Added to the wait of a long poll.
+constexpr milliseconds first_change_timeout{600}; ///< Added to the wait of a long poll.
 
 /// Delay after a change, so that further changes are read by the same call; each call costs the
 /// store.
@@ -40,7 +40,8 @@
                          milliseconds wait,
                          table_sink& sink)
     : strand_{asio::make_strand(io)}, reader_{reader}, table_{std::move(table)}, wait_{wait},
-      sink_{sink}, timer_{strand_}, backoff_{initial_backoff}
+      list_timeout_{first_list_timeout},
+      change_timeout_{first_change_timeout}, sink_{sink}, timer_{strand_}, backoff_{initial_backoff}
 {}
 
 void table_watch::start()
@@ -107,8 +108,8 @@
         rows_.clear();
         table_revision_.reset();
     }
-    call_pending_ = true;
-    reader_.list(table_, from, clock::now() + list_timeout,
+    begin_call(milliseconds{0});
+    reader_.list(table_, from, list_timeout_.deadline_from(clock::now()),
                  [self = shared_from_this()](absl::StatusOr<store_rows> page)
                  {
                      asio::post(self->strand_, [self, page = std::move(page)]() mutable
@@ -121,6 +122,7 @@
     // A first snapshot is completed although the watch was stopped. In a fleet that starts at once
     // most instances stop within the first read; without its result each had to wait for a reader.
     const bool reading = end_call();
+    learn_timeout(page.status());
     const bool finishes = page.ok() && revision_ == 0;
     if (!reading && !finishes)
     {
@@ -162,8 +164,11 @@
 
 void table_watch::read_changes()
 {
-    call_pending_ = true;
-    reader_.changes(table_, revision_.number, wait_, clock::now() + wait_ + response_margin,
+    // A store that is slow answers sooner if it need not wait for a change.
+    const auto wait = change_timeout_.extended() ? milliseconds{0} : wait_;
+    begin_call(wait);
+    reader_.changes(table_, revision_.number, wait,
+                    change_timeout_.deadline_from(clock::now()) + wait,
                     [self = shared_from_this()](absl::StatusOr<store_rows> response)
                     {
                         asio::post(self->strand_, [self, response = std::move(response)]
@@ -173,7 +178,9 @@
 
 void table_watch::on_changes(const absl::StatusOr<store_rows>& response)
 {
-    if (!end_call())
+    const bool reading = end_call();
+    learn_timeout(response.status());
+    if (!reading)
     {
         return;
     }
@@ -206,6 +213,19 @@
     schedule_after(batch_delay, &table_watch::read_changes);
 }
 
+void table_watch::begin_call(milliseconds wait)
+{
+    call_pending_ = true;
+    answer_expected_at_ = clock::now() + wait;
+}
+
+void table_watch::learn_timeout(const absl::Status& status)
+{
+    const auto late = std::max(clock::now() - answer_expected_at_, duration{0});
+    list_timeout_ = list_timeout_.after(status, late);
+    change_timeout_ = change_timeout_.after(status, late);
+}
+
 void table_watch::fail(const absl::Status& status)
 {
     if (absl::IsOutOfRange(status) && revision_ != 0)
--- a/src/mangovane/store/table_watch.hpp
+++ b/src/mangovane/store/table_watch.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include "mangovane/retry/answer_timeout.hpp"
 #include "mangovane/store/table_reader.hpp"
 
 namespace mangovane
@@ -65,6 +66,10 @@
     void on_page(absl::StatusOr<store_rows> page);
     void read_changes();
     void on_changes(const absl::StatusOr<store_rows>& response);
+    /// Notes the start of a call that may take this time besides the answer.
+    void begin_call(milliseconds wait);
+    /// Takes the result of a call into account for the time that the next one gets.
+    void learn_timeout(const absl::Status& status);
     void fail(const absl::Status& status);
     void schedule_after(milliseconds delay, void (table_watch::*next)());
     void read_from_start() { read_table({}); }
@@ -76,16 +81,19 @@
     boost::asio::strand<boost::asio::io_context::executor_type> strand_;
     table_reader& reader_;
     const std::string table_;
-    const milliseconds wait_; ///< Duration of a long poll.
+    const milliseconds wait_;       ///< Duration of a long poll.
+    answer_timeout list_timeout_;   ///< Of a read of a page.
+    answer_timeout change_timeout_; ///< Of a read of changes, beyond its wait.
     table_sink& sink_;
     boost::asio::steady_timer timer_;
     std::vector<store_row> rows_; ///< Rows of the pages read so far.
     /// Of the first page. Later pages are newer, but do not show what was removed from earlier
     /// ones.
     std::optional<store_revision> table_revision_;
-    store_revision revision_; ///< Revision up to which the table is known; 0: unknown.
-    std::uint64_t era_{0};    ///< Latest era of a response; never decreases.
-    milliseconds backoff_{0}; ///< Delay after the next failure.
+    store_revision revision_;         ///< Revision up to which the table is known; 0: unknown.
+    std::uint64_t era_{0};            ///< Latest era of a response; never decreases.
+    milliseconds backoff_{0};         ///< Delay after the next failure.
+    time_point answer_expected_at_{}; ///< Of the pending call, if the store took no time.
     bool reading_{false};
     bool call_pending_{false}; ///< A call or a delay is pending.
 };
--- a/test/mangovane/store/table_watch.cpp
+++ b/test/mangovane/store/table_watch.cpp
@@ -144,6 +144,91 @@
 namespace
 {
 
+/// A store whose answers take a time, and are lost if the caller does not wait for so long.
+class slow_store final : public table_reader
+{
+public:
+    slow_store(boost::asio::io_context& context, milliseconds delay) : io_{context}, delay_{delay}
+    {}
+
+    void
+    list(const std::string&, const std::string&, time_point deadline, rows_handler done) override
+    {
+        ++lists;
+        answer(deadline, std::move(done));
+    }
+    void changes(const std::string&,
+                 std::uint64_t,
+                 milliseconds wait,
+                 time_point deadline,
+                 rows_handler done) override
+    {
+        answer(deadline - wait,
+               [this, done = std::move(done)](absl::StatusOr<store_rows> rows)
+               {
+                   changes_answered += rows.ok() ? 1 : 0;
+                   done(std::move(rows));
+               });
+    }
+
+    std::size_t lists{0};
+    std::size_t changes_answered{0};
+
+private:
+    void answer(time_point deadline, rows_handler done)
+    {
+        const auto answered_at = clock::now() + delay_;
+        const auto timer = std::make_shared<boost::asio::steady_timer>(
+            io_, std::min<time_point>(answered_at, deadline));
+        timer->async_wait(
+            [timer, done = std::move(done), late = answered_at > deadline](auto)
+            {
+                store_rows rows;
+                rows.revision = store_revision{0, 4};
+                done(late ? absl::StatusOr<store_rows>{absl::DeadlineExceededError("late")}
+                          : std::move(rows));
+            });
+    }
+
+    boost::asio::io_context& io_;
+    const milliseconds delay_;
+};
+
+} // namespace
+
+TEST_CASE("a table of a store that answers late")
+{
+    // With a fixed time for an answer, an instance that starts would never have read the table.
+    boost::asio::io_context io;
+    slow_store store{io, milliseconds{1300}};
+    table_copy copy;
+    const auto watch = std::make_shared<table_watch>(io, store, "servers", milliseconds{10}, copy);
+    const auto run_until = [&](const auto& condition)
+    {
+        watch->start();
+        for (int n = 0; n != 1000 && !condition(); ++n)
+        {
+            io.run_for(milliseconds{10});
+        }
+    };
+
+    SUBCASE("is read by a call that waits for longer than the first one")
+    {
+        run_until([&] { return copy.snapshots == 1; });
+        CHECK(copy.snapshots == 1);
+        CHECK(store.lists == 2);
+    }
+    SUBCASE("is watched for changes, too")
+    {
+        run_until([&] { return store.changes_answered != 0; });
+        CHECK(store.changes_answered != 0);
+    }
+    watch->stop();
+}
+
+namespace
+{
+
 /// A store that answers with a list of given eras and revisions, one after another; the last one
 /// is repeated.
 class scripted_store final : public table_reader
