Try an address again that is held when a router starts

Operators and callers saw a router end at its start, as often as it was started, while another socket held one of its four addresses, even the one for metrics. Whoever starts it may wait longer each time, or stop trying.

Cause: the process opened all addresses before anything else and ended with exit code 1 when one was held; an address can be held by an outgoing connection, by a process that is not gone yet, or by a connection that waits to time out (60 s).

Evidence: the sections of platform/fleet_return "whose first router finds one of its addresses held" fail before: the process has ended, and the router does not serve after the address is free, nor with only its metrics address held.

Now the addresses that serving needs are tried again each 0.1 s for up to 90 s, and that of metrics in the background (daemon/listener_group, also in the native router). Other errors still end the process at once. Nothing is read or registered before the addresses are open, so that a process started twice does not take part under the same name.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -96,6 +96,13 @@
       server{io, services}, ready_pages{io,
                                         [this](const monitoring_request&) { return ready_page(); }},
       metric_pages{io, [this](const monitoring_request& req) { return operator_page(req); }},
+      listeners{io,
+                [this](const std::string& line)
+                {
+                    const auto now = clock::now();
+                    log.write(line, now);
+                    log.flush(now);
+                }},
       source{adapter.make_source(io, discovery, options)}, stop_signals{io, SIGTERM, SIGINT},
       reload_signals{io, SIGHUP}, ticker{asio::make_strand(io)}, stop_timer{io}
 {
@@ -113,19 +120,36 @@
         });
 }
 
-absl::Status forward_router::state::listen()
+void forward_router::state::add_listeners()
 {
-    absl::Status status = peers.listen(options.peer_listen);
-    if (!options.ready_listen.empty())
-    {
-        status.Update(ready_pages.listen(options.ready_listen));
-    }
-    if (!options.metrics_listen.empty())
-    {
-        status.Update(metric_pages.listen(options.metrics_listen));
-    }
-    status.Update(server.listen(options.listen));
-    return status;
+    listeners.add(
+        {"peers", options.peer_listen, [this] { return peers.listen(options.peer_listen); }});
+    listeners.add({"readiness", options.ready_listen,
+                   [this] { return ready_pages.listen(options.ready_listen); }});
+    listeners.add({"metrics", options.metrics_listen,
+                   [this] { return metric_pages.listen(options.metrics_listen); }, false});
+    listeners.add({"callers", options.listen, [this] { return server.listen(options.listen); }});
+}
+
+void forward_router::state::start()
+{
+    const auto now = clock::now();
+    started = true;
+    log.write(absl::StrCat("event=started name=", options.name, " domain=", options.domain,
+                           " threads=", options.threads, " seeds=", options.seeds.size(),
+                           " load_factor=", options.fleet.bound.factor,
+                           " admission=", options.admission.enabled ? "queue" : "off"),
+              now);
+    startup.reach(startup_step::listening, now);
+    core.on_instance_list(seed_instances(options), now);
+    source->start();
+    tick();
+}
+
+void forward_router::state::fail(const absl::Status& status)
+{
+    start_failure = status;
+    io.stop();
 }
 
 std::size_t forward_router::state::caller_descriptors(std::size_t instances) const
@@ -327,24 +351,13 @@
     return_large_blocks();
     // Writing to a log pipe that its reader has closed must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    const auto status = it.listen();
-    if (!status.ok())
-    {
-        return status;
-    }
-    it.log.write(absl::StrCat("event=started name=", it.options.name, " domain=", it.options.domain,
-                              " threads=", it.options.threads, " seeds=", it.options.seeds.size(),
-                              " load_factor=", it.options.fleet.bound.factor,
-                              " admission=", it.options.admission.enabled ? "queue" : "off"),
-                 clock::now());
-    it.startup.reach(startup_step::listening, clock::now());
-    it.core.on_instance_list(seed_instances(it.options), clock::now());
+    it.add_listeners();
     it.await_stop();
     it.await_reload();
-    it.source->start();
-    it.tick();
+    it.listeners.open([&it] { it.start(); },
+                      [&it](const absl::Status& status) { it.fail(status); });
     run_threads(it.io, it.options.threads);
-    return absl::OkStatus();
+    return it.start_failure;
 }
 
 } // namespace mangovane
--- a/src/mangovane/daemon/forward_router_state.hpp
+++ b/src/mangovane/daemon/forward_router_state.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "mangovane/daemon/forward_router.hpp"
+#include "mangovane/daemon/listener_group.hpp"
 #include "mangovane/net/forward_server.hpp"
 #include "mangovane/net/monitoring_server.hpp"
 #include "mangovane/net/peer_network.hpp"
@@ -26,7 +27,10 @@
 {
     state(forward_router_options opts, forward_adapter adapter);
 
-    [[nodiscard]] absl::Status listen();
+    void add_listeners();
+    /// Begins to read and to serve, once the addresses are open.
+    void start();
+    void fail(const absl::Status& status);
     /// Descriptors for callers and their requests in a fleet of so many instances.
     [[nodiscard]] std::size_t caller_descriptors(std::size_t instances) const;
     [[nodiscard]] std::shared_ptr<caller_resources> make_callers() const;
@@ -74,6 +78,9 @@
     forward_server server;
     monitoring_server ready_pages;
     monitoring_server metric_pages;
+    listener_group listeners;
+    absl::Status start_failure; ///< Why the process could not start.
+    std::atomic<bool> started{false};
     std::unique_ptr<discovery_source> source;
     boost::asio::signal_set stop_signals;
     boost::asio::signal_set reload_signals;
--- a/src/mangovane/daemon/forward_router_stop.cpp
+++ b/src/mangovane/daemon/forward_router_stop.cpp
@@ -53,6 +53,12 @@
 void forward_router::state::begin_shutdown()
 {
     const auto now = clock::now();
+    listeners.stop();
+    if (!started)
+    {
+        exit();
+        return;
+    }
     const auto schedule =
         make_stop_schedule(now, options.drain_delay, options.grace_period - stop_margin);
     services.stop.begin(schedule);
--- a/src/mangovane/daemon/router.cpp
+++ b/src/mangovane/daemon/router.cpp
@@ -20,6 +20,7 @@
 #include "mangovane/daemon/control_metrics.hpp"
 #include "mangovane/daemon/endpoint_log.hpp"
 #include "mangovane/daemon/fleet_status_provider.hpp"
+#include "mangovane/daemon/listener_group.hpp"
 #include "mangovane/daemon/platform_poller.hpp"
 #include "mangovane/daemon/process.hpp"
 #include "mangovane/daemon/request_log.hpp"
@@ -85,7 +86,8 @@
           server{io, services}, operators{io,
                                           {status_provider, [this] { return metrics_text(true); },
                                            options.cluster_key}},
-          signals{io, SIGTERM, SIGINT}, ticker{asio::make_strand(io)}, drain_timer{io}
+          signals{io, SIGTERM, SIGINT}, ticker{asio::make_strand(io)},
+          drain_timer{io}, listeners{io, [](const std::string& line) { LOG(WARNING) << line; }}
     {
         if (platform)
         {
@@ -97,7 +99,10 @@
     }
 
     [[nodiscard]] absl::Status load_static();
-    [[nodiscard]] absl::Status listen();
+    void add_listeners();
+    /// Begins to read and to serve, once the addresses are open.
+    void start();
+    void fail(const absl::Status& status);
     /// Descriptors for callers and their requests in a fleet of so many instances.
     [[nodiscard]] std::size_t caller_descriptors(std::size_t instances) const;
     [[nodiscard]] std::shared_ptr<caller_resources> make_callers() const;
@@ -140,6 +145,9 @@
     asio::signal_set signals;
     asio::steady_timer ticker;
     asio::steady_timer drain_timer;
+    listener_group listeners;
+    absl::Status start_failure; ///< Why the process could not start.
+    std::atomic<bool> started{false};
     time_point exit_at{time_point::max()}; ///< Set when the requests that still run are cut.
     time_point labels_rotated_at{};
     time_point endpoints_logged_at{};
@@ -166,19 +174,28 @@
     return absl::OkStatus();
 }
 
-absl::Status router::state::listen()
+void router::state::add_listeners()
 {
-    absl::Status status;
-    if (!options.peer_listen.empty())
-    {
-        status.Update(peers.listen(options.peer_listen));
-    }
-    if (!options.operator_listen.empty())
-    {
-        status.Update(operators.listen(options.operator_listen));
-    }
-    status.Update(server.listen(options.listen));
-    return status;
+    listeners.add(
+        {"peers", options.peer_listen, [this] { return peers.listen(options.peer_listen); }});
+    listeners.add({"operators", options.operator_listen,
+                   [this] { return operators.listen(options.operator_listen); }, false});
+    listeners.add({"callers", options.listen, [this] { return server.listen(options.listen); }});
+}
+
+void router::state::start()
+{
+    started = true;
+    LOG(INFO) << "event=started name=" << options.name << " domain=" << options.domain
+              << " port=" << server.port();
+    tick();
+    poller.start();
+}
+
+void router::state::fail(const absl::Status& status)
+{
+    start_failure = status;
+    io.stop();
 }
 
 std::size_t router::state::caller_descriptors(std::size_t instances) const
@@ -282,6 +299,12 @@
 void router::state::start_shutdown()
 {
     const auto now = clock::now();
+    listeners.stop();
+    if (!started)
+    {
+        stop();
+        return;
+    }
     LOG(INFO) << "event=shutdown_started running=" << core.running();
     services.stop.begin(make_stop_schedule(now, options.drain_delay, options.grace_period));
     ready = false;
@@ -341,7 +364,6 @@
     {
         status = it.load_static();
     }
-    status.Update(it.listen());
     if (!status.ok())
     {
         return status;
@@ -354,12 +376,11 @@
                 it.start_shutdown();
             }
         });
-    LOG(INFO) << "event=started name=" << it.options.name << " domain=" << it.options.domain
-              << " port=" << it.server.port();
-    it.tick();
-    it.poller.start();
+    it.add_listeners();
+    it.listeners.open([&it] { it.start(); },
+                      [&it](const absl::Status& failure) { it.fail(failure); });
     run_threads(it.io, it.options.threads);
-    return absl::OkStatus();
+    return it.start_failure;
 }
 
 } // namespace mangovane
--- a/src/mangovane/net/tcp_acceptor.cpp
+++ b/src/mangovane/net/tcp_acceptor.cpp
@@ -47,9 +47,15 @@
     {
         acceptor.listen(asio::socket_base::max_listen_connections, ec);
     }
-    return ec ? absl::UnavailableError(
-                    absl::StrCat("cannot listen on ", address, ": ", ec.message()))
-              : absl::OkStatus();
+    if (!ec)
+    {
+        return absl::OkStatus();
+    }
+    auto reason = absl::StrCat("cannot listen on ", address, ": ", ec.message());
+    const bool held = ec == asio::error::address_in_use;
+    acceptor.close(ec);
+    return held ? absl::AlreadyExistsError(std::move(reason))
+                : absl::UnavailableError(std::move(reason));
 }
 
 void serve_accepted(const asio::any_io_executor& executor,
