Start without a value for an argument that has a default

A router ended at each start with exit code 2, "the required argument for option '--seeds' is missing", when its deployment knew no seeds and left the placeholder out: a hint that serving does not need. A fleet of which all machines were replaced may have none.

An argument without a value, or with an empty one, now keeps its default, as an environment variable without one already does; a required one is still missed.

--- a/src/mangovane/daemon/command_line.cpp
+++ b/src/mangovane/daemon/command_line.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include <boost/program_options.hpp>
 
@@ -43,13 +44,43 @@
     return known.find_nothrow(name, false) != nullptr ? name : std::string{};
 }
 
+std::vector<std::string>
+arguments_with_values(int argc, const char* const* argv, const po::options_description& known)
+{
+    constexpr std::string_view prefix = "--";
+    std::vector<std::string> result;
+    for (int n = 1; n < argc; ++n)
+    {
+        const std::string_view flag = argv[n];
+        const auto* option =
+            flag.starts_with(prefix)
+                ? known.find_nothrow(std::string{flag.substr(prefix.size())}, false)
+                : nullptr;
+        const bool takes_value = option != nullptr && option->semantic()->max_tokens() != 0;
+        const std::string_view next = n + 1 < argc ? argv[n + 1] : "";
+        if (takes_value && (next.empty() || next.starts_with(prefix)))
+        {
+            n += n + 1 < argc && next.empty() ? 1 : 0;
+            continue;
+        }
+        result.emplace_back(flag);
+        if (takes_value)
+        {
+            result.emplace_back(argv[++n]);
+        }
+    }
+    return result;
+}
+
 absl::StatusOr<router_command>
 read_command_line(int argc, const char* const* argv, const po::options_description& known)
 {
     po::variables_map values;
     try
     {
-        po::store(po::parse_command_line(argc, argv, known), values);
+        po::store(
+            po::command_line_parser(arguments_with_values(argc, argv, known)).options(known).run(),
+            values);
         po::store(po::parse_environment(known, [&](const std::string& it)
                                         { return option_name_from_environment(it, known); }),
                   values);
--- a/test/mangovane/daemon/forward_router_options.cpp
+++ b/test/mangovane/daemon/forward_router_options.cpp
@@ -49,6 +49,22 @@
         CHECK(read({"--threads", "5"})->threads == 5);
         ::unsetenv("MANGOVANE_THREADS");
     }
+    SUBCASE("that a deployment gives no value keep their defaults")
+    {
+        // After a loss of all machines a deployment may know no seed; the process must start.
+        CHECK(read({"--seeds", ""})->seeds.empty());
+        const auto last = read({"--threads", "3", "--seeds"});
+        REQUIRE(last.ok());
+        CHECK(last->seeds.empty());
+        CHECK(last->threads == 3);
+        const auto before_another = read({"--seeds", "--threads", "3"});
+        REQUIRE(before_another.ok());
+        CHECK(before_another->threads == 3);
+        const auto number = read({"--threads", "", "--grace-ms", "7000"});
+        REQUIRE(number.ok());
+        CHECK(number->threads == read({})->threads);
+        CHECK(number->grace_period == milliseconds{7000});
+    }
     SUBCASE("that a deployment leaves empty keep their defaults")
     {
         ::setenv("MANGOVANE_RETRY_RATIO", "", 1);
