--- a/src/mangovane/net/tcp_acceptor.cpp
+++ b/src/mangovane/net/tcp_acceptor.cpp
@@ -51,11 +51,10 @@
     {
         return absl::OkStatus();
     }
-    auto reason = absl::StrCat("cannot listen on ", address, ": ", ec.message());
+    const auto reason = absl::StrCat("cannot listen on ", address, ": ", ec.message());
     const bool held = ec == asio::error::address_in_use;
     acceptor.close(ec);
-    return held ? absl::AlreadyExistsError(std::move(reason))
-                : absl::UnavailableError(std::move(reason));
+    return held ? absl::AlreadyExistsError(reason) : absl::UnavailableError(reason);
 }
 
 void serve_accepted(const asio::any_io_executor& executor,
