Bound the time for an answer by what the call is for

- A change or an outage was noticed up to 4 s late, since the reads of changes that notice them grew as long as those of lists.
They now end at 2 s; lists, which a start needs, stay at 4 s.
- One late answer made all later long polls return at once until a fast one came, which multiplies the calls to a store that is slow already.
Only the poll right after an expired one does not wait now.

--- a/src/mangovane/daemon/platform_poller.hpp
+++ b/src/mangovane/daemon/platform_poller.hpp
@@ -33,6 +33,7 @@
 private:
     static constexpr milliseconds list_period{1000};
     static constexpr milliseconds first_list_timeout{900};
+    static constexpr milliseconds longest_list_timeout{4000};
 
     void on_list(const absl::StatusOr<discovery_list>& list);
 
@@ -40,7 +41,8 @@
     coordinator& core_;
     std::shared_ptr<settings_watcher> watcher_;
     time_point listed_at_{}; ///< Start of the last fetch. Used only by `tick`.
-    answer_timeout list_timeout_{first_list_timeout}; ///< Not used while `fetching_`.
+    answer_timeout list_timeout_{first_list_timeout,
+                                 longest_list_timeout}; ///< Not used while `fetching_`.
     std::atomic<bool> fetching_{false};
     std::atomic<bool> has_list_{false};
 };
--- a/src/mangovane/retry/answer_timeout.hpp
+++ b/src/mangovane/retry/answer_timeout.hpp
@@ -19,12 +19,16 @@
 class answer_timeout
 {
 public:
-    /// `first`: time for the first call; never less.
-    constexpr explicit answer_timeout(milliseconds first) : first_{first} {}
+    /// `first`: time for the first call; never less. An answer that is lost without an error is
+    /// noticed after `longest`, so that must be well below the time in which a fleet has to serve
+    /// again.
+    constexpr answer_timeout(milliseconds first, milliseconds longest)
+        : first_{first}, longest_{longest}
+    {}
 
     [[nodiscard]] constexpr time_point deadline_from(time_point now) const
     {
-        return now + std::min(first_ * (1U << doublings_), std::max(first_, longest));
+        return now + std::min(first_ * (1U << doublings_), longest_);
     }
 
     /// Of the next call. An error other than an expired deadline tells nothing.
@@ -40,13 +44,15 @@
     /// Of the next call, after one that was given up.
     [[nodiscard]] constexpr answer_timeout after_expiry() const
     {
-        return answer_timeout{first_, std::min(doublings_ + 1, max_doublings)};
+        answer_timeout result{*this};
+        result.doublings_ = std::min(doublings_ + 1, max_doublings);
+        return result;
     }
 
     /// Of the next call, after one whose answer took so long.
     [[nodiscard]] constexpr answer_timeout after_answer(duration took) const
     {
-        answer_timeout result{first_};
+        answer_timeout result{first_, longest_};
         while (result.doublings_ < max_doublings && first_ * (1U << result.doublings_) < 2 * took)
         {
             ++result.doublings_;
@@ -54,23 +60,13 @@
         return result;
     }
 
-    /// Whether answers are late.
-    [[nodiscard]] constexpr bool extended() const { return doublings_ != 0; }
-
-    /// An answer that is lost without an error is noticed after this time, so it must be well below
-    /// the time in which a fleet has to serve again.
-    static constexpr milliseconds longest{4000};
-
     auto operator<=>(const answer_timeout&) const = default;
 
 private:
-    static constexpr std::uint32_t max_doublings = 8;
-
-    constexpr answer_timeout(milliseconds first, std::uint32_t doublings)
-        : first_{first}, doublings_{doublings}
-    {}
+    static constexpr std::uint32_t max_doublings = 8; ///< Keeps the shift in range.
 
     milliseconds first_;
+    milliseconds longest_;
     std::uint32_t doublings_{0}; ///< Of `first_`; at most `max_doublings`.
 };
 
--- a/src/mangovane/store/table_watch.cpp
+++ b/src/mangovane/store/table_watch.cpp
@@ -17,8 +17,12 @@
 {
 
 constexpr milliseconds first_list_timeout{1000};
+constexpr milliseconds longest_list_timeout{4000};
 
-constexpr milliseconds first_change_timeout{600}; ///< Added to the wait of a long poll.
+/// Added to the wait of a long poll. An outage is noticed by these calls, so the longest is shorter
+/// than that of a list.
+constexpr milliseconds first_change_timeout{600};
+constexpr milliseconds longest_change_timeout{2000};
 
 /// Delay after a change, so that further changes are read by the same call; each call costs the
 /// store.
@@ -40,8 +44,9 @@
                          milliseconds wait,
                          table_sink& sink)
     : strand_{asio::make_strand(io)}, reader_{reader}, table_{std::move(table)}, wait_{wait},
-      list_timeout_{first_list_timeout},
-      change_timeout_{first_change_timeout}, sink_{sink}, timer_{strand_}, backoff_{initial_backoff}
+      list_timeout_{first_list_timeout, longest_list_timeout},
+      change_timeout_{first_change_timeout, longest_change_timeout}, sink_{sink}, timer_{strand_},
+      backoff_{initial_backoff}
 {}
 
 void table_watch::start()
@@ -164,8 +169,8 @@
 
 void table_watch::read_changes()
 {
-    // A store that is slow answers sooner if it need not wait for a change.
-    const auto wait = change_timeout_.extended() ? milliseconds{0} : wait_;
+    // After an answer that did not come in time, one that need not wait for a change comes sooner.
+    const auto wait = last_call_expired_ ? milliseconds{0} : wait_;
     begin_call(wait);
     reader_.changes(table_, revision_.number, wait,
                     change_timeout_.deadline_from(clock::now()) + wait,
@@ -222,6 +227,7 @@
 void table_watch::learn_timeout(const absl::Status& status)
 {
     const auto late = std::max(clock::now() - answer_expected_at_, duration{0});
+    last_call_expired_ = absl::IsDeadlineExceeded(status);
     list_timeout_ = list_timeout_.after(status, late);
     change_timeout_ = change_timeout_.after(status, late);
 }
--- a/src/mangovane/store/table_watch.hpp
+++ b/src/mangovane/store/table_watch.hpp
@@ -95,7 +95,8 @@
     milliseconds backoff_{0};         ///< Delay after the next failure.
     time_point answer_expected_at_{}; ///< Of the pending call, if the store took no time.
     bool reading_{false};
-    bool call_pending_{false}; ///< A call or a delay is pending.
+    bool call_pending_{false};      ///< A call or a delay is pending.
+    bool last_call_expired_{false}; ///< Its answer did not come in time.
 };
 
 } // namespace mangovane
--- a/test/mangovane/retry/answer_timeout.cpp
+++ b/test/mangovane/retry/answer_timeout.cpp
@@ -9,20 +9,19 @@
 TEST_CASE("the time for an answer")
 {
     const time_point now{seconds{50}};
-    const answer_timeout first{milliseconds{1000}};
+    const milliseconds longest{4000};
+    const answer_timeout first{milliseconds{1000}, longest};
     CHECK(first.deadline_from(now) == now + milliseconds{1000});
-    CHECK_FALSE(first.extended());
 
     SUBCASE("doubles with each call that was given up, up to a limit")
     {
         auto it = first.after_expiry();
-        CHECK(it.extended());
         CHECK(it.deadline_from(now) == now + milliseconds{2000});
         for (int n = 0; n != 40; ++n)
         {
             it = it.after_expiry();
         }
-        CHECK(it.deadline_from(now) == now + answer_timeout::longest);
+        CHECK(it.deadline_from(now) == now + longest);
 
         SUBCASE("and returns to the first one after a fast answer")
         {
@@ -31,7 +30,7 @@
         SUBCASE("and stays at twice the time of a late answer")
         {
             const auto late = it.after(absl::OkStatus(), milliseconds{1300});
-            CHECK(late.deadline_from(now) == now + answer_timeout::longest);
+            CHECK(late.deadline_from(now) == now + longest);
             CHECK(it.after(absl::OkStatus(), milliseconds{900}).deadline_from(now) ==
                   now + milliseconds{2000});
         }
