Serve while the readiness address cannot be opened, and wait for a late one

A router whose readiness address was held started nothing, although its callers and peers could have been served; a fleet of which all readiness addresses were held did not serve within 12 s (the new section of platform/fleet_return.cpp failed before: "serves_again" false). An address that the machine did not have yet, as before its network is up, ended the process at once. And a retry that was due when the process was told to stop could still start it.

The readiness listener is optional like that of the metrics, optional ones are tried without end, an address that is not there yet is tried again like one that is held, and nothing is started after a stop.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -125,7 +125,7 @@
     listeners.add(
         {"peers", options.peer_listen, [this] { return peers.listen(options.peer_listen); }});
     listeners.add({"readiness", options.ready_listen,
-                   [this] { return ready_pages.listen(options.ready_listen); }});
+                   [this] { return ready_pages.listen(options.ready_listen); }, false});
     listeners.add({"metrics", options.metrics_listen,
                    [this] { return metric_pages.listen(options.metrics_listen); }, false});
     listeners.add({"callers", options.listen, [this] { return server.listen(options.listen); }});
--- a/src/mangovane/daemon/listener_group.cpp
+++ b/src/mangovane/daemon/listener_group.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-/// Period in which an address that is still held is logged.
+/// Period in which an address that is still not available is logged.
 constexpr seconds log_period{5};
 
 } // namespace
@@ -47,6 +47,7 @@
 void listener_group::end()
 {
     pending_.clear();
+    on_open_ = nullptr;
     timer_.cancel();
 }
 
@@ -84,7 +85,7 @@
         log_(absl::StrCat("event=listen_failed listener=", it.name, " reason=\"", status.message(),
                           "\""));
     }
-    if (absl::IsAlreadyExists(status) && now < give_up_at_)
+    if (absl::IsUnavailable(status) && (!it.required || now < give_up_at_))
     {
         return false;
     }
--- a/src/mangovane/daemon/listener_group.hpp
+++ b/src/mangovane/daemon/listener_group.hpp
@@ -1,5 +1,5 @@
 // The listening addresses of a process, which are opened when it starts. An address that is still
-// held, as by a connection that waits to time out, is tried again.
+// held, for example by a closed outgoing connection, is tried again.
 #ifndef MANGOVANE_DAEMON_LISTENER_GROUP_HPP
 #define MANGOVANE_DAEMON_LISTENER_GROUP_HPP
 
@@ -21,8 +21,8 @@
 {
     std::string name;                   ///< In log lines.
     std::string address;                ///< ip:port
-    std::function<absl::Status()> open; ///< AlreadyExists: another socket holds the address.
-    bool required{true};                ///< The process can do nothing for its callers without it.
+    std::function<absl::Status()> open; ///< Unavailable: a later attempt may succeed.
+    bool required{true};                ///< Callers cannot be served without it.
 };
 
 /// `open` is called before the context runs; the state is then confined to one strand.
@@ -39,8 +39,9 @@
     /// A listener without an address is left out.
     void add(listener it);
 
-    /// Opens all listeners, and tries those again whose address is held. Calls `on_open` once when
-    /// all that are required are open, or `on_failure` when one of these cannot be opened.
+    /// Opens all listeners, and tries those again whose address is not available. Calls `on_open`
+    /// once when all that are required are open, or `on_failure` when one of these cannot be
+    /// opened.
     void open(open_handler on_open, failure_handler on_failure);
 
     /// Ends all attempts. May be called from any thread.
@@ -48,7 +49,8 @@
 
     static constexpr milliseconds retry_period{100};
 
-    /// Longer than the 60 s for which the kernel holds the port of a closed connection.
+    /// Time after which a required listener has failed. Longer than the 60 s for which the kernel
+    /// holds the port of a closed connection.
     static constexpr seconds give_up_after{90};
 
 private:
@@ -67,7 +69,7 @@
 
     boost::asio::steady_timer timer_;
     logger log_;
-    open_handler on_open_; ///< Null after it was called.
+    open_handler on_open_; ///< Null after it was called, and after the end.
     failure_handler on_failure_;
     std::vector<pending_listener> pending_; ///< Those that are not open yet.
     absl::Status failure_;                  ///< Of a required listener, for good.
--- a/src/mangovane/net/tcp_acceptor.cpp
+++ b/src/mangovane/net/tcp_acceptor.cpp
@@ -52,9 +52,10 @@
         return absl::OkStatus();
     }
     const auto reason = absl::StrCat("cannot listen on ", address, ": ", ec.message());
-    const bool held = ec == asio::error::address_in_use;
+    const bool may_pass =
+        ec == asio::error::address_in_use || ec == boost::system::errc::address_not_available;
     acceptor.close(ec);
-    return held ? absl::AlreadyExistsError(reason) : absl::UnavailableError(reason);
+    return may_pass ? absl::UnavailableError(reason) : absl::FailedPreconditionError(reason);
 }
 
 void serve_accepted(const asio::any_io_executor& executor,
--- a/src/mangovane/net/tcp_acceptor.hpp
+++ b/src/mangovane/net/tcp_acceptor.hpp
@@ -14,8 +14,9 @@
 {
 
 /// Opens, binds and listens on `ip:port`; port 0 selects a free port.
-/// Errors: `kInvalidArgument` for a malformed address, `kAlreadyExists` if another socket holds it,
-/// `kUnavailable` if it cannot be bound for another reason.
+/// Errors: `kInvalidArgument` for a malformed address, `kUnavailable` if another socket holds it or
+/// the machine does not have it yet, `kFailedPrecondition` if it cannot be bound for another
+/// reason.
 [[nodiscard]] absl::Status open_acceptor(boost::asio::ip::tcp::acceptor& acceptor,
                                          const std::string& address);
 
--- a/test/platform/fleet_return.cpp
+++ b/test/platform/fleet_return.cpp
@@ -5,6 +5,8 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <memory>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -107,6 +109,18 @@
             CHECK(fleet.await_ready(n));
         }
     }
+    SUBCASE("whose readiness addresses are held: serves, and is ready once they are free")
+    {
+        std::vector<std::unique_ptr<address_holder>> holders;
+        for (std::size_t n = 0; n != router_count; ++n)
+        {
+            holders.push_back(std::make_unique<address_holder>(fleet.address(n, 1)));
+        }
+        start_all(fleet);
+        CHECK(serves_again(fleet, 0));
+        holders.clear();
+        CHECK(fleet.await_ready(0));
+    }
     SUBCASE("whose first router finds one of its addresses held")
     {
         const auto hold = [&](int port)
