Take a flag that ends with '=' as one without a value

`--seeds=` is how a template with an empty placeholder may render, and it ended the process at its start like `--seeds` had done.

--- a/src/mangovane/daemon/command_line.cpp
+++ b/src/mangovane/daemon/command_line.cpp
@@ -52,6 +52,10 @@
     for (int n = 1; n < argc; ++n)
     {
         const std::string_view flag = argv[n];
+        if (flag.starts_with(prefix) && flag.ends_with('='))
+        {
+            continue;
+        }
         const auto* option =
             flag.starts_with(prefix)
                 ? known.find_nothrow(std::string{flag.substr(prefix.size())}, false)
--- a/test/mangovane/daemon/forward_router_options.cpp
+++ b/test/mangovane/daemon/forward_router_options.cpp
@@ -60,6 +60,10 @@
         const auto before_another = read({"--seeds", "--threads", "3"});
         REQUIRE(before_another.ok());
         CHECK(before_another->threads == 3);
+        const auto joined = read({"--seeds=", "--threads=3"});
+        REQUIRE(joined.ok());
+        CHECK(joined->seeds.empty());
+        CHECK(joined->threads == 3);
         const auto number = read({"--threads", "", "--grace-ms", "7000"});
         REQUIRE(number.ok());
         CHECK(number->threads == read({})->threads);
