--- a/src/mangovane/observe/startup_record.hpp
+++ b/src/mangovane/observe/startup_record.hpp
@@ -4,6 +4,7 @@
 #define MANGOVANE_OBSERVE_STARTUP_RECORD_HPP
 
 #include <array>
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -64,6 +65,9 @@
     /// Log lines of the seconds that are over, and at the end of the record its summary.
     [[nodiscard]] std::vector<std::string> take_lines(time_point now);
 
+    /// Whether the summary was taken. Nothing is counted after it.
+    [[nodiscard]] bool complete() const { return complete_.load(std::memory_order_relaxed); }
+
     /// Time after the start that the record covers.
     static constexpr seconds length{20};
 
@@ -77,8 +81,8 @@
     std::array<std::optional<milliseconds>, startup_step_count>
         reached_{};                                        ///< Guarded by `mutex_`.
     std::array<startup_counts, length.count()> seconds_{}; ///< Guarded by `mutex_`.
-    std::size_t taken_{0}; ///< Seconds whose lines were taken. Guarded by `mutex_`.
-    bool complete_{false}; ///< The summary was taken. Guarded by `mutex_`.
+    std::size_t taken_{0};              ///< Seconds whose lines were taken. Guarded by `mutex_`.
+    std::atomic<bool> complete_{false}; ///< Set under `mutex_`, after which `seconds_` is constant.
 };
 
 } // namespace mangovane
