Log a request that was read just before a stop as read before it

`event=request_cut` gave read_after_ms=0 for a request that was read in the last millisecond before the stop signal, the same as for one that was read after it: the difference was rounded towards zero. An operator cannot tell the two cases apart then, which is what the figure is for.

The new section of shutdown/cut_request.cpp failed with the former rounding.

--- a/src/mangovane/net/caller_session.cpp
+++ b/src/mangovane/net/caller_session.cpp
@@ -167,7 +167,7 @@
     cut.endpoint = attempt_ ? attempt_->address() : std::string{};
     cut.attempts = record_.attempts;
     cut.status = attempt_ && response_started_ ? attempt_->status() : 0;
-    cut.read_after = std::chrono::duration_cast<milliseconds>(accepted_at_ - schedule->began_at);
+    cut.read_after = read_after_stop(accepted_at_, schedule->began_at);
     cut.ran = std::chrono::duration_cast<milliseconds>(now - accepted_at_);
     cut.left = std::chrono::duration_cast<milliseconds>(request_->routed.deadline - now);
     services_.stop.count_cut();
--- a/src/mangovane/net/forward_session.cpp
+++ b/src/mangovane/net/forward_session.cpp
@@ -190,7 +190,7 @@
     services_.log.write_essential(
         log_line({request.request, request.route->name, current_->endpoint_name,
                   current_->flow->attempts(), current_->status,
-                  elapsed(schedule->began_at, request.accepted_at),
+                  read_after_stop(request.accepted_at, schedule->began_at),
                   elapsed(request.accepted_at, now), elapsed(now, request.deadline)}),
         now);
 }
--- a/src/mangovane/shutdown/cut_request.hpp
+++ b/src/mangovane/shutdown/cut_request.hpp
@@ -25,6 +25,9 @@
     auto operator<=>(const cut_request&) const = default;
 };
 
+/// Rounded down, so that it is negative whenever the request was read before the stop signal.
+[[nodiscard]] milliseconds read_after_stop(time_point read_at, time_point stop_at);
+
 /// Line of the event log.
 [[nodiscard]] std::string log_line(const cut_request& cut);
 
--- a/test/mangovane/shutdown/cut_request.cpp
+++ b/test/mangovane/shutdown/cut_request.cpp
@@ -24,4 +24,12 @@
         CHECK(text.find("endpoint=none") != std::string::npos);
         CHECK(text.find("read_after_ms=-1200") != std::string::npos);
     }
+    SUBCASE("counts one that was read in the last millisecond before the stop as read before it")
+    {
+        const time_point stop_at{seconds{50}};
+        CHECK(read_after_stop(stop_at - std::chrono::microseconds{300}, stop_at) ==
+              milliseconds{-1});
+        CHECK(read_after_stop(stop_at + std::chrono::microseconds{300}, stop_at) ==
+              milliseconds{0});
+    }
 }
