Reject a misspelt flag that ends with '=' again

Only a known flag that takes a value is left out now, by the same question as for a flag and its value in two arguments. The function is private to the file, which alone calls it.

The two new checks in forward_router_options.cpp failed before.

--- a/src/mangovane/daemon/command_line.cpp
+++ b/src/mangovane/daemon/command_line.cpp
@@ -19,63 +19,81 @@
 
 namespace po = boost::program_options;
 
-void add_commands(po::options_description& known)
+namespace
 {
-    auto add = known.add_options();
-    add("help,h", "print this text");
-    add("version", "print the version");
-    add("check", "check the options and exit");
-}
 
-std::string option_name_from_environment(const std::string& variable,
-                                         const po::options_description& known)
+constexpr std::string_view flag_prefix = "--";
+
+bool is_flag_with_value(std::string_view text, const po::options_description& known)
 {
-    constexpr std::string_view prefix = "MANGOVANE_";
-    const char* value = std::getenv(variable.c_str());
-    // A deployment that has no value for a placeholder sets the variable to an empty text.
-    if (!variable.starts_with(prefix) || (value != nullptr && *value == '\0'))
+    if (!text.starts_with(flag_prefix))
     {
-        return {};
+        return false;
     }
-    std::string name = variable.substr(prefix.size());
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c)
-                   { return c == '_' ? '-' : static_cast<char>(std::tolower(c)); });
-    return known.find_nothrow(name, false) != nullptr ? name : std::string{};
+    const auto* option = known.find_nothrow(std::string{text.substr(flag_prefix.size())}, false);
+    return option != nullptr && option->semantic()->max_tokens() != 0;
 }
 
+/// The arguments without the flags that were given no value, which keep their defaults: a
+/// deployment that has no value for a placeholder leaves it out, or passes an empty text.
 std::vector<std::string>
 arguments_with_values(int argc, const char* const* argv, const po::options_description& known)
 {
-    constexpr std::string_view prefix = "--";
     std::vector<std::string> result;
     for (int n = 1; n < argc; ++n)
     {
-        const std::string_view flag = argv[n];
-        if (flag.starts_with(prefix) && flag.ends_with('='))
+        const std::string_view arg = argv[n];
+        if (arg.ends_with('=') && is_flag_with_value(arg.substr(0, arg.size() - 1), known))
+        {
+            continue;
+        }
+        if (!is_flag_with_value(arg, known))
         {
+            result.emplace_back(arg);
             continue;
         }
-        const auto* option =
-            flag.starts_with(prefix)
-                ? known.find_nothrow(std::string{flag.substr(prefix.size())}, false)
-                : nullptr;
-        const bool takes_value = option != nullptr && option->semantic()->max_tokens() != 0;
         const std::string_view next = n + 1 < argc ? argv[n + 1] : "";
-        if (takes_value && (next.empty() || next.starts_with(prefix)))
+        if (next.starts_with(flag_prefix))
         {
-            n += n + 1 < argc && next.empty() ? 1 : 0;
             continue;
         }
-        result.emplace_back(flag);
-        if (takes_value)
+        ++n;
+        if (!next.empty())
         {
-            result.emplace_back(argv[++n]);
+            result.emplace_back(arg);
+            result.emplace_back(next);
         }
     }
     return result;
 }
 
+} // namespace
+
+void add_commands(po::options_description& known)
+{
+    auto add = known.add_options();
+    add("help,h", "print this text");
+    add("version", "print the version");
+    add("check", "check the options and exit");
+}
+
+std::string option_name_from_environment(const std::string& variable,
+                                         const po::options_description& known)
+{
+    constexpr std::string_view prefix = "MANGOVANE_";
+    const char* value = std::getenv(variable.c_str());
+    // A deployment that has no value for a placeholder sets the variable to an empty text.
+    if (!variable.starts_with(prefix) || (value != nullptr && *value == '\0'))
+    {
+        return {};
+    }
+    std::string name = variable.substr(prefix.size());
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c)
+                   { return c == '_' ? '-' : static_cast<char>(std::tolower(c)); });
+    return known.find_nothrow(name, false) != nullptr ? name : std::string{};
+}
+
 absl::StatusOr<router_command>
 read_command_line(int argc, const char* const* argv, const po::options_description& known)
 {
--- a/src/mangovane/daemon/command_line.hpp
+++ b/src/mangovane/daemon/command_line.hpp
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include <absl/status/statusor.h>
 #include <boost/program_options/options_description.hpp>
@@ -32,13 +31,9 @@
 option_name_from_environment(const std::string& variable,
                              const boost::program_options::options_description& known);
 
-/// The arguments without the flags that were given no value, which keep their defaults: a
-/// deployment that has no value for a placeholder leaves it out, or passes an empty text.
-[[nodiscard]] std::vector<std::string> arguments_with_values(
-    int argc, const char* const* argv, const boost::program_options::options_description& known);
-
 /// Parses flags, then environment variables, into the variables that the description refers to. A
-/// flag takes precedence. Error: InvalidArgument with the name of the flag or variable.
+/// flag takes precedence; one without a value keeps its default. Error: InvalidArgument with the
+/// name of the flag or variable.
 [[nodiscard]] absl::StatusOr<router_command> read_command_line(
     int argc, const char* const* argv, const boost::program_options::options_description& known);
 
--- a/test/mangovane/daemon/forward_router_options.cpp
+++ b/test/mangovane/daemon/forward_router_options.cpp
@@ -64,6 +64,9 @@
         REQUIRE(joined.ok());
         CHECK(joined->seeds.empty());
         CHECK(joined->threads == 3);
+        // Only a known flag that takes a value: a misspelt one must not be ignored.
+        CHECK_FALSE(read({"--sedds="}).ok());
+        CHECK_FALSE(read({"--check="}).ok());
         const auto number = read({"--threads", "", "--grace-ms", "7000"});
         REQUIRE(number.ok());
         CHECK(number->threads == read({})->threads);
