Log the first served request also when it comes late

The steps are atomic now and need neither lock nor early return, and the router need not remember on its own that it has heard a peer. What counts as served stood twice and is one function.

--- a/src/mangovane/daemon/forward_router.cpp
+++ b/src/mangovane/daemon/forward_router.cpp
@@ -166,10 +166,7 @@
 void forward_router::state::on_peer_message(instance_id from, const message& msg)
 {
     const auto now = clock::now();
-    if (!peer_heard.exchange(true))
-    {
-        startup.reach(startup_step::peer_heard, now);
-    }
+    startup.reach(startup_step::peer_heard, now);
     core.on_message(from, msg, now);
 }
 
--- a/src/mangovane/daemon/forward_router_state.hpp
+++ b/src/mangovane/daemon/forward_router_state.hpp
@@ -73,7 +73,6 @@
     forward_core core;
     discovery_sink discovery;
     std::atomic<bool> ready{false};
-    std::atomic<bool> peer_heard{false}; ///< A message of another instance has arrived.
     forward_services services;
     forward_server server;
     monitoring_server ready_pages;
--- a/src/mangovane/observe/request_record.hpp
+++ b/src/mangovane/observe/request_record.hpp
@@ -32,6 +32,12 @@
     auto operator<=>(const request_record&) const = default;
 };
 
+/// Whether an outcome is that of a request which was served.
+[[nodiscard]] constexpr bool is_served(std::string_view outcome)
+{
+    return outcome == "ok" || outcome == "stored";
+}
+
 /// Observer of requests. Called from any thread.
 class request_observer
 {
--- a/src/mangovane/observe/startup_observer.cpp
+++ b/src/mangovane/observe/startup_observer.cpp
@@ -18,14 +18,10 @@
 
 void startup_observer::count(std::string_view outcome)
 {
-    if (record_.complete())
-    {
-        return;
-    }
     const auto now = clock::now();
     record_.count(outcome, now);
     reach(startup_step::request_ended, now);
-    if (outcome == "ok" || outcome == "stored")
+    if (is_served(outcome))
     {
         reach(startup_step::request_served, now);
     }
--- a/src/mangovane/observe/startup_record.cpp
+++ b/src/mangovane/observe/startup_record.cpp
@@ -3,6 +3,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "mangovane/observe/request_record.hpp"
+
 namespace mangovane
 {
 
@@ -36,7 +38,13 @@
     return result;
 }
 
-startup_record::startup_record(time_point started_at) : started_at_{started_at} {}
+startup_record::startup_record(time_point started_at) : started_at_{started_at}
+{
+    for (auto& it : reached_ms_)
+    {
+        it = not_reached;
+    }
+}
 
 milliseconds startup_record::since_start(time_point now) const
 {
@@ -46,18 +54,22 @@
 std::optional<std::string> startup_record::reach(startup_step step, time_point now)
 {
     const auto n = static_cast<std::size_t>(step);
-    const std::lock_guard lock{mutex_};
-    if (reached_[n])
+    auto& reached_ms = reached_ms_[n];
+    const auto ms = since_start(now).count();
+    auto before = not_reached;
+    if (reached_ms.load() != not_reached || !reached_ms.compare_exchange_strong(before, ms))
     {
         return std::nullopt;
     }
-    reached_[n] = since_start(now);
-    return absl::StrCat("event=startup_step step=", text_of(startup_step_names[n]),
-                        " ms=", reached_[n]->count());
+    return absl::StrCat("event=startup_step step=", text_of(startup_step_names[n]), " ms=", ms);
 }
 
 void startup_record::count(std::string_view outcome, time_point now)
 {
+    if (complete_)
+    {
+        return;
+    }
     const auto n = std::chrono::duration_cast<seconds>(since_start(now)).count();
     const std::lock_guard lock{mutex_};
     // A second whose line was written does not change any more.
@@ -66,7 +78,7 @@
         return;
     }
     auto& counts = seconds_[static_cast<std::size_t>(n)];
-    if (outcome == "ok" || outcome == "stored")
+    if (is_served(outcome))
     {
         ++counts.served;
     }
@@ -123,7 +135,7 @@
     for (std::size_t n = 0; n != startup_step_count; ++n)
     {
         absl::StrAppend(&result, " ", text_of(startup_step_names[n]),
-                        "_ms=", reached_[n] ? reached_[n]->count() : -1);
+                        "_ms=", reached_ms_[n].load());
     }
     absl::StrAppend(&result, " served=", all.served, " unserved=", all.unserved_total(),
                     " outcomes=", outcomes_text(all));
--- a/src/mangovane/observe/startup_record.hpp
+++ b/src/mangovane/observe/startup_record.hpp
@@ -56,18 +56,16 @@
 public:
     explicit startup_record(time_point started_at);
 
-    /// Records a step. Returns its log line if it is the first time.
+    /// Records a step, also after the end of the record. Returns its log line if it is the first
+    /// time. Takes no lock, as it is called for each request.
     [[nodiscard]] std::optional<std::string> reach(startup_step step, time_point now);
 
-    /// Counts a request that has ended; `outcome` is "ok" or "stored" if it was served.
+    /// Counts a request that has ended. Takes no lock after the end of the record.
     void count(std::string_view outcome, time_point now);
 
     /// Log lines of the seconds that are over, and at the end of the record its summary.
     [[nodiscard]] std::vector<std::string> take_lines(time_point now);
 
-    /// Whether the summary was taken. Nothing is counted after it.
-    [[nodiscard]] bool complete() const { return complete_.load(std::memory_order_relaxed); }
-
     /// Time after the start that the record covers.
     static constexpr seconds length{20};
 
@@ -76,10 +74,12 @@
     [[nodiscard]] std::string summary_line() const;
     [[nodiscard]] milliseconds since_start(time_point now) const;
 
+    static constexpr std::int64_t not_reached = -1;
+
     const time_point started_at_;
-    mutable std::mutex mutex_;
-    std::array<std::optional<milliseconds>, startup_step_count>
-        reached_{};                                        ///< Guarded by `mutex_`.
+    std::mutex mutex_;
+    /// Time from the start to each step, in ms; `not_reached` before it.
+    std::array<std::atomic<std::int64_t>, startup_step_count> reached_ms_;
     std::array<startup_counts, length.count()> seconds_{}; ///< Guarded by `mutex_`.
     std::size_t taken_{0};              ///< Seconds whose lines were taken. Guarded by `mutex_`.
     std::atomic<bool> complete_{false}; ///< Set under `mutex_`, after which `seconds_` is constant.
