Share the passing on of events between request observers

startup_observer repeated what request_log does for each event that it only passes on, so a new event would have had to be added to both. Both derive from forwarding_observer now and override what they add to. No change of behaviour; test_observe, test_daemon and test_net pass.

--- a/src/mangovane/daemon/request_log.cpp
+++ b/src/mangovane/daemon/request_log.cpp
@@ -23,13 +23,13 @@
     {
         LOG(INFO) << log_line(record);
     }
-    next_.on_request_end(record);
+    forwarding_observer::on_request_end(record);
 }
 
 void request_log::on_request_cut(const cut_request& cut)
 {
     LOG(INFO) << log_line(cut);
-    next_.on_request_cut(cut);
+    forwarding_observer::on_request_cut(cut);
 }
 
 void request_log::on_early_refusal(error_kind kind)
@@ -38,7 +38,7 @@
     {
         LOG(INFO) << "event=request outcome=" << descriptor_of(kind).name << " attempts=0";
     }
-    next_.on_early_refusal(kind);
+    forwarding_observer::on_early_refusal(kind);
 }
 
 } // namespace mangovane
--- a/src/mangovane/observe/startup_observer.cpp
+++ b/src/mangovane/observe/startup_observer.cpp
@@ -7,13 +7,13 @@
 void startup_observer::on_request_end(const request_record& record)
 {
     count(record.outcome);
-    next_.on_request_end(record);
+    forwarding_observer::on_request_end(record);
 }
 
 void startup_observer::on_early_refusal(error_kind kind)
 {
     count(descriptor_of(kind).name);
-    next_.on_early_refusal(kind);
+    forwarding_observer::on_early_refusal(kind);
 }
 
 void startup_observer::count(std::string_view outcome)
--- a/src/mangovane/observe/startup_observer.hpp
+++ b/src/mangovane/observe/startup_observer.hpp
@@ -5,27 +5,22 @@
 #include <string_view>
 
 #include "mangovane/observe/event_log.hpp"
-#include "mangovane/observe/request_record.hpp"
+#include "mangovane/observe/forwarding_observer.hpp"
 #include "mangovane/observe/startup_record.hpp"
 
 namespace mangovane
 {
 
-class startup_observer final : public request_observer
+class startup_observer final : public forwarding_observer
 {
 public:
     /// All references outlive the observer.
     startup_observer(request_observer& next, startup_record& record, event_log& log)
-        : next_{next}, record_{record}, log_{log}
+        : forwarding_observer{next}, record_{record}, log_{log}
     {}
 
     void on_request_end(const request_record& record) override;
     void on_early_refusal(error_kind kind) override;
-    void on_dropped_answer() override { next_.on_dropped_answer(); }
-    void on_failed_attempt(std::string_view result) override { next_.on_failed_attempt(result); }
-    void on_caller_stall() override { next_.on_caller_stall(); }
-    void on_session_end(std::string_view reason) override { next_.on_session_end(reason); }
-    void on_request_cut(const cut_request& request) override { next_.on_request_cut(request); }
 
     /// Records a step, and logs it the first time.
     void reach(startup_step step, time_point now);
@@ -36,7 +31,6 @@
 private:
     void count(std::string_view outcome);
 
-    request_observer& next_;
     startup_record& record_;
     event_log& log_;
 };
