Encode the parameters of calls to the platform's store

All routers were restarted; almost nothing was served.

Cause: the key from which the next page starts went into the request target as it was. That key is the last one of a page, whoever wrote it. The store then read another key or no request: 400 to each call (%zz, #, a blank, a line feed), the same page for ever (&, +), or a page further on, so that the endpoints between were missing (%41). Only an instance that starts lists the endpoints; one that goes on reads their changes.

Change: request_target builds path and query from parameters that are not encoded, and percent-encodes every byte but the unreserved ones; the calls to the store have no other way to state a parameter. The native client's keys in paths use the same function, which was its own before.

The stand-in of the store now lists in pages of 500 rows or 1 MB, continues from a key, decodes the target as servers do, and responds 400 to one that is malformed or has a parameter that the call does not take.

--- a/fuzz/platform.cpp
+++ b/fuzz/platform.cpp
@@ -3,6 +3,7 @@
 
 #include "fuzz.hpp"
 #include "mangovane/store/platform_codec.hpp"
+#include "mangovane/store/request_target.hpp"
 
 using namespace mangovane;
 
@@ -14,7 +15,7 @@
     const auto row = decode_row(text);
     if (row.ok())
     {
-        const auto segment = encode_path_segment(row->key);
+        const auto segment = percent_encode(row->key);
         fuzz::require(segment.find_first_of("/?# ") == std::string::npos);
         fuzz::require(!encode_writes({{row->key, row->value, row->revision}}).empty());
     }
--- a/src/mangovane/store/fwd.hpp
+++ b/src/mangovane/store/fwd.hpp
@@ -16,6 +16,7 @@
 class table_sink;
 class table_watch;
 
+struct query_parameter;
 struct rollout_listing;
 struct store_row;
 struct store_rows;
--- a/src/mangovane/store/http_platform.cpp
+++ b/src/mangovane/store/http_platform.cpp
@@ -7,6 +7,7 @@
 
 #include "mangovane/store/http_pool.hpp"
 #include "mangovane/store/platform_codec.hpp"
+#include "mangovane/store/request_target.hpp"
 
 namespace mangovane
 {
@@ -88,7 +89,7 @@
 
 void http_platform::read(std::string key, time_point deadline, read_handler handler)
 {
-    pool_->send(make_request(http::verb::get, "/v1/table/" + encode_path_segment(key)), deadline,
+    pool_->send(make_request(http::verb::get, "/v1/table/" + percent_encode(key)), deadline,
                 [handler = std::move(handler)](absl::StatusOr<http_response> response)
                 { handler(row_of(std::move(response))); });
 }
@@ -108,7 +109,7 @@
 
 void http_platform::get(std::string name, time_point deadline, get_handler handler)
 {
-    pool_->send(make_request(http::verb::get, "/v1/objects/" + encode_path_segment(name)), deadline,
+    pool_->send(make_request(http::verb::get, "/v1/objects/" + percent_encode(name)), deadline,
                 [handler = std::move(handler)](absl::StatusOr<http_response> response)
                 { handler(body_of(std::move(response))); });
 }
@@ -118,8 +119,8 @@
                         time_point deadline,
                         put_handler handler)
 {
-    auto req = make_request(http::verb::put, "/v1/objects/" + encode_path_segment(name),
-                            std::move(content));
+    auto req =
+        make_request(http::verb::put, "/v1/objects/" + percent_encode(name), std::move(content));
     req.set(http::field::content_type, "application/octet-stream");
     pool_->send(std::move(req), deadline,
                 [handler = std::move(handler)](absl::StatusOr<http_response> response)
--- a/src/mangovane/store/platform_codec.cpp
+++ b/src/mangovane/store/platform_codec.cpp
@@ -5,8 +5,6 @@
 
 #include <absl/strings/str_cat.h>
 #include <boost/json.hpp>
-#include <boost/url/encode.hpp>
-#include <boost/url/rfc/unreserved_chars.hpp>
 
 namespace mangovane
 {
@@ -89,11 +87,6 @@
 
 } // namespace
 
-std::string encode_path_segment(std::string_view text)
-{
-    return boost::urls::encode({text.data(), text.size()}, boost::urls::unreserved_chars);
-}
-
 std::string encode_writes(const std::vector<table_write>& writes)
 {
     json::array list;
--- a/src/mangovane/store/platform_codec.hpp
+++ b/src/mangovane/store/platform_codec.hpp
@@ -13,9 +13,6 @@
 namespace mangovane
 {
 
-/// Percent-encodes all characters except the unreserved ones of RFC 3986.
-[[nodiscard]] std::string encode_path_segment(std::string_view text);
-
 /// Encodes the request body of `POST /v1/table/write`.
 [[nodiscard]] std::string encode_writes(const std::vector<table_write>& writes);
 
--- a/src/standin/fleet_store.cpp
+++ b/src/standin/fleet_store.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 #include <absl/strings/escaping.h>
@@ -23,21 +25,53 @@
 
 constexpr std::chrono::milliseconds poll_period{5};
 
-std::string parameter(const request& req, const char* name)
+/// A call that reads, and the parameters that it takes.
+struct read_call
 {
-    const auto url = boost::urls::parse_origin_form({req.target().data(), req.target().size()});
+    std::string_view path;
+    std::array<std::string_view, 3> parameters;
+};
+
+constexpr read_call list_call{"/rows-get", {"table", "part", "from"}};
+constexpr read_call feed_call{"/rows-feed", {"table", "since_rev", "wait_ms"}};
+
+/// Decodes the parameters of the target; nothing if it is malformed or names one twice.
+std::optional<query> read_query(std::string_view target)
+{
+    const auto url = boost::urls::parse_origin_form({target.data(), target.size()});
     if (!url)
     {
-        return {};
+        return std::nullopt;
     }
+    query result;
     for (const auto& it : url->params())
     {
-        if (it.key == name)
+        if (!result.emplace(it.key, it.value).second)
         {
-            return it.value;
+            return std::nullopt;
         }
     }
-    return {};
+    return result;
+}
+
+/// Like `read_query`; nothing also if the call does not take one of the parameters.
+std::optional<query> read_query(std::string_view target, const read_call& call)
+{
+    auto result = read_query(target);
+    const auto is_taken = [&](const auto& it)
+    {
+        return std::find(call.parameters.begin(), call.parameters.end(), it.first) !=
+               call.parameters.end();
+    };
+    const bool valid = result && std::all_of(result->begin(), result->end(), is_taken);
+    return valid ? std::move(result) : std::nullopt;
+}
+
+/// Value of a parameter; empty without it.
+std::string value_in(const query& parameters, const std::string& name)
+{
+    const auto it = parameters.find(name);
+    return it == parameters.end() ? std::string{} : it->second;
 }
 
 std::uint64_t number(const std::string& text)
@@ -60,6 +94,26 @@
         .count();
 }
 
+json::object to_json(const std::string& table, const std::string& key, const stored_row& row)
+{
+    json::object result{{"table", table},
+                        {"part", ""},
+                        {"key", key},
+                        {"value", absl::Base64Escape(row.value)},
+                        {"ver", row.revision}};
+    if (row.removed)
+    {
+        result["deleted"] = true;
+    }
+    return result;
+}
+
+std::string rows_text(json::array rows, bool more, std::uint64_t revision)
+{
+    return json::serialize(json::object{
+        {"rows", std::move(rows)}, {"more_pages", more}, {"ver", revision}, {"now_ms", now_ms()}});
+}
+
 } // namespace
 
 void fleet_store::put(const std::string& table, const std::string& key, const std::string& value)
@@ -141,16 +195,7 @@
             {
                 continue;
             }
-            json::object entry{{"table", table},
-                               {"part", ""},
-                               {"key", key},
-                               {"value", absl::Base64Escape(value.value)},
-                               {"ver", value.revision}};
-            if (value.removed)
-            {
-                entry["deleted"] = true;
-            }
-            ordered.emplace(value.revision, std::move(entry));
+            ordered.emplace(value.revision, to_json(table, key, value));
         }
     }
     json::array rows;
@@ -158,15 +203,32 @@
     {
         rows.push_back(std::move(entry));
     }
-    return json::serialize(json::object{{"rows", std::move(rows)},
-                                        {"more_pages", false},
-                                        {"ver", contents_.revision},
-                                        {"now_ms", now_ms()}});
+    return rows_text(std::move(rows), false, contents_.revision);
 }
 
-std::string fleet_store::list(const std::string& table) const
+std::string fleet_store::list(const std::string& table, const std::string& from) const
 {
-    return changes(table, 0);
+    const std::lock_guard lock{mutex_};
+    json::array rows;
+    std::size_t bytes = 0;
+    const auto found = contents_.tables.find(table);
+    static const std::map<std::string, stored_row> none;
+    const auto& all = found == contents_.tables.end() ? none : found->second;
+    for (auto it = all.lower_bound(from); it != all.end(); ++it)
+    {
+        if (it->second.removed)
+        {
+            continue;
+        }
+        auto row = to_json(table, it->first, it->second);
+        bytes += row.at("value").as_string().size();
+        if (rows.size() == max_page_rows || bytes > max_page_bytes)
+        {
+            return rows_text(std::move(rows), true, contents_.revision);
+        }
+        rows.push_back(std::move(row));
+    }
+    return rows_text(std::move(rows), false, contents_.revision);
 }
 
 bool fleet_store::has_changes(const std::string& table, std::uint64_t since) const
@@ -178,12 +240,12 @@
                        [&](const auto& entry) { return entry.second.revision > since; });
 }
 
-asio::awaitable<void> fleet_store::feed(const request& req, reply& rep)
+asio::awaitable<void> fleet_store::feed(const query& parameters, reply& rep)
 {
-    const auto table = parameter(req, "table");
-    const auto since = number(parameter(req, "since_rev"));
+    const auto table = value_in(parameters, "table");
+    const auto since = number(value_in(parameters, "since_rev"));
     const auto until = std::chrono::steady_clock::now() +
-                       std::chrono::milliseconds{number(parameter(req, "wait_ms"))};
+                       std::chrono::milliseconds{number(value_in(parameters, "wait_ms"))};
     while (!lacks(since) && !has_changes(table, since) && std::chrono::steady_clock::now() < until)
     {
         co_await rep.pause(poll_period);
@@ -240,15 +302,27 @@
 asio::awaitable<void> fleet_store::respond(const request& req, reply& rep)
 {
     const std::string_view target{req.target().data(), req.target().size()};
-    if (target.starts_with("/rows-get"))
+    const auto path = target.substr(0, target.find('?'));
+    if (path == list_call.path)
     {
-        co_await answer(rep, 200, list(parameter(req, "table")));
+        if (const auto parameters = read_query(target, list_call))
+        {
+            co_await answer(rep, 200,
+                            list(value_in(*parameters, "table"), value_in(*parameters, "from")));
+            co_return;
+        }
+        co_await answer(rep, 400, "{}");
     }
-    else if (target.starts_with("/rows-feed"))
+    else if (path == feed_call.path)
     {
-        co_await feed(req, rep);
+        if (const auto parameters = read_query(target, feed_call))
+        {
+            co_await feed(*parameters, rep);
+            co_return;
+        }
+        co_await answer(rep, 400, "{}");
     }
-    else if (target.starts_with("/rows-tx"))
+    else if (path == "/rows-tx")
     {
         const auto status = write(req.body());
         co_await answer(rep, status, "{\"ver\":1,\"now_ms\":1}");
@@ -264,12 +338,13 @@
     const std::string_view target{req.target().data(), req.target().size()};
     if (target.starts_with("/standin/faults"))
     {
+        const auto parameters = read_query(target).value_or(query{});
         store_faults faults;
         for (const auto& [name, member] : switches)
         {
-            faults.*member = parameter(req, name) == "1";
+            faults.*member = value_in(parameters, name) == "1";
         }
-        faults.slow_ms = static_cast<std::uint32_t>(number(parameter(req, "slow_ms")));
+        faults.slow_ms = static_cast<std::uint32_t>(number(value_in(parameters, "slow_ms")));
         set_faults(faults);
         co_await rep.send(200, "{}");
         co_return;
--- a/src/standin/fleet_store.hpp
+++ b/src/standin/fleet_store.hpp
@@ -1,5 +1,6 @@
-// Stand-in for the platform's store: tables with revisions, long polling for changes, and injected
-// faults.
+// Stand-in for the platform's store: tables with revisions, lists in pages, long polling for
+// changes, and injected faults. It decodes the target of a call as servers do, and responds 400 to
+// one that is not well-formed or has other parameters than the call takes.
 #ifndef MANGOVANE_STANDIN_FLEET_STORE_HPP
 #define MANGOVANE_STANDIN_FLEET_STORE_HPP
 
@@ -25,6 +26,9 @@
     auto operator<=>(const store_faults&) const = default;
 };
 
+/// Decoded parameters of a call, by name.
+using query = std::map<std::string, std::string>;
+
 struct stored_row
 {
     std::string value;
@@ -46,6 +50,9 @@
 class fleet_store
 {
 public:
+    static constexpr std::size_t max_page_rows = 500;
+    static constexpr std::size_t max_page_bytes = 1'000'000; ///< Of encoded values.
+
     boost::asio::awaitable<void> handle(const request& req, reply& rep);
 
     /// Writes or removes a row without a revision check.
@@ -66,10 +73,10 @@
     [[nodiscard]] std::uint64_t calls() const;
 
 private:
-    [[nodiscard]] std::string list(const std::string& table) const;
+    [[nodiscard]] std::string list(const std::string& table, const std::string& from) const;
     [[nodiscard]] std::string changes(const std::string& table, std::uint64_t since) const;
     [[nodiscard]] bool has_changes(const std::string& table, std::uint64_t since) const;
-    boost::asio::awaitable<void> feed(const request& req, reply& rep);
+    boost::asio::awaitable<void> feed(const query& parameters, reply& rep);
     [[nodiscard]] unsigned write(const std::string& body);
     boost::asio::awaitable<void> respond(const request& req, reply& rep);
     boost::asio::awaitable<void> answer(reply& rep, unsigned status, std::string body) const;
--- a/test/mangovane/store/platform_codec.cpp
+++ b/test/mangovane/store/platform_codec.cpp
@@ -8,11 +8,6 @@
 
 TEST_CASE("the platform's messages")
 {
-    SUBCASE("encode a key with reserved characters as a single path segment")
-    {
-        CHECK(encode_path_segment("claim/a b?%") == "claim%2Fa%20b%3F%25");
-    }
-
     SUBCASE("keep a revision above 2^63; a rounded one would fail every condition")
     {
         const auto row = decode_row(R"({"key":"a","value":"v","revision":18446744073709551615})");
--- a/test/platform/fleet_return.cpp
+++ b/test/platform/fleet_return.cpp
@@ -152,3 +152,34 @@
         }
     }
 }
+
+TEST_CASE("a fleet whose routers were all killed while entries of another writer are in the list")
+{
+    // Only a router that starts lists the endpoints; one that goes on reads their changes. The
+    // entries name no endpoint, and fill more than a page, so that a page ends with one of them.
+    constexpr std::size_t odd_entries = 700;
+    static_assert(odd_entries > standin::fleet_store::max_page_rows);
+    router_fleet fleet{router_count};
+    fleet.add_engine("m5-plain", "ventanilla");
+    fleet.add_engine("m5-engine", "dictamen");
+    for (std::size_t n = 0; n != router_count; ++n)
+    {
+        REQUIRE(serves_again(fleet, n));
+    }
+    for (const char* odd : {"&", "&part=x", "+", "#", "%zz", "%41", " "})
+    {
+        SUBCASE((std::string{"whose names hold '"} + odd + "': serves again").c_str())
+        {
+            for (std::size_t n = 0; n != odd_entries; ++n)
+            {
+                fleet.store.put("servers", "m" + (odd + std::to_string(1000 + n)), "\xff?");
+            }
+            kill_all(fleet);
+            start_all(fleet);
+            for (std::size_t n = 0; n != router_count; ++n)
+            {
+                CHECK(serves_again(fleet, n));
+            }
+        }
+    }
+}
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <thread>
 
+#include <absl/strings/escaping.h>
 #include <doctest/doctest.h>
 
 #include "mangovane/store/run_call.hpp"
@@ -40,6 +41,11 @@
     void on_failure(const absl::Status&) override { ++failures; }
     store_revision resume_revision() override { return known.load(); }
 
+    [[nodiscard]] std::size_t size()
+    {
+        const std::lock_guard lock{mutex_};
+        return rows_.size();
+    }
     [[nodiscard]] std::string value(const std::string& key)
     {
         const std::lock_guard lock{mutex_};
@@ -85,6 +91,42 @@
     return false;
 }
 
+/// A key, numbered so that keys sort by their number.
+std::string numbered(const std::string& beginning, std::size_t n)
+{
+    const auto digits = std::to_string(n);
+    return beginning + std::string(4 - digits.size(), '0') + digits;
+}
+
+/// Watches the servers' table of a store until it is dropped.
+class running_watch
+{
+public:
+    explicit running_watch(const std::string& address) : client_{io_, address}
+    {
+        watch_->start();
+        thread_ = std::thread{[this] { io_.run(); }};
+    }
+    ~running_watch()
+    {
+        io_.stop();
+        thread_.join();
+    }
+    running_watch(const running_watch&) = delete;
+    running_watch& operator=(const running_watch&) = delete;
+
+    recording_table sink;
+
+private:
+    boost::asio::io_context io_{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{
+        io_.get_executor()};
+    store_client client_;
+    std::shared_ptr<table_watch> watch_{
+        std::make_shared<table_watch>(io_, client_, "servers", milliseconds{600}, sink)};
+    std::thread thread_;
+};
+
 } // namespace
 
 TEST_CASE("a response of the store is parsed, also with malformed rows")
@@ -200,6 +242,77 @@
     thread.join();
 }
 
+TEST_CASE("a table of several pages")
+{
+    // The next page starts from the last key of the page, whoever wrote it. A key that the store
+    // reads as another one, or not at all, would keep an instance that starts from any list.
+    standin::fleet_store store;
+    test::hosted_server host{[&](const standin::request& req, standin::reply& rep)
+                             { return store.handle(req, rep); }};
+    constexpr std::size_t odd_rows = 700;
+    static_assert(odd_rows > standin::fleet_store::max_page_rows);
+
+    for (const auto& odd : {std::string{"&"},
+                            std::string{"&part=x"},
+                            std::string{"&from="},
+                            std::string{"+"},
+                            std::string{"#"},
+                            std::string{"#a"},
+                            std::string{"%"},
+                            std::string{"%zz"},
+                            std::string{"%41"},
+                            std::string{" "},
+                            std::string{"\r\nHost: x\r\n"},
+                            std::string{"\t"},
+                            std::string(1, '\0'),
+                            std::string{"\x7f"},
+                            std::string{"\""},
+                            std::string{"'"},
+                            std::string{"\\"},
+                            std::string{"/"},
+                            std::string{"?"},
+                            std::string{"="},
+                            std::string{";"},
+                            std::string{":"},
+                            std::string{"@"},
+                            std::string{"\u00e9"},
+                            std::string{"\u6f22"},
+                            std::string{"\U0001f600"},
+                            std::string(180, '&')})
+    {
+        SUBCASE(("whose rows begin with m" + absl::CHexEscape(odd)).c_str())
+        {
+            CAPTURE(odd);
+            for (std::size_t n = 0; n != odd_rows; ++n)
+            {
+                store.put("servers", numbered("m" + odd, n), "?");
+            }
+            store.put("servers", "m5", "between the odd key and what it decodes to");
+            store.put("servers", "z", "last");
+            running_watch it{host.address()};
+            CHECK(eventually([&] { return it.sink.tables != 0; }));
+            CHECK(it.sink.size() == odd_rows + 2);
+            CHECK(it.sink.value("m5") != "none");
+            CHECK(it.sink.value("z") == "last");
+            CHECK(it.sink.failures == 0);
+        }
+    }
+    SUBCASE("of few rows with long values")
+    {
+        constexpr std::size_t rows = 40;
+        const std::string value(48'000, 'v');
+        static_assert(rows * 48'000 > standin::fleet_store::max_page_bytes);
+        for (std::size_t n = 0; n != rows; ++n)
+        {
+            store.put("servers", numbered("b&", n), value);
+        }
+        running_watch it{host.address()};
+        CHECK(eventually([&] { return it.sink.tables != 0; }));
+        CHECK(it.sink.size() == rows);
+        CHECK(it.sink.value(numbered("b&", rows - 1)) == value);
+    }
+}
+
 TEST_CASE("a write whose response is lost is reported as Unavailable: its outcome is unknown")
 {
     standin::fleet_store store;
--- a/test/process/fleet_scenarios.cpp
+++ b/test/process/fleet_scenarios.cpp
@@ -8,6 +8,7 @@
 #include "mangovane/idempotency/claim.hpp"
 #include "mangovane/idempotency/claim_codec.hpp"
 #include "mangovane/store/platform_codec.hpp"
+#include "mangovane/store/request_target.hpp"
 #include "process/fleet_load.hpp"
 
 using namespace mangovane;
@@ -25,7 +26,7 @@
     const auto row_key =
         claim_row_key(account_id::of("registry"), service_id::of("ventanilla"), key);
     const auto response =
-        target.send_to_platform({"GET", "/v1/table/" + encode_path_segment(row_key), {}, {}});
+        target.send_to_platform({"GET", "/v1/table/" + percent_encode(row_key), {}, {}});
     const auto row = decode_row(response.body);
     return row.ok() ? decode_claim(row->value) : absl::StatusOr<claim>{row.status()};
 }
