End the reading of a list that makes no progress

A router that starts, and whose store answers a page again and again, read it for ever and served nothing.

Cause: the watch asked for the page after the last key without looking whether it had got further, so it made calls without end and without a line of log. A page without any readable row was taken for the end of the list instead, and the rows after it for removed.

Change: a list goes on only from a key after the one that its page started from. Otherwise the rows that were read are passed on as changes, which remove nothing, a line of log names the last key, and the watch goes on with reading changes. What a list does not say does not take an endpoint out of service.

Endpoints behind more than a page of rows without a readable key stay unknown to an instance that starts until their entries change.

--- a/src/mangovane/store/table_watch.cpp
+++ b/src/mangovane/store/table_watch.cpp
@@ -113,6 +113,7 @@
         rows_.clear();
         table_revision_.reset();
     }
+    page_from_ = from;
     begin_call(milliseconds{0});
     reader_.list(table_, from, list_timeout_.deadline_from(clock::now()),
                  [self = shared_from_this()](absl::StatusOr<store_rows> page)
@@ -148,17 +149,28 @@
         read_from_start();
         return;
     }
-    const bool more = page->more && !page->rows.empty();
+    // The list continues from the last key that could be read. A page may end with other rows.
+    const auto next = page->rows.empty() ? std::string{} : page->rows.back().key;
     rows_.insert(rows_.end(), std::make_move_iterator(page->rows.begin()),
                  std::make_move_iterator(page->rows.end()));
     table_revision_ = table_revision_.value_or(page->revision);
-    if (more)
+    if (page->more && next > page_from_)
     {
-        read_table(rows_.back().key);
+        read_table(next);
         return;
     }
     sink_.on_response();
-    sink_.on_snapshot(std::exchange(rows_, {}), *table_revision_);
+    if (page->more)
+    {
+        // The next call would get the same page again. The rows read so far are in force; those
+        // after them are not removed, as the list does not say whether they exist.
+        sink_.on_incomplete_list(page_from_);
+        sink_.on_changes(std::exchange(rows_, {}), *table_revision_);
+    }
+    else
+    {
+        sink_.on_snapshot(std::exchange(rows_, {}), *table_revision_);
+    }
     revision_ = *table_revision_;
     backoff_ = initial_backoff;
     if (reading)
--- a/src/mangovane/store/table_watch.hpp
+++ b/src/mangovane/store/table_watch.hpp
@@ -28,9 +28,13 @@
     /// The whole table at a revision; some rows may be newer.
     virtual void on_snapshot(const std::vector<store_row>& rows, store_revision revision) = 0;
 
-    /// Changed and removed rows up to a revision.
+    /// Changed and removed rows up to a revision; also the rows of a list that cannot be read to
+    /// its end.
     virtual void on_changes(const std::vector<store_row>& rows, store_revision revision) = 0;
 
+    /// No key after this one can be read in the list, which goes on.
+    virtual void on_incomplete_list(const std::string& last_key) = 0;
+
     /// The store responded; called before the rows of the response are passed on.
     virtual void on_response() = 0;
 
@@ -87,6 +91,7 @@
     table_sink& sink_;
     boost::asio::steady_timer timer_;
     std::vector<store_row> rows_; ///< Rows of the pages read so far.
+    std::string page_from_;       ///< Key from which the page was read last.
     /// Of the first page. Later pages are newer, but do not show what was removed from earlier
     /// ones.
     std::optional<store_revision> table_revision_;
--- a/test/mangovane/store/table_watch.cpp
+++ b/test/mangovane/store/table_watch.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <set>
 
 #include <doctest/doctest.h>
 
@@ -12,18 +14,24 @@
 namespace
 {
 
-/// A table that is listed in pages of two rows; `between_pages` runs after the first page.
+/// A table that is listed in pages; `between_pages` runs after the first page. Rows whose key is
+/// in `unreadable` take a place in a page, but cannot be read.
 class paged_table final : public table_reader
 {
 public:
     void list(const std::string&, const std::string& from, time_point, rows_handler done) override
     {
+        ++lists;
         store_rows result;
         result.revision = revision;
+        std::size_t n = 0;
         for (auto it = rows.lower_bound(from); it != rows.end() && !result.more; ++it)
         {
-            result.rows.push_back({it->first, "", it->second, false});
-            result.more = result.rows.size() == page_rows && std::next(it) != rows.end();
+            if (!unreadable.contains(it->first))
+            {
+                result.rows.push_back({it->first, "", it->second, false});
+            }
+            result.more = ++n == page_rows && std::next(it) != rows.end();
         }
         if (from.empty() && between_pages)
         {
@@ -57,11 +65,12 @@
         removals.push_back({key, "", ++revision, true});
     }
 
-    static constexpr std::size_t page_rows = 2;
-
+    std::size_t page_rows{2};
     std::map<std::string, std::uint64_t> rows{{"a", 1}, {"b", 2}, {"c", 3}, {"d", 4}};
+    std::set<std::string> unreadable;
     std::vector<store_row> removals;
     std::uint64_t revision{4};
+    std::size_t lists{0};
     std::function<void()> between_pages;
     std::vector<std::uint64_t> changes_since;
 };
@@ -85,9 +94,14 @@
         for (const auto& it : list)
         {
             keys.erase(it.key);
+            if (!it.removed)
+            {
+                keys.insert({it.key, it.revision});
+            }
         }
         changed = true;
     }
+    void on_incomplete_list(const std::string& last_key) override { incomplete_after = last_key; }
     void on_response() override {}
     void on_failure(const absl::Status&) override {}
     store_revision resume_revision() override { return resume_at; }
@@ -96,6 +110,7 @@
     store_revision snapshot_revision;
     store_revision resume_at;
     std::size_t snapshots{0};
+    std::optional<std::string> incomplete_after; ///< Last key of a list without an end.
     bool changed{false};
 };
 
@@ -138,6 +153,50 @@
         CHECK(copy.snapshot_revision == 4);
         CHECK(copy.keys == std::map<std::string, store_revision>{{"b", 2}, {"c", 3}, {"d", 4}});
     }
+    SUBCASE("whose first page ends with a row that cannot be read is read as a whole")
+    {
+        table.page_rows = 3;
+        table.unreadable = {"c"};
+        watch->start();
+        io.run_for(milliseconds{200});
+        CHECK(copy.keys == std::map<std::string, store_revision>{{"a", 1}, {"b", 2}, {"d", 4}});
+        CHECK(copy.snapshots == 1);
+        CHECK_FALSE(copy.incomplete_after);
+    }
+    SUBCASE("that cannot be read beyond a key")
+    {
+        // The same page was read over and over, and a page without a readable row was taken for
+        // the end of the list, so that the rows after it were taken for removed.
+        const auto run = [&]
+        {
+            watch->start();
+            for (int n = 0; n != 500 && table.changes_since.empty(); ++n)
+            {
+                io.run_for(milliseconds{10});
+            }
+            REQUIRE_FALSE(table.changes_since.empty());
+            CHECK(copy.snapshots == 0);
+            CHECK(table.changes_since.front() == 4);
+        };
+
+        SUBCASE("since only that row is in the page: has its rows before in force")
+        {
+            table.unreadable = {"b"};
+            run();
+            CHECK(copy.keys == std::map<std::string, store_revision>{{"a", 1}});
+            CHECK(copy.incomplete_after == "a");
+            CHECK(table.lists == 2);
+        }
+        SUBCASE("since no row of its first page can be read: keeps what is known")
+        {
+            copy.keys = {{"d", 4}};
+            table.unreadable = {"a", "b"};
+            run();
+            CHECK(copy.keys == std::map<std::string, store_revision>{{"d", 4}});
+            CHECK(copy.incomplete_after == "");
+            CHECK(table.lists == 1);
+        }
+    }
     watch->stop();
 }
 
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -37,6 +37,7 @@
         apply_rows(list);
         known = revision.number;
     }
+    void on_incomplete_list(const std::string&) override { ++incomplete_lists; }
     void on_response() override { ++responses; }
     void on_failure(const absl::Status&) override { ++failures; }
     store_revision resume_revision() override { return known.load(); }
@@ -55,6 +56,7 @@
 
     std::atomic<std::uint64_t> known{0};
     std::atomic<int> tables{0};
+    std::atomic<int> incomplete_lists{0};
     std::atomic<int> responses{0};
     std::atomic<int> failures{0};
 
