--- a/src/standin/fleet_store.cpp
+++ b/src/standin/fleet_store.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_replace.h>
 #include <boost/json.hpp>
 #include <boost/url.hpp>
 
@@ -25,6 +26,9 @@
 
 constexpr std::chrono::milliseconds poll_period{5};
 
+/// A surrogate in a key, whose only form in JSON is an escape.
+constexpr const char* unpaired_surrogate = "\xed\xa0\x80";
+
 /// A call that reads, and the parameters that it takes.
 struct read_call
 {
@@ -110,8 +114,9 @@
 
 std::string rows_text(json::array rows, bool more, std::uint64_t revision)
 {
-    return json::serialize(json::object{
+    const auto text = json::serialize(json::object{
         {"rows", std::move(rows)}, {"more_pages", more}, {"ver", revision}, {"now_ms", now_ms()}});
+    return absl::StrReplaceAll(text, {{unpaired_surrogate, "\\ud800"}});
 }
 
 } // namespace
--- a/test/platform/store_client.cpp
+++ b/test/platform/store_client.cpp
@@ -149,6 +149,37 @@
     CHECK_FALSE(parse_rows_response("", "t").ok());
 }
 
+TEST_CASE("a response of the store with a key that is not valid Unicode")
+{
+    // The whole page was dropped, and with it all rows, as often as it was read.
+    const auto read = [](const std::string& key)
+    {
+        return parse_rows_response(R"({"rows":[{"table":"t","key":"a","value":"","ver":4},
+            {"table":"t","key":")" + key +
+                                       R"(","value":"","ver":5},
+            {"table":"t","key":"z","value":"","ver":6}],"more_pages":false,"ver":9})",
+                                   "t");
+    };
+    SUBCASE("keeps bytes that are not UTF-8, by which the list can be continued")
+    {
+        const auto it = read("m\xff");
+        REQUIRE(it.ok());
+        REQUIRE(it->rows.size() == 3);
+        CHECK(it->rows[1].key == "m\xff");
+    }
+    SUBCASE("leaves out the row if it does not state the key in full")
+    {
+        for (const char* key : {"m\\ud800", "m\\udc00x", "m\\ufffd", "m\xef\xbf\xbd"})
+        {
+            CAPTURE(key);
+            const auto it = read(key);
+            REQUIRE(it.ok());
+            REQUIRE(it->rows.size() == 2);
+            CHECK(it->rows[1].key == "z");
+        }
+    }
+}
+
 TEST_CASE("a late copy of the response to a read of another table is no result")
 {
     // Taken for the list of endpoints, it would remove all of them.
@@ -299,6 +330,31 @@
             CHECK(it.sink.failures == 0);
         }
     }
+    SUBCASE("whose first page ends with a key that is not valid Unicode")
+    {
+        for (std::size_t n = 1; n != standin::fleet_store::max_page_rows; ++n)
+        {
+            store.put("servers", numbered("m", n), "?");
+        }
+        SUBCASE("since it holds an unpaired surrogate: all other rows are read")
+        {
+            store.put("servers", "ma\xed\xa0\x80", "?");
+            store.put("servers", "z", "last");
+            running_watch it{host.address()};
+            CHECK(eventually([&] { return it.sink.tables != 0; }));
+            CHECK(it.sink.size() == standin::fleet_store::max_page_rows);
+            CHECK(it.sink.value("z") == "last");
+        }
+        SUBCASE("since it holds other bytes: all rows are read")
+        {
+            store.put("servers", "ma\xff", "?");
+            store.put("servers", "z", "last");
+            running_watch it{host.address()};
+            CHECK(eventually([&] { return it.sink.tables != 0; }));
+            CHECK(it.sink.size() == standin::fleet_store::max_page_rows + 1);
+            CHECK(it.sink.value("z") == "last");
+        }
+    }
     SUBCASE("of few rows with long values")
     {
         constexpr std::size_t rows = 40;
