--- a/test/platform/fleet_return.cpp
+++ b/test/platform/fleet_return.cpp
@@ -183,3 +183,28 @@
         }
     }
 }
+
+TEST_CASE("a fleet whose routers were all killed while an odd entry is among the operators' rows")
+{
+    // Evacuations are part of the text in which instances send each other the configuration.
+    router_fleet fleet{router_count};
+    fleet.add_engine("plain-1", "ventanilla");
+    fleet.add_engine("engine-1", "dictamen");
+    for (std::size_t n = 0; n != router_count; ++n)
+    {
+        REQUIRE(serves_again(fleet, n));
+    }
+    for (const char* odd : {"a\nb", "x,a,b,c", "\t", "&+ #%", "%zz", ""})
+    {
+        SUBCASE((std::string{"an evacuation of '"} + odd + "': serves again").c_str())
+        {
+            fleet.store.put("op", std::string{"evacuate/"} + odd, "{}");
+            kill_all(fleet);
+            start_all(fleet);
+            for (std::size_t n = 0; n != router_count; ++n)
+            {
+                CHECK(serves_again(fleet, n));
+            }
+        }
+    }
+}
--- a/test/platform/manifest.cpp
+++ b/test/platform/manifest.cpp
@@ -116,6 +116,28 @@
     }
 }
 
+TEST_CASE("a name that holds what the text of a state uses itself")
+{
+    // The text was then another one for all instances, and the configuration in it unreadable.
+    SUBCASE("of a domain is read as it was written")
+    {
+        for (const std::string odd : {"a\nb", "x,a,b", "a\tb", "\tb", "%zz", "%2C", "a%", "&+ #%",
+                                      "a\r\nb", "caf\u00e9", "\xff"})
+        {
+            CAPTURE(odd);
+            const operator_state state{manifest, {"ikeja-a", odd}, {}};
+            const auto text = encode_operator_state(state);
+            CHECK(*decode_operator_state(text) == state);
+            const auto settings = decode_settings(text, 42);
+            REQUIRE(settings.ok());
+            CHECK((*settings)->domains_out.contains(domain_id::of("ikeja-a")));
+            CHECK((*settings)->domains_out.contains(domain_id::of(odd)));
+            CHECK((*settings)->domains_out.size() == 2);
+            CHECK_FALSE((*settings)->routes.all().empty());
+        }
+    }
+}
+
 TEST_CASE("orders of rollouts")
 {
     operator_state state{manifest, {"ikeja-a"}, {}};
