--- a/test/platform/manifest.cpp
+++ b/test/platform/manifest.cpp
@@ -136,6 +136,22 @@
             CHECK_FALSE((*settings)->routes.all().empty());
         }
     }
+    SUBCASE("of a service, or the text of its order, leaves the other orders readable")
+    {
+        for (const std::string odd :
+             {"a\nb", "x,a,b", ",\tb", "&+ #%", "\"", "\xff", "\xed\xa0\x80"})
+        {
+            CAPTURE(odd);
+            operator_state state{manifest, {}, {}};
+            state.rollouts["s1"] = {R"({"service":"s1","to":"v2","duration_s":12})", 40};
+            state.rollouts[odd] = {odd, 41};
+            const auto text = encode_operator_state(state);
+            CHECK(*decode_operator_state(text) == state);
+            const auto settings = decode_settings(text, 42);
+            REQUIRE(settings.ok());
+            CHECK((*settings)->rollouts.size() == 1);
+        }
+    }
 }
 
 TEST_CASE("orders of rollouts")
