Leave out entries of endpoints that other instances would refuse

With one entry in the list whose zone is longer than 256 bytes, or one with an empty name, routers that do not read the store themselves did not learn of later changes: they did not use an endpoint that was added after it.

Cause: instances send each other rows of the list, and refuse a message as a whole if one row has an empty name or a text over 256 bytes. The reader of the store did not check for that, also not before it noted an unreadable entry as removed.

Change: an entry whose name or zone is not a text that instances accept is left out, as one without a service is. So is one with a control character in its name, zone or version: names and versions are sent in header fields and written into lines of the log.

--- a/test/platform/endpoint_entry.cpp
+++ b/test/platform/endpoint_entry.cpp
@@ -68,3 +68,38 @@
     CHECK(parse_endpoint_entry("i-1", with("1500", "31536000000"), 9)->cold_left ==
           milliseconds{31'536'000'000});
 }
+
+TEST_CASE("an entry that other instances would not accept names no endpoint")
+{
+    // They refuse a whole message because of one such row, and with it all other endpoints.
+    const std::string longest(256, 'z');
+    const auto with_zone = [](const std::string& zone) { return with("bogota-a", zone); };
+    const auto with_version = [](const std::string& version)
+    { return with("\"v1\"", "\"" + version + "\""); };
+
+    SUBCASE("because of its zone")
+    {
+        CHECK(parse_endpoint_entry("i-1", with_zone(longest), 9).ok());
+        CHECK_FALSE(parse_endpoint_entry("i-1", with_zone(longest + "z"), 9).ok());
+        CHECK_FALSE(parse_endpoint_entry("i-1", with_zone("a\\nb"), 9).ok());
+    }
+    SUBCASE("because of its version, which is also sent in header fields")
+    {
+        CHECK(parse_endpoint_entry("i-1", with_version(longest), 9).ok());
+        CHECK_FALSE(parse_endpoint_entry("i-1", with_version(longest + "z"), 9).ok());
+        CHECK_FALSE(parse_endpoint_entry("i-1", with_version("a\\r\\nb"), 9).ok());
+    }
+    SUBCASE("because of its name")
+    {
+        for (const std::string name : {"i-1", "a&b", "a+b", "a#b", "a%zz", "a b", "caf\u00e9"})
+        {
+            CAPTURE(name);
+            CHECK(is_endpoint_name(name));
+        }
+        CHECK(is_endpoint_name(longest));
+        CHECK_FALSE(is_endpoint_name(longest + "z"));
+        CHECK_FALSE(is_endpoint_name(""));
+        CHECK_FALSE(is_endpoint_name("a\r\nb"));
+        CHECK_FALSE(is_endpoint_name(std::string(1, '\0')));
+    }
+}
--- a/test/platform/fleet_return.cpp
+++ b/test/platform/fleet_return.cpp
@@ -2,6 +2,7 @@
 // endpoints or a socket left, which a router that goes on has.
 #include <fcntl.h>
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
 #include <vector>
@@ -208,3 +209,45 @@
         }
     }
 }
+
+TEST_CASE("a fleet in whose list an entry has a text that instances do not accept from each other")
+{
+    // Only some instances read the list; the others get it in messages, which they refuse whole.
+    router_fleet fleet{router_count};
+    fleet.add_engine("plain-1", "ventanilla");
+    for (std::size_t n = 0; n != router_count; ++n)
+    {
+        REQUIRE(serves_again(fleet, n));
+        REQUIRE(fleet.await_ready(n));
+    }
+
+    SUBCASE("its zone: all routers use an endpoint that is added later")
+    {
+        fleet.store.put(
+            "servers", "other",
+            entry_text({"other", "127.0.0.1:9", std::string(300, 'z'), "ready", milliseconds{0}}));
+        fleet.add_engine("plain-2", "ventanilla");
+        fleet.store.remove("servers", "plain-1");
+    }
+    SUBCASE("its name: all routers use an endpoint that is added later")
+    {
+        fleet.store.put("servers", "", "?");
+        fleet.add_engine("plain-2", "ventanilla");
+        fleet.store.remove("servers", "plain-1");
+    }
+    for (std::size_t n = 0; n != router_count; ++n)
+    {
+        const auto& engine = fleet.engines["plain-2"]->engine;
+        const auto id = "later-" + std::to_string(n) + "-";
+        int k = 0;
+        const auto reaches_it = [&]
+        {
+            const auto request = id + std::to_string(++k);
+            const bool served = fleet.call(n, "GET", "status", request).status == 200;
+            const auto runs = engine.runs();
+            return served && std::any_of(runs.begin(), runs.end(),
+                                         [&](const auto& run) { return run.request == request; });
+        };
+        CHECK(eventually(reaches_it, recovery_bound));
+    }
+}
