Escape the name of an ignored entry in the log

What operators would have seen: a line of the log that no instance wrote. A name with a line feed ended the line `entry_ignored` and began one of its writer's own, such as `event=settings_in_force`.

Change: names are written with C escapes. Other names are unchanged but for quotes and backslashes.

--- a/src/mangovane/daemon/discovery_sink.cpp
+++ b/src/mangovane/daemon/discovery_sink.cpp
@@ -1,6 +1,7 @@
 // Implementation of the discovery sink.
 #include "mangovane/daemon/discovery_sink.hpp"
 
+#include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 
 #include "mangovane/daemon/directory_log.hpp"
@@ -69,7 +70,10 @@
                                       const std::string& reason,
                                       time_point now)
 {
-    log_.write(absl::StrCat("event=entry_ignored entry=", what, " reason=\"", reason, "\""), now);
+    // The name is another writer's, and must not end the line.
+    log_.write(absl::StrCat("event=entry_ignored entry=", absl::Utf8SafeCEscape(what), " reason=\"",
+                            reason, "\""),
+               now);
 }
 
 void discovery_sink::tick(time_point now)
--- a/test/platform/store_source.cpp
+++ b/test/platform/store_source.cpp
@@ -2,6 +2,7 @@
 // the instances. Calls that go on after the first success would load the store from every instance.
 #include "store_source.hpp"
 
+#include <algorithm>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -25,6 +26,18 @@
     [[nodiscard]] std::size_t write(std::string_view bytes) override { return bytes.size(); }
 };
 
+class kept_output final : public log_output
+{
+public:
+    [[nodiscard]] std::size_t write(std::string_view bytes) override
+    {
+        text.append(bytes);
+        return bytes.size();
+    }
+
+    std::string text;
+};
+
 /// A store source with its instance, against a stand-in store inside the test process.
 struct source_fixture
 {
@@ -103,6 +116,22 @@
     }
 }
 
+TEST_CASE("an entry that is ignored is one line of the log, whatever its name holds")
+{
+    // A line feed in the name of an entry began a line of its writer's own.
+    test::recording_sink sink;
+    forward_core core{test::make_options("127.0.0.1", "ikeja-a"), sink, &decode_settings,
+                      test::start};
+    kept_output output;
+    event_log log{output, log_limits{}, test::start};
+    discovery_sink discovery{core, log};
+    discovery.on_invalid_entry("a\nevent=settings_in_force\r\x01\u00e9", "reason", test::start);
+    log.flush(test::start);
+    CHECK(std::count(output.text.begin(), output.text.end(), '\n') == 1);
+    CHECK(output.text.ends_with(
+        "event=entry_ignored entry=a\\nevent=settings_in_force\\r\\001\u00e9 reason=\"reason\"\n"));
+}
+
 namespace
 {
 
