Read the native platform's list without its malformed rows

What callers would have seen: with one row in the list that lacks a field or has one of another type, an instance with the native front end that starts has no endpoints, and one that runs no longer learns of changes.

Cause: an exception for one row made the whole list an error, as often as it was read.

Change: each row is decoded on its own, and one that cannot be is left out. A list that is no list is an error as before.

Evidence: the new section of platform_codec.cpp failed on with the first of seven odd rows. No process was run with such a list.

--- a/src/mangovane/store/platform_codec.cpp
+++ b/src/mangovane/store/platform_codec.cpp
@@ -69,6 +69,26 @@
     return info;
 }
 
+/// The rows of a list that `read` accepts. One that it cannot read is another writer's and names
+/// nothing; the others hold.
+template <class Row>
+std::vector<Row> readable_rows(const json::value& list, Row (*read)(const json::object&))
+{
+    std::vector<Row> result;
+    for (const auto& it : list.as_array())
+    {
+        try
+        {
+            result.push_back(read(it.as_object()));
+        }
+        catch (const std::exception&)
+        {
+            continue;
+        }
+    }
+    return result;
+}
+
 /// Decodes the text with `read`; exceptions of Boost.JSON for an unexpected structure become a
 /// status.
 template <class Read>
@@ -127,16 +147,8 @@
     return decode(text,
                   [](const json::object& obj)
                   {
-                      discovery_list list;
-                      for (const auto& it : obj.at("instances").as_array())
-                      {
-                          list.instances.push_back(instance_of(it.as_object()));
-                      }
-                      for (const auto& it : obj.at("endpoints").as_array())
-                      {
-                          list.endpoints.push_back(endpoint_of(it.as_object()));
-                      }
-                      return list;
+                      return discovery_list{readable_rows(obj.at("instances"), &instance_of),
+                                            readable_rows(obj.at("endpoints"), &endpoint_of)};
                   });
 }
 
--- a/src/mangovane/store/platform_codec.hpp
+++ b/src/mangovane/store/platform_codec.hpp
@@ -24,7 +24,8 @@
 [[nodiscard]] absl::StatusOr<std::vector<write_result>> decode_results(std::string_view text,
                                                                        std::size_t count);
 
-/// Decodes the response of `GET /v1/instances`. Error: `kDataLoss` if it is malformed.
+/// Decodes the response of `GET /v1/instances`, without its malformed rows. Error: `kDataLoss` if
+/// it is malformed itself.
 [[nodiscard]] absl::StatusOr<discovery_list> decode_discovery_list(std::string_view text);
 
 } // namespace mangovane
--- a/test/mangovane/store/platform_codec.cpp
+++ b/test/mangovane/store/platform_codec.cpp
@@ -37,4 +37,22 @@
         CHECK(list->endpoints.front().leaving);
         CHECK(!decode_discovery_list(R"({"instances":[]})").ok());
     }
+    SUBCASE(
+        "with a row that cannot be read have the other rows of the list (guards against one entry "
+        "of another writer that leaves an instance without endpoints)")
+    {
+        for (const std::string odd :
+             {"{}", "5", "null", "[]", "\"e\"", R"({"name":7,"address":"a","domain":"d"})",
+              R"({"name":"x","address":"a","domain":"d","service":"s","leaving":1})"})
+        {
+            CAPTURE(odd);
+            const auto list = decode_discovery_list(
+                R"({"instances":[)" + odd + R"(,{"name":"i","address":"a","domain":"d"}],
+                "endpoints":[)" +
+                odd + R"(,{"name":"e","service":"s","domain":"d","address":"b"}]})");
+            REQUIRE(list.ok());
+            CHECK(list->instances.size() == 1);
+            CHECK(list->endpoints.size() == 1);
+        }
+    }
 }
