Share the return of a fleet in its tests

The new cases of fleet_return.cpp repeated how the endpoints are added, how all routers are ended and started, and how each is checked. The assertions are the same, and the case before uses the same functions.

--- a/test/platform/fleet_return.cpp
+++ b/test/platform/fleet_return.cpp
@@ -69,17 +69,33 @@
         recovery_bound);
 }
 
-} // namespace
-
-TEST_CASE("a fleet whose routers were all killed")
+/// Adds an endpoint of each service and waits until all routers serve.
+void add_engines(router_fleet& fleet, const std::string& plain, const std::string& model)
 {
-    router_fleet fleet{router_count};
-    fleet.add_engine("plain-1", "ventanilla");
-    fleet.add_engine("engine-1", "dictamen");
+    fleet.add_engine(plain, "ventanilla");
+    fleet.add_engine(model, "dictamen");
     for (std::size_t n = 0; n != router_count; ++n)
     {
         REQUIRE(serves_again(fleet, n));
     }
+}
+
+void check_return(router_fleet& fleet)
+{
+    kill_all(fleet);
+    start_all(fleet);
+    for (std::size_t n = 0; n != router_count; ++n)
+    {
+        CHECK(serves_again(fleet, n));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a fleet whose routers were all killed")
+{
+    router_fleet fleet{router_count};
+    add_engines(fleet, "plain-1", "engine-1");
     kill_all(fleet);
 
     SUBCASE("serves again")
@@ -161,12 +177,7 @@
     constexpr std::size_t odd_entries = 700;
     static_assert(odd_entries > standin::fleet_store::max_page_rows);
     router_fleet fleet{router_count};
-    fleet.add_engine("m5-plain", "ventanilla");
-    fleet.add_engine("m5-engine", "dictamen");
-    for (std::size_t n = 0; n != router_count; ++n)
-    {
-        REQUIRE(serves_again(fleet, n));
-    }
+    add_engines(fleet, "m5-plain", "m5-engine");
     for (const char* odd : {"&", "&part=x", "+", "#", "%zz", "%41", " "})
     {
         SUBCASE((std::string{"whose names hold '"} + odd + "': serves again").c_str())
@@ -175,12 +186,7 @@
             {
                 fleet.store.put("servers", "m" + (odd + std::to_string(1000 + n)), "\xff?");
             }
-            kill_all(fleet);
-            start_all(fleet);
-            for (std::size_t n = 0; n != router_count; ++n)
-            {
-                CHECK(serves_again(fleet, n));
-            }
+            check_return(fleet);
         }
     }
 }
@@ -189,23 +195,13 @@
 {
     // Evacuations are part of the text in which instances send each other the configuration.
     router_fleet fleet{router_count};
-    fleet.add_engine("plain-1", "ventanilla");
-    fleet.add_engine("engine-1", "dictamen");
-    for (std::size_t n = 0; n != router_count; ++n)
-    {
-        REQUIRE(serves_again(fleet, n));
-    }
+    add_engines(fleet, "plain-1", "engine-1");
     for (const char* odd : {"a\nb", "x,a,b,c", "\t", "&+ #%", "%zz", ""})
     {
         SUBCASE((std::string{"an evacuation of '"} + odd + "': serves again").c_str())
         {
             fleet.store.put("op", std::string{"evacuate/"} + odd, "{}");
-            kill_all(fleet);
-            start_all(fleet);
-            for (std::size_t n = 0; n != router_count; ++n)
-            {
-                CHECK(serves_again(fleet, n));
-            }
+            check_return(fleet);
         }
     }
 }
@@ -226,15 +222,13 @@
         fleet.store.put(
             "servers", "other",
             entry_text({"other", "127.0.0.1:9", std::string(300, 'z'), "ready", milliseconds{0}}));
-        fleet.add_engine("plain-2", "ventanilla");
-        fleet.store.remove("servers", "plain-1");
     }
     SUBCASE("its name: all routers use an endpoint that is added later")
     {
         fleet.store.put("servers", "", "?");
-        fleet.add_engine("plain-2", "ventanilla");
-        fleet.store.remove("servers", "plain-1");
     }
+    fleet.add_engine("plain-2", "ventanilla");
+    fleet.store.remove("servers", "plain-1");
     for (std::size_t n = 0; n != router_count; ++n)
     {
         const auto& engine = fleet.engines["plain-2"]->engine;
